Decide what starts next: shares, wallet, waiting tasks and fleet

Cause: the entries need pure decisions on which waiting task starts next, on which worker, and within which ceiling of its team. Change: weighted max-min shares in whole slots; a wallet of slots per team; stride scheduling over teams charged by run time, with urgent work first and one of eight starts for background; worker slots with failing workers set aside, never more than a quarter of a pool or its last one.

--- /dev/null
+++ b/granter/wallet.go
@@ -0,0 +1,113 @@
+package granter
+
+import (
+	"fmt"
+	"maps"
+	"sync"
+)
+
+// Wallet counts the slots that this entry runs for each team against the
+// ceilings that the Granter sets. It is safe for concurrent use.
+type Wallet struct {
+	mu      sync.Mutex
+	used    map[string]int
+	ceiling map[string]int
+	assert  Assert
+}
+
+// Assert is told each invariant that the package checks while it runs.
+type Assert func(ok bool, format string, args ...any)
+
+// NewWallet returns a wallet in which every ceiling is 0. A nil assert
+// panics on a broken invariant.
+func NewWallet(assert Assert) *Wallet {
+	if assert == nil {
+		assert = panicUnless
+	}
+	return &Wallet{
+		used:    make(map[string]int),
+		ceiling: make(map[string]int),
+		assert:  assert,
+	}
+}
+
+// Take reserves n slots for the team. It reports false and reserves nothing
+// when the team's ceiling leaves no room.
+func (w *Wallet) Take(team string, n int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if n < 1 || w.used[team]+n > w.ceiling[team] {
+		return false
+	}
+	w.used[team] += n
+	return true
+}
+
+// Give returns n slots that Take has reserved.
+func (w *Wallet) Give(team string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.assert(n >= 0 && n <= w.used[team], "wallet: %d slots given back for team %q, %d in use", n, team, w.used[team])
+	w.used[team] = max(0, w.used[team]-n)
+	if w.used[team] == 0 {
+		delete(w.used, team)
+	}
+}
+
+// Free returns the slots that Take would still reserve for the team.
+func (w *Wallet) Free(team string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return max(0, w.ceiling[team]-w.used[team])
+}
+
+// Can reports whether Take would succeed now.
+func (w *Wallet) Can(team string, n int) bool {
+	return w.Free(team) >= n
+}
+
+// Used returns the slots in use by team. Teams without any are left out.
+func (w *Wallet) Used() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.used)
+}
+
+// Ceiling returns the most slots that the team may use here.
+func (w *Wallet) Ceiling(team string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.ceiling[team]
+}
+
+// SetCeiling sets the most slots that the team may use here. Only the Granter
+// calls it, and tests that run without a ledger.
+func (w *Wallet) SetCeiling(team string, n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setCeiling(team, n)
+}
+
+// Lower lowers the team's ceiling towards n, but not below the slots in use,
+// and returns the ceiling that now holds. It never raises the ceiling.
+func (w *Wallet) Lower(team string, n int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	next := min(w.ceiling[team], max(n, w.used[team]))
+	w.setCeiling(team, next)
+	return next
+}
+
+func (w *Wallet) setCeiling(team string, n int) {
+	if n <= 0 {
+		delete(w.ceiling, team)
+		return
+	}
+	w.ceiling[team] = n
+}
+
+func panicUnless(ok bool, format string, args ...any) {
+	if !ok {
+		panic(fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/scheduler/counts.go
@@ -0,0 +1,89 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Len returns the number of waiting tasks.
+func (w *Waiting) Len() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.nodes)
+}
+
+// ByQueue returns the number of waiting tasks of each queue that has any.
+func (w *Waiting) ByQueue() map[string]int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[string]int, len(w.queues))
+	for queue, n := range w.queues {
+		counts[queue] = n
+	}
+	return counts
+}
+
+// ByPool returns what waits for each pool.
+func (w *Waiting) ByPool() map[string]Count {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[string]Count, len(w.pools))
+	for pool, s := range w.pools {
+		for _, l := range s.active {
+			counts[pool] = counts[pool].plus(l.count)
+		}
+	}
+	return counts
+}
+
+// ByTeam returns what waits for each team in the pool.
+func (w *Waiting) ByTeam(pool string) map[string]Count {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	counts := make(map[string]Count)
+	if s, ok := w.pools[pool]; ok {
+		for _, l := range s.active {
+			counts[l.team] = l.count
+		}
+	}
+	return counts
+}
+
+// Oldest returns since when the task that has waited longest for the pool
+// waits. ok is false when none waits.
+func (w *Waiting) Oldest(pool string) (since time.Time, ok bool) {
+	for _, item := range w.Heads(pool) {
+		if !ok || item.Since.Before(since) {
+			since, ok = item.Since, true
+		}
+	}
+	return since, ok
+}
+
+// Heads returns the task at the head of each queue and class that waits for
+// the pool, sorted by team, queue and task. They stay in place.
+func (w *Waiting) Heads(pool string) []Item {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.pools[pool]
+	if !ok {
+		return nil
+	}
+	var heads []Item
+	for _, l := range s.active {
+		heads = l.appendHeads(heads)
+	}
+	slices.SortFunc(heads, func(a, b Item) int {
+		return strings.Compare(a.Task.sortKey(), b.Task.sortKey())
+	})
+	return heads
+}
+
+func (t *Task) sortKey() string {
+	return t.Team + "\x00" + t.Queue + "\x00" + t.ID
+}
+
+func (c Count) plus(d Count) Count {
+	return Count{Tasks: c.Tasks + d.Tasks, Slots: c.Slots + d.Slots}
+}
--- /dev/null
+++ b/scheduler/fleet_test.go
@@ -0,0 +1,142 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+func workers(n int) []scheduler.Worker {
+	ws := make([]scheduler.Worker, n)
+	for i := range ws {
+		ws[i] = scheduler.Worker{ID: fmt.Sprint("w", i), Pool: "cards", Slots: 8}
+	}
+	return ws
+}
+
+func fail(f *scheduler.Fleet, id, task string) {
+	f.Free(id, 1, scheduler.Outcome{Task: task, Ending: scheduler.Faulted})
+}
+
+func TestClosedWorkerTakesNothingAndIsForgottenWhenIdle(t *testing.T) {
+	f := scheduler.NewFleet()
+	f.Open(workers(1)[0])
+	w, ok := f.Pick("cards", 3, nil)
+	require.True(t, ok)
+	require.Equal(t, 5, f.FreeSlots("cards"))
+	f.Close(w.ID)
+	_, ok = f.Pick("cards", 1, nil)
+	require.False(t, ok)
+	f.Remove(w.ID)
+	require.Equal(t, 3, f.Running(w.ID))
+	f.Free(w.ID, 3, scheduler.Outcome{Task: "a", Ending: scheduler.Succeeded})
+	_, ok = f.Worker(w.ID)
+	require.False(t, ok)
+}
+
+func TestWorkerThatFailsAllIsSetAsideAndTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := scheduler.NewFleet()
+		for _, w := range workers(4) {
+			f.Open(w)
+		}
+		others := map[string]bool{"w1": true, "w2": true, "w3": true}
+		for i := range scheduler.DefaultFaults {
+			w, ok := f.Pick("cards", 1, others)
+			require.True(t, ok)
+			fail(f, w.ID, fmt.Sprint("task", i))
+		}
+		_, ok := f.Pick("cards", 1, others)
+		require.False(t, ok)
+		require.Equal(t, 1, f.Loads()[0].Aside)
+		time.Sleep(scheduler.DefaultProbation)
+		w, ok := f.Pick("cards", 1, others)
+		require.True(t, ok)
+		_, ok = f.Pick("cards", 1, others)
+		require.False(t, ok, "one task at a time on trial")
+		fail(f, w.ID, "trial")
+		time.Sleep(scheduler.DefaultProbation)
+		_, ok = f.Pick("cards", 1, others)
+		require.False(t, ok, "the time aside doubles")
+		time.Sleep(scheduler.DefaultProbation)
+		w, ok = f.Pick("cards", 1, others)
+		require.True(t, ok)
+		f.Free(w.ID, 1, scheduler.Outcome{Task: "b", Ending: scheduler.Succeeded})
+		require.Zero(t, f.Loads()[0].Aside)
+	})
+}
+
+func TestOneBadTaskSetsNoWorkerAside(t *testing.T) {
+	f := scheduler.NewFleet()
+	for _, w := range workers(4) {
+		f.Open(w)
+	}
+	for range 100 {
+		w, ok := f.Pick("cards", 1, nil)
+		require.True(t, ok)
+		fail(f, w.ID, "bad")
+	}
+	require.Zero(t, f.Loads()[0].Aside)
+	for i := range 100 {
+		w, ok := f.Pick("cards", 1, nil)
+		require.True(t, ok)
+		fail(f, w.ID, fmt.Sprint("bad", i))
+	}
+	require.Equal(t, 1, f.Loads()[0].Aside, "a bad queue takes a quarter of the pool at most")
+}
+
+func TestNoWorkerRunsMoreThanItsSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := scheduler.NewFleet()
+		running := map[string]int{}
+		open := map[string]bool{}
+		drawID := func(t *rapid.T) string { return fmt.Sprint("w", rapid.IntRange(0, 3).Draw(t, "worker")) }
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				id := drawID(t)
+				f.Open(scheduler.Worker{ID: id, Pool: "cards", Slots: 8})
+				open[id] = true
+			},
+			"close": func(t *rapid.T) {
+				id := drawID(t)
+				f.Close(id)
+				open[id] = false
+			},
+			"remove": func(t *rapid.T) {
+				id := drawID(t)
+				f.Remove(id)
+				open[id] = false
+			},
+			"pick": func(t *rapid.T) {
+				slots := rapid.IntRange(1, 8).Draw(t, "slots")
+				fits := f.FreeSlots("cards") >= slots
+				w, ok := f.Pick("cards", slots, nil)
+				require.Equal(t, fits, ok)
+				if ok {
+					require.True(t, open[w.ID])
+					running[w.ID] += slots
+				}
+			},
+			"free": func(t *rapid.T) {
+				id := drawID(t)
+				if running[id] > 0 {
+					slots := rapid.IntRange(1, running[id]).Draw(t, "slots")
+					f.Free(id, slots, scheduler.Outcome{Task: "t", Ending: scheduler.Succeeded})
+					running[id] -= slots
+				}
+			},
+			"": func(t *rapid.T) {
+				for id, n := range running {
+					require.Equal(t, n, f.Running(id))
+					require.LessOrEqual(t, n, 8)
+				}
+			},
+		})
+	})
+}
--- /dev/null
+++ b/scheduler/queue.go
@@ -0,0 +1,114 @@
+package scheduler
+
+import (
+	"slices"
+)
+
+type (
+	// class is what a team has waiting of one class for one pool. Its queues
+	// are served in turn.
+	class struct {
+		queues []*queue
+		next   int // index of the queue to look at first
+	}
+
+	// queue is a doubly linked list of tasks in order of arrival.
+	queue struct {
+		name       string
+		class      *class
+		head, tail *node
+		bypassed   int // times that a later task started before the head
+	}
+
+	// node is one waiting task.
+	node struct {
+		item       Item
+		list       *queue
+		prev, next *node
+		dropped    bool
+	}
+)
+
+func (c *class) push(n *node) {
+	i := slices.IndexFunc(c.queues, func(q *queue) bool { return q.name == n.item.Task.Queue })
+	if i < 0 {
+		i = len(c.queues)
+		c.queues = append(c.queues, &queue{name: n.item.Task.Queue, class: c})
+	}
+	c.queues[i].push(n)
+}
+
+func (c *class) waiting() bool {
+	return len(c.queues) > 0
+}
+
+// candidate returns the first task that fits, beginning with the queue whose
+// turn it is.
+func (c *class) candidate(freeSlots int) *node {
+	for i := range c.queues {
+		q := c.queues[(c.next+i)%len(c.queues)]
+		if n := q.candidate(freeSlots); n != nil {
+			return n
+		}
+	}
+	return nil
+}
+
+// removed keeps the turn after a task of q has left, and forgets an empty q.
+func (c *class) removed(q *queue) {
+	i := slices.Index(c.queues, q)
+	if q.head != nil {
+		c.next = (i + 1) % len(c.queues)
+		return
+	}
+	c.queues = slices.Delete(c.queues, i, i+1)
+	c.next = i
+	if i >= len(c.queues) {
+		c.next = 0
+	}
+}
+
+func (q *queue) push(n *node) {
+	n.list, n.prev = q, q.tail
+	if q.tail == nil {
+		q.head = n
+	} else {
+		q.tail.next = n
+	}
+	q.tail = n
+}
+
+// candidate returns the head, or a task close behind it when the head does
+// not fit and has not been passed over too often.
+func (q *queue) candidate(freeSlots int) *node {
+	if q.head.item.Task.Slots <= freeSlots {
+		return q.head
+	}
+	if q.bypassed >= maxBypass {
+		return nil
+	}
+	n := q.head.next
+	for i := 0; i < lookAhead && n != nil; i++ {
+		if n.item.Task.Slots <= freeSlots {
+			return n
+		}
+		n = n.next
+	}
+	return nil
+}
+
+func (q *queue) remove(n *node) {
+	if n == q.head {
+		q.head = n.next
+		q.bypassed = 0
+	} else {
+		n.prev.next = n.next
+	}
+	if n == q.tail {
+		q.tail = n.prev
+	} else {
+		n.next.prev = n.prev
+	}
+	n.prev, n.next = nil, nil
+	n.list.class.removed(q)
+}
