--- a/keeper/record.go
+++ b/keeper/record.go
@@ -37,6 +37,8 @@
 	ErrCompacted = errors.ConstError("revision compacted")
 	// ErrLeaseLost reports that a lease has expired.
 	ErrLeaseLost = errors.ConstError("lease expired")
+	// ErrTooLarge reports a value above MaxValueBytes. Nothing was written.
+	ErrTooLarge = errors.ConstError("value too large for the key-value service")
 )
 
 // Record is one key with its value. Revision 0 means that the key is absent.
