--- /dev/null
+++ b/parser/errors.go
@@ -0,0 +1,47 @@
+package parser
+
+import (
+	"fmt"
+	"strings"
+)
+
+type (
+	// Error is one fault of a rules file.
+	Error struct {
+		File    string `json:"file"`
+		Line    int    `json:"line"`    // from 1
+		Column  int    `json:"column"`  // in characters, from 1
+		Found   string `json:"found"`   // what stands there
+		Allowed string `json:"allowed"` // what may stand there instead
+	}
+
+	// Errors holds all faults of a rules file in the order of its lines.
+	Errors []Error
+
+	place struct {
+		line   int
+		column int
+	}
+)
+
+// Error implements error.
+func (e Error) Error() string {
+	return fmt.Sprintf("%s:%d:%d: found %s; allowed: %s", e.File, e.Line, e.Column, e.Found, e.Allowed)
+}
+
+// Error implements error. It has one line for each fault.
+func (e Errors) Error() string {
+	lines := make([]string, 0, len(e))
+	for _, one := range e {
+		lines = append(lines, one.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// before orders places by line, then column.
+func (p place) before(q place) bool {
+	if p.line != q.line {
+		return p.line < q.line
+	}
+	return p.column < q.column
+}
--- /dev/null
+++ b/parser/format.go
@@ -0,0 +1,145 @@
+package parser
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// entry is one rule in canonical form. The key is its kind and name.
+type entry struct {
+	kind string
+	name string
+	text string
+}
+
+// Format prints the rules in canonical form: one space between words, kinds
+// in a fixed order, rules of a kind sorted by name. Parse reads it back.
+func Format(r *Rules) []byte {
+	var b bytes.Buffer
+	for _, e := range entries(r) {
+		b.WriteString(e.text)
+		b.WriteByte('\n')
+	}
+	return b.Bytes()
+}
+
+// Sorted returns a copy of the rules in the order of Format.
+func Sorted(r *Rules) *Rules {
+	return &Rules{
+		Number:     r.Number,
+		Teams:      sorted(r.Teams, func(t Team) string { return t.Name }),
+		Queues:     sorted(r.Queues, func(q Queue) string { return q.Name }),
+		Pools:      sorted(r.Pools, func(p Pool) string { return p.Name }),
+		Keys:       sorted(r.Keys, func(k Key) string { return k.ID }),
+		Budgets:    sorted(r.Budgets, budgetName),
+		Objectives: sorted(r.Objectives, func(o Objective) string { return o.Queue }),
+	}
+}
+
+func sorted[T any](rules []T, name func(T) string) []T {
+	next := append([]T(nil), rules...)
+	sort.SliceStable(next, func(i, j int) bool { return name(next[i]) < name(next[j]) })
+	return next
+}
+
+// entries returns the rules in canonical form and order.
+func entries(r *Rules) []entry {
+	r = Sorted(r)
+	var all []entry
+	for _, p := range r.Pools {
+		all = append(all, entry{poolKind, p.Name, p.String()})
+	}
+	for _, t := range r.Teams {
+		all = append(all, entry{teamKind, t.Name, t.String()})
+	}
+	for _, q := range r.Queues {
+		all = append(all, entry{queueKind, q.Name, q.String()})
+	}
+	for _, o := range r.Objectives {
+		all = append(all, entry{objectiveKind, o.Queue, o.String()})
+	}
+	for _, b := range r.Budgets {
+		all = append(all, entry{budgetKind, budgetName(b), b.String()})
+	}
+	for _, k := range r.Keys {
+		all = append(all, entry{keyKind, k.ID, k.String()})
+	}
+	return all
+}
+
+func budgetName(b Budget) string {
+	return string(b.Scope) + " " + b.Name
+}
+
+// String returns the rule in canonical form.
+func (t Team) String() string {
+	return fmt.Sprintf("team %s customer %s share %d limit %d # %s", t.Name, t.Customer, t.Share, t.Limit, t.Comment)
+}
+
+// String returns the rule in canonical form.
+func (q Queue) String() string {
+	open := ""
+	if q.Open {
+		open = " open"
+	}
+	return fmt.Sprintf("queue %s team %s%s service %s pool %s bound %d # %s",
+		q.Name, q.Team, open, q.Service, q.Pool, q.Bound, q.Comment)
+}
+
+// String returns the rule in canonical form.
+func (p Pool) String() string {
+	var b strings.Builder
+	b.WriteString("pool " + p.Name)
+	if p.Spare {
+		b.WriteString(" spare")
+	}
+	if p.MoveFor != 0 || p.Stalled != "" {
+		fmt.Fprintf(&b, " move-limit %s then %s", formatDuration(p.MoveFor), p.Stalled)
+	}
+	b.WriteString(" # " + p.Comment)
+	return b.String()
+}
+
+// String returns the rule in canonical form.
+func (k Key) String() string {
+	holder := "operator"
+	if !k.Operator {
+		holder = "team " + k.Team
+	}
+	return fmt.Sprintf("key %s %s hash %s # %s", k.ID, holder, k.Hash, k.Comment)
+}
+
+// String returns the rule in canonical form.
+func (b Budget) String() string {
+	return fmt.Sprintf("budget %s %s max-absent %d # %s", b.Scope, b.Name, b.MaxAbsent, b.Comment)
+}
+
+// String returns the rule in canonical form.
+func (o Objective) String() string {
+	return fmt.Sprintf("objective %s within %s target %s%% # %s",
+		o.Queue, formatDuration(o.Within), formatPercent(o.Target), o.Comment)
+}
+
+// formatDuration prints a duration without trailing zero units.
+func formatDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
+
+// formatPercent prints a fraction as a percentage with at most 4 decimals.
+func formatPercent(fraction float64) string {
+	const decimals = 1e4
+	p := math.Round(fraction*100*decimals) / decimals
+	return strconv.FormatFloat(p, 'f', -1, 64)
+}
