--- /dev/null
+++ b/budgeter/absence.go
@@ -0,0 +1,177 @@
+package budgeter
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+)
+
+// Kinds of absences.
+const (
+	Planned   Kind = "planned"   // taken by an order, within the budgets
+	Unplanned Kind = "unplanned" // failed or left by itself
+)
+
+// maxNamedHolders bounds the holders that a refusal names.
+const maxNamedHolders = 6
+
+type (
+	// Absences is the record of all instances out of service.
+	Absences struct {
+		Rules uint64    `json:"rules"` // highest number of the rules that an absence was granted under
+		List  []Absence `json:"list"`  // by instance, sorted
+	}
+
+	// Absence is one instance out of service. It counts once against every
+	// budget of its pool, its zone and its rack, whatever its kind.
+	Absence struct {
+		Instance string    `json:"instance"`
+		Pool     string    `json:"pool"`
+		Zone     string    `json:"zone"`
+		Rack     string    `json:"rack"`
+		Kind     Kind      `json:"kind"`
+		Order    string    `json:"order,omitempty"` // the order that took it; empty for none
+		Since    time.Time `json:"since"`
+	}
+
+	// Kind says whether an absence was planned.
+	Kind string
+
+	// Usage is the state of one budget.
+	Usage struct {
+		Scope     parser.Scope `json:"scope"`
+		Name      string       `json:"name"`
+		Absent    int          `json:"absent"`
+		MaxAbsent int          `json:"max-absent"`
+	}
+)
+
+// Find returns the absence of an instance.
+func (a Absences) Find(instance string) (Absence, bool) {
+	n, ok := a.search(instance)
+	if !ok {
+		return Absence{}, false
+	}
+	return a.List[n], true
+}
+
+func (a Absences) search(instance string) (int, bool) {
+	return slices.BinarySearchFunc(a.List, instance, func(x Absence, id string) int {
+		return cmp.Compare(x.Instance, id)
+	})
+}
+
+// with returns a copy that holds x in place of any absence of its instance.
+func (a Absences) with(x Absence) Absences {
+	list := slices.Clone(a.List)
+	n, ok := a.search(x.Instance)
+	if ok {
+		list[n] = x
+	} else {
+		list = slices.Insert(list, n, x)
+	}
+	return Absences{Rules: a.Rules, List: list}
+}
+
+// without returns a copy without the absence of an instance.
+func (a Absences) without(instance string) Absences {
+	list := slices.DeleteFunc(slices.Clone(a.List), func(x Absence) bool { return x.Instance == instance })
+	return Absences{Rules: a.Rules, List: list}
+}
+
+// Holders returns the absences that count against an object of a scope.
+func (a Absences) Holders(scope parser.Scope, name string) []Absence {
+	var list []Absence
+	for _, x := range a.List {
+		if x.object(scope) == name {
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
+// object returns the name of the object of a scope that the absence counts
+// against.
+func (x Absence) object(scope parser.Scope) string {
+	switch scope {
+	case parser.PoolScope:
+		return x.Pool
+	case parser.ZoneScope:
+		return x.Zone
+	}
+	return x.Rack
+}
+
+// budgets returns the budgets that bound an absence, at most one for each
+// scope: a budget for a named object goes before one for every object.
+func budgets(rules []parser.Budget, x Absence) []Usage {
+	var list []Usage
+	for _, scope := range []parser.Scope{parser.PoolScope, parser.ZoneScope, parser.RackScope} {
+		found := -1
+		for n, b := range rules {
+			exact := b.Name == x.object(scope)
+			if b.Scope == scope && (exact || (b.Name == parser.Every && found < 0)) {
+				found = n
+			}
+			if b.Scope == scope && exact {
+				break
+			}
+		}
+		if found >= 0 {
+			list = append(list, Usage{Scope: scope, Name: x.object(scope), MaxAbsent: rules[found].MaxAbsent})
+		}
+	}
+	return list
+}
+
+// Room reports whether the budgets allow x in addition to the absences, and
+// refuses with BudgetSpent, the budget and its holders when they do not.
+func Room(rules []parser.Budget, a Absences, x Absence) error {
+	for _, b := range budgets(rules, x) {
+		holders := a.without(x.Instance).Holders(b.Scope, b.Name)
+		if len(holders) >= b.MaxAbsent {
+			return classifier.Refuse(classifier.BudgetSpent, "budget of %s %s allows %d absent and %d are: %s",
+				b.Scope, b.Name, b.MaxAbsent, len(holders), names(holders))
+		}
+	}
+	return nil
+}
+
+// Use returns the state of every budget that an absence counts against.
+func Use(rules []parser.Budget, a Absences) []Usage {
+	seen := map[Usage]bool{}
+	var list []Usage
+	for _, x := range a.List {
+		for _, b := range budgets(rules, x) {
+			if seen[b] {
+				continue
+			}
+			seen[b] = true
+			b.Absent = len(a.Holders(b.Scope, b.Name))
+			list = append(list, b)
+		}
+	}
+	slices.SortFunc(list, func(x, y Usage) int {
+		return cmp.Or(cmp.Compare(x.Scope, y.Scope), cmp.Compare(x.Name, y.Name))
+	})
+	return list
+}
+
+func names(holders []Absence) string {
+	if len(holders) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, x := range holders[:min(len(holders), maxNamedHolders)] {
+		parts = append(parts, strings.TrimSuffix(fmt.Sprintf("%s (%s %s", x.Instance, x.Kind, x.Order), " ")+")")
+	}
+	if more := len(holders) - maxNamedHolders; more > 0 {
+		parts = append(parts, fmt.Sprintf("and %d more", more))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/mover/assign.go
@@ -0,0 +1,149 @@
+package mover
+
+import (
+	"cmp"
+	"slices"
+)
+
+type (
+	// Candidate is a member that may own instances.
+	Candidate struct {
+		ID   string
+		Zone string
+	}
+
+	// assignment spreads the instances over the candidates.
+	assignment struct {
+		candidates []Candidate
+		owners     map[string]string // by instance
+		total      map[string]int    // instances by candidate
+	}
+)
+
+// Assign returns the owner that each instance should have. In every pool the
+// numbers of instances of any two candidates differ by at most one; a pool
+// with fewer instances than candidates gets owners in as many zones as it can.
+// An instance stays with its owner where that is possible. The result depends
+// on the arguments alone.
+func Assign(instances []Instance, candidates []Candidate) map[string]string {
+	a := assignment{
+		candidates: slices.Clone(candidates),
+		owners:     map[string]string{},
+		total:      map[string]int{},
+	}
+	if len(candidates) == 0 {
+		return a.owners
+	}
+	slices.SortFunc(a.candidates, func(x, y Candidate) int { return cmp.Compare(x.ID, y.ID) })
+	pools := map[string][]Instance{}
+	for _, i := range instances {
+		pools[i.Pool] = append(pools[i.Pool], i)
+	}
+	names := make([]string, 0, len(pools))
+	for name := range pools {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		a.pool(pools[name])
+	}
+	return a.owners
+}
+
+// pool assigns the instances of one pool.
+func (a *assignment) pool(instances []Instance) {
+	slices.SortFunc(instances, func(x, y Instance) int { return cmp.Compare(x.ID, y.ID) })
+	quota := a.quotas(instances)
+	var rest []Instance
+	for _, i := range instances {
+		if quota[i.Owner] > 0 {
+			a.give(i.ID, i.Owner, quota)
+		} else {
+			rest = append(rest, i)
+		}
+	}
+	for _, i := range rest {
+		a.give(i.ID, a.nearest(i, quota), quota)
+	}
+}
+
+func (a *assignment) give(id, owner string, quota map[string]int) {
+	a.owners[id] = owner
+	a.total[owner]++
+	quota[owner]--
+}
+
+// quotas returns how many of the instances each candidate gets.
+func (a *assignment) quotas(instances []Instance) map[string]int {
+	base := len(instances) / len(a.candidates)
+	extra := len(instances) % len(a.candidates)
+	held := map[string]int{}
+	for _, i := range instances {
+		held[i.Owner]++
+	}
+	quota := map[string]int{}
+	covered := map[string]bool{}
+	for _, c := range a.candidates {
+		quota[c.ID] = base
+		covered[c.Zone] = base > 0
+	}
+	for range extra {
+		c := a.pickExtra(quota, base, held, covered)
+		quota[c.ID]++
+		covered[c.Zone] = true
+	}
+	return quota
+}
+
+// pickExtra returns the candidate that gets one instance more than base: one
+// in a zone without an owner first, then one that is not above the others in
+// total, then one that holds the instance already.
+func (a *assignment) pickExtra(quota map[string]int, base int, held map[string]int, covered map[string]bool) Candidate {
+	var free []Candidate
+	for _, c := range a.candidates {
+		if quota[c.ID] == base {
+			free = append(free, c)
+		}
+	}
+	least := a.total[free[0].ID]
+	for _, c := range free {
+		least = min(least, a.total[c.ID])
+	}
+	rank := func(c Candidate) int {
+		score := 0
+		if covered[c.Zone] {
+			score += 4
+		}
+		if a.total[c.ID] > least+1 {
+			score += 2
+		}
+		if held[c.ID] <= base {
+			score++
+		}
+		return score
+	}
+	return slices.MinFunc(free, func(x, y Candidate) int {
+		return cmp.Or(cmp.Compare(rank(x), rank(y)), cmp.Compare(a.total[x.ID], a.total[y.ID]), cmp.Compare(x.ID, y.ID))
+	})
+}
+
+// nearest returns a candidate with quota left, in the zone of the instance if
+// there is one.
+func (a *assignment) nearest(i Instance, quota map[string]int) string {
+	var free []Candidate
+	for _, c := range a.candidates {
+		if quota[c.ID] > 0 {
+			free = append(free, c)
+		}
+	}
+	far := func(c Candidate) int {
+		if c.Zone == i.Zone {
+			return 0
+		}
+		return 1
+	}
+	best := slices.MinFunc(free, func(x, y Candidate) int {
+		return cmp.Or(cmp.Compare(far(x), far(y)), cmp.Compare(a.total[x.ID], a.total[y.ID]), cmp.Compare(x.ID, y.ID))
+	})
+	return best.ID
+}
--- /dev/null
+++ b/mover/change.go
@@ -0,0 +1,108 @@
+package mover
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+// Errors of changes to instance records.
+const (
+	// ErrMoved reports that the record is no longer as the writer saw it.
+	// Nothing was written.
+	ErrMoved = errors.ConstError("instance record changed meanwhile")
+	// ErrForbidden reports a change that would break an invariant. Nothing
+	// was written.
+	ErrForbidden = errors.ConstError("change breaks an invariant")
+)
+
+type (
+	// Store is the part of the key-value service that the package uses.
+	Store interface {
+		Get(ctx context.Context, key string) (keeper.Record, error)
+		List(ctx context.Context, prefix string) ([]keeper.Record, int64, error)
+		Swap(ctx context.Context, key string, value []byte, revision int64, lease keeper.LeaseID) (keeper.Record, error)
+		Delete(ctx context.Context, key string, revision int64) error
+		Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error
+	}
+
+	// right says on what ground a writer changes a record.
+	right struct {
+		self     string // member that writes
+		idle     bool   // self owns the instance, starts nothing on it and runs nothing
+		evidence bool   // the owner is known to start and run nothing
+	}
+)
+
+// key returns the key of an instance's record.
+func key(id string) string {
+	return keeper.InstancePrefix + id
+}
+
+// change writes the record of an instance by compare-and-swap. It calls edit
+// on the current record, which returns false to leave it alone. The write is
+// refused with ErrForbidden when it breaks an invariant.
+func change(ctx context.Context, s Store, id string, r right, edit func(*Instance) bool) (Instance, keeper.Record, error) {
+	return keeper.Update(ctx, s, key(id), func(cur Instance, exists bool) (Instance, bool, error) {
+		next := clone(cur)
+		if !edit(&next) {
+			return cur, false, nil
+		}
+		if !exists {
+			next.Epoch = 1
+			return next, true, nil
+		}
+		next.Epoch = cur.Epoch + 1
+		if why := breach(cur, next, r); why != "" {
+			return cur, false, errors.Annotatef(ErrForbidden, "instance %s: %s", id, why)
+		}
+		return next, true, nil
+	})
+}
+
+// changeSeen is change for a writer that decided on the record at epoch. It
+// returns ErrMoved when the record has another epoch.
+func changeSeen(ctx context.Context, s Store, seen Instance, r right, edit func(*Instance)) (Instance, keeper.Record, error) {
+	moved := false
+	rec, kept, err := change(ctx, s, seen.ID, r, func(i *Instance) bool {
+		moved = i.Epoch != seen.Epoch
+		if !moved {
+			edit(i)
+		}
+		return !moved
+	})
+	if err == nil && moved {
+		err = errors.Annotatef(ErrMoved, "instance %s", seen.ID)
+	}
+	return rec, kept, err
+}
+
+// breach names the invariant that a change from cur to next breaks, if any.
+func breach(cur, next Instance, r right) string {
+	mayTake := cur.Owner == "" || r.evidence || (r.idle && cur.Owner == r.self)
+	switch {
+	case next.ID != cur.ID:
+		return "identity changed"
+	case next.Pool == "":
+		return "no pool"
+	case next.Pool != cur.Pool && cur.Phase != Drained:
+		return "pool changed in phase " + string(cur.Phase)
+	case next.Owner != cur.Owner && !mayTake:
+		return "owner " + cur.Owner + " has not released it"
+	case next.Phase == Drained && cur.Phase != Drained && !mayTake:
+		return "drained while owner " + cur.Owner + " may run work"
+	case next.Phase == Rebooting && cur.Phase != Drained && cur.Phase != Rebooting:
+		return "rebooting from phase " + string(cur.Phase)
+	}
+	return ""
+}
+
+func clone(i Instance) Instance {
+	if i.Order != nil {
+		order := *i.Order
+		i.Order = &order
+	}
+	return i
+}
