emulator: workers and instance list in process

The thin path needs workers and an instance list without sockets. Fleet has the methods of the worker client and returns its verdicts: a refusal is not-run, a duplicate and all lost, truncated or crossed answers are in doubt. Platform shows changes after a lag, and reboots that may not come back.

--- /dev/null
+++ b/dispatcher/verify.go
@@ -0,0 +1,50 @@
+package dispatcher
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+)
+
+// Reasons for which a worker refuses a start.
+const (
+	Late      = "late"       // it came after StartBy
+	Full      = "full"       // too few slots are free
+	NeverFits = "never-fits" // the worker has too few slots
+	IsLeaving = "leaving"    // the worker takes no new work
+	Duplicate = "duplicate"  // the worker has started the task before
+)
+
+// Digest returns the digest of an output as it stands in Finish.
+func Digest(output []byte) string {
+	sum := sha256.Sum256(output)
+	return hex.EncodeToString(sum[:])
+}
+
+// Verify checks that f is the whole answer to s. The error is a
+// *classifier.Error with the code Crossed or Truncated.
+func Verify(s Start, f Finish) error {
+	if f.Task != s.Task || f.Attempt != s.Attempt {
+		return classifier.Doubt(classifier.Crossed, "answer of task %q attempt %d came to task %q attempt %d", f.Task, f.Attempt, s.Task, s.Attempt)
+	}
+	if f.Digest != Digest(f.Output) {
+		return classifier.Doubt(classifier.Truncated, "the %d bytes of output of task %q do not have the announced digest", len(f.Output), s.Task)
+	}
+	return nil
+}
+
+// Refused returns the error for a worker's refusal of s. A duplicate has run
+// before or runs now, so it is in doubt; every other refusal is not-run.
+func Refused(s Start, r Refusal) error {
+	if r.Task != s.Task {
+		return classifier.Doubt(classifier.Crossed, "refusal of task %q came to task %q", r.Task, s.Task)
+	}
+	switch r.Reason {
+	case Duplicate:
+		return classifier.Doubt(classifier.WorkerRefused, "the worker has started task %q before", s.Task)
+	case IsLeaving:
+		return classifier.Refuse(classifier.Leaving, "the worker is leaving")
+	}
+	return classifier.Refuse(classifier.WorkerRefused, "the worker refused task %q: %s", s.Task, r.Reason)
+}
--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,176 @@
+package emulator_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+)
+
+const address = "127.0.0.1:7001"
+
+func order(task, body string) dispatcher.Start {
+	return dispatcher.Start{
+		Task:    task,
+		Attempt: 1,
+		Owner:   "entry-a1.1",
+		Slots:   1,
+		StartBy: time.Now().Add(time.Second),
+		Lease:   4 * time.Second,
+		Body:    []byte(body),
+	}
+}
+
+func newFleet(slots int) (*emulator.Fleet, *emulator.Worker) {
+	fleet := &emulator.Fleet{}
+	w := emulator.NewWorker("worker-1", slots, nil)
+	fleet.Add(address, w)
+	return fleet, w
+}
+
+func TestAnswerFaultsHaveVerdicts(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults emulator.WorkerFaults
+		code   classifier.Code
+		want   classifier.Verdict
+		ran    int
+	}{
+		{"none", emulator.WorkerFaults{}, "", classifier.Ran, 1},
+		{"lost", emulator.WorkerFaults{Answers: []emulator.AnswerFault{emulator.LoseAnswer}}, classifier.WorkerLost, classifier.MayHaveRun, 1},
+		{"truncated", emulator.WorkerFaults{Answers: []emulator.AnswerFault{emulator.TruncateAnswer}}, classifier.Truncated, classifier.MayHaveRun, 1},
+		{"crossed", emulator.WorkerFaults{Answers: []emulator.AnswerFault{emulator.CrossAnswer}}, classifier.Crossed, classifier.MayHaveRun, 1},
+		{"refused", emulator.WorkerFaults{Refusing: dispatcher.Full}, classifier.WorkerRefused, classifier.NotRun, 0},
+		{"leaving", emulator.WorkerFaults{Leaving: true}, classifier.Leaving, classifier.NotRun, 0},
+		{"crashed", emulator.WorkerFaults{Crashed: true}, classifier.WorkerLost, classifier.NotRun, 0},
+		{"paused", emulator.WorkerFaults{Paused: true}, classifier.WorkerLost, classifier.MayHaveRun, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet, w := newFleet(2)
+				w.Inject(func(f *emulator.WorkerFaults) { *f = tt.faults })
+				ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+				defer cancel()
+				f, err := fleet.Start(ctx, address, order("task-1", "hello"))
+				require.Equal(t, tt.want, classifier.Of(err))
+				require.Len(t, w.Executions(), tt.ran)
+				if tt.code == "" {
+					require.Equal(t, "hello", string(f.Output))
+					return
+				}
+				require.Equal(t, tt.code, classifier.As(err).Code)
+			})
+		})
+	}
+}
+
+func TestWorkerRefusesLateFullAndRepeatedStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, w := newFleet(2)
+		late := order("late", "")
+		w.Inject(func(f *emulator.WorkerFaults) { f.Paused = true })
+		time.AfterFunc(2*time.Second, func() { w.Inject(func(f *emulator.WorkerFaults) { f.Paused = false }) })
+		_, err := fleet.Start(t.Context(), address, late)
+		require.Equal(t, classifier.NotRun, classifier.Of(err))
+		require.ErrorContains(t, err, dispatcher.Late)
+
+		big := order("big", "")
+		big.Slots = 3
+		_, err = fleet.Start(t.Context(), address, big)
+		require.ErrorContains(t, err, dispatcher.NeverFits)
+
+		_, err = fleet.Start(t.Context(), address, order("once", ""))
+		require.NoError(t, err)
+		_, err = fleet.Start(t.Context(), address, order("once", ""))
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err), "a duplicate has run")
+		require.Len(t, w.Executions(), 1)
+	})
+}
+
+func TestLeaseLapseEndsTask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, w := newFleet(2)
+		began := time.Now()
+		time.AfterFunc(3*time.Second, func() {
+			unknown, err := fleet.Renew(t.Context(), address, dispatcher.Renewal{
+				Owner: "entry-a1.1", Lease: 4 * time.Second, Tasks: []string{"long", "other"},
+			})
+			require.NoError(t, err)
+			require.Equal(t, []string{"other"}, unknown)
+		})
+		f, err := fleet.Start(t.Context(), address, order("long", `{"sleep-ms":60000}`))
+		require.NoError(t, err)
+		require.Equal(t, dispatcher.Stopped, f.Outcome)
+		require.Equal(t, 7*time.Second, time.Since(began))
+		require.Equal(t, dispatcher.Stopped, w.Executions()[0].Outcome)
+	})
+}
+
+func TestCheckpointAndThrottle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, _ := newFleet(2)
+		began := time.Now()
+		first := order("long", `{"sleep-ms":2000}`)
+		first.Idempotent = true
+		time.AfterFunc(500*time.Millisecond, func() {
+			require.NoError(t, fleet.Checkpoint(t.Context(), address, "long"))
+		})
+		f, err := fleet.Start(t.Context(), address, first)
+		require.NoError(t, err)
+		require.Equal(t, dispatcher.Checkpointed, f.Outcome)
+
+		second := first
+		second.Attempt, second.Checkpoint = 2, f.Checkpoint
+		time.AfterFunc(500*time.Millisecond, func() {
+			require.NoError(t, fleet.Throttle(t.Context(), address, "long"))
+		})
+		f, err = fleet.Start(t.Context(), address, second)
+		require.NoError(t, err)
+		require.Equal(t, dispatcher.Done, f.Outcome)
+		require.Equal(t, 3*time.Second, time.Since(began), "0.5 s, then 0.5 s and 1 s at half speed")
+	})
+}
+
+func TestPlatformLagsRebootsAndFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var power []bool
+		p := emulator.NewPlatform(2*time.Second, 10*time.Second, func(_ string, up bool) { power = append(power, up) })
+		states := func() []lister.Listing {
+			synctest.Wait()
+			list, err := p.List(t.Context())
+			require.NoError(t, err)
+			return list
+		}
+		p.Add(lister.Listing{ID: "worker-1", Rack: "r1"}, lister.Listing{ID: "worker-2", Rack: "r2"})
+		require.Empty(t, states())
+		time.Sleep(2 * time.Second)
+		require.Len(t, states(), 2)
+
+		p.Inject(func(f *emulator.PlatformFaults) { f.LoseReboots = 1 })
+		require.ErrorIs(t, p.Reboot(t.Context(), "worker-1"), lister.ErrUnknown)
+		require.NoError(t, p.Reboot(t.Context(), "worker-1"))
+		require.Len(t, states(), 2)
+		time.Sleep(3 * time.Second)
+		require.Len(t, states(), 1)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, states()[0].Boots)
+
+		p.Leave("worker-1")
+		p.SetPower(false, func(l lister.Listing) bool { return l.Rack == "r2" })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, []lister.Listing{{ID: "worker-1", Rack: "r1", State: lister.LeavingOut, Boots: 1}}, states())
+		require.Equal(t, []bool{false, true, false}, power)
+		require.ErrorIs(t, p.Reboot(t.Context(), "worker-3"), lister.ErrNotFound)
+		p.Inject(func(f *emulator.PlatformFaults) { f.Down = true })
+		_, err := p.List(t.Context())
+		require.ErrorIs(t, err, lister.ErrUnavailable)
+	})
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -12,6 +12,8 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
 
+const historyLimit = 20_000 // events kept for watches before the older half is compacted
+
 type (
 	// engine is the state of the key-value service. Revisions grow by one with
 	// each change of a key.
@@ -21,10 +23,9 @@
 		leases    map[keeper.LeaseID]*lease
 		lastLease keeper.LeaseID
 		revision  int64
-		history   []keeper.Event // events after revision compacted
 		compacted int64
-		keep      int           // events kept at least
-		changed   chan struct{} // closed at the next change of data or faults
+		history   []keeper.Event // events after revision compacted
+		changed   chan struct{}  // closed at the next change of data or faults
 	}
 
 	item struct {
@@ -46,13 +47,16 @@
 	e.changed = make(chan struct{})
 }
 
-// record appends an event and compacts the history.
-func (e *engine) record(ev keeper.Event) {
+// commit gives a change its revision and adds it to the history.
+func (e *engine) commit(ev keeper.Event) keeper.Record {
+	e.revision++
+	ev.Revision = e.revision
 	e.history = append(e.history, ev)
-	if len(e.history) > 2*e.keep {
-		e.compact(e.revision - int64(e.keep))
+	if len(e.history) > historyLimit {
+		e.compact(e.revision - historyLimit/2)
 	}
 	e.wake()
+	return ev.Record
 }
 
 func (e *engine) compact(revision int64) {
@@ -62,12 +66,9 @@
 }
 
 func (e *engine) get(key string) keeper.Record {
-	r, ok := e.records[key]
-	if !ok {
-		return keeper.Record{Key: key}
-	}
-	r.Value = bytes.Clone(r.Value)
-	return r.Record
+	r := e.records[key].Record
+	r.Key, r.Value = key, bytes.Clone(r.Value)
+	return r
 }
 
 func (e *engine) list(prefix string) []keeper.Record {
@@ -85,41 +86,39 @@
 	if len(value) > keeper.MaxValueBytes {
 		return keeper.Record{}, errors.Annotatef(keeper.ErrTooLarge, "%d bytes under %q", len(value), key)
 	}
-	old := e.records[key]
-	if old.Revision != revision {
-		return keeper.Record{}, errors.Annotatef(keeper.ErrConflict, "%q at revision %d, not %d", key, old.Revision, revision)
+	l, ok := e.leases[id]
+	if id != 0 && !ok {
+		return keeper.Record{}, errors.Annotatef(keeper.ErrLeaseLost, "lease %d", id)
 	}
-	if id != 0 {
-		l, ok := e.leases[id]
-		if !ok {
-			return keeper.Record{}, errors.Annotatef(keeper.ErrLeaseLost, "lease %d", id)
-		}
-		l.keys[key] = true
+	if err := e.release(key, revision); err != nil {
+		return keeper.Record{}, err
 	}
-	if l, ok := e.leases[old.lease]; ok && old.lease != id {
-		delete(l.keys, key)
+	if ok {
+		l.keys[key] = true
 	}
-	e.revision++
-	r := keeper.Record{Key: key, Value: bytes.Clone(value), Revision: e.revision}
+	r := e.commit(keeper.Event{Record: keeper.Record{Key: key, Value: value}})
 	e.records[key] = item{Record: r, lease: id}
-	e.record(keeper.Event{Record: r})
 	return r, nil
 }
 
 func (e *engine) remove(key string, revision int64) error {
+	if err := e.release(key, revision); err != nil || revision == 0 {
+		return err
+	}
+	delete(e.records, key)
+	e.commit(keeper.Event{Record: keeper.Record{Key: key}, Deleted: true})
+	return nil
+}
+
+// release checks the revision of a record and detaches it from its lease.
+func (e *engine) release(key string, revision int64) error {
 	old := e.records[key]
 	if old.Revision != revision {
 		return errors.Annotatef(keeper.ErrConflict, "%q at revision %d, not %d", key, old.Revision, revision)
 	}
-	if revision == 0 {
-		return nil
-	}
 	if l, ok := e.leases[old.lease]; ok {
 		delete(l.keys, key)
 	}
-	delete(e.records, key)
-	e.revision++
-	e.record(keeper.Event{Record: keeper.Record{Key: key, Revision: e.revision}, Deleted: true})
 	return nil
 }
 
@@ -127,7 +126,7 @@
 	e.lastLease++
 	id := e.lastLease
 	l := &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: make(map[string]bool)}
-	l.timer = time.AfterFunc(ttl, func() { e.expire(id) })
+	l.timer = time.AfterFunc(ttl, func() { e.expire(id, l) })
 	e.leases[id] = l
 	return id
 }
@@ -142,11 +141,10 @@
 	return nil
 }
 
-// expire ends a lease whose time is over.
-func (e *engine) expire(id keeper.LeaseID) {
+func (e *engine) expire(id keeper.LeaseID, l *lease) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if l, ok := e.leases[id]; ok && !time.Now().Before(l.expires) {
+	if !time.Now().Before(l.expires) {
 		e.revoke(id)
 	}
 }
@@ -158,10 +156,11 @@
 		return
 	}
 	l.timer.Stop()
+	delete(e.leases, id)
 	for key := range l.keys {
-		_ = e.remove(key, e.records[key].Revision) // cannot conflict: the revision was just read
+		delete(e.records, key)
+		e.commit(keeper.Event{Record: keeper.Record{Key: key}, Deleted: true})
 	}
-	delete(e.leases, id)
 }
 
 // since returns the events after a revision.
@@ -169,8 +168,5 @@
 	if after < e.compacted {
 		return nil, errors.Annotatef(keeper.ErrCompacted, "revision %d, oldest kept %d", after, e.compacted)
 	}
-	if after >= e.revision {
-		return nil, nil
-	}
-	return e.history[after-e.compacted:], nil
+	return e.history[min(after-e.compacted, int64(len(e.history))):], nil
 }
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -12,21 +12,17 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
 
-const (
-	defaultHistory = 10_000          // events kept for watches
-	callTimeout    = 2 * time.Second // longest wait of a call for its answer
-)
+const callTimeout = 2 * time.Second // longest wait of a call for its answer
 
 type (
 	// Store is a stand-in for the platform's key-value service. Its own
-	// methods make calls that only the faults of the whole service meet; Port
-	// gives one caller its own way to the service with faults of its own.
+	// methods make calls that only the faults of the whole service meet.
 	Store struct {
 		*Port
 		ports map[string]*Port
 	}
 
-	// Port is one caller's way to a Store.
+	// Port is one caller's way to a Store, with faults of its own.
 	Port struct {
 		engine *engine
 		gates  []*gate // its own and that of the whole service
@@ -45,42 +41,27 @@
 		records  []keeper.Record
 		revision int64
 	}
-
-	// StoreOption changes a Store.
-	StoreOption func(*Store)
 )
 
-// WithHistory sets the least number of events kept for watches.
-func WithHistory(n int) StoreOption {
-	return func(s *Store) { s.engine.keep = n }
-}
-
 // NewStore returns an empty store.
-func NewStore(opts ...StoreOption) *Store {
+func NewStore() *Store {
 	e := &engine{
 		records: make(map[string]item),
 		leases:  make(map[keeper.LeaseID]*lease),
-		keep:    defaultHistory,
 		changed: make(chan struct{}),
 	}
 	all := &Port{engine: e, gates: []*gate{{}}, calls: make(map[string]int)}
-	s := &Store{Port: all, ports: map[string]*Port{"": all}}
-	for _, opt := range opts {
-		opt(s)
-	}
-	return s
+	return &Store{Port: all, ports: map[string]*Port{"": all}}
 }
 
 // Caller returns the named caller's way to the store.
 func (s *Store) Caller(name string) *Port {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	p, ok := s.ports[name]
-	if !ok {
-		p = &Port{engine: s.engine, gates: []*gate{{}, s.gates[0]}, calls: make(map[string]int)}
-		s.ports[name] = p
+	if s.ports[name] == nil {
+		s.ports[name] = &Port{engine: s.engine, gates: []*gate{{}, s.gates[0]}, calls: make(map[string]int)}
 	}
-	return p
+	return s.ports[name]
 }
 
 // Calls returns the number of calls of all callers by kind.
--- /dev/null
+++ b/emulator/worker.go
@@ -0,0 +1,250 @@
+package emulator
+
+import (
+	"encoding/json"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+)
+
+// Faults of one answer of a worker.
+const (
+	LoseAnswer     AnswerFault = "lose"     // the task runs, its answer is lost
+	TruncateAnswer AnswerFault = "truncate" // the answer lacks its end
+	CrossAnswer    AnswerFault = "cross"    // the answer of another task comes
+)
+
+type (
+	// Worker is a stand-in for one worker of the platform. It is reached
+	// through a Fleet.
+	Worker struct {
+		id      string
+		slots   int
+		observe func(Execution)
+
+		mu      sync.Mutex
+		faults  WorkerFaults
+		changed chan struct{} // closed when the faults change
+		running map[string]*run
+		started map[string]int // last attempt by task
+		last    dispatcher.Finish
+		log     []Execution
+		usage   dispatcher.Usage
+		usageAt time.Time
+	}
+
+	// WorkerFaults are the faults that a worker shows.
+	WorkerFaults struct {
+		Crashed  bool          // not reached; all tasks end without an answer
+		Paused   bool          // receives and answers nothing
+		Leaving  bool          // refuses new tasks; what runs goes on
+		Failing  bool          // all tasks fail at once
+		Refusing string        // reason to refuse all starts
+		Delay    time.Duration // added to each answer to a start
+		Answers  []AnswerFault // faults of the next answers, one each
+	}
+
+	// AnswerFault is a fault of one answer.
+	AnswerFault string
+
+	// Execution is one run of a task, for checkers. End is zero while it runs.
+	Execution struct {
+		Worker  string
+		Order   dispatcher.Start // without its body
+		Start   time.Time
+		End     time.Time
+		Outcome dispatcher.Outcome // empty after a crash
+	}
+
+	// Behaviour is what a task does, read from the body of its start. Other
+	// bodies end at once with the body as output.
+	Behaviour struct {
+		SleepMillis int  `json:"sleep-ms"`
+		Fail        bool `json:"fail"`
+		Crash       bool `json:"crash"`        // the task brings its worker down
+		OutputBytes int  `json:"output-bytes"` // zeros in the output; 0 for the body itself
+	}
+
+	// run is a task that runs. The worker's mutex guards it.
+	run struct {
+		Behaviour
+		order   dispatcher.Start
+		slots   int
+		ends    time.Time
+		timer   *time.Timer // fires when the task is complete
+		expires time.Time
+		lease   *time.Timer // fires when the lease lapses
+		done    chan dispatcher.Finish
+		entry   Execution
+	}
+)
+
+// NewWorker returns a worker with the given number of slots. observe is called
+// at the start and at the end of each task; it must not call the worker.
+func NewWorker(id string, slots int, observe func(Execution)) *Worker {
+	if observe == nil {
+		observe = func(Execution) {}
+	}
+	return &Worker{
+		id:      id,
+		slots:   slots,
+		observe: observe,
+		changed: make(chan struct{}),
+		running: make(map[string]*run),
+		started: make(map[string]int),
+	}
+}
+
+// Inject changes the faults. A worker that is no longer crashed has forgotten
+// all earlier tasks.
+func (w *Worker) Inject(change func(*WorkerFaults)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change(&w.faults)
+	if w.faults.Crashed {
+		for _, t := range w.running {
+			w.end(t, "", "")
+		}
+		clear(w.started)
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Executions returns the log of the tasks that have ended, in that order.
+func (w *Worker) Executions() []Execution {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.log)
+}
+
+// refusal returns the reason not to start s, or "".
+func (w *Worker) refusal(s dispatcher.Start) string {
+	used := 0
+	for _, t := range w.running {
+		used += t.slots
+	}
+	attempt, again := w.started[s.Task]
+	switch {
+	case w.faults.Refusing != "":
+		return w.faults.Refusing
+	case again && (!s.Idempotent || s.Attempt <= attempt || w.running[s.Task] != nil):
+		return dispatcher.Duplicate
+	case time.Now().After(s.StartBy):
+		return dispatcher.Late
+	case w.faults.Leaving:
+		return dispatcher.IsLeaving
+	case s.Slots > w.slots:
+		return dispatcher.NeverFits
+	case used+s.Slots > w.slots:
+		return dispatcher.Full
+	}
+	return ""
+}
+
+// begin runs s from now on.
+func (w *Worker) begin(s dispatcher.Start) *run {
+	now := time.Now()
+	t := &run{order: s, slots: s.Slots, done: make(chan dispatcher.Finish, 1)}
+	if json.Unmarshal(s.Body, &t.Behaviour) != nil {
+		t.Behaviour = Behaviour{}
+	}
+	left := time.Duration(t.SleepMillis) * time.Millisecond
+	if saved, err := strconv.ParseInt(string(s.Checkpoint), 10, 64); err == nil {
+		left = time.Duration(saved)
+	}
+	if w.faults.Failing {
+		left = 0
+	}
+	t.entry = Execution{Worker: w.id, Order: s, Start: now}
+	t.entry.Order.Body = nil
+	w.running[s.Task], w.started[s.Task] = t, s.Attempt
+	w.observe(t.entry)
+	t.ends, t.expires = now.Add(left), now.Add(s.Lease)
+	t.timer = time.AfterFunc(left, func() { w.complete(t) })
+	t.lease = time.AfterFunc(s.Lease, func() { w.lapse(t) })
+	return t
+}
+
+// complete ends a task whose run time is over.
+func (w *Worker) complete(t *run) {
+	if t.Crash {
+		w.Inject(func(f *WorkerFaults) { f.Crashed = true })
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case time.Now().Before(t.ends): // throttled in the meantime
+	case t.Fail || w.faults.Failing:
+		w.end(t, dispatcher.Failed, "the task failed")
+	default:
+		w.end(t, dispatcher.Done, "")
+	}
+}
+
+// lapse ends a task whose lease was not renewed.
+func (w *Worker) lapse(t *run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !time.Now().Before(t.expires) {
+		w.end(t, dispatcher.Stopped, "lease lapsed")
+	}
+}
+
+// end ends a task once. An empty outcome is a crash: no answer comes.
+func (w *Worker) end(t *run, outcome dispatcher.Outcome, reason string) {
+	if w.running[t.order.Task] != t {
+		return
+	}
+	delete(w.running, t.order.Task)
+	t.timer.Stop()
+	t.lease.Stop()
+	t.entry.End, t.entry.Outcome = time.Now(), outcome
+	w.log = append(w.log, t.entry)
+	w.observe(t.entry)
+	if outcome == "" {
+		close(t.done)
+		return
+	}
+	f := dispatcher.Finish{Task: t.order.Task, Attempt: t.order.Attempt, Outcome: outcome, Reason: reason}
+	switch outcome {
+	case dispatcher.Done:
+		f.Output = t.order.Body
+		if t.OutputBytes > 0 {
+			f.Output = make([]byte, t.OutputBytes)
+		}
+	case dispatcher.Checkpointed:
+		f.Checkpoint = strconv.AppendInt(nil, int64(time.Until(t.ends)), 10)
+	}
+	f.Digest = dispatcher.Digest(f.Output)
+	t.done <- f
+}
+
+// throttle halves the slots and the speed of a task.
+func (t *run) throttle() {
+	left := 2 * time.Until(t.ends)
+	t.slots = (t.slots + 1) / 2
+	t.ends = time.Now().Add(left)
+	t.timer.Reset(left)
+}
+
+// spoil puts the next fault on the answer f.
+func (w *Worker) spoil(f dispatcher.Finish) (dispatcher.Finish, AnswerFault) {
+	last := w.last
+	w.last = f
+	if len(w.faults.Answers) == 0 {
+		return f, ""
+	}
+	fault := w.faults.Answers[0]
+	w.faults.Answers = w.faults.Answers[1:]
+	switch fault {
+	case TruncateAnswer:
+		f.Output = f.Output[:len(f.Output)/2]
+	case CrossAnswer:
+		f = last
+	}
+	return f, fault
+}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -81,7 +81,7 @@
 
 func TestFollowerResumesAndRelists(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		store := emulator.NewStore(emulator.WithHistory(10))
+		store := emulator.NewStore()
 		port := store.Caller("entry")
 		resets, copied := 0, map[string]string{}
 		f := keeper.NewFollower(port, "a/",
@@ -128,6 +128,7 @@
 		for n := range 40 {
 			put("b/1", fmt.Sprint(n))
 		}
+		store.Compact(40)
 		time.Sleep(time.Second)
 		port.SetDown(false)
 		time.Sleep(3 * time.Second)
