--- /dev/null
+++ b/distributor/compact.go
@@ -0,0 +1,61 @@
+package distributor
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+// compactOnDemand writes a snapshot and deletes old changes each time that
+// this entry has committed a change that calls for it. A failure is left to
+// the next one.
+func (d *Distributor) compactOnDemand(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.compact:
+			if err := d.compactNow(ctx); err != nil {
+				d.log.Warn("compacting the rules", "err", err)
+			}
+		}
+	}
+}
+
+func (d *Distributor) compactNow(ctx context.Context) error {
+	next := snapshotOf(d.Rules())
+	kept, _, err := keeper.Update(ctx, d.store, keeper.SnapshotKey, func(cur Snapshot, _ bool) (Snapshot, bool, error) {
+		if cur.Number >= next.Number {
+			return cur, false, nil
+		}
+		return next, true, nil
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return d.deleteBefore(ctx, kept.Number)
+}
+
+// deleteBefore deletes the changes that are further below the snapshot than
+// any entry needs.
+func (d *Distributor) deleteBefore(ctx context.Context, snapshot uint64) error {
+	if snapshot <= keepChanges {
+		return nil
+	}
+	records, _, err := d.store.List(ctx, keeper.ChangePrefix)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	for _, record := range records {
+		if record.Key > changeKey(snapshot-keepChanges) {
+			return nil
+		}
+		err := d.store.Delete(ctx, record.Key, record.Revision)
+		if err != nil && !errors.Is(err, keeper.ErrConflict) {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/distributor/confirm.go
@@ -0,0 +1,76 @@
+package distributor
+
+import (
+	"context"
+	"slices"
+
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// Heard records the number of the rules in force in a member, as its heartbeat
+// told. A number above this entry's own makes it catch up.
+func (d *Distributor) Heard(member string, rules uint64) {
+	members := d.view().Members
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(members) > 0 {
+		d.dropDeparted(members)
+	}
+	if rules > d.heard[member] {
+		d.heard[member] = rules
+		close(d.progress)
+		d.progress = make(chan struct{})
+	}
+	if rules > d.number {
+		wake(d.behind)
+	}
+}
+
+// dropDeparted forgets what was heard of members no longer registered.
+func (d *Distributor) dropDeparted(members []registrar.Member) {
+	for id := range d.heard {
+		registered := slices.ContainsFunc(members, func(m registrar.Member) bool { return m.ID == id })
+		if !registered {
+			delete(d.heard, id)
+		}
+	}
+}
+
+// confirm waits until every other registered member has the number in force,
+// or for the confirmation time. It returns the members that have it, this
+// entry included, and those that have not said so.
+func (d *Distributor) confirm(ctx context.Context, number uint64) (confirmed, missing []string) {
+	ctx, cancel := context.WithTimeout(ctx, d.confirmTime)
+	defer cancel()
+	for {
+		var progress <-chan struct{}
+		confirmed, missing, progress = d.tally(number)
+		if len(missing) == 0 {
+			return confirmed, missing
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return confirmed, missing
+		}
+	}
+}
+
+func (d *Distributor) tally(number uint64) (confirmed, missing []string, progress <-chan struct{}) {
+	members := d.view().Members
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.self != "" {
+		confirmed = append(confirmed, d.self)
+	}
+	for _, m := range members {
+		switch {
+		case m.ID == d.self:
+		case d.heard[m.ID] >= number:
+			confirmed = append(confirmed, m.ID)
+		default:
+			missing = append(missing, m.ID)
+		}
+	}
+	return confirmed, missing, d.progress
+}
--- /dev/null
+++ b/distributor/edit.go
@@ -0,0 +1,77 @@
+package distributor
+
+import (
+	"context"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+)
+
+const maxEditTries = 16 // conflicting changes before an edit gives up
+
+// EditKeys changes the keys of the latest rules and applies the result like
+// Apply. edit gets a copy of the keys and returns the new ones; it runs again
+// on the newer set when another change came first.
+func (d *Distributor) EditKeys(ctx context.Context, who string, edit func([]parser.Key) ([]parser.Key, error)) (Applied, error) {
+	var err error
+	for range maxEditTries {
+		var applied Applied
+		applied, err = d.editOnce(ctx, who, edit)
+		var conflict *ConflictError
+		if !errors.As(err, &conflict) {
+			return applied, errors.Trace(err)
+		}
+	}
+	return Applied{}, errors.Trace(err)
+}
+
+func (d *Distributor) editOnce(ctx context.Context, who string, edit func([]parser.Key) ([]parser.Key, error)) (Applied, error) {
+	if err := d.prepare(ctx); err != nil {
+		return Applied{}, errors.Trace(err)
+	}
+	cur := d.Rules()
+	if cur == nil {
+		return Applied{}, classifier.Refuse(classifier.Unready, "there are no rules yet: apply a rules file first")
+	}
+	next := *cur
+	keys, err := edit(slices.Clone(cur.Keys))
+	if err != nil {
+		return Applied{}, errors.Trace(err)
+	}
+	next.Keys = keys
+	if err := parser.Check(&next); err != nil {
+		return Applied{}, errors.Trace(err)
+	}
+	return d.applyTo(ctx, cur, cur.Number, &next, who)
+}
+
+// GiveKey adds a key to the rules.
+func (d *Distributor) GiveKey(ctx context.Context, who string, key parser.Key) (Applied, error) {
+	return d.EditKeys(ctx, who, func(keys []parser.Key) ([]parser.Key, error) {
+		if i := indexOf(keys, key.ID); i >= 0 {
+			if keys[i] == key {
+				return keys, nil
+			}
+			return nil, classifier.Refuse(classifier.Conflict, "there is a key %q already: withdraw it first or choose another name", key.ID)
+		}
+		return append(keys, key), nil
+	})
+}
+
+// WithdrawKey removes a key from the rules.
+func (d *Distributor) WithdrawKey(ctx context.Context, who, id string) (Applied, error) {
+	return d.EditKeys(ctx, who, func(keys []parser.Key) ([]parser.Key, error) {
+		i := indexOf(keys, id)
+		if i < 0 {
+			return nil, classifier.Refuse(classifier.NotFound, "there is no key %q: key list shows all", id)
+		}
+		return slices.Delete(keys, i, i+1), nil
+	})
+}
+
+func indexOf(keys []parser.Key, id string) int {
+	return slices.IndexFunc(keys, func(k parser.Key) bool { return k.ID == id })
+}
--- /dev/null
+++ b/distributor/follow.go
@@ -0,0 +1,227 @@
+package distributor
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+)
+
+// Run keeps the rules up to date until ctx ends and returns its error.
+func (d *Distributor) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return d.follow(ctx) })
+	group.Go(func() error { return d.heal(ctx) })
+	group.Go(func() error { return d.compactOnDemand(ctx) })
+	return group.Wait()
+}
+
+// follow adopts changes as the service reports them.
+func (d *Distributor) follow(ctx context.Context) error {
+	follower := keeper.NewFollower(d.store, keeper.ChangePrefix,
+		keeper.OnReset(func(records []keeper.Record) { d.followed(d.adoptRecords(ctx, records)) }),
+		keeper.OnEvent(func(e keeper.Event) {
+			if !e.Deleted {
+				d.followed(d.adopt(e.Value))
+			}
+		}),
+		keeper.WithFollowerLog(d.log),
+	)
+	return follower.Run(ctx)
+}
+
+func (d *Distributor) followed(err error) {
+	if err != nil {
+		d.log.Error("following the rules", "err", err)
+		wake(d.behind)
+	}
+}
+
+// refresh reads the sequence from the service and adopts what is new.
+func (d *Distributor) refresh(ctx context.Context) error {
+	before := d.Number()
+	records, _, err := d.store.List(ctx, keeper.ChangePrefix)
+	if err != nil {
+		return errors.Annotate(err, "reading the rules")
+	}
+	if err := d.adoptRecords(ctx, records); err != nil {
+		return errors.Trace(err)
+	}
+	if last := lastNumber(records); last < before {
+		return errors.Annotatef(ErrInvalid, "the service ends with rules %d, but rules %d were in force", last, before)
+	}
+	return nil
+}
+
+// adoptRecords adopts the listed changes, after the snapshot when some that
+// are needed were compacted.
+func (d *Distributor) adoptRecords(ctx context.Context, records []keeper.Record) error {
+	if firstNumber(records) > d.Number()+1 {
+		if err := d.loadSnapshot(ctx); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	for _, record := range records {
+		if d.remembers(keyNumber(record.Key)) {
+			continue
+		}
+		if err := d.adopt(record.Value); err != nil {
+			return errors.Annotate(err, record.Key)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known = true
+	return nil
+}
+
+func (d *Distributor) loadSnapshot(ctx context.Context) error {
+	record, err := d.store.Get(ctx, keeper.SnapshotKey)
+	if err != nil {
+		return errors.Annotate(err, "reading the snapshot of the rules")
+	}
+	if record.Revision == 0 {
+		return nil
+	}
+	return d.adoptSnapshot(record.Value)
+}
+
+// firstNumber returns the number of the first listed change, 0 when none.
+func firstNumber(records []keeper.Record) uint64 {
+	if len(records) == 0 {
+		return 0
+	}
+	return keyNumber(records[0].Key)
+}
+
+func lastNumber(records []keeper.Record) uint64 {
+	if len(records) == 0 {
+		return 0
+	}
+	return keyNumber(records[len(records)-1].Key)
+}
+
+// heal catches up with peers or the service whenever this entry is behind.
+func (d *Distributor) heal(ctx context.Context) error {
+	wake(d.behind)
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-d.behind:
+		}
+		for delay := healDelay; ; delay = healRetry {
+			if !sleep(ctx, delay) {
+				return ctx.Err()
+			}
+			if !d.isBehind() {
+				break
+			}
+			d.catchUp(ctx)
+		}
+	}
+}
+
+// catchUp asks the peers and then, when that did not help, the service.
+func (d *Distributor) catchUp(ctx context.Context) {
+	for _, address := range d.sources() {
+		reply, err := d.ask(ctx, address)
+		if err == nil {
+			err = d.absorb(reply)
+		}
+		if err != nil {
+			d.log.Debug("asking a peer for rules", "address", address, "err", err)
+		}
+	}
+	if !d.isBehind() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := d.refresh(ctx); err != nil {
+		d.log.Warn("catching up with the rules", "err", err)
+	}
+}
+
+func (d *Distributor) ask(ctx context.Context, address string) (messenger.ChangesReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return d.peers.Changes(ctx, address, messenger.ChangesRequest{After: d.Number()})
+}
+
+// sources returns the addresses to ask: those members that are known to be
+// ahead, or every member and seed while nothing is known.
+func (d *Distributor) sources() []string {
+	known := d.Known()
+	var addresses []string
+	for _, m := range d.view().Members {
+		if m.ID != d.self && (!known || d.aheadOf(m.ID)) {
+			addresses = append(addresses, m.Address)
+		}
+	}
+	if !known {
+		addresses = append(addresses, d.seeds()...)
+	}
+	return addresses
+}
+
+func (d *Distributor) aheadOf(member string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.heard[member] > d.number
+}
+
+func (d *Distributor) isBehind() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.known || d.seen > d.number {
+		return true
+	}
+	for _, number := range d.heard {
+		if number > d.number {
+			return true
+		}
+	}
+	return false
+}
+
+// HandleChanges answers a peer that asks for changes.
+func (d *Distributor) HandleChanges(_ context.Context, req messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	rules := d.Rules()
+	if rules == nil {
+		return messenger.ChangesReply{}, classifier.Refuse(classifier.Unready, "no rules are known here")
+	}
+	changes, whole := d.since(req.After)
+	var reply messenger.ChangesReply
+	size := 0
+	for _, h := range changes {
+		reply.Changes = append(reply.Changes, h.value)
+		size += len(h.value)
+	}
+	if whole && size <= keeper.MaxValueBytes {
+		return reply, nil
+	}
+	snapshot, err := keeper.Encode(uuid.NewString(), snapshotOf(rules))
+	if err != nil {
+		return messenger.ChangesReply{}, errors.Trace(err)
+	}
+	return messenger.ChangesReply{Snapshot: snapshot}, nil
+}
+
+// sleep waits for a time and reports whether ctx still runs.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
