--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -82,7 +82,7 @@
 	return func(d *Distributor) { d.self, d.view = self, view }
 }
 
-// WithSeeds sets a source of addresses to ask for rules while no membership
+// WithSeeds sets a source of addresses to ask for rules while no other member
 // is known.
 func WithSeeds(seeds func() []string) Option {
 	return func(d *Distributor) { d.seeds = seeds }
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -311,14 +311,15 @@
 	})
 }
 
-// stalled lets a test act between an entry's last read and its write.
+// stalled lets a test act between an entry's last read and its write of a key.
 type stalled struct {
 	*emulator.Port
+	key    string
 	before func()
 }
 
 func (s *stalled) Swap(ctx context.Context, key string, value []byte, revision int64, lease keeper.LeaseID) (keeper.Record, error) {
-	if act := s.before; act != nil {
+	if act := s.before; act != nil && key == s.key {
 		s.before = nil
 		act()
 	}
@@ -329,7 +330,7 @@
 	inBubble(t, 1, func(ctx context.Context, f *fleet) {
 		d := f.entries["entry-0"]
 		f.run(ctx)
-		store := &stalled{Port: f.store.Caller("paused")}
+		store := &stalled{Port: f.store.Caller("paused"), key: "rules/change/000000000001"}
 		paused := distributor.New(store, f)
 		store.before = func() {
 			for n := range uint64(400) {
@@ -346,6 +347,99 @@
 	})
 }
 
+func TestLateCompactionLeavesTheNewerSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet()
+		store := &stalled{Port: f.store.Caller("late"), key: keeper.SnapshotKey}
+		newer, err := keeper.Encode("other", distributor.Snapshot{Number: 65})
+		require.NoError(t, err)
+		store.before = func() {
+			_, err := f.store.Swap(ctx, keeper.SnapshotKey, newer, 0, 0)
+			require.NoError(t, err)
+		}
+		d := distributor.New(store, f)
+		go func() { _ = d.Run(ctx) }()
+		for n := range uint64(64) {
+			_, err := d.Apply(ctx, n, pools("a", fmt.Sprintf("p%d", n)), "ana")
+			require.NoError(t, err)
+		}
+		time.Sleep(time.Second)
+		record, err := f.store.Get(ctx, keeper.SnapshotKey)
+		require.NoError(t, err)
+		require.Equal(t, string(newer), string(record.Value))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// peer answers with what a test gives it.
+type peer struct {
+	reply messenger.ChangesReply
+}
+
+func (p *peer) Changes(context.Context, string, messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	return p.reply, nil
+}
+
+func TestAnswersOutOfOrderNeitherSkipNorRevert(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		var whole []messenger.ChangesReply
+		for n, names := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}} {
+			_, err := d.Apply(ctx, uint64(n), pools(names...), "ana")
+			require.NoError(t, err)
+			reply, err := d.HandleChanges(ctx, messenger.ChangesRequest{After: uint64(n)})
+			require.NoError(t, err)
+			whole = append(whole, reply)
+		}
+		snapshot, err := keeper.Encode("op", distributor.Snapshot{Number: 1, Text: "pool z # Eve\n"})
+		require.NoError(t, err)
+		p := &peer{}
+		port := f.store.Caller("learner")
+		port.SetDown(true)
+		learner := distributor.New(port, p, distributor.WithSeeds(func() []string { return []string{"peer"} }))
+		go func() { _ = learner.Run(ctx) }()
+		steps := []struct {
+			reply messenger.ChangesReply
+			want  uint64
+		}{
+			{whole[1], 0}, // skips change 1
+			{whole[0], 1},
+			{whole[2], 1}, // skips change 2
+			{messenger.ChangesReply{Snapshot: snapshot}, 1},
+			{whole[1], 2},
+			{whole[0], 2}, // old
+			{messenger.ChangesReply{Snapshot: snapshot}, 2},
+			{whole[2], 3},
+		}
+		for _, step := range steps {
+			p.reply = step.reply
+			learner.Heard("peer", 3)
+			time.Sleep(3 * time.Second)
+			require.Equal(t, step.want, learner.Number())
+		}
+		require.Equal(t, d.Rules(), learner.Rules())
+	})
+}
+
+func TestStoreThatLostChangesIsRefused(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		_, err := d.Apply(ctx, 0, pools("a"), "ana")
+		require.NoError(t, err)
+		record, err := f.store.Get(ctx, "rules/change/000000000001")
+		require.NoError(t, err)
+		require.NoError(t, f.store.Delete(ctx, record.Key, record.Revision))
+		_, err = d.Apply(ctx, 1, pools("b"), "ana")
+		require.Equal(t, classifier.NotRun, classifier.Of(err))
+		require.Equal(t, uint64(1), d.Number())
+	})
+}
+
 func TestKeysAreEditedOnTheLatestRules(t *testing.T) {
 	inBubble(t, 2, func(ctx context.Context, f *fleet) {
 		f.store.SetDelay(20 * time.Millisecond)
--- a/distributor/follow.go
+++ b/distributor/follow.go
@@ -155,20 +155,27 @@
 	return d.peers.Changes(ctx, address, messenger.ChangesRequest{After: d.Number()})
 }
 
-// sources returns the addresses to ask: those members that are known to be
-// ahead, or every member and seed while nothing is known.
+// sources returns the addresses to ask: the members known to be ahead, else
+// all members, else the seeds.
 func (d *Distributor) sources() []string {
-	known := d.Known()
-	var addresses []string
+	var ahead, all []string
 	for _, m := range d.view().Members {
-		if m.ID != d.self && (!known || d.aheadOf(m.ID)) {
-			addresses = append(addresses, m.Address)
+		if m.ID == d.self {
+			continue
+		}
+		all = append(all, m.Address)
+		if d.aheadOf(m.ID) {
+			ahead = append(ahead, m.Address)
 		}
 	}
-	if !known {
-		addresses = append(addresses, d.seeds()...)
+	switch {
+	case len(ahead) > 0 && d.Known():
+		return ahead
+	case len(all) > 0:
+		return all
+	default:
+		return d.seeds()
 	}
-	return addresses
 }
 
 func (d *Distributor) aheadOf(member string) bool {
