--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"maps"
 	"strings"
@@ -61,15 +63,16 @@
 	f.view.Members = append(f.view.Members, registrar.Member{ID: id, Address: id})
 	f.ports[id] = f.store.Caller(id)
 	f.entries[id] = distributor.New(f.ports[id], f,
-		distributor.WithMembers(id, f.members),
-		distributor.WithAssert(func(ok bool, format string, args ...any) {
-			if !ok {
-				panic(fmt.Sprintf(format, args...))
-			}
-		}))
+		distributor.WithMembers(id, f.members), distributor.WithAssert(must))
 	return f.entries[id]
 }
 
+func must(ok bool, format string, args ...any) {
+	if !ok {
+		panic(fmt.Sprintf(format, args...))
+	}
+}
+
 func (f *fleet) members() registrar.View {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -395,12 +398,16 @@
 			require.NoError(t, err)
 			whole = append(whole, reply)
 		}
-		snapshot, err := keeper.Encode("op", distributor.Snapshot{Number: 1, Text: "pool z # Eve\n"})
+		old := distributor.Snapshot{Number: 1, Text: string(pools("a"))}
+		sum := sha256.Sum256([]byte(old.Text))
+		old.Digest = hex.EncodeToString(sum[:])
+		snapshot, err := keeper.Encode("op", old)
 		require.NoError(t, err)
 		p := &peer{}
 		port := f.store.Caller("learner")
 		port.SetDown(true)
-		learner := distributor.New(port, p, distributor.WithSeeds(func() []string { return []string{"peer"} }))
+		seeds := func() []string { return []string{"peer"} }
+		learner := distributor.New(port, p, distributor.WithSeeds(seeds), distributor.WithAssert(must))
 		go func() { _ = learner.Run(ctx) }()
 		steps := []struct {
 			reply messenger.ChangesReply
