mover: own, drain, move and reboot instances on their records

One record an instance, changed by compare-and-swap through one path that refuses a change of pool outside phase drained and a change of owner without release or evidence. The owner opens and closes workers without waiting for the key-value service; the coordinator creates records, spreads owners, counts absences and drives orders, so any entry finishes what another began.

--- a/mover/coordinator.go
+++ b/mover/coordinator.go
@@ -64,7 +64,6 @@
 		handoverLimit time.Duration
 		returnLimit   time.Duration
 		forgetAfter   time.Duration
-		loads         func() []PoolLoad
 	}
 
 	// CoordinatorOption sets up a Coordinator.
--- /dev/null
+++ b/mover/fleet_test.go
@@ -0,0 +1,203 @@
+package mover
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+type (
+	// site is a fleet in one process: a store, a platform and members.
+	site struct {
+		t       *testing.T
+		store   *emulator.Store
+		cloud   *cloud
+		rules   *parser.Rules
+		mu      sync.Mutex
+		view    registrar.View
+		members map[string]*member
+	}
+
+	member struct {
+		port   *emulator.Port
+		fleet  *scheduler.Fleet
+		mover  *Mover
+		coord  *Coordinator
+		orders *Orders
+		budget *budgeter.Budgeter
+		held   atomic.Bool
+		stop   context.CancelFunc
+		done   chan struct{}
+	}
+
+	// cloud is a platform whose instances take a minute to reboot.
+	cloud struct {
+		mu      sync.Mutex
+		list    map[string]lister.Listing
+		stuck   map[string]bool
+		reboots []string
+	}
+)
+
+func (c *cloud) List(context.Context) ([]lister.Listing, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []lister.Listing
+	for _, l := range c.list {
+		list = append(list, l)
+	}
+	return list, nil
+}
+
+func (c *cloud) Reboot(_ context.Context, id string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reboots = append(c.reboots, id)
+	was := c.list[id]
+	delete(c.list, id)
+	if c.stuck[id] {
+		return nil
+	}
+	time.AfterFunc(time.Minute, func() {
+		was.Boots++
+		c.set(was)
+	})
+	return nil
+}
+
+func (c *cloud) set(l lister.Listing) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.list[l.ID] = l
+}
+
+func (c *cloud) edit(id string, fn func(*lister.Listing)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.list[id]
+	fn(&l)
+	c.list[id] = l
+}
+
+func (c *cloud) drop(id string) lister.Listing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.list[id]
+	delete(c.list, id)
+	return l
+}
+
+func (m *member) Held() bool { return m.held.Load() }
+
+func panicking(ok bool, format string, args ...any) {
+	if !ok {
+		panic(fmt.Sprintf(format, args...))
+	}
+}
+
+// newSite returns a site with pools a, b and spare of workers each, spread
+// over three zones with a rack for each zone and pool.
+func newSite(t *testing.T, workers int, budgets ...parser.Budget) *site {
+	s := &site{t: t, store: emulator.NewStore(), members: map[string]*member{},
+		cloud: &cloud{list: map[string]lister.Listing{}, stuck: map[string]bool{}},
+		rules: &parser.Rules{Number: 1, Budgets: budgets, Pools: []parser.Pool{
+			{Name: "a", Stalled: parser.UndoMove, MoveFor: time.Minute},
+			{Name: "b", Stalled: parser.ContinueMove, MoveFor: time.Minute},
+			{Name: "spare", Spare: true, Stalled: parser.UndoMove, MoveFor: time.Minute},
+		}},
+	}
+	for _, pool := range []string{"a", "b", "spare"} {
+		for n := range workers {
+			zone := fmt.Sprintf("z%d", n%3+1)
+			s.cloud.set(lister.Listing{ID: fmt.Sprintf("%s%02d", pool, n), Kind: lister.WorkerKind,
+				Address: fmt.Sprintf("10.0.0.%d:70", n), Zone: zone, Rack: pool + zone, Slots: 8, Pool: pool, State: lister.Live})
+		}
+	}
+	return s
+}
+
+func (s *site) current() registrar.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view
+}
+
+func (s *site) setView(fn func(*registrar.View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Number++
+	fn(&s.view)
+}
+
+func (s *site) getRules() *parser.Rules { return s.rules }
+
+// join starts a member; the first one coordinates.
+func (s *site) join(id, zone string, opts ...Option) *member {
+	m := &member{port: s.store.Caller(id), fleet: scheduler.NewFleet(), done: make(chan struct{})}
+	m.held.Store(len(s.members) == 0)
+	opts = append([]Option{WithAssert(panicking), WithLog(slog.New(slog.DiscardHandler))}, opts...)
+	m.mover = New(m.port, id, m.fleet, s.cloud, opts...)
+	m.budget = budgeter.New(m.port, s.getRules, budgeter.WithAssert(panicking))
+	m.coord = NewCoordinator(m.mover, m, s.current, s.getRules, m.budget)
+	m.orders = NewOrders(m.port, id, s.getRules, m.budget, nil)
+	s.members[id] = m
+	s.setView(func(v *registrar.View) {
+		v.Members = append(append([]registrar.Member{}, v.Members...), registrar.Member{ID: id, Zone: zone, State: registrar.Active})
+	})
+	ctx, cancel := context.WithCancel(s.t.Context())
+	m.stop = cancel
+	go func() {
+		defer close(m.done)
+		var wg sync.WaitGroup
+		wg.Go(func() { _ = m.mover.Run(ctx) })
+		wg.Go(func() { _ = m.coord.Run(ctx) })
+		wg.Wait()
+	}()
+	return m
+}
+
+func (s *site) stop() {
+	for _, m := range s.members {
+		m.stop()
+		<-m.done
+	}
+}
+
+func (s *site) instance(id string) Instance {
+	i, err := NewOrders(s.store, "test", s.getRules, nil, nil).Get(s.t.Context(), id)
+	require.NoError(s.t, err)
+	return i
+}
+
+func (s *site) absences() budgeter.Absences {
+	a, err := budgeter.New(s.store, s.getRules).Absences(s.t.Context())
+	require.NoError(s.t, err)
+	return a
+}
+
+// within runs fn in virtual time on a site with three members.
+func within(t *testing.T, workers int, budgets []parser.Budget, fn func(s *site, m map[string]*member)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, workers, budgets...)
+		for n := range 3 {
+			s.join(fmt.Sprintf("e%d", n+1), fmt.Sprintf("z%d", n+1))
+		}
+		time.Sleep(5 * time.Second)
+		fn(s, s.members)
+		s.stop()
+	})
+}
--- a/mover/instance.go
+++ b/mover/instance.go
@@ -69,11 +69,6 @@
 	OrderKind string
 )
 
-// out reports whether the phase is a planned absence from service.
-func (p Phase) out() bool {
-	return p == Draining || p == Drained || p == Rebooting
-}
-
 // gone reports whether the instance is believed dead.
 func (p Phase) gone() bool {
 	return p == Absent || p == Evicted
--- /dev/null
+++ b/mover/orders_test.go
@@ -0,0 +1,211 @@
+package mover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+var oneOfEachPool = []parser.Budget{{Scope: parser.PoolScope, Name: parser.Every, MaxAbsent: 1}}
+
+// occupy has the owner of an instance run one task on it.
+func (s *site) occupy(id string) (free func()) {
+	owner := s.members[s.instance(id).Owner]
+	avoid := map[string]bool{}
+	for {
+		w, ok := owner.fleet.Pick(s.instance(id).Pool, 1, avoid)
+		require.True(s.t, ok)
+		if w.ID == id {
+			return func() { owner.fleet.Free(id, 1, scheduler.Outcome{}) }
+		}
+		owner.fleet.Free(w.ID, 1, scheduler.Outcome{})
+		avoid[w.ID] = true
+	}
+}
+
+func TestMoveWaitsForRunningWork(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		free := s.occupy("b00")
+		_, err := m["e2"].orders.Move(s.t.Context(), "b00", "a", "asha")
+		require.NoError(t, err)
+		time.Sleep(10 * time.Minute)
+		i := s.instance("b00")
+		require.Equal(t, []any{Draining, "b", true}, []any{i.Phase, i.Pool, i.Order.Late}, "the rule of pool b lets moves go on")
+		free()
+		time.Sleep(3 * time.Second)
+		i = s.instance("b00")
+		require.Equal(t, []any{Serving, "a", "a"}, []any{i.Phase, i.Pool, i.Home})
+		require.Empty(t, s.absences().List)
+	})
+}
+
+func TestMoveIsUndoneAtItsLimit(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		free := s.occupy("a00")
+		_, err := m["e2"].orders.Move(s.t.Context(), "a00", "b", "asha")
+		require.NoError(t, err)
+		time.Sleep(70 * time.Second)
+		i := s.instance("a00")
+		require.Equal(t, []any{Serving, "a"}, []any{i.Phase, i.Pool})
+		require.Contains(t, i.LastOrder, "undone: work still running")
+		require.Empty(t, s.absences().List)
+		free()
+	})
+}
+
+func TestMoveWaitsForBudgetAndSaysSo(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		_, err := m["e1"].orders.Drain(s.t.Context(), "b01", "asha")
+		require.NoError(t, err)
+		_, err = m["e2"].orders.Drain(s.t.Context(), "b02", "asha")
+		require.Equal(t, classifier.BudgetSpent, classifier.As(err).Code)
+		require.ErrorContains(t, err, "b01 (planned drain-")
+		require.Equal(t, Serving, s.instance("b02").Phase)
+		_, err = m["e2"].orders.Move(s.t.Context(), "b00", "a", "asha")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "waits: budget of pool b allows 1 absent", s.instance("b00").Order.Note)
+		_, err = m["e3"].orders.Resume(s.t.Context(), "b01", "asha")
+		require.NoError(t, err)
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "a", s.instance("b00").Pool)
+	})
+}
+
+// Any member finishes the order of another: the one that coordinates and the
+// owner of the instance both die in the middle of a move.
+func TestMoveOutlivesItsDrivers(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		owned := s.owned("e1")
+		_, err := m["e1"].orders.Move(s.t.Context(), owned[0].ID, "spare", "asha")
+		require.NoError(t, err)
+		m["e1"].stop()
+		<-m["e1"].done
+		m["e1"].held.Store(false)
+		m["e2"].held.Store(true)
+		s.setView(func(v *registrar.View) {
+			v.Members = v.Members[1:]
+			v.Departed = []registrar.Departure{{ID: "e1", Since: time.Now(), Reason: "gone"}}
+		})
+		time.Sleep(30 * time.Second)
+		i := s.instance(owned[0].ID)
+		require.Equal(t, []any{Serving, "spare"}, []any{i.Phase, i.Pool})
+	})
+}
+
+func TestRebootAndReturn(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		_, err := m["e1"].orders.Reboot(s.t.Context(), "a03", "asha", time.Hour)
+		require.NoError(t, err)
+		time.Sleep(30 * time.Second)
+		require.Equal(t, Rebooting, s.instance("a03").Phase)
+		require.Len(t, s.absences().List, 1)
+		time.Sleep(time.Minute)
+		i := s.instance("a03")
+		require.Equal(t, []any{Serving, 1}, []any{i.Phase, i.Boots})
+		require.Equal(t, []string{"a03"}, s.cloud.reboots)
+		require.Empty(t, s.absences().List)
+	})
+}
+
+func TestLostInstanceCountsAndReturns(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		gone := s.cloud.drop("a04")
+		time.Sleep(defaultListLag + 3*time.Second)
+		require.Equal(t, Absent, s.instance("a04").Phase)
+		require.Equal(t, budgeter.Unplanned, s.absences().List[0].Kind)
+		_, err := m["e1"].orders.Drain(s.t.Context(), "a01", "asha")
+		require.Equal(t, classifier.BudgetSpent, classifier.As(err).Code)
+		gone.Address = "10.9.9.9:70"
+		s.cloud.set(gone)
+		time.Sleep(5 * time.Second)
+		i := s.instance("a04")
+		require.Equal(t, []any{Serving, "10.9.9.9:70"}, []any{i.Phase, i.Address})
+		require.Empty(t, s.absences().List)
+		require.NotEmpty(t, i.Owner)
+	})
+}
+
+func TestInstanceThatIsGoneForLongIsForgotten(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		s.cloud.drop("a04")
+		_, err := m["e2"].orders.Evict(s.t.Context(), "a04", "asha")
+		require.NoError(t, err)
+		time.Sleep(defaultForgetAfter - time.Minute)
+		require.Equal(t, Evicted, s.instance("a04").Phase)
+		time.Sleep(2 * time.Minute)
+		_, err = m["e2"].orders.Get(s.t.Context(), "a04")
+		require.Equal(t, classifier.NotFound, classifier.As(err).Code)
+		require.Empty(t, s.absences().List)
+	})
+}
+
+func TestChangesThatBreakAnInvariantAreRefused(t *testing.T) {
+	serving := Instance{ID: "a", Pool: "p", Owner: "e1", Phase: Serving}
+	drained := serving
+	drained.Phase = Drained
+	for name, test := range map[string]struct {
+		from    Instance
+		right   right
+		edit    func(*Instance)
+		refused bool
+	}{
+		"pool while serving":     {serving, right{}, func(i *Instance) { i.Pool = "q" }, true},
+		"pool when drained":      {drained, right{}, func(i *Instance) { i.Pool = "q" }, false},
+		"owner by another":       {serving, right{self: "e2", idle: true}, func(i *Instance) { i.Owner = "e2" }, true},
+		"owner by itself, busy":  {serving, right{self: "e1"}, func(i *Instance) { i.Owner = "e2" }, true},
+		"owner by itself, idle":  {serving, right{self: "e1", idle: true}, func(i *Instance) { i.Owner = "e2" }, false},
+		"owner on evidence":      {serving, right{evidence: true}, func(i *Instance) { i.Owner = "e2" }, false},
+		"drained by another":     {serving, right{self: "e2"}, func(i *Instance) { i.Phase = Drained }, true},
+		"reboot while it serves": {serving, right{}, func(i *Instance) { i.Phase = Rebooting }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			to := test.from
+			test.edit(&to)
+			require.Equal(t, test.refused, breach(test.from, to, test.right) != "")
+		})
+	}
+}
+
+func TestStoreOutageAndLostAnswersDuringMoves(t *testing.T) {
+	within(t, 6, []parser.Budget{{Scope: parser.PoolScope, Name: parser.Every, MaxAbsent: 3}}, func(s *site, m map[string]*member) {
+		for n, id := range []string{"b00", "b01", "b02"} {
+			s.store.LoseNextAnswers(2)
+			_, err := m["e1"].orders.Move(s.t.Context(), id, "a", "asha")
+			if n == 1 {
+				s.store.SetDown(true)
+				time.Sleep(time.Minute)
+				s.store.SetDown(false)
+			}
+			if err != nil {
+				require.ErrorIs(t, err, keeper.ErrUnknown)
+			}
+		}
+		s.store.LoseNextAnswers(10)
+		time.Sleep(time.Minute)
+		for _, id := range []string{"b00", "b01", "b02"} {
+			require.Equal(t, "a", s.instance(id).Pool, id)
+		}
+		require.Empty(t, s.absences().List)
+	})
+}
+
+func TestLeavingInstanceIsCounted(t *testing.T) {
+	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
+		s.cloud.edit("b05", func(l *lister.Listing) { l.State = lister.LeavingOut })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, budgeter.Unplanned, s.absences().List[0].Kind)
+		s.cloud.edit("b05", func(l *lister.Listing) { l.State = lister.Live })
+		time.Sleep(3 * time.Second)
+		require.Empty(t, s.absences().List)
+	})
+}
--- /dev/null
+++ b/mover/owner_test.go
@@ -0,0 +1,122 @@
+package mover
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+func (m *member) slots(pool string) int {
+	for _, l := range m.fleet.Loads() {
+		if l.Pool == pool {
+			return l.Slots
+		}
+	}
+	return 0
+}
+
+func TestListedWorkersAreOwnedAndOpened(t *testing.T) {
+	within(t, 9, nil, func(s *site, m map[string]*member) {
+		for _, id := range []string{"e1", "e2", "e3"} {
+			for _, pool := range []string{"a", "b", "spare"} {
+				require.Equal(t, 24, m[id].slots(pool), "%s %s", id, pool)
+			}
+		}
+	})
+}
+
+func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
+	within(t, 3, nil, func(s *site, m map[string]*member) {
+		owner := m[s.instance("a00").Owner]
+		s.cloud.edit("a00", func(l *lister.Listing) { l.State = lister.LeavingOut })
+		m["e1"].held.Store(false) // even without a coordinator
+		s.store.SetDown(true)
+		time.Sleep(2 * time.Second)
+		_, ok := owner.fleet.Pick("a", 1, nil)
+		require.False(t, ok)
+		s.store.SetDown(false)
+	})
+}
+
+func TestRefusalClosesWorkerUntilReboot(t *testing.T) {
+	within(t, 3, nil, func(s *site, m map[string]*member) {
+		owner := m[s.instance("b01").Owner]
+		owner.mover.Refused("b01")
+		require.Zero(t, owner.fleet.FreeSlots("b"))
+		time.Sleep(10 * time.Second)
+		require.Zero(t, owner.fleet.FreeSlots("b"))
+		s.cloud.edit("b01", func(l *lister.Listing) { l.Boots++ })
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 8, owner.fleet.FreeSlots("b"))
+	})
+}
+
+// A dead member's workers are taken over only after its longest task lease
+// and the clock margin have passed since its departure, and a silent one's
+// never.
+func TestOwnershipMovesOnEvidenceOnly(t *testing.T) {
+	within(t, 9, nil, func(s *site, m map[string]*member) {
+		m["e3"].stop()
+		<-m["e3"].done
+		time.Sleep(5 * time.Minute)
+		require.Len(t, s.owned("e3"), 9, "silence is no evidence")
+		s.setView(func(v *registrar.View) {
+			v.Members = v.Members[:2:2]
+			v.Departed = []registrar.Departure{{ID: "e3", Since: time.Now(), Reason: "gone"}}
+		})
+		time.Sleep(defaultTaskLease + defaultClockMargin - time.Second)
+		require.Len(t, s.owned("e3"), 9, "its tasks may still run")
+		time.Sleep(3 * time.Second)
+		require.Empty(t, s.owned("e3"))
+		require.Equal(t, 216, m["e1"].slots("a")+m["e1"].slots("b")+m["e1"].slots("spare")+
+			m["e2"].slots("a")+m["e2"].slots("b")+m["e2"].slots("spare"))
+	})
+}
+
+func TestHandoverWaitsForRunningWork(t *testing.T) {
+	within(t, 9, nil, func(s *site, m map[string]*member) {
+		w, ok := m["e3"].fleet.Pick("a", 1, nil)
+		require.True(t, ok)
+		s.setView(func(v *registrar.View) {
+			members := append([]registrar.Member{}, v.Members...)
+			members[2].State = registrar.Leaving
+			v.Members = members
+		})
+		time.Sleep(3 * time.Minute)
+		require.Len(t, s.owned("e3"), 1)
+		require.Equal(t, "e3", s.instance(w.ID).Owner)
+		_, ok = m["e3"].fleet.Pick("a", 1, nil)
+		require.False(t, ok)
+		m["e3"].fleet.Free(w.ID, 1, scheduler.Outcome{})
+		time.Sleep(3 * time.Second)
+		require.Empty(t, s.owned("e3"))
+	})
+}
+
+func TestNewMemberGetsItsPart(t *testing.T) {
+	within(t, 8, nil, func(s *site, m map[string]*member) {
+		s.join("e4", "z1")
+		time.Sleep(time.Minute)
+		for _, id := range []string{"e1", "e2", "e3", "e4"} {
+			require.Len(t, s.owned(id), 6, id)
+			require.Equal(t, 16, s.members[id].slots("a"), id)
+		}
+	})
+}
+
+func (s *site) owned(member string) []Instance {
+	list, err := s.members["e1"].orders.List(s.t.Context())
+	require.NoError(s.t, err)
+	var owned []Instance
+	for _, i := range list {
+		if i.Owner == member {
+			owned = append(owned, i)
+		}
+	}
+	return owned
+}
