--- a/budgeter/absence.go
+++ b/budgeter/absence.go
@@ -20,6 +20,9 @@
 // maxNamedHolders bounds the holders that a refusal names.
 const maxNamedHolders = 6
 
+// scopes are the scopes of budgets.
+var scopes = []parser.Scope{parser.PoolScope, parser.ZoneScope, parser.RackScope}
+
 type (
 	// Absences is the record of all instances out of service.
 	Absences struct {
@@ -107,53 +110,29 @@
 	return x.Rack
 }
 
-// budgets returns the budgets that bound an absence, at most one for each
-// scope: a budget for a named object goes before one for every object.
-func budgets(rules []parser.Budget, x Absence) []Usage {
-	var list []Usage
-	for _, scope := range []parser.Scope{parser.PoolScope, parser.ZoneScope, parser.RackScope} {
-		found := -1
-		for n, b := range rules {
-			exact := b.Name == x.object(scope)
-			if b.Scope == scope && (exact || (b.Name == parser.Every && found < 0)) {
-				found = n
-			}
-			if b.Scope == scope && exact {
-				break
-			}
-		}
-		if found >= 0 {
-			list = append(list, Usage{Scope: scope, Name: x.object(scope), MaxAbsent: rules[found].MaxAbsent})
-		}
-	}
-	return list
-}
-
 // Room reports whether the budgets allow x in addition to the absences, and
 // refuses with BudgetSpent, the budget and its holders when they do not.
 func Room(rules []parser.Budget, a Absences, x Absence) error {
-	for _, b := range budgets(rules, x) {
-		holders := a.without(x.Instance).Holders(b.Scope, b.Name)
-		if len(holders) >= b.MaxAbsent {
-			return classifier.Refuse(classifier.BudgetSpent, "budget of %s %s allows %d absent and %d are: %s",
-				b.Scope, b.Name, b.MaxAbsent, len(holders), names(holders))
-		}
+	others := a.without(x.Instance)
+	b, spent := NewCounter(rules, others).Spent(x)
+	if !spent {
+		return nil
 	}
-	return nil
+	return classifier.Refuse(classifier.BudgetSpent, "budget of %s %s allows %d absent and %d are: %s",
+		b.Scope, b.Name, b.MaxAbsent, b.Absent, names(others.Holders(b.Scope, b.Name)))
 }
 
 // Use returns the state of every budget that an absence counts against.
 func Use(rules []parser.Budget, a Absences) []Usage {
+	counter := NewCounter(rules, a)
 	seen := map[Usage]bool{}
 	var list []Usage
 	for _, x := range a.List {
-		for _, b := range budgets(rules, x) {
-			if seen[b] {
-				continue
+		for _, u := range counter.usage(x) {
+			if !seen[u] {
+				seen[u] = true
+				list = append(list, u)
 			}
-			seen[b] = true
-			b.Absent = len(a.Holders(b.Scope, b.Name))
-			list = append(list, b)
 		}
 	}
 	slices.SortFunc(list, func(x, y Usage) int {
