keeper, dispatcher, lister: clients over HTTP, and handlers of the stand-ins

The entries reach the platform through published protocols: etcd's JSON gateway, whose watches carry single changes, and a small worker and list interface. The three clients share one package, requester, that says whether a failed request may have been sent. Only a request that never got a connection counts as not sent: the transport may still write to a connection after it has reported a failure. Renewals have connections of their own, so running tasks cannot hold them up. Follower keeps events that share a revision.

--- /dev/null
+++ b/dispatcher/client.go
@@ -0,0 +1,190 @@
+package dispatcher
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/requester"
+)
+
+// Paths of the worker interface.
+const (
+	TasksPath  = "/v1/tasks"
+	LeasesPath = "/v1/leases"
+	UsagePath  = "/v1/usage"
+)
+
+const (
+	// A worker takes 64 connections of all entries together. One entry owns it
+	// at a time and a second one may be about to.
+	defaultStartConns = 28               // connections for tasks to one worker
+	controlConns      = 4                // connections for other orders to one worker
+	controlTimeout    = 2 * time.Second  // longest wait for the answer to other orders
+	dialTimeout       = time.Second      // longest wait for a connection
+	idleTimeout       = 30 * time.Second // age at which an unused connection is closed
+)
+
+type (
+	// Client speaks to workers by their address. Renewals and other orders have
+	// connections of their own, so that tasks cannot hold them up. It repeats
+	// no call.
+	Client struct {
+		dial     Dialer
+		conns    int
+		starts   *http.Client
+		controls *http.Client
+	}
+
+	// Dialer opens a connection.
+	Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+	// ClientOption changes a Client.
+	ClientOption func(*Client)
+)
+
+// WithDialer sets how connections are opened.
+func WithDialer(dial Dialer) ClientOption {
+	return func(c *Client) { c.dial = dial }
+}
+
+// WithStartConns sets the largest number of connections for tasks that this
+// client has open to one worker. Four more serve other orders.
+func WithStartConns(n int) ClientOption {
+	return func(c *Client) { c.conns = n }
+}
+
+// NewClient returns a client of workers.
+func NewClient(opts ...ClientOption) *Client {
+	c := &Client{
+		dial:  (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		conns: defaultStartConns,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	c.starts = c.newHTTP(c.conns)
+	c.controls = c.newHTTP(controlConns)
+	return c
+}
+
+func (c *Client) newHTTP(conns int) *http.Client {
+	return requester.NewClient(&http.Transport{
+		DialContext:         c.dial,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
+		IdleConnTimeout:     idleTimeout,
+	})
+}
+
+// Close closes the connections that serve no call.
+func (c *Client) Close() {
+	c.starts.CloseIdleConnections()
+	c.controls.CloseIdleConnections()
+}
+
+// Start runs a task and returns when it has ended. The error is a
+// *classifier.Error: not-run only when the worker refused the task or no
+// connection to it was had, else in doubt with the code WorkerLost, Truncated
+// or Crossed.
+func (c *Client) Start(ctx context.Context, address string, s Start) (Finish, error) {
+	reply, err := requester.Do(ctx, c.starts, http.MethodPost, locate(address, TasksPath), s)
+	if err != nil {
+		return Finish{}, lost(address, err)
+	}
+	switch reply.Status {
+	case http.StatusOK:
+		return finish(s, reply.Body)
+	case http.StatusConflict:
+		var r Refusal
+		if json.Unmarshal(reply.Body, &r) == nil {
+			return Finish{}, Refused(s, r)
+		}
+	}
+	return Finish{}, classifier.Doubt(classifier.WorkerLost, "worker %s answered with status %d", address, reply.Status)
+}
+
+func finish(s Start, body []byte) (Finish, error) {
+	var f Finish
+	if err := json.Unmarshal(body, &f); err != nil {
+		return Finish{}, classifier.Doubt(classifier.Truncated, "answer to task %q: %v", s.Task, err)
+	}
+	if err := Verify(s, f); err != nil {
+		return Finish{}, err
+	}
+	return f, nil
+}
+
+// Renew extends the leases of tasks and returns those that the worker does not
+// run for the owner.
+func (c *Client) Renew(ctx context.Context, address string, r Renewal) ([]string, error) {
+	var unknown []string
+	err := c.control(ctx, http.MethodPost, address, LeasesPath, r, &unknown)
+	return unknown, err
+}
+
+// Stop ends a task.
+func (c *Client) Stop(ctx context.Context, address, task string) error {
+	return c.order(ctx, address, task, "stop")
+}
+
+// Checkpoint ends a task with its progress saved.
+func (c *Client) Checkpoint(ctx context.Context, address, task string) error {
+	return c.order(ctx, address, task, "checkpoint")
+}
+
+// Throttle slows a task down and frees a part of its slots.
+func (c *Client) Throttle(ctx context.Context, address, task string) error {
+	return c.order(ctx, address, task, "throttle")
+}
+
+// Usage returns the worker's report on itself.
+func (c *Client) Usage(ctx context.Context, address string) (Usage, error) {
+	var u Usage
+	err := c.control(ctx, http.MethodGet, address, UsagePath, nil, &u)
+	return u, err
+}
+
+func (c *Client) order(ctx context.Context, address, task, verb string) error {
+	path := TasksPath + "/" + url.PathEscape(task) + "/" + verb
+	return c.control(ctx, http.MethodPost, address, path, nil, &struct{}{})
+}
+
+// control makes a short call and decodes its answer into out.
+func (c *Client) control(ctx context.Context, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	reply, err := requester.Do(ctx, c.controls, method, locate(address, path), in)
+	switch {
+	case err != nil:
+		return lost(address, err)
+	case reply.Status == http.StatusNotFound:
+		return classifier.Refuse(classifier.NotFound, "worker %s does not know %s", address, path)
+	case reply.Status != http.StatusOK:
+		return classifier.Doubt(classifier.WorkerLost, "worker %s answered with status %d", address, reply.Status)
+	}
+	if err := json.Unmarshal(reply.Body, out); err != nil {
+		return classifier.Doubt(classifier.Truncated, "answer of worker %s: %v", address, err)
+	}
+	return nil
+}
+
+// lost returns the error for a call without a whole answer.
+func lost(address string, err error) error {
+	e := requester.AsError(err)
+	switch {
+	case !e.Sent:
+		return classifier.Refuse(classifier.WorkerLost, "worker %s was not reached: %v", address, e.Err)
+	case e.Answered:
+		return classifier.Doubt(classifier.Truncated, "worker %s: %v", address, e.Err)
+	}
+	return classifier.Doubt(classifier.WorkerLost, "worker %s: %v", address, e.Err)
+}
+
+func locate(address, path string) string {
+	return "http://" + address + path
+}
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -25,7 +25,7 @@
 		revision  int64
 		compacted int64
 		history   []keeper.Event // events after revision compacted
-		changed   chan struct{}  // closed at the next change of data or faults
+		changed   signal         // given at each change of data or faults
 	}
 
 	item struct {
@@ -41,12 +41,6 @@
 	}
 )
 
-// wake tells all waiting calls that data or faults have changed.
-func (e *engine) wake() {
-	close(e.changed)
-	e.changed = make(chan struct{})
-}
-
 // commit gives a change its revision and adds it to the history.
 func (e *engine) commit(ev keeper.Event) keeper.Record {
 	e.revision++
@@ -55,7 +49,7 @@
 	if len(e.history) > historyLimit {
 		e.compact(e.revision - historyLimit/2)
 	}
-	e.wake()
+	e.changed.give()
 	return ev.Record
 }
 
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -25,44 +25,45 @@
 
 // Start runs a task and answers when it has ended.
 func (f *Fleet) Start(ctx context.Context, address string, s dispatcher.Start) (dispatcher.Finish, error) {
-	finish, _, err := f.start(ctx, address, s)
-	if err == nil {
-		err = dispatcher.Verify(s, finish)
+	a := f.start(ctx, address, s)
+	switch {
+	case a.err != nil:
+		return dispatcher.Finish{}, a.err
+	case a.refusal != "":
+		return dispatcher.Finish{}, dispatcher.Refused(s, dispatcher.Refusal{Task: s.Task, Reason: a.refusal})
+	case a.truncated:
+		a.finish.Output = a.finish.Output[:len(a.finish.Output)/2]
 	}
-	if err != nil {
+	if err := dispatcher.Verify(s, a.finish); err != nil {
 		return dispatcher.Finish{}, err
 	}
-	return finish, nil
+	return a.finish, nil
 }
 
-// start is Start without the checks of the answer.
-func (f *Fleet) start(ctx context.Context, address string, s dispatcher.Start) (dispatcher.Finish, AnswerFault, error) {
-	var none dispatcher.Finish
+func (f *Fleet) start(ctx context.Context, address string, s dispatcher.Start) answer {
 	w, err := f.reach(ctx, address)
 	if err != nil {
-		return none, LoseAnswer, err
+		return answer{err: err}
 	}
 	if reason := w.refusal(s); reason != "" {
 		w.mu.Unlock()
-		return none, "", dispatcher.Refused(s, dispatcher.Refusal{Task: s.Task, Reason: reason})
+		return answer{refusal: reason}
 	}
-	t := w.begin(s)
-	delay := w.faults.Delay
+	t, delay := w.begin(s), w.faults.Delay
 	w.mu.Unlock()
-	lost := classifier.Doubt(classifier.WorkerLost, "no answer from the worker at %s", address)
 	select {
 	case finish, ok := <-t.done:
-		if !ok || !sleep(ctx, delay) || w.await(ctx) != nil {
-			return none, LoseAnswer, lost
+		if !ok || !sleep(ctx, delay) {
+			return answer{err: w.lost()}
 		}
-		defer w.mu.Unlock()
-		finish, fault := w.spoil(finish)
-		if fault == LoseAnswer {
-			return none, LoseAnswer, lost
+		w.mu.Lock()
+		if err := w.await(ctx); err != nil {
+			return answer{err: err}
 		}
-		return finish, fault, nil
+		defer w.mu.Unlock()
+		return w.spoil(finish)
 	case <-ctx.Done():
-		return none, LoseAnswer, lost
+		return answer{err: w.lost()}
 	}
 }
 
@@ -135,36 +136,13 @@
 func (f *Fleet) reach(ctx context.Context, address string) (*Worker, error) {
 	found, _ := f.workers.Load(address)
 	w, _ := found.(*Worker)
-	if w == nil || w.isCrashed() || ctx.Err() != nil {
-		return nil, classifier.Refuse(classifier.WorkerLost, "no worker was reached at %s", address)
+	if w == nil {
+		return nil, classifier.Refuse(classifier.WorkerLost, "no worker at %s", address)
 	}
-	if err := w.await(ctx); err != nil {
-		return nil, err
-	}
-	return w, nil
-}
-
-func (w *Worker) isCrashed() bool {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.faults.Crashed
-}
-
-// await waits while the worker is paused. On success the mutex is locked.
-func (w *Worker) await(ctx context.Context) error {
-	w.mu.Lock()
-	for w.faults.Paused && !w.faults.Crashed && ctx.Err() == nil {
-		changed := w.changed
-		w.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-		w.mu.Lock()
-	}
-	if w.faults.Crashed || ctx.Err() != nil {
+	if w.faults.Crashed {
 		w.mu.Unlock()
-		return classifier.Doubt(classifier.WorkerLost, "no answer from worker %q", w.id)
+		return nil, classifier.Refuse(classifier.WorkerLost, "worker %q was not reached", w.id)
 	}
-	return nil
+	return w, w.await(ctx)
 }
--- /dev/null
+++ b/emulator/handler.go
@@ -0,0 +1,188 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+)
+
+// Handler serves the port through the JSON gateway of etcd's v3 interface.
+func (p *Port) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+keeper.RangePath, serve(http.StatusOK, p.serveRange))
+	mux.Handle("POST "+keeper.TxnPath, serve(http.StatusOK, p.serveTxn))
+	mux.Handle("POST "+keeper.GrantPath, serve(http.StatusOK, func(r *http.Request, in keeper.Lease) (keeper.Lease, error) {
+		id, err := p.Grant(r.Context(), time.Duration(in.TTL)*time.Second)
+		return keeper.Lease{ID: int64(id), TTL: in.TTL}, err
+	}))
+	mux.Handle("POST "+keeper.KeepAlivePath, serve(http.StatusOK, func(r *http.Request, in keeper.Lease) (out keeper.KeepAliveResponse, err error) {
+		err = p.KeepAlive(r.Context(), keeper.LeaseID(in.ID))
+		if errors.Is(err, keeper.ErrLeaseLost) {
+			return out, nil
+		}
+		out.Result = keeper.Lease{ID: in.ID, TTL: 1}
+		return out, err
+	}))
+	mux.Handle("POST "+keeper.RevokePath, serve(http.StatusOK, func(r *http.Request, in keeper.Lease) (struct{}, error) {
+		return struct{}{}, p.Revoke(r.Context(), keeper.LeaseID(in.ID))
+	}))
+	mux.HandleFunc("POST "+keeper.WatchPath, p.serveWatch)
+	return mux
+}
+
+func (p *Port) serveRange(r *http.Request, in keeper.RangeRequest) (out keeper.RangeResponse, err error) {
+	var records []keeper.Record
+	if len(in.RangeEnd) == 0 {
+		records = make([]keeper.Record, 1)
+		records[0], err = p.Get(r.Context(), string(in.Key))
+	} else {
+		records, out.Header.Revision, err = p.List(r.Context(), strings.Trim(string(in.Key), "\x00"))
+	}
+	for _, r := range records {
+		if r.Revision != 0 {
+			out.Kvs = append(out.Kvs, keyValue(r))
+		}
+	}
+	return out, err
+}
+
+func (p *Port) serveTxn(r *http.Request, in keeper.TxnRequest) (out keeper.TxnResponse, err error) {
+	if len(in.Compare) != 1 || len(in.Success) != 1 {
+		return out, errors.New("the stand-in takes one comparison and one operation")
+	}
+	key, revision := string(in.Compare[0].Key), in.Compare[0].ModRevision
+	if put := in.Success[0].Put; put != nil {
+		record, swapErr := p.Swap(r.Context(), key, put.Value, revision, keeper.LeaseID(put.Lease))
+		out.Header.Revision, err = record.Revision, swapErr
+	} else {
+		err = p.Delete(r.Context(), key, revision)
+	}
+	if errors.Is(err, keeper.ErrConflict) {
+		return out, nil
+	}
+	out.Succeeded = err == nil
+	return out, err
+}
+
+func (p *Port) serveWatch(w http.ResponseWriter, r *http.Request) {
+	var in keeper.WatchRequest
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	send := func(result keeper.WatchResult) {
+		_ = json.NewEncoder(w).Encode(keeper.WatchMessage{Result: result}) // a broken connection ends the watch
+		_ = http.NewResponseController(w).Flush()
+	}
+	send(keeper.WatchResult{Created: true})
+	prefix, after := strings.Trim(string(in.Create.Key), "\x00"), in.Create.StartRevision-1
+	err := p.Watch(r.Context(), prefix, after, func(ev keeper.Event) {
+		out := keeper.WatchEvent{Kv: keyValue(ev.Record)}
+		if ev.Deleted {
+			out.Type = keeper.DeleteEvent
+		}
+		send(keeper.WatchResult{Events: []keeper.WatchEvent{out}})
+	})
+	if errors.Is(err, keeper.ErrCompacted) {
+		send(keeper.WatchResult{Canceled: true, CompactRevision: after + 1})
+	}
+}
+
+func keyValue(r keeper.Record) keeper.KeyValue {
+	return keeper.KeyValue{Key: []byte(r.Key), Value: r.Value, ModRevision: r.Revision}
+}
+
+// Handler serves the worker at an address.
+func (f *Fleet) Handler(address string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+dispatcher.TasksPath, func(w http.ResponseWriter, r *http.Request) {
+		var s dispatcher.Start
+		if err := json.NewDecoder(r.Body).Decode(&s); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answerStart(w, s, f.start(r.Context(), address, s))
+	})
+	mux.Handle("POST "+dispatcher.LeasesPath, serve(http.StatusOK, func(r *http.Request, in dispatcher.Renewal) ([]string, error) {
+		return f.Renew(r.Context(), address, in)
+	}))
+	mux.Handle("GET "+dispatcher.UsagePath, serve(http.StatusOK, func(r *http.Request, _ struct{}) (dispatcher.Usage, error) {
+		return f.Usage(r.Context(), address)
+	}))
+	orders := map[string]func(context.Context, string, string) error{"stop": f.Stop, "checkpoint": f.Checkpoint, "throttle": f.Throttle}
+	for verb, order := range orders {
+		mux.Handle("POST "+dispatcher.TasksPath+"/{id}/"+verb, serve(http.StatusOK, func(r *http.Request, in struct{}) (struct{}, error) {
+			return in, order(r.Context(), address, r.PathValue("id"))
+		}))
+	}
+	return mux
+}
+
+func answerStart(w http.ResponseWriter, s dispatcher.Start, a answer) {
+	switch {
+	case a.err != nil:
+		panic(http.ErrAbortHandler)
+	case a.refusal != "":
+		answerJSON(w, http.StatusConflict, dispatcher.Refusal{Task: s.Task, Reason: a.refusal})
+	case a.truncated:
+		raw, _ := json.Marshal(a.finish) // cannot fail
+		w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+		_, _ = w.Write(raw[:len(raw)/2])
+	default:
+		answerJSON(w, http.StatusOK, a.finish)
+	}
+}
+
+// Handler serves the instance list.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+lister.InstancesPath, serve(http.StatusOK, func(r *http.Request, _ struct{}) ([]lister.Listing, error) {
+		return p.List(r.Context())
+	}))
+	mux.Handle("POST "+lister.InstancesPath+"/{id}/reboot", serve(http.StatusAccepted, func(r *http.Request, in struct{}) (struct{}, error) {
+		return in, p.Reboot(r.Context(), r.PathValue("id"))
+	}))
+	return mux
+}
+
+// serve answers a call with the JSON form of what fn returns. The connection
+// is broken when the answer is lost.
+func serve[In, Out any](status int, fn func(*http.Request, In) (Out, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil && err != io.EOF {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		out, err := fn(r, in)
+		switch {
+		case err == nil:
+			answerJSON(w, status, out)
+		case errors.Is(err, keeper.ErrUnavailable), errors.Is(err, lister.ErrUnavailable):
+			answerJSON(w, http.StatusServiceUnavailable, keeper.GatewayError{Code: keeper.UnavailableCode, Message: keeper.NoLeaderMessage})
+		case errors.Is(err, keeper.ErrTooLarge):
+			answerJSON(w, http.StatusBadRequest, keeper.GatewayError{Code: keeper.InvalidArgumentCode, Message: keeper.TooLargeMessage})
+		case errors.Is(err, keeper.ErrLeaseLost), errors.Is(err, lister.ErrNotFound), classifier.As(err).Code == classifier.NotFound:
+			answerJSON(w, http.StatusNotFound, keeper.GatewayError{Code: keeper.NotFoundCode, Message: err.Error()})
+		default:
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func answerJSON(w http.ResponseWriter, status int, out any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(out) // the client sees a broken answer
+}
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -73,10 +73,10 @@
 		return errors.Annotatef(lister.ErrNotFound, "%q", id)
 	}
 	if !m.rebooting {
-		p.switchPower(m, false)
-		m.rebooting = true
+		p.apply(m, func(m *machine) { m.up, m.rebooting = false, true })
+		p.snapshot()
 		if !spend(&p.faults.BreakReboots) {
-			time.AfterFunc(p.reboot, func() { p.booted(m) })
+			time.AfterFunc(p.reboot, func() { p.edit(named(id), (*machine).boot) })
 		}
 	}
 	if spend(&p.faults.LoseReboots) {
@@ -85,17 +85,6 @@
 	return nil
 }
 
-// booted brings a machine back after its reboot.
-func (p *Platform) booted(m *machine) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m.rebooting && p.machines[m.ID] == m {
-		m.Boots++
-		m.State = lister.Live
-		p.switchPower(m, true)
-	}
-}
-
 // Add lists instances as up. One that is known is replaced.
 func (p *Platform) Add(listings ...lister.Listing) {
 	p.mu.Lock()
@@ -109,32 +98,21 @@
 
 // Leave marks an instance as leaving.
 func (p *Platform) Leave(id string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if m, ok := p.machines[id]; ok {
-		m.State = lister.LeavingOut
-		p.snapshot()
-	}
+	p.edit(named(id), func(m *machine) { m.State = lister.LeavingOut })
 }
 
 // Remove takes an instance off for good.
 func (p *Platform) Remove(id string) {
-	p.SetPower(false, func(l lister.Listing) bool { return l.ID == id })
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	delete(p.machines, id)
+	p.edit(named(id), func(m *machine) {
+		m.up, m.rebooting = false, false
+		delete(p.machines, id)
+	})
 }
 
 // SetPower brings the instances that match up or down, such as those of a rack
-// or zone.
+// or zone. It ends reboots that are under way.
 func (p *Platform) SetPower(up bool, match func(lister.Listing) bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.machines {
-		if match(m.Listing) && (m.up != up || m.rebooting) {
-			p.switchPower(m, up)
-		}
-	}
+	p.edit(match, func(m *machine) { m.up, m.rebooting = up, false })
 }
 
 // Inject changes the faults.
@@ -144,10 +122,37 @@
 	change(&p.faults)
 }
 
-func (p *Platform) switchPower(m *machine, up bool) {
-	m.up, m.rebooting = up, false
+// edit changes the instances that match.
+func (p *Platform) edit(match func(lister.Listing) bool, change func(*machine)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.machines {
+		if match(m.Listing) {
+			p.apply(m, change)
+		}
+	}
 	p.snapshot()
-	p.power(m.ID, up)
+}
+
+// apply changes one instance and tells when it goes down or comes up.
+func (p *Platform) apply(m *machine, change func(*machine)) {
+	before := m.up
+	change(m)
+	if m.up != before {
+		p.power(m.ID, m.up)
+	}
+}
+
+// boot ends a reboot that is under way.
+func (m *machine) boot() {
+	if m.rebooting {
+		m.up, m.rebooting, m.State = true, false, lister.Live
+		m.Boots++
+	}
+}
+
+func named(id string) func(lister.Listing) bool {
+	return func(l lister.Listing) bool { return l.ID == id }
 }
 
 // snapshot shows the list as it is now after the lag.
--- a/emulator/store.go
+++ b/emulator/store.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"strings"
 	"time"
 
@@ -48,7 +47,7 @@
 	e := &engine{
 		records: make(map[string]item),
 		leases:  make(map[keeper.LeaseID]*lease),
-		changed: make(chan struct{}),
+		changed: newSignal(),
 	}
 	all := &Port{engine: e, gates: []*gate{{}}, calls: make(map[string]int)}
 	return &Store{Port: all, ports: map[string]*Port{"": all}}
@@ -93,13 +92,6 @@
 	s.engine.compact(revision)
 }
 
-// Calls returns the number of calls by kind.
-func (p *Port) Calls() map[string]int {
-	p.engine.mu.Lock()
-	defer p.engine.mu.Unlock()
-	return maps.Clone(p.calls)
-}
-
 // SetDown makes calls and watches fail with ErrUnavailable.
 func (p *Port) SetDown(down bool) { p.set(func(g *gate) { g.down = down }) }
 
@@ -117,7 +109,7 @@
 	p.engine.mu.Lock()
 	defer p.engine.mu.Unlock()
 	change(p.gates[0])
-	p.engine.wake()
+	p.engine.changed.give()
 }
 
 // state returns the sum of the faults in force.
@@ -178,44 +170,37 @@
 // Watch implements the key-value service.
 func (p *Port) Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error {
 	p.engine.mu.Lock()
+	defer p.engine.mu.Unlock()
 	p.calls["watch"]++
-	p.engine.mu.Unlock()
-	for {
-		events, delay, changed, err := p.pending(after)
-		if err != nil {
+	for ctx.Err() == nil {
+		faults := p.state()
+		events, err := p.engine.since(after)
+		switch {
+		case faults.down:
+			return errors.Trace(keeper.ErrUnavailable)
+		case err != nil:
 			return err
+		case len(events) == 0 || faults.hung:
+			p.engine.changed.wait(ctx, &p.engine.mu)
+			continue
 		}
-		if len(events) > 0 && !sleep(ctx, delay) {
-			return ctx.Err()
-		}
-		for _, ev := range events {
-			after = ev.Revision
-			if strings.HasPrefix(ev.Key, prefix) {
-				ev.Value = bytes.Clone(ev.Value)
-				fn(ev)
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
+		after = events[len(events)-1].Revision
+		p.engine.mu.Unlock()
+		if sleep(ctx, faults.delay) {
+			deliver(prefix, events, fn)
 		}
+		p.engine.mu.Lock()
 	}
+	return ctx.Err()
 }
 
-// pending returns the events after a revision that the faults let through.
-func (p *Port) pending(after int64) ([]keeper.Event, time.Duration, <-chan struct{}, error) {
-	p.engine.mu.Lock()
-	defer p.engine.mu.Unlock()
-	faults := p.state()
-	if faults.down {
-		return nil, 0, nil, errors.Trace(keeper.ErrUnavailable)
-	}
-	if faults.hung {
-		return nil, 0, p.engine.changed, nil
+func deliver(prefix string, events []keeper.Event, fn func(keeper.Event)) {
+	for _, ev := range events {
+		if strings.HasPrefix(ev.Key, prefix) {
+			ev.Value = bytes.Clone(ev.Value)
+			fn(ev)
+		}
 	}
-	events, err := p.engine.since(after)
-	return events, faults.delay, p.engine.changed, err
 }
 
 // order is a call without a result.
@@ -253,14 +238,7 @@
 // outcome of effect, or false when ctx ended first.
 func delayed[T any](ctx context.Context, p *Port, delay time.Duration, effect func() (T, error)) (func() (T, error), bool) {
 	for p.state().hung {
-		changed := p.engine.changed
-		p.engine.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-		p.engine.mu.Lock()
-		if ctx.Err() != nil {
+		if !p.engine.changed.wait(ctx, &p.engine.mu) {
 			return nil, false
 		}
 	}
@@ -296,18 +274,3 @@
 	}
 	return errors.Trace(keeper.ErrUnavailable)
 }
-
-// sleep waits for d and reports whether ctx lives on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -1,12 +1,14 @@
 package emulator
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/dispatcher"
 )
 
@@ -27,7 +29,7 @@
 
 		mu      sync.Mutex
 		faults  WorkerFaults
-		changed chan struct{} // closed when the faults change
+		changed signal // given when the faults change
 		running map[string]*run
 		started map[string]int // last attempt by task
 		last    dispatcher.Finish
@@ -68,6 +70,14 @@
 		OutputBytes int  `json:"output-bytes"` // zeros in the output; 0 for the body itself
 	}
 
+	// answer is what a worker answers to a start.
+	answer struct {
+		finish    dispatcher.Finish
+		refusal   string // reason not to start; empty when the task ran
+		truncated bool   // the answer lacks its end
+		err       error  // no answer comes
+	}
+
 	// run is a task that runs. The worker's mutex guards it.
 	run struct {
 		Behaviour
@@ -92,7 +102,7 @@
 		id:      id,
 		slots:   slots,
 		observe: observe,
-		changed: make(chan struct{}),
+		changed: newSignal(),
 		running: make(map[string]*run),
 		started: make(map[string]int),
 	}
@@ -110,8 +120,7 @@
 		}
 		clear(w.started)
 	}
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.changed.give()
 }
 
 // Executions returns the log of the tasks that have ended, in that order.
@@ -232,19 +241,36 @@
 }
 
 // spoil puts the next fault on the answer f.
-func (w *Worker) spoil(f dispatcher.Finish) (dispatcher.Finish, AnswerFault) {
+func (w *Worker) spoil(f dispatcher.Finish) answer {
 	last := w.last
 	w.last = f
 	if len(w.faults.Answers) == 0 {
-		return f, ""
+		return answer{finish: f}
 	}
 	fault := w.faults.Answers[0]
 	w.faults.Answers = w.faults.Answers[1:]
 	switch fault {
-	case TruncateAnswer:
-		f.Output = f.Output[:len(f.Output)/2]
+	case LoseAnswer:
+		return answer{err: w.lost()}
 	case CrossAnswer:
-		f = last
+		return answer{finish: last}
+	}
+	return answer{finish: f, truncated: true}
+}
+
+// await releases the mutex while the worker is paused. On failure the mutex is
+// unlocked.
+func (w *Worker) await(ctx context.Context) error {
+	for w.faults.Paused && !w.faults.Crashed && ctx.Err() == nil {
+		w.changed.wait(ctx, &w.mu)
+	}
+	if w.faults.Crashed || ctx.Err() != nil {
+		w.mu.Unlock()
+		return w.lost()
 	}
-	return f, fault
+	return nil
+}
+
+func (w *Worker) lost() error {
+	return classifier.Doubt(classifier.WorkerLost, "no answer from worker %q", w.id)
 }
--- a/keeper/follower.go
+++ b/keeper/follower.go
@@ -113,16 +113,17 @@
 	return revision, nil
 }
 
-// watch delivers events after revision and returns the last revision seen.
-func (f *Follower) watch(ctx context.Context, revision int64) (int64, error) {
+// watch delivers events after a revision and returns the last revision seen.
+// Several events can have the same revision.
+func (f *Follower) watch(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.life)
 	defer cancel()
-	err := f.store.Watch(ctx, f.prefix, revision, func(e Event) {
-		if e.Revision <= revision {
-			return
+	revision := after
+	err := f.store.Watch(ctx, f.prefix, after, func(e Event) {
+		if e.Revision > after {
+			revision = e.Revision
+			f.onEvent(e)
 		}
-		revision = e.Revision
-		f.onEvent(e)
 	})
 	if ctx.Err() != nil {
 		return revision, nil
--- /dev/null
+++ b/lister/client.go
@@ -0,0 +1,97 @@
+package lister
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/requester"
+)
+
+// InstancesPath is the path of the platform's instance list.
+const InstancesPath = "/v1/instances"
+
+const defaultCallTimeout = 2 * time.Second // longest wait for one answer
+
+type (
+	// Client reads the platform's instance list. It repeats no call.
+	Client struct {
+		http     *http.Client
+		endpoint string
+		timeout  time.Duration
+	}
+
+	// ClientOption changes a Client.
+	ClientOption func(*Client)
+)
+
+// WithTimeout sets the longest wait for one answer.
+func WithTimeout(d time.Duration) ClientOption {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithTransport sets the transport of the client's requests.
+func WithTransport(transport http.RoundTripper) ClientOption {
+	return func(c *Client) { c.http = requester.NewClient(transport) }
+}
+
+// NewClient returns a client of the instance list at an endpoint such as
+// "http://10.0.0.1:8080".
+func NewClient(endpoint string, opts ...ClientOption) *Client {
+	c := &Client{
+		http:     requester.NewClient(&http.Transport{}),
+		endpoint: strings.TrimSuffix(endpoint, "/"),
+		timeout:  defaultCallTimeout,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// List returns the live and leaving instances. Its error is ErrUnavailable.
+func (c *Client) List(ctx context.Context) ([]Listing, error) {
+	reply, err := c.do(ctx, http.MethodGet, InstancesPath)
+	if err != nil {
+		return nil, errors.Annotatef(ErrUnavailable, "%v", err)
+	}
+	if reply.Status != http.StatusOK {
+		return nil, errors.Annotatef(ErrUnavailable, "status %d", reply.Status)
+	}
+	var list []Listing
+	if err := json.Unmarshal(reply.Body, &list); err != nil {
+		return nil, errors.Annotatef(ErrUnavailable, "%v", err)
+	}
+	return list, nil
+}
+
+// Reboot restarts an instance. It returns when the platform has taken the
+// order; the list shows when the instance is back. Errors are ErrNotFound,
+// ErrUnavailable and ErrUnknown.
+func (c *Client) Reboot(ctx context.Context, id string) error {
+	reply, err := c.do(ctx, http.MethodPost, InstancesPath+"/"+url.PathEscape(id)+"/reboot")
+	switch {
+	case err != nil && requester.AsError(err).Sent:
+		return errors.Annotatef(ErrUnknown, "%v", err)
+	case err != nil:
+		return errors.Annotatef(ErrUnavailable, "%v", err)
+	case reply.Status == http.StatusAccepted:
+		return nil
+	case reply.Status == http.StatusNotFound:
+		return errors.Annotatef(ErrNotFound, "%q", id)
+	case reply.Status == http.StatusServiceUnavailable:
+		return errors.Annotatef(ErrUnavailable, "status %d", reply.Status)
+	}
+	return errors.Annotatef(ErrUnknown, "status %d", reply.Status)
+}
+
+func (c *Client) do(ctx context.Context, method, path string) (requester.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	return requester.Do(ctx, c.http, method, c.endpoint+path, nil)
+}
--- /dev/null
+++ b/requester/requester.go
@@ -0,0 +1,111 @@
+// Package requester sends JSON requests over HTTP and tells whether a failed
+// one may have reached the server.
+package requester
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+
+	"github.com/juju/errors"
+)
+
+const maxAnswerBytes = 64 << 20 // longest answer read
+
+type (
+	// Reply is a whole answer.
+	Reply struct {
+		Status int
+		Body   []byte
+	}
+
+	// Error is the failure of a request that got no whole answer.
+	Error struct {
+		Sent     bool // the request may have reached the server
+		Answered bool // the head of the answer came
+		Err      error
+	}
+)
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("request without a whole answer (sent %t, answered %t): %v", e.Sent, e.Answered, e.Err)
+}
+
+// Unwrap returns the underlying error.
+func (e *Error) Unwrap() error {
+	return e.Err
+}
+
+// NewClient returns an HTTP client that follows no redirect, so that no
+// request is sent twice.
+func NewClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// Open sends a request with the JSON form of in, or without a body when in is
+// nil, and returns the answer with its body unread. The error is an *Error.
+//
+// Sent is false only when the transport never got a connection for the request.
+// Whether bytes were written to a connection is no evidence, because a
+// transport may still write them after it has reported a failure.
+func Open(ctx context.Context, client *http.Client, method, url string, in any) (*http.Response, error) {
+	var body io.Reader
+	if in != nil {
+		raw, err := json.Marshal(in)
+		if err != nil {
+			return nil, &Error{Err: errors.Annotate(err, "encoding the request")}
+		}
+		body = bytes.NewReader(raw)
+	}
+	var traced, connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GetConn: func(string) { traced.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, &Error{Err: errors.Annotate(err, "making the request")}
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, &Error{Sent: !traced.Load() || connected.Load(), Err: err}
+	}
+	return res, nil
+}
+
+// Do sends a request like Open and reads the whole answer, whatever its
+// status. The error is an *Error.
+func Do(ctx context.Context, client *http.Client, method, url string, in any) (Reply, error) {
+	res, err := Open(ctx, client, method, url, in)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err == nil && len(body) > maxAnswerBytes {
+		err = errors.Errorf("the answer is longer than %d bytes", maxAnswerBytes)
+	}
+	if err != nil {
+		return Reply{}, &Error{Sent: true, Answered: true, Err: err}
+	}
+	return Reply{Status: res.StatusCode, Body: body}, nil
+}
+
+// AsError returns err as an *Error. Any other error may have been sent.
+func AsError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Sent: true, Err: err}
+}
