--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -184,6 +184,24 @@
 	})
 }
 
+func TestCrashingTaskTakesItsWorkerDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, w := newFleet(2)
+		time.AfterFunc(500*time.Millisecond, func() {
+			_, err := fleet.Start(t.Context(), address, order("poison", `{"sleep-ms":500,"crash":true}`))
+			require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		})
+		_, err := fleet.Start(t.Context(), address, order("bystander", `{"sleep-ms":3000}`))
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		_, err = fleet.Start(t.Context(), address, order("next", ""))
+		require.Equal(t, classifier.NotRun, classifier.Of(err))
+		require.Len(t, w.Executions(), 2)
+		w.Inject(func(f *emulator.WorkerFaults) { f.Crashed = false })
+		_, err = fleet.Start(t.Context(), address, order("next", ""))
+		require.NoError(t, err)
+	})
+}
+
 func TestCheckpointAndThrottle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet, _ := newFleet(2)
--- a/emulator/engine.go
+++ b/emulator/engine.go
@@ -12,7 +12,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
 
-const historyLimit = 20_000 // events kept for watches before the older half is compacted
+const historyLimit = 4000 // events kept for watches before the older half is compacted
 
 type (
 	// engine is the state of the key-value service. Revisions grow by one with
--- a/emulator/worker.go
+++ b/emulator/worker.go
@@ -108,21 +108,25 @@
 	}
 }
 
-// Inject changes the faults. A worker that is no longer crashed has forgotten
-// all earlier tasks.
+// Inject changes the faults. A crash makes the worker forget its tasks.
 func (w *Worker) Inject(change func(*WorkerFaults)) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	change(&w.faults)
 	if w.faults.Crashed {
-		for _, t := range w.running {
-			w.end(t, "", "")
-		}
-		clear(w.started)
+		w.crash()
 	}
 	w.changed.give()
 }
 
+func (w *Worker) crash() {
+	w.faults.Crashed = true
+	for _, t := range w.running {
+		w.end(t, "", "")
+	}
+	clear(w.started)
+}
+
 // Executions returns the log of the tasks that have ended, in that order.
 func (w *Worker) Executions() []Execution {
 	w.mu.Lock()
@@ -180,13 +184,12 @@
 
 // complete ends a task whose run time is over.
 func (w *Worker) complete(t *run) {
-	if t.Crash {
-		w.Inject(func(f *WorkerFaults) { f.Crashed = true })
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	switch {
 	case time.Now().Before(t.ends): // throttled in the meantime
+	case t.Crash && w.running[t.order.Task] == t:
+		w.crash()
 	case t.Fail || w.faults.Failing:
 		w.end(t, dispatcher.Failed, "the task failed")
 	default:
