emulator: test that the HTTP transport repeats no lost write or start

The transport repeats some requests on a connection it has used before. Writes to the store and starts must not be among them; the tests now break such a connection.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -94,6 +94,26 @@
 	}
 }
 
+// The HTTP transport repeats some requests when a connection that it has used
+// before breaks. A start is none of them.
+func TestLostAnswerIsNotRepeatedOnUsedConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet, w := newFleet(2)
+		l, _ := serve(t, fleet.Handler(address))
+		c := dispatcher.NewClient(dispatcher.WithDialer(l.dial), dispatcher.WithStartConns(1))
+		defer c.Close()
+		_, err := c.Start(t.Context(), address, order("first", ""))
+		require.NoError(t, err)
+		w.Inject(func(f *emulator.WorkerFaults) { f.Answers = []emulator.AnswerFault{emulator.LoseAnswer} })
+		second := order("second", "")
+		second.Idempotent = true
+		_, err = c.Start(t.Context(), address, second)
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		require.Equal(t, classifier.WorkerLost, classifier.As(err).Code, "a repeated start would be refused as a duplicate")
+		require.Len(t, w.Executions(), 2)
+	})
+}
+
 func TestOrdersOverHTTP(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet, _ := newFleet(2)
--- a/emulator/store_test.go
+++ b/emulator/store_test.go
@@ -78,10 +78,13 @@
 func TestStoreFaults(t *testing.T) {
 	onBoth(t, func(t *testing.T, store *emulator.Store, s service) {
 		ctx := t.Context()
+		got, err := s.Get(ctx, "lost") // opens the connection that the lost answer breaks
+		require.NoError(t, err)
+		require.Zero(t, got.Revision)
 		store.LoseNextAnswers(1)
-		_, err := s.Swap(ctx, "lost", []byte("x"), 0, 0)
-		require.ErrorIs(t, err, keeper.ErrUnknown)
-		got, err := s.Get(ctx, "lost")
+		_, err = s.Swap(ctx, "lost", []byte("x"), 0, 0)
+		require.ErrorIs(t, err, keeper.ErrUnknown, "the write is not sent again")
+		got, err = s.Get(ctx, "lost")
 		require.NoError(t, err)
 		require.Equal(t, "x", string(got.Value), "the write has taken effect")
 
