messenger: carry typed messages between entries over gRPC

Cause: entries have to claim names, hand over names, forward work and compare rule numbers with one another.

--- /dev/null
+++ b/messenger/generate.go
@@ -0,0 +1,3 @@
+package messenger
+
+//go:generate ./generate.sh
