Place waiting tasks on owned workers against grants

Cause: the path needs the loop between the queue and the workers. Change: placer with attempts, leases, renewals, lingering slots of attempts of unknown end, retries by verdict, cancellation; scheduler.Return puts a task back at the head of its queue. The tests found a task started at its deadline and then answered may-have-run: tasks that are too late now leave the queue before every fill. Conclusion: slots and grants stay taken until a worker has certainly ended a task.

--- a/dispatcher/verify.go
+++ b/dispatcher/verify.go
@@ -45,6 +45,8 @@
 		return classifier.Doubt(classifier.WorkerRefused, "the worker has started task %q before", s.Task)
 	case IsLeaving:
 		return classifier.Refuse(classifier.Leaving, "the worker is leaving")
+	case NeverFits:
+		return classifier.Refuse(classifier.NeverFits, "task %q takes %d slots, more than the worker has", s.Task, s.Slots)
 	}
 	return classifier.Refuse(classifier.WorkerRefused, "the worker refused task %q: %s", s.Task, r.Reason)
 }
--- /dev/null
+++ b/placer/attempt.go
@@ -0,0 +1,364 @@
+package placer
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+const (
+	// orderTimeout bounds an order to stop or checkpoint a task.
+	orderTimeout = 2 * time.Second
+
+	// Delays before a task that a worker refused is tried again.
+	refusedDelay    = 50 * time.Millisecond
+	maxRefusedDelay = 2 * time.Second
+)
+
+type (
+	// attempt is one start of a job on a worker. It holds slots of the worker
+	// and of the team until the worker has certainly ended the task.
+	attempt struct {
+		job       *job
+		task      string
+		number    int
+		started   time.Time
+		worker    scheduler.Worker
+		leaseEnd  time.Time // latest time at which the worker may still run the task
+		abandon   context.CancelFunc
+		cancelled bool
+		ordered   bool // a stop or checkpoint is under way
+		missed    int  // renewals in a row without an answer
+	}
+
+	finished struct {
+		attempt *attempt
+		finish  dispatcher.Finish
+		err     error
+	}
+
+	released struct{ attempt *attempt }
+)
+
+// fill starts waiting tasks while slots and grants allow. It first ends those
+// that are too late.
+func (p *Placer) fill(now time.Time) {
+	p.expire(now)
+	for _, pool := range p.waiting.Pools() {
+		for p.startNext(pool, now) {
+		}
+	}
+}
+
+// startNext starts one task of the pool and says whether it did.
+func (p *Placer) startNext(pool string, now time.Time) bool {
+	free := p.fleet.FreeSlots(pool)
+	if free == 0 {
+		return false
+	}
+	item, ok := p.waiting.Next(pool, free, p.purse.Take)
+	if !ok {
+		return false
+	}
+	j := item.Data.(*job)
+	worker, ok := p.pick(j)
+	if !ok {
+		p.purse.Give(j.task.Team, j.task.Slots)
+		p.waiting.Done(j.task, 0)
+		p.waiting.Return(item)
+		return false
+	}
+	p.start(j, worker, now)
+	return true
+}
+
+// pick reserves slots on a worker, preferring one that has not failed the job.
+func (p *Placer) pick(j *job) (scheduler.Worker, bool) {
+	worker, ok := p.fleet.Pick(j.task.Pool, j.task.Slots, j.avoid)
+	if !ok && len(j.avoid) > 0 {
+		worker, ok = p.fleet.Pick(j.task.Pool, j.task.Slots, nil)
+	}
+	return worker, ok
+}
+
+func (p *Placer) start(j *job, worker scheduler.Worker, now time.Time) {
+	j.attempts++
+	ctx, abandon := context.WithCancel(p.ctx)
+	startBy := now.Add(p.startBy)
+	j.attempt = &attempt{
+		job:      j,
+		task:     j.task.ID,
+		number:   j.attempts,
+		started:  now,
+		worker:   worker,
+		leaseEnd: startBy.Add(p.lease).Add(p.margin),
+		abandon:  abandon,
+	}
+	if j.attempts == 1 {
+		p.observe(Observation{Queue: j.task.Queue, Class: j.task.Class, Waited: now.Sub(j.task.Accepted)})
+	}
+	go p.run(ctx, j.attempt, p.startOrder(j, startBy))
+}
+
+// startOrder builds the start order for the worker.
+func (p *Placer) startOrder(j *job, startBy time.Time) dispatcher.Start {
+	return dispatcher.Start{
+		Task:       j.task.ID,
+		Attempt:    j.attempts,
+		Owner:      p.self,
+		Team:       j.task.Team,
+		Queue:      j.task.Queue,
+		Service:    j.task.Service,
+		Class:      string(j.task.Class),
+		Name:       j.task.Name,
+		Idempotent: j.task.Idempotent,
+		Slots:      j.task.Slots,
+		StartBy:    startBy,
+		Lease:      p.lease,
+		Checkpoint: j.checkpoint,
+		Body:       j.task.Body,
+	}
+}
+
+// run waits for the worker's answer outside the loop.
+func (p *Placer) run(ctx context.Context, a *attempt, order dispatcher.Start) {
+	finish, err := p.workers.Start(ctx, a.worker.Address, order)
+	a.abandon()
+	p.put(finished{attempt: a, finish: finish, err: err})
+}
+
+func (e finished) apply(p *Placer) {
+	j := e.attempt.job
+	if e.err != nil {
+		p.unfinished(j, e.attempt, classifier.As(e.err))
+		return
+	}
+	p.release(e.attempt, endingOf(e.finish.Outcome))
+	p.ended(j, e.attempt, e.finish)
+}
+
+func endingOf(o dispatcher.Outcome) scheduler.Ending {
+	switch o {
+	case dispatcher.Done:
+		return scheduler.Succeeded
+	case dispatcher.Failed:
+		return scheduler.Faulted
+	}
+	return scheduler.Neutral
+}
+
+// ended handles the worker's own word on how the attempt ended.
+func (p *Placer) ended(j *job, a *attempt, f dispatcher.Finish) {
+	switch f.Outcome {
+	case dispatcher.Done:
+		p.retries.Succeeded(j.task.Queue)
+		p.poison.Forget(j.task.ID)
+		p.finish(j, result{answer: p.answer(j, a, f)})
+	case dispatcher.Checkpointed:
+		j.checkpoint = f.Checkpoint
+		j.doubted = true
+		p.again(j, 0)
+	case dispatcher.Failed:
+		p.failed(j, a, f)
+	default:
+		p.interrupted(j, a, f)
+	}
+}
+
+func (p *Placer) answer(j *job, a *attempt, f dispatcher.Finish) messenger.Answer {
+	return messenger.Answer{
+		Task:    j.task.ID,
+		Attempt: a.number,
+		Output:  f.Output,
+		Digest:  sha256.Sum256(f.Output),
+		Worker:  a.worker.ID,
+	}
+}
+
+// failed handles a task that reported a failure of its own. An idempotent one
+// is tried on other workers, since some workers fail all that they start.
+func (p *Placer) failed(j *job, a *attempt, f dispatcher.Finish) {
+	task := j.task
+	cause := &classifier.Error{Verdict: classifier.Ran, Code: classifier.TaskFailed, Message: "the task failed on worker " + a.worker.ID + ": " + f.Reason}
+	if !task.Idempotent || a.cancelled {
+		p.finish(j, result{err: cause})
+		return
+	}
+	if p.poison.Failed(task.ID, a.worker.ID) {
+		p.finish(j, result{err: heldBackAfter(cause)})
+		return
+	}
+	p.retry(j, a, cause)
+}
+
+// interrupted handles a task that the worker stopped before its end.
+func (p *Placer) interrupted(j *job, a *attempt, f dispatcher.Finish) {
+	cause := classifier.Doubt(classifier.WorkerLost, "worker %s stopped the task before its end: %s", a.worker.ID, f.Reason)
+	if a.cancelled {
+		p.finish(j, result{err: classifier.Doubt(classifier.Cancelled, "cancelled while it ran")})
+		return
+	}
+	p.retry(j, a, cause)
+}
+
+// unfinished handles an attempt without the worker's word on its end.
+func (p *Placer) unfinished(j *job, a *attempt, err *classifier.Error) {
+	if err.Verdict == classifier.NotRun {
+		p.release(a, scheduler.Neutral)
+		p.refused(j, a, err)
+		return
+	}
+	if err.Code == classifier.Truncated {
+		p.release(a, scheduler.Faulted)
+	} else {
+		p.linger(a)
+	}
+	p.retry(j, a, err)
+}
+
+// refused handles a worker's word that it did not start the task.
+func (p *Placer) refused(j *job, a *attempt, err *classifier.Error) {
+	switch err.Code {
+	case classifier.NeverFits:
+		p.finish(j, result{err: p.final(j, err)})
+		return
+	case classifier.Leaving:
+		p.fleet.Close(a.worker.ID)
+		p.leaving(a.worker.ID)
+	}
+	j.avoid = withWorker(j.avoid, a.worker.ID)
+	j.refusals++
+	p.again(j, refusalDelay(j.refusals))
+}
+
+func refusalDelay(n int) time.Duration {
+	return min(refusedDelay<<min(n, 8), maxRefusedDelay)
+}
+
+// retry starts an idempotent task anew within the retry budget of its queue.
+// A non-idempotent one ends with the cause.
+func (p *Placer) retry(j *job, a *attempt, cause *classifier.Error) {
+	task := j.task
+	if !task.Idempotent || a.cancelled {
+		p.finish(j, result{err: cause})
+		p.forget(j)
+		return
+	}
+	if !p.retries.Take(task.Queue) {
+		p.finish(j, result{err: classifier.Doubt(classifier.RetriesSpent, "%s; the retry budget of queue %q is spent", cause.Message, task.Queue).After(time.Second)})
+		p.forget(j)
+		return
+	}
+	j.doubted = true
+	j.avoid = withWorker(j.avoid, a.worker.ID)
+	p.again(j, 0)
+}
+
+// again returns the job to its queue after a delay.
+func (p *Placer) again(j *job, delay time.Duration) {
+	j.attempt = nil
+	if delay == 0 {
+		requeue{job: j}.apply(p)
+		return
+	}
+	time.AfterFunc(delay, func() { p.put(requeue{job: j}) })
+}
+
+// forget drops a job that has been answered.
+func (p *Placer) forget(j *job) {
+	if p.jobs[j.task.ID] == j {
+		delete(p.jobs, j.task.ID)
+	}
+}
+
+// final turns a refusal of this attempt into the verdict for the whole job.
+func (p *Placer) final(j *job, err error) error {
+	e := classifier.As(err)
+	if e.Verdict == classifier.NotRun && j.doubted {
+		return classifier.Doubt(e.Code, "%s; an earlier attempt may have run", e.Message)
+	}
+	return e
+}
+
+// release gives back the slots of an attempt that has certainly ended.
+func (p *Placer) release(a *attempt, ending scheduler.Ending) {
+	a.job.attempt = nil
+	p.free(a, ending)
+	if a.job.replied {
+		p.forget(a.job)
+	}
+}
+
+// linger keeps the slots of an attempt until its lease is over, since the
+// worker may still run the task.
+func (p *Placer) linger(a *attempt) {
+	a.job.attempt = nil
+	time.AfterFunc(time.Until(a.leaseEnd), func() { p.put(released{attempt: a}) })
+}
+
+func (e released) apply(p *Placer) {
+	p.free(e.attempt, scheduler.Faulted)
+}
+
+// free returns the slots of an attempt to the worker and to the team.
+func (p *Placer) free(a *attempt, ending scheduler.Ending) {
+	task := a.job.task
+	p.fleet.Free(a.worker.ID, task.Slots, scheduler.Outcome{Task: task.ID, Ending: ending})
+	p.purse.Give(task.Team, task.Slots)
+	p.waiting.Done(task, time.Since(a.started))
+}
+
+// watch ends what a running attempt has outlived: the job's deadline, then the
+// worker's lease.
+func (p *Placer) watch(j *job, now time.Time) {
+	if now.After(j.attempt.leaseEnd) {
+		j.attempt.abandon()
+		return
+	}
+	if j.replied || now.Before(j.task.Deadline) {
+		return
+	}
+	p.finish(j, result{err: classifier.Doubt(classifier.DeadlineOver, "the task was still running at its deadline")})
+	if j.task.Idempotent {
+		j.attempt.cancelled = true
+		p.order(j.attempt, p.workers.Stop)
+	}
+}
+
+// order sends an order for a running attempt to its worker, outside the loop.
+// A lost order is harmless: the attempt ends with its lease.
+func (p *Placer) order(a *attempt, send func(ctx context.Context, address, task string) error) {
+	if a.ordered {
+		return
+	}
+	a.ordered = true
+	ctx, stop := context.WithTimeout(p.ctx, orderTimeout)
+	go func() {
+		defer stop()
+		if err := send(ctx, a.worker.Address, a.task); err != nil {
+			p.log.Warn("order to a worker failed", "worker", a.worker.ID, "task", a.task, "error", err)
+		}
+	}()
+}
+
+func withWorker(avoid map[string]bool, id string) map[string]bool {
+	next := make(map[string]bool, len(avoid)+1)
+	for k := range avoid {
+		next[k] = true
+	}
+	next[id] = true
+	return next
+}
+
+func heldBack(task scheduler.Task) *classifier.Error {
+	return classifier.Refuse(classifier.HeldBack, "task %q failed on too many workers before", task.ID)
+}
+
+func heldBackAfter(cause *classifier.Error) *classifier.Error {
+	return &classifier.Error{Verdict: classifier.Ran, Code: classifier.HeldBack, Message: cause.Message + "; it has now failed on too many workers"}
+}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,281 @@
+// Package placer places waiting tasks on the workers that this member owns. One
+// loop owns the waiting tasks and the running attempts; everything else talks
+// to it through a bounded ring.
+package placer
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+// Times and sizes of the placer.
+const (
+	// DefaultLease is the time a worker goes on with a task without renewal.
+	DefaultLease = 15 * time.Second
+	// DefaultStartBy is the time after which a worker refuses a start.
+	DefaultStartBy = 2 * time.Second
+	// DefaultMargin is the allowed distance between two clocks.
+	DefaultMargin = 2 * time.Second
+	// UrgentWait is the wait of urgent work after which slots are taken back.
+	UrgentWait = 500 * time.Millisecond
+
+	ringSize  = 4096
+	tickEvery = 50 * time.Millisecond
+)
+
+type (
+	// Workers is the platform's worker interface.
+	Workers interface {
+		Start(ctx context.Context, address string, s dispatcher.Start) (dispatcher.Finish, error)
+		Renew(ctx context.Context, address string, r dispatcher.Renewal) ([]string, error)
+		Stop(ctx context.Context, address, task string) error
+		Checkpoint(ctx context.Context, address, task string) error
+		Throttle(ctx context.Context, address, task string) error
+	}
+
+	// Purse holds the slots that this member may run for each team.
+	Purse interface {
+		Take(team string, n int) bool
+		Give(team string, n int)
+	}
+
+	// Retries bounds the retries of each queue.
+	Retries interface {
+		Take(queue string) bool
+		Succeeded(queue string)
+	}
+
+	// Poison remembers tasks that failed on several workers.
+	Poison interface {
+		// Failed counts a failure and says whether the task is now held back.
+		Failed(task, worker string) bool
+		Held(task string) bool
+		Forget(task string)
+	}
+
+	// Shares tells the slots each team should have running at this member.
+	Shares func() map[string]int
+
+	// Placer places tasks. Use New.
+	Placer struct {
+		self     string
+		log      *slog.Logger
+		workers  Workers
+		purse    Purse
+		fleet    *scheduler.Fleet
+		waiting  *scheduler.Waiting
+		retries  Retries
+		poison   Poison
+		shares   Shares
+		leaving  func(instance string)
+		journal  func(recorder.Decision)
+		observe  func(Observation)
+		lease    time.Duration
+		startBy  time.Duration
+		margin   time.Duration
+		events   *supervisor.Ring[event]
+		renewals *supervisor.Ring[renewal]
+		jobs     map[string]*job
+		loads    atomic.Pointer[Loads]
+		stopped  chan struct{}
+		ctx      context.Context // of Run; ends the attempts with the loop
+	}
+
+	// Loads is what the member runs and has waiting.
+	Loads struct {
+		Pools []messenger.PoolLoad
+		Teams []messenger.TeamLoad
+	}
+
+	// Observation is one measured step of a task.
+	Observation struct {
+		Queue  string
+		Class  scheduler.Class
+		Waited time.Duration // from acceptance to the first start; negative when not started
+	}
+
+	// Patience makes a task that has not started leave the queue again. The
+	// zero value waits until the task's deadline.
+	Patience struct {
+		Every time.Duration // how often Leave is asked
+		Leave func() bool   // whether another member would start the task sooner
+	}
+
+	// Option changes a Placer under construction.
+	Option func(*Placer)
+)
+
+// WithLog sets the logger.
+func WithLog(log *slog.Logger) Option {
+	return func(p *Placer) { p.log = log }
+}
+
+// WithLease sets the lease of a task on a worker.
+func WithLease(lease time.Duration) Option {
+	return func(p *Placer) { p.lease = lease }
+}
+
+// WithMargin sets the allowed distance between two clocks.
+func WithMargin(margin time.Duration) Option {
+	return func(p *Placer) { p.margin = margin }
+}
+
+// WithShares sets the source of the shares that preemption works towards.
+func WithShares(shares Shares) Option {
+	return func(p *Placer) { p.shares = shares }
+}
+
+// WithLeaving sets the function told of a worker that says it is leaving.
+func WithLeaving(leaving func(instance string)) Option {
+	return func(p *Placer) { p.leaving = leaving }
+}
+
+// WithJournal sets the function that takes decisions for explanation.
+func WithJournal(journal func(recorder.Decision)) Option {
+	return func(p *Placer) { p.journal = journal }
+}
+
+// WithObserve sets the function that takes measured steps.
+func WithObserve(observe func(Observation)) Option {
+	return func(p *Placer) { p.observe = observe }
+}
+
+// New returns a placer for the member self that starts tasks on the workers
+// open in fleet, against the slots in purse.
+func New(self string, workers Workers, purse Purse, fleet *scheduler.Fleet, waiting *scheduler.Waiting, opts ...Option) *Placer {
+	p := &Placer{
+		self:     self,
+		log:      slog.Default(),
+		workers:  workers,
+		purse:    purse,
+		fleet:    fleet,
+		waiting:  waiting,
+		retries:  boundless{},
+		poison:   boundless{},
+		shares:   func() map[string]int { return nil },
+		leaving:  func(string) {},
+		journal:  func(recorder.Decision) {},
+		observe:  func(Observation) {},
+		lease:    DefaultLease,
+		startBy:  DefaultStartBy,
+		margin:   DefaultMargin,
+		events:   supervisor.NewRing[event](ringSize),
+		renewals: supervisor.NewRing[renewal](ringSize),
+		jobs:     make(map[string]*job),
+		stopped:  make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(p)
+	}
+	p.loads.Store(&Loads{})
+	return p
+}
+
+// Submit queues the task and waits for its end. A task that leaves the queue by
+// patience before its first start ends with NoCapacity and NotRun, so that it
+// can be placed elsewhere. A full ring refuses with NotRun.
+//
+// When ctx ends, an unstarted task leaves the queue; a started one goes on, and
+// Submit returns its end.
+func (p *Placer) Submit(ctx context.Context, task scheduler.Task, patience Patience) (messenger.Answer, error) {
+	reply := make(chan result, 1)
+	j := &job{task: task, reply: reply}
+	if !p.send(submit{job: j}) {
+		return messenger.Answer{}, classifier.Refuse(classifier.QueueFull, "the entry takes no more events: come back later").After(time.Second)
+	}
+	var ask <-chan time.Time
+	if patience.Leave != nil {
+		ticker := time.NewTicker(patience.Every)
+		defer ticker.Stop()
+		ask = ticker.C
+	}
+	done := ctx.Done()
+	for {
+		select {
+		case r := <-reply:
+			return r.answer, r.err
+		case <-ask:
+			if patience.Leave() {
+				p.put(withdraw{task: task.ID, unstarted: true, cause: classifier.Refuse(classifier.NoCapacity, "another member has a free slot")})
+			}
+		case <-done:
+			done = nil
+			p.put(withdraw{task: task.ID, cause: classifier.Refuse(classifier.Cancelled, "the caller went away before the start")})
+		case <-p.stopped:
+			return p.lastWord(reply)
+		}
+	}
+}
+
+// lastWord returns a result that was sent before the loop ended. Without one
+// the task's fate is unknown.
+func (p *Placer) lastWord(reply <-chan result) (messenger.Answer, error) {
+	select {
+	case r := <-reply:
+		return r.answer, r.err
+	default:
+		return messenger.Answer{}, classifier.Doubt(classifier.Leaving, "the entry stopped while the task was under way")
+	}
+}
+
+// Cancel withdraws a task. A waiting task ends with NotRun at once. A running
+// one is stopped on its worker and ends with the worker's word. It says whether
+// the task was known.
+func (p *Placer) Cancel(ctx context.Context, task string) bool {
+	reply := make(chan bool, 1)
+	if !p.send(cancel{task: task, reply: reply}) {
+		return false
+	}
+	select {
+	case known := <-reply:
+		return known
+	case <-ctx.Done():
+		return false
+	case <-p.stopped:
+		return false
+	}
+}
+
+// Poke tells the loop that slots, grants or rules have changed.
+func (p *Placer) Poke() {
+	p.send(poke{})
+}
+
+// WorkerGone ends the attempts on a worker that the platform no longer lists.
+// Their slots and grants stay taken until their leases are over.
+func (p *Placer) WorkerGone(instance string) {
+	p.put(workerGone{instance: instance})
+}
+
+// Loads returns the loads as of the last turn of the loop.
+func (p *Placer) Loads() Loads {
+	return *p.loads.Load()
+}
+
+// Full returns how many events found the ring full.
+func (p *Placer) Full() uint64 {
+	return p.events.Full()
+}
+
+// send offers an event. A full ring refuses it.
+func (p *Placer) send(e event) bool {
+	return p.events.Offer(e)
+}
+
+// put adds an event that must not be lost. It waits for room until the loop
+// has stopped.
+func (p *Placer) put(e event) {
+	select {
+	case p.events.In() <- e:
+	case <-p.stopped:
+	}
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,175 @@
+package placer_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/granter"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// bench is a placer over stand-in workers in virtual time.
+type bench struct {
+	t       *testing.T
+	placer  *placer.Placer
+	wallet  *granter.Wallet
+	fleet   *scheduler.Fleet
+	workers []*emulator.Worker
+}
+
+func newBench(t *testing.T, workers, grant int) *bench {
+	b := &bench{t: t, wallet: granter.NewWallet(nil), fleet: scheduler.NewFleet()}
+	b.wallet.SetCeiling("leads", grant)
+	reach := &emulator.Fleet{}
+	for n := range workers {
+		id := fmt.Sprintf("worker-%d", n)
+		w := emulator.NewWorker(id, 1, nil)
+		reach.Add(id, w)
+		b.workers = append(b.workers, w)
+		b.fleet.Open(scheduler.Worker{ID: id, Address: id, Pool: "match", Slots: 1})
+	}
+	b.placer = placer.New("entry-1", reach, b.wallet, b.fleet, scheduler.NewWaiting())
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = b.placer.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		stop()
+		<-done
+	})
+	return b
+}
+
+func (b *bench) submit(id string, idempotent bool, body string) (messenger.Answer, error) {
+	task := scheduler.Task{
+		ID: id, Team: "leads", Queue: "inquiries", Pool: "match", Slots: 1, Name: id, Idempotent: idempotent,
+		Class: scheduler.Background, Accepted: time.Now(), Deadline: time.Now().Add(time.Minute), Body: []byte(body),
+	}
+	return b.placer.Submit(context.Background(), task, placer.Patience{})
+}
+
+func (b *bench) runs() int {
+	n := 0
+	for _, w := range b.workers {
+		n += len(w.Executions())
+	}
+	return n
+}
+
+func TestLostAnswerOfNonIdempotentTaskIsNotRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 2)
+		for _, w := range b.workers {
+			w.Inject(func(f *emulator.WorkerFaults) { f.Answers = []emulator.AnswerFault{emulator.LoseAnswer} })
+		}
+		_, err := b.submit("once", false, `{"sleep-ms":100}`)
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		require.Equal(t, 1, b.runs())
+	})
+}
+
+func TestLostAnswerOfIdempotentTaskIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 2)
+		for _, w := range b.workers {
+			w.Inject(func(f *emulator.WorkerFaults) { f.Answers = []emulator.AnswerFault{emulator.TruncateAnswer} })
+		}
+		answer, err := b.submit("again", true, `{"sleep-ms":100}`)
+		require.NoError(t, err)
+		require.Equal(t, `{"sleep-ms":100}`, string(answer.Output))
+		require.Equal(t, 3, b.runs())
+	})
+}
+
+// TestLostAttemptKeepsItsGrant shows that a task that may still run counts
+// against its team's limit until its lease is over.
+func TestLostAttemptKeepsItsGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 2, 1)
+		b.workers[0].Inject(func(f *emulator.WorkerFaults) { f.Paused = true })
+		b.workers[1].Inject(func(f *emulator.WorkerFaults) { f.Refusing = dispatcher.Full })
+		_, err := b.submit("lost", false, `{"sleep-ms":100}`)
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		synctest.Wait()
+		require.Zero(t, b.wallet.Used()["leads"], "the worker's lease is over when the attempt is given up")
+
+		b.workers[0].Inject(func(f *emulator.WorkerFaults) { f.Paused = false; f.Answers = []emulator.AnswerFault{emulator.LoseAnswer} })
+		_, err = b.submit("lost too", false, `{"sleep-ms":100}`)
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(err))
+		require.Equal(t, 1, b.wallet.Used()["leads"])
+		time.Sleep(placer.DefaultStartBy + placer.DefaultLease + placer.DefaultMargin)
+		synctest.Wait()
+		require.Zero(t, b.wallet.Used()["leads"])
+	})
+}
+
+func TestLongTaskKeepsItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		_, err := b.submit("long", false, `{"sleep-ms":50000}`)
+		require.NoError(t, err)
+		require.Equal(t, 1, b.runs())
+	})
+}
+
+func TestRefusalsSayWhatIsTrue(t *testing.T) {
+	tests := []struct {
+		name    string
+		refuse  string
+		grant   int
+		verdict classifier.Verdict
+		code    classifier.Code
+	}{
+		{"no grant", "", 0, classifier.NotRun, classifier.DeadlineOver},
+		{"worker is full", dispatcher.Full, 1, classifier.NotRun, classifier.DeadlineOver},
+		{"fits no worker", dispatcher.NeverFits, 1, classifier.NotRun, classifier.NeverFits},
+		{"worker leaves", dispatcher.IsLeaving, 1, classifier.NotRun, classifier.DeadlineOver},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, 1, tt.grant)
+				b.workers[0].Inject(func(f *emulator.WorkerFaults) { f.Refusing = tt.refuse })
+				_, err := b.submit("refused", false, "")
+				require.Equal(t, tt.verdict, classifier.Of(err), "%v", err)
+				require.Equal(t, tt.code, classifier.As(err).Code)
+				require.Zero(t, b.runs())
+			})
+		})
+	}
+}
+
+func TestCancelWaitingAndRunning(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, 1, 1)
+		ends := make(chan error, 2)
+		go func() {
+			_, err := b.submit("running", false, `{"sleep-ms":60000}`)
+			ends <- err
+		}()
+		synctest.Wait()
+		go func() {
+			_, err := b.submit("waiting", false, "")
+			ends <- err
+		}()
+		synctest.Wait()
+		require.True(t, b.placer.Cancel(t.Context(), "waiting"))
+		require.Equal(t, classifier.NotRun, classifier.Of(<-ends))
+		require.True(t, b.placer.Cancel(t.Context(), "running"))
+		require.Equal(t, classifier.MayHaveRun, classifier.Of(<-ends))
+		require.False(t, b.placer.Cancel(t.Context(), "unknown"))
+		require.Zero(t, b.wallet.Used()["leads"])
+	})
+}
--- a/scheduler/counts.go
+++ b/scheduler/counts.go
@@ -13,6 +13,19 @@
 	return len(w.nodes)
 }
 
+// Pools returns the pools for which tasks wait, in no order.
+func (w *Waiting) Pools() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var pools []string
+	for pool, s := range w.pools {
+		if len(s.active) > 0 {
+			pools = append(pools, pool)
+		}
+	}
+	return pools
+}
+
 // ByQueue returns the number of waiting tasks of each queue that has any.
 func (w *Waiting) ByQueue() map[string]int {
 	w.mu.Lock()
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -26,6 +26,7 @@
 		list       *queue
 		prev, next *node
 		dropped    bool
+		first      bool // goes to the head of its queue
 	}
 )
 
@@ -69,6 +70,10 @@
 }
 
 func (q *queue) push(n *node) {
+	if n.first && q.head != nil {
+		q.pushFront(n)
+		return
+	}
 	n.list, n.prev = q, q.tail
 	if q.tail == nil {
 		q.head = n
@@ -78,6 +83,13 @@
 	q.tail = n
 }
 
+func (q *queue) pushFront(n *node) {
+	n.list, n.next = q, q.head
+	q.head.prev = n
+	q.head = n
+	q.bypassed = 0
+}
+
 // candidate returns the head, or a task close behind it when the head does
 // not fit and has not been passed over too often.
 func (q *queue) candidate(freeSlots int) *node {
--- a/supervisor/ring.go
+++ b/supervisor/ring.go
@@ -49,6 +49,12 @@
 	return r.c
 }
 
+// In returns the sending side for a sender that waits on other channels too.
+// Waits there are not counted.
+func (r *Ring[T]) In() chan<- T {
+	return r.c
+}
+
 // Full returns how often a message found the ring full.
 func (r *Ring[T]) Full() uint64 {
 	return r.full.Load()
