--- a/distributor/confirm.go
+++ b/distributor/confirm.go
@@ -58,15 +58,15 @@
 }
 
 func (d *Distributor) tally(number uint64) (confirmed, missing []string, progress <-chan struct{}) {
-	members := d.view().Members
+	members, self := d.view().Members, d.self()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.self != "" {
-		confirmed = append(confirmed, d.self)
+	if self != "" {
+		confirmed = append(confirmed, self)
 	}
 	for _, m := range members {
 		switch {
-		case m.ID == d.self:
+		case m.ID == self:
 		case d.heard[m.ID] >= number:
 			confirmed = append(confirmed, m.ID)
 		default:
@@ -78,11 +78,12 @@
 
 // Numbers returns the number of the rules in force by member, as last heard.
 func (d *Distributor) Numbers() map[string]uint64 {
+	self := d.self()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	numbers := maps.Clone(d.heard)
-	if d.self != "" {
-		numbers[d.self] = d.number
+	if self != "" {
+		numbers[self] = d.number
 	}
 	return numbers
 }
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -42,7 +42,7 @@
 	Distributor struct {
 		store       Store
 		peers       Peers
-		self        string
+		self        func() string
 		view        func() registrar.View
 		seeds       func() []string
 		accepting   func() error
@@ -79,7 +79,16 @@
 // WithMembers sets the identity of this entry and the source of the
 // membership. Apply waits for the members of the view.
 func WithMembers(self string, view func() registrar.View) Option {
-	return func(d *Distributor) { d.self, d.view = self, view }
+	return func(d *Distributor) {
+		d.self = func() string { return self }
+		d.view = view
+	}
+}
+
+// WithSelf sets the source of this entry's identity where it is not known
+// before the entry has registered. It goes after WithMembers.
+func WithSelf(self func() string) Option {
+	return func(d *Distributor) { d.self = self }
 }
 
 // WithSeeds sets a source of addresses to ask for rules while no other member
@@ -114,6 +123,7 @@
 	d := &Distributor{
 		store:       store,
 		peers:       peers,
+		self:        func() string { return "" },
 		view:        func() registrar.View { return registrar.View{} },
 		seeds:       func() []string { return nil },
 		accepting:   func() error { return nil },
--- a/distributor/follow.go
+++ b/distributor/follow.go
@@ -159,8 +159,9 @@
 // all members, else the seeds.
 func (d *Distributor) sources() []string {
 	var ahead, all []string
+	self := d.self()
 	for _, m := range d.view().Members {
-		if m.ID == d.self {
+		if m.ID == self {
 			continue
 		}
 		all = append(all, m.Address)
