Read back after any error that does not rule the write out

Only ErrUnknown led to reading back; an error of another kind after the write, such as the end of a deadline, was reported as not written. Now only ErrUnavailable means that. The accepting entry can have its changes recorded.

--- a/distributor/apply.go
+++ b/distributor/apply.go
@@ -110,6 +110,7 @@
 	if err := d.commit(ctx, change, value); err != nil {
 		return Applied{}, errors.Trace(err)
 	}
+	d.record(summaryOf(change))
 	if change.Number%compactEvery == 0 {
 		wake(d.compact)
 	}
@@ -173,7 +174,7 @@
 			return d.committed(ctx, change, record)
 		case errors.Is(err, keeper.ErrConflict):
 			return d.readBack(ctx, change, doubt)
-		case errors.Is(err, keeper.ErrUnknown):
+		case !errors.Is(err, keeper.ErrUnavailable):
 			doubt = true
 		case !doubt:
 			return classifier.Refuse(classifier.StoreDown, "nothing was changed: %v", err)
@@ -259,8 +260,11 @@
 	changes, complete := d.since(base)
 	e := &ConflictError{Base: base, Number: d.Number(), Complete: complete}
 	for _, h := range changes {
-		c := h.change
-		e.Changes = append(e.Changes, Summary{Number: c.Number, Who: c.Who, When: c.When, Differences: c.Differences})
+		e.Changes = append(e.Changes, summaryOf(h.change))
 	}
 	return e
 }
+
+func summaryOf(c Change) Summary {
+	return Summary{Number: c.Number, Who: c.Who, When: c.When, Differences: c.Differences}
+}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -47,6 +47,7 @@
 		seeds       func() []string
 		accepting   func() error
 		assert      func(ok bool, format string, args ...any)
+		record      func(Summary)
 		log         *slog.Logger
 		confirmTime time.Duration
 
@@ -108,6 +109,11 @@
 	return func(d *Distributor) { d.assert = assert }
 }
 
+// WithRecord sets the function told of each change that this entry committed.
+func WithRecord(record func(Summary)) Option {
+	return func(d *Distributor) { d.record = record }
+}
+
 // WithLog sets the logger.
 func WithLog(log *slog.Logger) Option {
 	return func(d *Distributor) { d.log = log }
@@ -127,6 +133,7 @@
 		view:        func() registrar.View { return registrar.View{} },
 		seeds:       func() []string { return nil },
 		accepting:   func() error { return nil },
+		record:      func(Summary) {},
 		log:         slog.New(slog.DiscardHandler),
 		confirmTime: defaultConfirmTime,
 		behind:      make(chan struct{}, 1),
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -239,6 +239,32 @@
 	}
 }
 
+// vague writes and then fails with an error that tells nothing of the write.
+type vague struct {
+	*emulator.Port
+}
+
+func (v vague) Swap(ctx context.Context, key string, value []byte, revision int64, lease keeper.LeaseID) (keeper.Record, error) {
+	record, err := v.Port.Swap(ctx, key, value, revision, lease)
+	if err == nil {
+		err = context.DeadlineExceeded
+	}
+	return record, err
+}
+
+func TestUnclearErrorIsReadBack(t *testing.T) {
+	inBubble(t, 0, func(ctx context.Context, f *fleet) {
+		var recorded []distributor.Summary
+		record := func(s distributor.Summary) { recorded = append(recorded, s) }
+		d := distributor.New(vague{f.store.Port}, f, distributor.WithRecord(record))
+		_, err := d.Apply(ctx, 0, pools("a"), "ana")
+		require.NoError(t, err)
+		require.Equal(t, uint64(1), d.Number())
+		require.Len(t, recorded, 1)
+		require.Equal(t, "ana", recorded[0].Who)
+	})
+}
+
 func TestRefusalsChangeNothing(t *testing.T) {
 	inBubble(t, 1, func(ctx context.Context, f *fleet) {
 		d := f.entries["entry-0"]
