--- /dev/null
+++ b/distributor/fleet_test.go
@@ -0,0 +1,129 @@
+package distributor_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// fleet is a few entries that share a store and hear one another.
+type fleet struct {
+	store   *emulator.Store
+	entries map[string]*distributor.Distributor
+	ports   map[string]*emulator.Port
+
+	mu   sync.Mutex // guards entries too
+	view registrar.View
+	deaf map[string]bool // answers no peer and sends no heartbeat
+}
+
+func newFleet() *fleet {
+	return &fleet{
+		store:   emulator.NewStore(),
+		entries: map[string]*distributor.Distributor{},
+		ports:   map[string]*emulator.Port{},
+		deaf:    map[string]bool{},
+	}
+}
+
+func (f *fleet) Changes(ctx context.Context, address string, req messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	f.mu.Lock()
+	d, ok := f.entries[address]
+	deaf := f.deaf[address]
+	f.mu.Unlock()
+	if !ok || deaf {
+		return messenger.ChangesReply{}, classifier.Refuse(classifier.PeerLost, "no answer")
+	}
+	return d.HandleChanges(ctx, req)
+}
+
+// add registers an entry and returns it before it runs.
+func (f *fleet) add(id string) *distributor.Distributor {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.view.Members = append(f.view.Members, registrar.Member{ID: id, Address: id})
+	f.ports[id] = f.store.Caller(id)
+	f.entries[id] = distributor.New(f.ports[id], f,
+		distributor.WithMembers(id, f.members), distributor.WithAssert(must))
+	return f.entries[id]
+}
+
+func must(ok bool, format string, args ...any) {
+	if !ok {
+		panic(fmt.Sprintf(format, args...))
+	}
+}
+
+func (f *fleet) members() registrar.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fleet) setDeaf(id string, deaf bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.deaf[id] = deaf
+}
+
+// run starts the entries and their heartbeats until the test ends.
+func (f *fleet) run(ctx context.Context) {
+	for _, d := range f.entries {
+		go func() { _ = d.Run(ctx) }()
+	}
+	go func() {
+		for ctx.Err() == nil {
+			f.beat()
+			select {
+			case <-ctx.Done():
+			case <-time.After(2 * time.Second):
+			}
+		}
+	}()
+}
+
+func (f *fleet) beat() {
+	f.mu.Lock()
+	entries, deaf := maps.Clone(f.entries), maps.Clone(f.deaf)
+	f.mu.Unlock()
+	for from, sender := range entries {
+		for to, receiver := range entries {
+			if from != to && !deaf[from] {
+				receiver.Heard(from, sender.Number())
+			}
+		}
+	}
+}
+
+func pools(names ...string) []byte {
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, "pool %s # asked by Ana\n", name)
+	}
+	return []byte(b.String())
+}
+
+func inBubble(t *testing.T, n int, fn func(ctx context.Context, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet()
+		for i := range n {
+			f.add(fmt.Sprintf("entry-%d", i))
+		}
+		fn(ctx, f)
+		cancel()
+		synctest.Wait()
+	})
+}
--- /dev/null
+++ b/distributor/sequence_test.go
@@ -0,0 +1,176 @@
+package distributor_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+)
+
+func TestCompactionKeepsTheSequence(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		const changes = 400
+		for n := range uint64(changes) {
+			_, err := d.Apply(ctx, n, pools("a", fmt.Sprintf("p%d", n)), "ana")
+			require.NoError(t, err)
+		}
+		records, _, err := f.store.List(ctx, keeper.ChangePrefix)
+		require.NoError(t, err)
+		require.Less(t, len(records), changes)
+		late := f.add("entry-9")
+		go func() { _ = late.Run(ctx) }()
+		time.Sleep(time.Second)
+		require.Equal(t, d.Rules(), late.Rules())
+		_, err = d.Apply(ctx, 1, pools("a"), "ben")
+		var conflict *distributor.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		require.False(t, conflict.Complete)
+		require.NotEmpty(t, conflict.Changes)
+	})
+}
+
+// stalled lets a test act between an entry's last read and its write of a key.
+type stalled struct {
+	*emulator.Port
+	key    string
+	before func()
+}
+
+func (s *stalled) Swap(ctx context.Context, key string, value []byte, revision int64, lease keeper.LeaseID) (keeper.Record, error) {
+	if act := s.before; act != nil && key == s.key {
+		s.before = nil
+		act()
+	}
+	return s.Port.Swap(ctx, key, value, revision, lease)
+}
+
+func TestWriterPausedBeyondCompactionLeavesNoTrace(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		store := &stalled{Port: f.store.Caller("paused"), key: "rules/change/000000000001"}
+		paused := distributor.New(store, f)
+		store.before = func() {
+			for n := range uint64(400) {
+				_, err := d.Apply(ctx, n, pools("a", fmt.Sprintf("p%d", n)), "ana")
+				require.NoError(t, err)
+			}
+		}
+		_, err := paused.Apply(ctx, 0, pools("z"), "ben")
+		var conflict *distributor.ConflictError
+		require.ErrorAs(t, err, &conflict)
+		record, err := f.store.Get(ctx, "rules/change/000000000001")
+		require.NoError(t, err)
+		require.Zero(t, record.Revision)
+	})
+}
+
+func TestLateCompactionLeavesTheNewerSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newFleet()
+		store := &stalled{Port: f.store.Caller("late"), key: keeper.SnapshotKey}
+		newer, err := keeper.Encode("other", distributor.Snapshot{Number: 65})
+		require.NoError(t, err)
+		store.before = func() {
+			_, err := f.store.Swap(ctx, keeper.SnapshotKey, newer, 0, 0)
+			require.NoError(t, err)
+		}
+		d := distributor.New(store, f)
+		go func() { _ = d.Run(ctx) }()
+		for n := range uint64(64) {
+			_, err := d.Apply(ctx, n, pools("a", fmt.Sprintf("p%d", n)), "ana")
+			require.NoError(t, err)
+		}
+		time.Sleep(time.Second)
+		record, err := f.store.Get(ctx, keeper.SnapshotKey)
+		require.NoError(t, err)
+		require.Equal(t, string(newer), string(record.Value))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// peer answers with what a test gives it.
+type peer struct {
+	reply messenger.ChangesReply
+}
+
+func (p *peer) Changes(context.Context, string, messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	return p.reply, nil
+}
+
+func TestAnswersOutOfOrderNeitherSkipNorRevert(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		var whole []messenger.ChangesReply
+		for n, names := range [][]string{{"a"}, {"a", "b"}, {"a", "b", "c"}} {
+			_, err := d.Apply(ctx, uint64(n), pools(names...), "ana")
+			require.NoError(t, err)
+			reply, err := d.HandleChanges(ctx, messenger.ChangesRequest{After: uint64(n)})
+			require.NoError(t, err)
+			whole = append(whole, reply)
+		}
+		old := distributor.Snapshot{Number: 1, Text: string(pools("a"))}
+		sum := sha256.Sum256([]byte(old.Text))
+		old.Digest = hex.EncodeToString(sum[:])
+		snapshot, err := keeper.Encode("op", old)
+		require.NoError(t, err)
+		p := &peer{}
+		port := f.store.Caller("learner")
+		port.SetDown(true)
+		seeds := func() []string { return []string{"peer"} }
+		learner := distributor.New(port, p, distributor.WithSeeds(seeds), distributor.WithAssert(must))
+		go func() { _ = learner.Run(ctx) }()
+		steps := []struct {
+			reply messenger.ChangesReply
+			want  uint64
+		}{
+			{whole[1], 0}, // skips change 1
+			{whole[0], 1},
+			{whole[2], 1}, // skips change 2
+			{messenger.ChangesReply{Snapshot: snapshot}, 1},
+			{whole[1], 2},
+			{whole[0], 2}, // old
+			{messenger.ChangesReply{Snapshot: snapshot}, 2},
+			{whole[2], 3},
+		}
+		for _, step := range steps {
+			p.reply = step.reply
+			learner.Heard("peer", 3)
+			time.Sleep(3 * time.Second)
+			require.Equal(t, step.want, learner.Number())
+		}
+		require.Equal(t, d.Rules(), learner.Rules())
+	})
+}
+
+func TestStoreThatLostChangesIsRefused(t *testing.T) {
+	inBubble(t, 1, func(ctx context.Context, f *fleet) {
+		d := f.entries["entry-0"]
+		f.run(ctx)
+		_, err := d.Apply(ctx, 0, pools("a"), "ana")
+		require.NoError(t, err)
+		record, err := f.store.Get(ctx, "rules/change/000000000001")
+		require.NoError(t, err)
+		require.NoError(t, f.store.Delete(ctx, record.Key, record.Revision))
+		_, err = d.Apply(ctx, 1, pools("b"), "ana")
+		require.Equal(t, classifier.NotRun, classifier.Of(err))
+		require.Equal(t, uint64(1), d.Number())
+	})
+}
