--- /dev/null
+++ b/emulator/engine.go
@@ -0,0 +1,166 @@
+package emulator
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+const historyLimit = 4000 // events kept for watches before the older half is compacted
+
+type (
+	// engine is the state of the key-value service. Revisions grow by one with
+	// each change of a key.
+	engine struct {
+		mu        sync.Mutex
+		records   map[string]item
+		leases    map[keeper.LeaseID]*lease
+		lastLease keeper.LeaseID
+		revision  int64
+		compacted int64
+		history   []keeper.Event // events after revision compacted
+		changed   signal         // given at each change of data or faults
+	}
+
+	item struct {
+		keeper.Record
+		lease keeper.LeaseID
+	}
+
+	lease struct {
+		ttl     time.Duration
+		expires time.Time
+		timer   *time.Timer
+		keys    map[string]bool
+	}
+)
+
+// commit gives a change its revision and adds it to the history.
+func (e *engine) commit(ev keeper.Event) keeper.Record {
+	e.revision++
+	ev.Revision = e.revision
+	e.history = append(e.history, ev)
+	if len(e.history) > historyLimit {
+		e.compact(e.revision - historyLimit/2)
+	}
+	e.changed.give()
+	return ev.Record
+}
+
+func (e *engine) compact(revision int64) {
+	n := min(max(revision-e.compacted, 0), int64(len(e.history)))
+	e.history = slices.Clone(e.history[n:])
+	e.compacted += n
+}
+
+func (e *engine) get(key string) keeper.Record {
+	r := e.records[key].Record
+	r.Key, r.Value = key, bytes.Clone(r.Value)
+	return r
+}
+
+func (e *engine) list(prefix string) []keeper.Record {
+	var found []keeper.Record
+	for key := range e.records {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, e.get(key))
+		}
+	}
+	slices.SortFunc(found, func(a, b keeper.Record) int { return strings.Compare(a.Key, b.Key) })
+	return found
+}
+
+func (e *engine) swap(key string, value []byte, revision int64, id keeper.LeaseID) (keeper.Record, error) {
+	if len(value) > keeper.MaxValueBytes {
+		return keeper.Record{}, errors.Annotatef(keeper.ErrTooLarge, "%d bytes under %q", len(value), key)
+	}
+	l, ok := e.leases[id]
+	if id != 0 && !ok {
+		return keeper.Record{}, errors.Annotatef(keeper.ErrLeaseLost, "lease %d", id)
+	}
+	if err := e.release(key, revision); err != nil {
+		return keeper.Record{}, err
+	}
+	if ok {
+		l.keys[key] = true
+	}
+	r := e.commit(keeper.Event{Record: keeper.Record{Key: key, Value: value}})
+	e.records[key] = item{Record: r, lease: id}
+	return r, nil
+}
+
+func (e *engine) remove(key string, revision int64) error {
+	if err := e.release(key, revision); err != nil || revision == 0 {
+		return err
+	}
+	delete(e.records, key)
+	e.commit(keeper.Event{Record: keeper.Record{Key: key}, Deleted: true})
+	return nil
+}
+
+// release checks the revision of a record and detaches it from its lease.
+func (e *engine) release(key string, revision int64) error {
+	old := e.records[key]
+	if old.Revision != revision {
+		return errors.Annotatef(keeper.ErrConflict, "%q at revision %d, not %d", key, old.Revision, revision)
+	}
+	if l, ok := e.leases[old.lease]; ok {
+		delete(l.keys, key)
+	}
+	return nil
+}
+
+func (e *engine) grant(ttl time.Duration) keeper.LeaseID {
+	e.lastLease++
+	id := e.lastLease
+	l := &lease{ttl: ttl, expires: time.Now().Add(ttl), keys: make(map[string]bool)}
+	l.timer = time.AfterFunc(ttl, func() { e.expire(id, l) })
+	e.leases[id] = l
+	return id
+}
+
+func (e *engine) keepAlive(id keeper.LeaseID) error {
+	l, ok := e.leases[id]
+	if !ok {
+		return errors.Annotatef(keeper.ErrLeaseLost, "lease %d", id)
+	}
+	l.expires = time.Now().Add(l.ttl)
+	l.timer.Reset(l.ttl)
+	return nil
+}
+
+func (e *engine) expire(id keeper.LeaseID, l *lease) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !time.Now().Before(l.expires) {
+		e.revoke(id)
+	}
+}
+
+// revoke ends a lease and deletes the keys bound to it.
+func (e *engine) revoke(id keeper.LeaseID) {
+	l, ok := e.leases[id]
+	if !ok {
+		return
+	}
+	l.timer.Stop()
+	delete(e.leases, id)
+	for key := range l.keys {
+		delete(e.records, key)
+		e.commit(keeper.Event{Record: keeper.Record{Key: key}, Deleted: true})
+	}
+}
+
+// since returns the events after a revision.
+func (e *engine) since(after int64) ([]keeper.Event, error) {
+	if after < e.compacted {
+		return nil, errors.Annotatef(keeper.ErrCompacted, "revision %d, oldest kept %d", after, e.compacted)
+	}
+	return e.history[min(after-e.compacted, int64(len(e.history))):], nil
+}
