registrar: register entries and judge whether one may have missed a change

Cause: grants, workers and names are bound to members, and a member that is cut off has to notice it by itself. Change: one membership record with numbered views, registration by instance and incarnation, heartbeats that pass on views and the age of their proof, standings, removal on evidence and a planned departure.

--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -66,6 +66,12 @@
 		View:     p.GetView(),
 		Rules:    p.GetRules(),
 		HasStore: p.GetHasStore(),
+
+		StoreAge:   time.Duration(p.GetStoreAgeNs()),
+		Membership: p.GetMembership(),
+	}
+	if hb.StoreAge < 0 {
+		return Heartbeat{}, errors.Annotatef(ErrMalformed, "store age %v below 0", hb.StoreAge)
 	}
 	for _, l := range p.GetPools() {
 		counts, err := decodeCounts(l.GetSlots(), l.GetRunning(), l.GetWaiting())
@@ -136,7 +142,13 @@
 }
 
 func decodeHandOver(p *peerpb.HandOverRequest) (HandOverRequest, error) {
-	r := HandOverRequest{From: p.GetFrom(), View: p.GetView(), Last: p.GetLast()}
+	r := HandOverRequest{
+		From:  p.GetFrom(),
+		View:  p.GetView(),
+		Last:  p.GetLast(),
+		Doubt: decodeTime(p.GetDoubtNs()),
+		Open:  p.GetOpen(),
+	}
 	if r.From == "" {
 		return HandOverRequest{}, errors.Annotate(ErrMalformed, "hand-over without sender")
 	}
@@ -146,6 +158,7 @@
 			Task:    held.GetTask(),
 			Claimed: decodeTime(held.GetClaimedNs()),
 			Settled: held.GetSettled(),
+			View:    held.GetView(),
 		}
 		if err := decodeFixed(n.Hash[:], held.GetHash()); err != nil {
 			return HandOverRequest{}, errors.Trace(err)
--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -44,6 +44,9 @@
 		View:     hb.View,
 		Rules:    hb.Rules,
 		HasStore: hb.HasStore,
+
+		StoreAgeNs: int64(hb.StoreAge),
+		Membership: hb.Membership,
 	}
 	for _, l := range hb.Pools {
 		p.Pools = append(p.Pools, &peerpb.PoolLoad{
@@ -95,7 +98,7 @@
 }
 
 func encodeHandOver(r HandOverRequest) *peerpb.HandOverRequest {
-	p := &peerpb.HandOverRequest{From: r.From, View: r.View, Last: r.Last}
+	p := &peerpb.HandOverRequest{From: r.From, View: r.View, Last: r.Last, DoubtNs: encodeTime(r.Doubt), Open: r.Open}
 	for _, n := range r.Names {
 		p.Names = append(p.Names, &peerpb.HeldName{
 			Hash:      n.Hash[:],
@@ -104,6 +107,7 @@
 			Task:      n.Task,
 			ClaimedNs: encodeTime(n.Claimed),
 			Settled:   n.Settled,
+			View:      n.View,
 		})
 	}
 	return p
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -16,8 +16,14 @@
 		View     uint64 // number of the sender's membership view
 		Rules    uint64 // number of the sender's rules
 		HasStore bool   // the sender reached the key-value service within its bound
-		Pools    []PoolLoad
-		Teams    []TeamLoad // only towards the coordinator and only busy teams
+		// StoreAge is the age of the proof that View was the latest membership,
+		// at the time of sending. It counts only with HasStore.
+		StoreAge time.Duration
+		// Membership is the encoded registrar.View, only in a reply to a peer
+		// whose view is older.
+		Membership []byte
+		Pools      []PoolLoad
+		Teams      []TeamLoad // only towards the coordinator and only busy teams
 	}
 
 	// PoolLoad is what the sender owns and runs in one pool.
@@ -70,6 +76,12 @@
 		View  uint64
 		Names []HeldName
 		Last  bool // no further part follows
+		// Doubt is the latest date of a name that the sender cannot vouch for:
+		// a departed member may have granted it. Zero for none.
+		Doubt time.Time
+		// Open tells that the sender has adopted a departure whose latest date
+		// is not fixed yet.
+		Open bool
 	}
 
 	// HeldName is one name as its home remembers it.
@@ -79,7 +91,8 @@
 		Member  string
 		Task    string
 		Claimed time.Time
-		Settled bool // the task ended with Ran or MayHaveRun
+		Settled bool   // the task ended with Ran or MayHaveRun
+		View    uint64 // number of the view under which the name was granted
 	}
 
 	// AttachRequest waits for the answer of a task that the receiver runs or
--- /dev/null
+++ b/registrar/change.go
@@ -0,0 +1,88 @@
+package registrar
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// next returns a copy of v with the following number and without departures
+// that have outlived their use at now.
+func (v View) next(now time.Time) View {
+	departed := slices.Clone(v.Departed)
+	departed = slices.DeleteFunc(departed, func(d Departure) bool {
+		return now.Sub(d.Since) > departureLife
+	})
+	return View{
+		Number:   v.Number + 1,
+		Members:  slices.Clone(v.Members),
+		Previous: v.Active(),
+		Departed: departed,
+	}
+}
+
+// register returns v with m added under a new incarnation of its instance. It
+// removes older incarnations. It reports false when the process of m is
+// registered already.
+func (v View) register(m Member, now time.Time) (View, bool) {
+	for _, have := range v.Members {
+		if have.Nonce == m.Nonce {
+			return v, false
+		}
+	}
+	w := v.next(now)
+	m.ID = m.Instance + "." + strconv.FormatUint(w.Number, 10)
+	m.Joined = w.Number
+	m.State = Active
+	for _, have := range v.Members {
+		if have.Instance == m.Instance {
+			w.drop(have.ID, Superseded, m.ID, now)
+		}
+	}
+	w.Members = append(w.Members, m)
+	return w, true
+}
+
+// retire returns v with the member in state Leaving. It reports false when
+// there is nothing to change.
+func (v View) retire(id string, now time.Time) (View, bool) {
+	m, ok := v.Member(id)
+	if !ok || m.State == Leaving {
+		return v, false
+	}
+	w := v.next(now)
+	for i := range w.Members {
+		if w.Members[i].ID == id {
+			w.Members[i].State = Leaving
+		}
+	}
+	return w, true
+}
+
+// remove returns v without the members. It reports false when none of them is
+// registered.
+func (v View) remove(ids []string, reason, by string, now time.Time) (View, bool) {
+	w := v.next(now)
+	for _, id := range ids {
+		w.drop(id, reason, by, now)
+	}
+	return w, len(w.Members) < len(v.Members)
+}
+
+func (v *View) drop(id, reason, by string, now time.Time) {
+	kept := slices.DeleteFunc(v.Members, func(m Member) bool { return m.ID == id })
+	if len(kept) == len(v.Members) {
+		return
+	}
+	v.Members = kept
+	v.Departed = append(v.Departed, Departure{
+		ID:     id,
+		Since:  now.UTC().Round(0),
+		Reason: reason,
+		View:   v.Number,
+		By:     by,
+	})
+	if n := len(v.Departed); n > maxDepartures {
+		v.Departed = slices.Delete(v.Departed, 0, n-maxDepartures)
+	}
+}
--- /dev/null
+++ b/registrar/departure.go
@@ -0,0 +1,193 @@
+package registrar
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+)
+
+// errNewer reports that the membership changed since the hand-over.
+const errNewer = errors.ConstError("membership has changed")
+
+// listLoop reads the instance list and removes members whose instance is gone
+// while the member holds the duty.
+func (r *Registrar) listLoop(ctx context.Context) error {
+	ticker := time.NewTicker(r.cfg.listPoll)
+	defer ticker.Stop()
+	for {
+		r.readList(ctx)
+		r.removeGone(ctx)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (r *Registrar) readList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	start := time.Now()
+	listings, err := r.list.List(ctx)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noteListings(start, listings)
+}
+
+// noteListings notes which members are missing from a list called for at
+// start. A list without the member's own instance is not relied on. The
+// caller holds mu.
+func (r *Registrar) noteListings(start time.Time, listings []lister.Listing) {
+	present := make(map[string]bool, len(listings))
+	registered := make(map[string]bool, len(r.view.Members))
+	for _, m := range r.view.Members {
+		registered[m.Instance] = true
+	}
+	strangers := false
+	for _, l := range listings {
+		present[l.ID] = true
+		strangers = strangers || l.Kind == lister.EntryKind && !registered[l.ID]
+	}
+	if !present[r.self.Instance] {
+		return
+	}
+	r.listed = start
+	r.strangers = strangers
+	missing := make(map[string]time.Time)
+	for instance := range registered {
+		if present[instance] {
+			continue
+		}
+		missing[instance] = start
+		if since, ok := r.absent[instance]; ok {
+			missing[instance] = since
+		}
+	}
+	r.absent = missing
+}
+
+// removeGone removes the members whose instance has been missing from the
+// list for longer than the list lags.
+func (r *Registrar) removeGone(ctx context.Context) {
+	if r.cfg.duty == nil || !r.cfg.duty.Held() {
+		return
+	}
+	gone := r.gone()
+	if len(gone) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if err := r.remove(ctx, gone, Gone, r.Self().ID); err != nil {
+		r.log.Warn("removing members failed", "members", gone, "error", err)
+		return
+	}
+	r.log.Info("members removed", "members", gone, "reason", Gone)
+}
+
+func (r *Registrar) gone() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f := r.facts(time.Now())
+	var gone []string
+	for _, m := range r.view.Others(r.self.ID) {
+		if f.countedOut(m.Instance, r.limits) {
+			gone = append(gone, m.ID)
+		}
+	}
+	return gone
+}
+
+// remove removes the members on evidence.
+func (r *Registrar) remove(ctx context.Context, ids []string, reason, by string) error {
+	start := time.Now()
+	v, err := r.update(ctx, func(cur View) (View, bool, error) {
+		next, write := cur.remove(ids, reason, by, time.Now())
+		return next, write, nil
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r.adopt(v, start)
+	return nil
+}
+
+// Evict removes a member on the word of the operator who, who vouches that its
+// process is dead. It fails with classifier.NotFound for an unknown member and
+// with classifier.StoreDown when the service did not confirm the change.
+func (r *Registrar) Evict(ctx context.Context, id, who string) error {
+	if _, ok := r.View().Member(id); !ok {
+		return classifier.Refuse(classifier.NotFound, "no member %q is registered", id)
+	}
+	if err := r.remove(ctx, []string{id}, Evicted, who); err != nil {
+		return classifier.Doubt(classifier.StoreDown, "evicting %s: %v", id, err)
+	}
+	return nil
+}
+
+// Leave makes the member Leaving, waits for the hand-over of its names and
+// deregisters it. Run then returns nil. When ctx ends first, the member stays
+// registered until its instance is gone or registers again.
+func (r *Registrar) Leave(ctx context.Context) error {
+	id := r.Self().ID
+	if id == "" {
+		return errors.Trace(ErrUnregistered)
+	}
+	r.mu.Lock()
+	r.left = true
+	r.mu.Unlock()
+	if err := r.change(ctx, func(cur View) (View, bool, error) {
+		next, write := cur.retire(id, time.Now())
+		return next, write, nil
+	}); err != nil {
+		return errors.Annotate(err, "announcing the departure")
+	}
+	for {
+		err := r.deregister(ctx, id)
+		if !errors.Is(err, errNewer) {
+			return errors.Annotate(err, "deregistering")
+		}
+		r.Refresh(ctx)
+	}
+}
+
+// deregister waits until the names are handed over under the known view and
+// removes the member if that view is still the latest one.
+func (r *Registrar) deregister(ctx context.Context, id string) error {
+	number := r.View().Number
+	if err := r.cfg.handOver(ctx, number); err != nil {
+		if ctx.Err() == nil && r.View().Number != number {
+			return errNewer
+		}
+		return errors.Annotate(err, "handing over names")
+	}
+	return r.change(ctx, func(cur View) (View, bool, error) {
+		if cur.Number != number {
+			if _, ok := cur.Member(id); !ok {
+				return cur, false, nil
+			}
+			return cur, false, errNewer
+		}
+		next, write := cur.remove([]string{id}, Left, id, time.Now())
+		return next, write, nil
+	})
+}
+
+// change updates the membership and adopts what it became.
+func (r *Registrar) change(ctx context.Context, fn func(cur View) (View, bool, error)) error {
+	start := time.Now()
+	v, err := r.update(ctx, fn)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	r.adopt(v, start)
+	return nil
+}
