claimer: grant each name to one task at most

Cause: a non-idempotent request may reach several entries, and homes of names move with the membership. Random runs of three to five members with a faulty network, store and operators check that no name is granted twice.

--- /dev/null
+++ b/claimer/random_test.go
@@ -0,0 +1,208 @@
+package claimer_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/coltsfootlever/coltsfootlever/claimer"
+)
+
+const (
+	firstMembers = 3
+	mostMembers  = 5
+	nameCount    = 8
+	mostPlans    = 3000 // plans tried for a double grant
+)
+
+type (
+	// step is one operation of a random run.
+	step struct {
+		Kind  string
+		Node  int
+		Other int
+		Name  int
+		Free  bool
+		Wait  int // milliseconds until the next step
+	}
+
+	plan struct {
+		Seed  uint64
+		Loss  float64
+		Slow  float64
+		Steps []step
+	}
+)
+
+// claims outnumber the disturbances of a run.
+var kinds = append(slices.Repeat([]string{"claim"}, 24), slices.Repeat([]string{"renew"}, 6)...)
+
+var disturbances = []string{
+	"start", "restart", "kill", "leave", "evict",
+	"cut", "heal", "isolate", "rejoin", "pause", "resume",
+	"store-down", "store-up", "port-down", "port-up", "lose-answers",
+}
+
+func drawPlan(t *rapid.T) plan {
+	return plan{
+		Seed: rapid.Uint64().Draw(t, "seed"),
+		Loss: rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss"),
+		Slow: rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "slow"),
+		Steps: rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+			return step{
+				Kind:  rapid.SampledFrom(append(kinds, disturbances...)).Draw(t, "kind"),
+				Node:  rapid.IntRange(0, 20).Draw(t, "node"),
+				Other: rapid.IntRange(0, 20).Draw(t, "other"),
+				Name:  rapid.IntRange(0, nameCount-1).Draw(t, "name"),
+				Free:  rapid.Bool().Draw(t, "free"),
+				Wait:  rapid.SampledFrom([]int{0, 5, 60, 300, 1500, 4000, 9000}).Draw(t, "wait"),
+			}
+		}), 30, 120).Draw(t, "steps"),
+	}
+}
+
+// run carries the plan out in virtual time and returns the world at its end.
+func run(t *testing.T, p plan, opts ...claimer.Option) *world {
+	var w *world
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w = newWorld(ctx, p.Seed, nameCount, opts...)
+		for i := range firstMembers {
+			w.start(fmt.Sprintf("entry-%d", i))
+			time.Sleep(time.Second)
+		}
+		time.Sleep(5 * time.Second)
+		w.loss, w.slow = p.Loss, p.Slow
+		for _, s := range p.Steps {
+			w.step(s)
+			time.Sleep(time.Duration(s.Wait) * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		cancel()
+		w.wg.Wait()
+	})
+	return w
+}
+
+// live returns the processes that have not stopped.
+func (w *world) live() []*node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var live []*node
+	for _, n := range w.nodes {
+		if !n.stopped {
+			live = append(live, n)
+		}
+	}
+	return live
+}
+
+func (w *world) step(s step) {
+	live := w.live()
+	n := live[s.Node%len(live)]
+	other := live[s.Other%len(live)]
+	switch s.Kind {
+	case "claim":
+		name := w.name(s.Name)
+		w.wg.Go(func() { _, _ = w.claim(n, name, s.Free) })
+	case "renew":
+		w.renew(s.Name)
+	case "start":
+		if len(live) < mostMembers {
+			w.start(fmt.Sprintf("entry-%d", len(w.nodes)))
+		}
+	case "restart":
+		if len(live) < mostMembers {
+			w.start(n.instance)
+		}
+	case "kill":
+		if len(live) > 2 {
+			w.kill(n)
+		}
+	case "leave":
+		if len(live) > 2 {
+			w.wg.Go(func() { _ = n.members.Leave(w.ctx) })
+		}
+	default:
+		w.disturb(s.Kind, n, other)
+	}
+}
+
+func (w *world) disturb(kind string, n, other *node) {
+	switch kind {
+	case "evict":
+		// The operator vouches for a process that is dead or cut off.
+		if n != other {
+			w.isolate(other, true)
+			w.wg.Go(func() { _ = n.members.Evict(w.ctx, other.members.Self().ID, "operator") })
+		}
+	case "cut":
+		w.cut(n, other, n != other)
+	case "heal":
+		w.cut(n, other, false)
+	case "isolate":
+		w.isolate(n, true)
+	case "rejoin":
+		w.isolate(n, false)
+	case "pause":
+		n.pause()
+	case "resume":
+		n.resume()
+	case "store-down":
+		w.store.SetDown(true)
+	case "store-up":
+		w.store.SetDown(false)
+	case "port-down":
+		n.port.SetDown(true)
+	case "port-up":
+		n.port.SetDown(false)
+	case "lose-answers":
+		n.port.LoseNextAnswers(2)
+	}
+}
+
+func TestNoNameIsGrantedTwice(t *testing.T) {
+	grants := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := run(t, drawPlan(rt))
+		grants += w.grants
+		if len(w.faults) > 0 {
+			rt.Fatalf("%v", w.faults)
+		}
+	})
+	if grants == 0 {
+		t.Fatal("no name was ever granted")
+	}
+	t.Logf("%d grants", grants)
+}
+
+// TestRulesAreNeeded switches off one rule at a time: the same random runs then
+// find a name that is granted twice.
+func TestRulesAreNeeded(t *testing.T) {
+	tests := []struct {
+		name string
+		opt  claimer.Option
+	}{
+		{"hand-over", claimer.WithoutHandOver()},
+		{"freshness", claimer.WithoutFresh()},
+		{"view number", claimer.WithoutView()},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			plans := rapid.Custom(drawPlan)
+			for seed := range mostPlans {
+				w := run(t, plans.Example(seed), tt.opt)
+				if len(w.faults) > 0 {
+					t.Logf("plan %d: %s", seed, w.faults[0])
+					return
+				}
+			}
+			t.Fatalf("no double grant in %d plans", mostPlans)
+		})
+	}
+}
--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -111,6 +111,8 @@
 		Name:   p.GetName(),
 		Member: p.GetMember(),
 		Task:   p.GetTask(),
+
+		Sequence: p.GetSequence(),
 	}
 	if r.Name == "" || r.Task == "" || r.Member == "" {
 		return ClaimRequest{}, errors.Annotate(ErrMalformed, "claim without name, task or member")
@@ -134,6 +136,8 @@
 		Name:    p.GetName(),
 		Task:    p.GetTask(),
 		Verdict: decodeVerdict(p.GetVerdict()),
+
+		Sequence: p.GetSequence(),
 	}
 	if r.Name == "" || r.Task == "" {
 		return SettleRequest{}, errors.Annotate(ErrMalformed, "settlement without name or task")
@@ -159,6 +163,8 @@
 			Claimed: decodeTime(held.GetClaimedNs()),
 			Settled: held.GetSettled(),
 			View:    held.GetView(),
+
+			Sequence: held.GetSequence(),
 		}
 		if err := decodeFixed(n.Hash[:], held.GetHash()); err != nil {
 			return HandOverRequest{}, errors.Trace(err)
--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -75,6 +75,8 @@
 		Digest: r.Digest[:],
 		Member: r.Member,
 		Task:   r.Task,
+
+		Sequence: r.Sequence,
 	}
 }
 
@@ -94,6 +96,8 @@
 		Name:    r.Name,
 		Task:    r.Task,
 		Verdict: encodeVerdict(r.Verdict),
+
+		Sequence: r.Sequence,
 	}
 }
 
@@ -108,6 +112,7 @@
 			ClaimedNs: encodeTime(n.Claimed),
 			Settled:   n.Settled,
 			View:      n.View,
+			Sequence:  n.Sequence,
 		})
 	}
 	return p
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -50,6 +50,9 @@
 		Digest [32]byte // of the request, so that a reused name is seen
 		Member string   // claimant
 		Task   string   // task that the name is claimed for
+		// Sequence grows with each claim of the claimant, so that a late
+		// message of an earlier claim is seen.
+		Sequence uint64
 	}
 
 	// ClaimReply is the answer of the home.
@@ -68,6 +71,8 @@
 		Name    string
 		Task    string
 		Verdict classifier.Verdict
+		// Sequence is that of the claim that is settled.
+		Sequence uint64
 	}
 
 	// HandOverRequest passes names to their new home after a change of view.
@@ -93,6 +98,8 @@
 		Claimed time.Time
 		Settled bool   // the task ended with Ran or MayHaveRun
 		View    uint64 // number of the view under which the name was granted
+		// Sequence is that of the claim.
+		Sequence uint64
 	}
 
 	// AttachRequest waits for the answer of a task that the receiver runs or
