Answer for a job through any entry, and test admission and routing

Cause: callers reach entries through the balancer, so the entry asked for a job is seldom the one that accepted it; GET and DELETE answered not-found there. Change: the job's identity names the entry that accepted it; State and Cancel ask that entry, and only the job's team gets an answer. Tests for bad input, one hop, lost, crossed and truncated answers of peers and repeats through another entry at the same moment. Figures: an idempotent task whose forwards are all lost is tried 600 times in its minute, once every 100 ms. Conclusion: verdicts hold across the hop; retries after lost forwards need the queue's budget.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
 	"github.com/coltsfootlever/coltsfootlever/router"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
@@ -44,7 +45,7 @@
 		NewTaskID() string
 		Accept(ctx context.Context, task scheduler.Task) (*router.Job, error)
 		Cancel(ctx context.Context, task string) error
-		Find(task string) (*router.Job, bool)
+		State(ctx context.Context, team, task string) (messenger.Answer, error)
 	}
 
 	// Keys checks the secrets that callers show.
@@ -138,7 +139,7 @@
 	}
 	w.Header().Set(JobHeader, task.ID)
 	if r.Header.Get("Prefer") == "respond-async" {
-		writeJSON(w, http.StatusAccepted, statusOf(job))
+		writeJSON(w, http.StatusAccepted, Status{Job: task.ID, State: underWay})
 		return
 	}
 	a.wait(w, r, job)
@@ -217,41 +218,49 @@
 	return nil
 }
 
-// mayTouch lets a request at a job only with a key of the job's team.
-func (a *Admitter) mayTouch(r *http.Request, team, queue string) error {
-	rules := a.rules()
-	if rules == nil {
-		return classifier.Refuse(classifier.Unready, "this entry has no rules yet: come back later").After(time.Second)
+// status answers through any entry: the job's identity names the one that
+// accepted it.
+func (a *Admitter) status(w http.ResponseWriter, r *http.Request) {
+	id := r.PathValue("job")
+	answer, err := a.state(r, id)
+	e := classifier.As(err)
+	if e != nil && e.Code.IsAccess() {
+		a.writeProblem(w, r, id, e)
+		return
 	}
-	q, err := findQueue(rules, queue)
+	writeJSON(w, http.StatusOK, newStatus(id, answer, e))
+}
+
+// state returns the result of a job to its team.
+func (a *Admitter) state(r *http.Request, id string) (messenger.Answer, error) {
+	team, err := a.teamOf(r)
 	if err != nil {
-		q = parser.Queue{Name: queue, Team: team}
+		return messenger.Answer{}, err
 	}
-	return a.authorize(rules, q, r)
+	return a.jobs.State(r.Context(), team, id)
 }
 
-func (a *Admitter) status(w http.ResponseWriter, r *http.Request) {
-	id := r.PathValue("job")
-	job, ok := a.jobs.Find(id)
-	if !ok {
-		a.writeProblem(w, r, id, classifier.Doubt(classifier.NotFound, "job %q is not known here: ask the entry that accepted it", id))
-		return
+// teamOf returns the team of the key shown, empty without a key.
+func (a *Admitter) teamOf(r *http.Request) (string, error) {
+	secret := bearer(r)
+	if secret == "" {
+		return "", nil
 	}
-	if err := a.mayTouch(r, job.Task.Team, job.Task.Queue); err != nil {
-		a.writeProblem(w, r, id, classifier.As(err))
-		return
+	if err := a.fresh(); err != nil {
+		return "", err
 	}
-	writeJSON(w, http.StatusOK, statusOf(job))
+	key, err := a.keys.Check(a.rules(), secret)
+	if err != nil {
+		return "", err
+	}
+	return key.Team, nil
 }
 
+// cancel withdraws a job for its team.
 func (a *Admitter) cancel(w http.ResponseWriter, r *http.Request) {
 	id := r.PathValue("job")
-	job, ok := a.jobs.Find(id)
-	if !ok {
-		a.writeProblem(w, r, id, classifier.Doubt(classifier.NotFound, "job %q is not known here: ask the entry that accepted it", id))
-		return
-	}
-	if err := a.mayTouch(r, job.Task.Team, job.Task.Queue); err != nil {
+	_, err := a.state(r, id)
+	if classifier.As(err) != nil && classifier.As(err).Code != classifier.UnderWay {
 		a.writeProblem(w, r, id, classifier.As(err))
 		return
 	}
--- a/admitter/response.go
+++ b/admitter/response.go
@@ -9,7 +9,6 @@
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
-	"github.com/coltsfootlever/coltsfootlever/router"
 )
 
 // States of a job.
@@ -34,7 +33,6 @@
 	// Status describes a job.
 	Status struct {
 		Job     string              `json:"job"`
-		Queue   string              `json:"queue"`
 		State   string              `json:"state"` // under-way, answered or failed
 		Verdict *classifier.Verdict `json:"verdict,omitempty"`
 		Code    classifier.Code     `json:"code,omitempty"`
@@ -44,25 +42,22 @@
 	}
 )
 
-func statusOf(job *router.Job) Status {
-	s := Status{Job: job.Task.ID, Queue: job.Task.Queue, State: underWay}
-	select {
-	case <-job.Done():
-	default:
-		return s
-	}
-	answer, err := job.Result()
+// newStatus describes a job by its result so far.
+func newStatus(id string, answer messenger.Answer, err *classifier.Error) Status {
+	s := Status{Job: id, State: answered, Output: answer.Output, Worker: answer.Worker}
 	verdict := classifier.Ran
-	s.Verdict = &verdict
-	s.State = answered
-	s.Output = answer.Output
-	s.Worker = answer.Worker
-	if err != nil {
+	switch {
+	case err == nil:
+	case err.Code == classifier.UnderWay:
+		s.State = underWay
+		return s
+	default:
 		s.State = failed
-		verdict = err.Verdict
 		s.Code = err.Code
 		s.Detail = err.Message
+		verdict = err.Verdict
 	}
+	s.Verdict = &verdict
 	return s
 }
 
--- a/classifier/error.go
+++ b/classifier/error.go
@@ -30,6 +30,7 @@
 	NameMismatch  Code = "name-mismatch"  // the name was used with another body
 	HomeAbsent    Code = "home-absent"    // the home of the name cannot be reached
 	HeldBack      Code = "held-back"      // the task failed on too many workers
+	UnderWay      Code = "under-way"      // the request has not ended yet
 	TaskFailed    Code = "task-failed"    // the task ran and reported a failure
 	WorkerLost    Code = "worker-lost"    // the worker's answer never came
 	WorkerRefused Code = "worker-refused" // the worker said that it did not start
@@ -129,3 +130,12 @@
 	}
 	return http.StatusServiceUnavailable
 }
+
+// IsAccess says whether the code refuses the caller rather than the request.
+func (c Code) IsAccess() bool {
+	switch c {
+	case Unauthorized, Forbidden, Isolated, Unready:
+		return true
+	}
+	return false
+}
--- a/commander/job/status/status.go
+++ b/commander/job/status/status.go
@@ -47,6 +47,6 @@
 	if status.Verdict != nil {
 		verdict = status.Verdict.String()
 	}
-	row := []string{status.Job, status.Queue, status.State, verdict, string(status.Code), status.Detail}
-	return opts.factory.PrintTable([]string{"job", "queue", "state", "verdict", "code", "detail"}, [][]string{row})
+	row := []string{status.Job, status.State, verdict, string(status.Code), status.Detail}
+	return opts.factory.PrintTable([]string{"job", "state", "verdict", "code", "detail"}, [][]string{row})
 }
--- a/router/handler.go
+++ b/router/handler.go
@@ -18,17 +18,27 @@
 	return r.placer.Submit(ctx, task, placer.Patience{})
 }
 
-// HandleAttach waits for the answer of a task that this member accepted.
+// HandleAttach waits for the answer of a task that this member accepted. A
+// request without a name asks for the state of a job instead: it is answered at
+// once, and only for the job's team.
 func (r *Router) HandleAttach(ctx context.Context, request messenger.AttachRequest) (messenger.Answer, error) {
 	job, ok := r.jobs.find(request.Task)
 	if !ok {
-		return messenger.Answer{}, classifier.Doubt(classifier.Repeated, "the name %q was used before and its answer is no longer kept", request.Name)
+		return messenger.Answer{}, classifier.Doubt(classifier.Repeated, "task %q is no longer known and may have run", request.Task)
+	}
+	if request.Name == "" {
+		return r.state(job, request.Team)
 	}
 	select {
 	case <-job.Done():
 	case <-ctx.Done():
 		return messenger.Answer{}, classifier.Doubt(classifier.DeadlineOver, "the task of the name %q is still under way", request.Name)
 	}
+	return whole(job)
+}
+
+// whole returns the result of an ended job.
+func whole(job *Job) (messenger.Answer, error) {
 	answer, err := job.Result()
 	if err != nil {
 		return messenger.Answer{}, err
@@ -36,6 +46,36 @@
 	return answer, nil
 }
 
+// state returns the result of a job for its team. UnderWay tells that it has
+// none yet.
+func (r *Router) state(job *Job, team string) (messenger.Answer, error) {
+	if job.Task.Team != team && !r.open(job.Task.Queue) {
+		return messenger.Answer{}, classifier.Refuse(classifier.Forbidden, "job %q belongs to another team: send its team's key", job.Task.ID)
+	}
+	select {
+	case <-job.Done():
+		return whole(job)
+	default:
+		return messenger.Answer{}, classifier.Doubt(classifier.UnderWay, "job %q is under way", job.Task.ID)
+	}
+}
+
+// State returns the result of a job that this member or another one accepted.
+// The error has the code UnderWay while the job has none, and Forbidden for
+// another team's job.
+func (r *Router) State(ctx context.Context, team, task string) (messenger.Answer, error) {
+	request := messenger.AttachRequest{Team: team, Task: task}
+	member := acceptedBy(task)
+	if member == r.members.Self().ID {
+		return r.HandleAttach(ctx, request)
+	}
+	peer, ok := r.members.View().Member(member)
+	if !ok {
+		return messenger.Answer{}, classifier.Doubt(classifier.NotFound, "no entry that accepted job %q is registered", task)
+	}
+	return r.peers.Attach(ctx, peer.Address, request)
+}
+
 // HandleCancel withdraws a task that a peer forwarded here, or one that this
 // member accepted.
 func (r *Router) HandleCancel(ctx context.Context, request messenger.CancelRequest) error {
@@ -85,8 +125,3 @@
 	_, member, _ := strings.Cut(task, "@")
 	return member
 }
-
-// Find returns a job that this member accepted and still remembers.
-func (r *Router) Find(task string) (*Job, bool) {
-	return r.jobs.find(task)
-}
--- a/router/router.go
+++ b/router/router.go
@@ -77,6 +77,7 @@
 		claimer  Claimer
 		chooser  Chooser
 		journal  func(recorder.Decision)
+		open     func(queue string) bool
 		patience time.Duration
 		jobs     *table
 		wait     sync.WaitGroup
@@ -96,6 +97,12 @@
 	return func(r *Router) { r.journal = journal }
 }
 
+// WithOpen sets the function that says whether a queue takes work without a
+// key.
+func WithOpen(open func(queue string) bool) Option {
+	return func(r *Router) { r.open = open }
+}
+
 // WithPatience sets the wait for a local start after which peers are weighed
 // again.
 func WithPatience(patience time.Duration) Option {
@@ -118,6 +125,7 @@
 		claimer:  claims,
 		chooser:  chooser,
 		journal:  func(recorder.Decision) {},
+		open:     func(string) bool { return false },
 		patience: DefaultPatience,
 		jobs:     newTable(maxJobs, maxAnswerBytes),
 	}
--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,232 @@
+package router_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/claimer"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/router"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+type (
+	// member is one router in a network of two, with what surrounds it.
+	member struct {
+		*router.Router
+		id     string
+		net    *network
+		place  func(scheduler.Task) (messenger.Answer, error)
+		choose string
+		seen   []scheduler.Task
+	}
+
+	// network carries messages between members and can lose them.
+	network struct {
+		mu      sync.Mutex
+		members map[string]*member
+		names   map[string]claimer.Decision
+		lose    error // answer of every forwarded task, after it ran
+		refuse  error // answer of every forwarded task, instead of running it
+	}
+)
+
+func newNetwork() *network {
+	n := &network{members: make(map[string]*member), names: make(map[string]claimer.Decision)}
+	for _, id := range []string{"a", "b"} {
+		m := &member{id: id, net: n, choose: id, place: answer}
+		m.Router = router.New(m, m, peers{m}, m, m)
+		n.members[id] = m
+	}
+	return n
+}
+
+func answer(task scheduler.Task) (messenger.Answer, error) {
+	return messenger.Answer{Task: task.ID, Output: task.Body, Digest: sha256.Sum256(task.Body)}, nil
+}
+
+func (m *member) Self() registrar.Member { return registrar.Member{ID: m.id, Address: m.id} }
+func (m *member) Fresh() error           { return nil }
+func (m *member) View() registrar.View {
+	return registrar.View{Members: []registrar.Member{{ID: "a", Address: "a"}, {ID: "b", Address: "b"}}}
+}
+
+func (m *member) Submit(_ context.Context, task scheduler.Task, _ placer.Patience) (messenger.Answer, error) {
+	m.net.mu.Lock()
+	m.seen = append(m.seen, task)
+	m.net.mu.Unlock()
+	return m.place(task)
+}
+
+func (m *member) Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error) {
+	if m.net.refuse != nil {
+		return messenger.Answer{}, m.net.refuse
+	}
+	a, err := m.net.members[address].HandleForward(ctx, r)
+	if m.net.lose != nil {
+		return messenger.Answer{}, m.net.lose
+	}
+	return a, err
+}
+
+func (m *member) Attach(ctx context.Context, address string, r messenger.AttachRequest) (messenger.Answer, error) {
+	return m.net.members[address].HandleAttach(ctx, r)
+}
+
+func (m *member) Cancel(context.Context, string) bool { return false }
+
+func (m *member) Claim(_ context.Context, _, name string, _ [32]byte, task string) (claimer.Decision, error) {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	if held, ok := m.net.names[name]; ok {
+		return held, nil
+	}
+	m.net.names[name] = claimer.Decision{Holder: m.id, Task: task}
+	return claimer.Decision{Granted: true}, nil
+}
+
+func (m *member) Settle(_ context.Context, _, name, _ string, v classifier.Verdict) error {
+	m.net.mu.Lock()
+	defer m.net.mu.Unlock()
+	if v == classifier.NotRun {
+		delete(m.net.names, name)
+	}
+	return nil
+}
+
+func (m *member) Choose(scheduler.Task, map[string]bool) (string, bool) { return m.choose, true }
+func (m *member) Better(scheduler.Task, map[string]bool) bool           { return false }
+func (m *member) Sent(string, string)                                   {}
+
+func (m *member) submit(t *testing.T, name string, idempotent bool) (messenger.Answer, *classifier.Error) {
+	task := scheduler.Task{
+		ID: m.NewTaskID(), Team: "leads", Queue: "inquiries", Pool: "match", Name: name, Idempotent: idempotent,
+		Slots: 1, Accepted: time.Now(), Deadline: time.Now().Add(time.Minute), Body: []byte(name),
+	}
+	job, err := m.Accept(t.Context(), task)
+	require.NoError(t, err)
+	<-job.Done()
+	return job.Result()
+}
+
+// peers adapts the method sets: router.Peers and router.Placer both have a
+// Cancel.
+type peers struct{ *member }
+
+func (p peers) Cancel(context.Context, string, messenger.CancelRequest) error { return nil }
+
+func TestForwardIsOneHop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.members["a"].choose = "b"
+		n.members["b"].choose = "a"
+		got, err := n.members["a"].submit(t, "n1", false)
+		require.Nil(t, err)
+		require.Equal(t, "n1", string(got.Output))
+		require.Empty(t, n.members["a"].seen)
+		require.Len(t, n.members["b"].seen, 1)
+		require.True(t, n.members["b"].seen[0].Forwarded)
+	})
+}
+
+func TestLostAnswerOfAPeer(t *testing.T) {
+	tests := []struct {
+		name       string
+		idempotent bool
+		verdict    classifier.Verdict
+		runs       int
+	}{
+		{"not idempotent runs once", false, classifier.MayHaveRun, 1},
+		{"idempotent is tried until its deadline", true, classifier.MayHaveRun, 600},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				n.lose = classifier.Doubt(classifier.PeerLost, "connection lost")
+				n.members["a"].choose = "b"
+				_, err := n.members["a"].submit(t, "n1", tt.idempotent)
+				require.Equal(t, tt.verdict, err.Verdict)
+				require.Len(t, n.members["b"].seen, tt.runs)
+			})
+		})
+	}
+}
+
+func TestRefusedForwardEndsWithNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.refuse = classifier.Refuse(classifier.PeerLost, "not connected")
+		n.members["a"].choose = "b"
+		_, err := n.members["a"].submit(t, "n1", false)
+		require.Equal(t, classifier.NotRun, err.Verdict)
+		require.Equal(t, classifier.DeadlineOver, err.Code)
+		require.Empty(t, n.names, "the name is free again")
+	})
+}
+
+func TestCrossedOrTruncatedAnswerIsNoAnswer(t *testing.T) {
+	for name, spoil := range map[classifier.Code]func(*messenger.Answer){
+		classifier.Crossed:   func(a *messenger.Answer) { a.Task = "another" },
+		classifier.Truncated: func(a *messenger.Answer) { a.Output = a.Output[:1] },
+	} {
+		t.Run(string(name), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork()
+				n.members["a"].choose = "b"
+				n.members["b"].place = func(task scheduler.Task) (messenger.Answer, error) {
+					a, err := answer(task)
+					spoil(&a)
+					return a, err
+				}
+				_, err := n.members["a"].submit(t, "n1", false)
+				require.Equal(t, name, err.Code)
+				require.Equal(t, classifier.MayHaveRun, err.Verdict)
+			})
+		})
+	}
+}
+
+func TestRepeatThroughAnotherEntryGetsTheFirstAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		n.members["a"].place = func(task scheduler.Task) (messenger.Answer, error) {
+			time.Sleep(time.Second)
+			return answer(task)
+		}
+		var wait sync.WaitGroup
+		for range 3 {
+			for _, m := range n.members {
+				wait.Go(func() {
+					got, err := m.submit(t, "bride", false)
+					require.Nil(t, err)
+					require.Equal(t, "bride", string(got.Output))
+				})
+			}
+		}
+		wait.Wait()
+		require.Equal(t, 1, len(n.members["a"].seen)+len(n.members["b"].seen))
+	})
+}
+
+func TestStateIsForTheTeam(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		got, err := n.members["a"].submit(t, "n1", true)
+		require.Nil(t, err)
+		through, stateErr := n.members["b"].State(t.Context(), "leads", got.Task)
+		require.NoError(t, stateErr)
+		require.Equal(t, got.Output, through.Output)
+		_, stateErr = n.members["b"].State(t.Context(), "parks", got.Task)
+		require.Equal(t, classifier.Forbidden, classifier.As(stateErr).Code)
+	})
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -186,7 +186,10 @@
 		placer.WithObserve(e.metrics.started),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
-	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser, router.WithLog(e.cfg.Log))
+	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
+		router.WithLog(e.cfg.Log),
+		router.WithOpen(e.isOpen),
+	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
 		admitter.WithLog(e.cfg.Log),
@@ -194,6 +197,20 @@
 	)
 }
 
+// isOpen says whether the queue takes work without a key.
+func (e *Entry) isOpen(queue string) bool {
+	rules := e.rules.Rules()
+	if rules == nil {
+		return false
+	}
+	for _, q := range rules.Queues {
+		if q.Name == queue {
+			return q.Open
+		}
+	}
+	return false
+}
+
 // register gives the kernel its services in the order of their start.
 func (e *Entry) register() error {
 	evidence := e.cfg.TaskLease + placer.DefaultStartBy
