messenger: carry reports between entries

An operator's question about all entries needs what each of them alone knows. Report asks a peer for it by kind and subject; the payload is JSON, so that a new report needs no new message.

--- a/messenger/client.go
+++ b/messenger/client.go
@@ -158,6 +158,12 @@
 	return call(ctx, c, address, p, peerpb.PeerClient.Changes, decodeChanges)
 }
 
+// Report asks the peer for what it knows for an operator's question.
+func (c *Client) Report(ctx context.Context, address string, r ReportRequest) (ReportReply, error) {
+	p := &peerpb.ReportRequest{Kind: r.Kind, Subject: r.Subject}
+	return call(ctx, c, address, p, peerpb.PeerClient.Report, decodeReport)
+}
+
 // verified returns the answer when it is whole and belongs to task.
 func verified(a Answer, task string) (Answer, error) {
 	if task != "" && a.Task != task {
--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -234,3 +234,11 @@
 func decodeChanges(p *peerpb.ChangesReply) (ChangesReply, error) {
 	return ChangesReply{Snapshot: p.GetSnapshot(), Changes: p.GetChanges()}, nil
 }
+
+func decodeReportRequest(p *peerpb.ReportRequest) (ReportRequest, error) {
+	return ReportRequest{Kind: p.GetKind(), Subject: p.GetSubject()}, nil
+}
+
+func decodeReport(p *peerpb.ReportReply) (ReportReply, error) {
+	return ReportReply{Payload: p.GetPayload()}, nil
+}
--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -158,3 +158,7 @@
 func encodeChanges(r ChangesReply) *peerpb.ChangesReply {
 	return &peerpb.ChangesReply{Snapshot: r.Snapshot, Changes: r.Changes}
 }
+
+func encodeReport(r ReportReply) *peerpb.ReportReply {
+	return &peerpb.ReportReply{Payload: r.Payload}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -143,4 +143,16 @@
 		Snapshot []byte
 		Changes  [][]byte
 	}
+
+	// ReportRequest asks for what the receiver itself knows for an operator's
+	// question.
+	ReportRequest struct {
+		Kind    string // kind of the report
+		Subject string // what it is about; empty for all
+	}
+
+	// ReportReply carries a report as JSON.
+	ReportReply struct {
+		Payload []byte
+	}
 )
--- a/messenger/messenger_test.go
+++ b/messenger/messenger_test.go
@@ -71,6 +71,11 @@
 	return messenger.ChangesReply{Snapshot: []byte("s"), Changes: [][]byte{[]byte("1"), []byte("2")}}, h.err
 }
 
+func (h *handler) Report(_ context.Context, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	h.got = r
+	return messenger.ReportReply{Payload: []byte(`{"n":1}`)}, h.err
+}
+
 // withPeer runs fn in a bubble with a client connected to h.
 func withPeer(t *testing.T, h *handler, fn func(t *testing.T, c *messenger.Client, stop context.CancelFunc)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -153,6 +158,11 @@
 		require.NoError(t, err)
 		require.Len(t, changes.Changes, 2)
 		require.Equal(t, messenger.ChangesRequest{After: 5}, h.got)
+
+		report, err := c.Report(ctx, "x", messenger.ReportRequest{Kind: "burn", Subject: "q"})
+		require.NoError(t, err)
+		require.Equal(t, `{"n":1}`, string(report.Payload))
+		require.Equal(t, messenger.ReportRequest{Kind: "burn", Subject: "q"}, h.got)
 	})
 }
 
--- a/messenger/server.go
+++ b/messenger/server.go
@@ -34,6 +34,7 @@
 		Forward(ctx context.Context, r ForwardRequest) (Answer, error)
 		Cancel(ctx context.Context, r CancelRequest) error
 		Changes(ctx context.Context, r ChangesRequest) (ChangesReply, error)
+		Report(ctx context.Context, r ReportRequest) (ReportReply, error)
 	}
 
 	// Server serves a Handler to peers over gRPC.
@@ -205,3 +206,7 @@
 func (s *service) Changes(ctx context.Context, p *peerpb.ChangesRequest) (*peerpb.ChangesReply, error) {
 	return serve(ctx, p, decodeChangesRequest, s.h.Changes, encodeChanges)
 }
+
+func (s *service) Report(ctx context.Context, p *peerpb.ReportRequest) (*peerpb.ReportReply, error) {
+	return serve(ctx, p, decodeReportRequest, s.h.Report, encodeReport)
+}
