--- a/operator/fleet_test.go
+++ b/operator/fleet_test.go
@@ -33,10 +33,12 @@
 
 func (f failing) one() (mover.Instance, error) { return mover.Instance{}, f.write }
 
-func (f failing) Drain(context.Context, string, string) (mover.Instance, error)        { return f.one() }
-func (f failing) Resume(context.Context, string, string) (mover.Instance, error)       { return f.one() }
-func (f failing) Evict(context.Context, string, string) (mover.Instance, error)        { return f.one() }
-func (f failing) Move(context.Context, string, string, string) (mover.Instance, error) { return f.one() }
+func (f failing) Drain(context.Context, string, string) (mover.Instance, error)  { return f.one() }
+func (f failing) Resume(context.Context, string, string) (mover.Instance, error) { return f.one() }
+func (f failing) Evict(context.Context, string, string) (mover.Instance, error)  { return f.one() }
+func (f failing) Move(context.Context, string, string, string) (mover.Instance, error) {
+	return f.one()
+}
 
 func (f failing) DrainPool(context.Context, string, string) (mover.PoolResult, error) {
 	return mover.PoolResult{Done: []string{"i-1"}}, f.write
