checker: tell submissions of one job apart

Submissions of one name share a body, so a run cannot be traced to one of them. A refusal is now checked against its own task, and against the whole job once every submission of it was refused.

--- a/checker/checker.go
+++ b/checker/checker.go
@@ -55,6 +55,9 @@
 		drained   map[string]time.Time // since when the record takes an instance out of service
 
 		requests map[string]*request
+		jobs     map[string]*job
+		started  map[string]bool   // tasks
+		refused  map[string]string // request by refused task
 		names    map[name]*work
 		tasks    map[attempt]Execution // running
 		teams    map[string]int        // running slots
@@ -99,6 +102,9 @@
 		left:      make(map[string]time.Time),
 		drained:   make(map[string]time.Time),
 		requests:  make(map[string]*request),
+		jobs:      make(map[string]*job),
+		started:   make(map[string]bool),
+		refused:   make(map[string]string),
 		names:     make(map[name]*work),
 		tasks:     make(map[attempt]Execution),
 		teams:     make(map[string]int),
--- a/checker/store.go
+++ b/checker/store.go
@@ -26,6 +26,7 @@
 		c.change(ev)
 	case key == keeper.SnapshotKey:
 		c.compacted(ev)
+	case strings.HasPrefix(key, keeper.LedgerPrefix+"."): // no account
 	case strings.HasPrefix(key, keeper.LedgerPrefix):
 		c.account(strings.TrimPrefix(key, keeper.LedgerPrefix), ev)
 	case strings.HasPrefix(key, keeper.InstancePrefix):
