--- a/checker/request.go
+++ b/checker/request.go
@@ -65,6 +65,14 @@
 	classifier.Cancelled:    true,
 }
 
+// doubtful are doubts that need no fault: the work takes longer than its caller
+// waits, or its name is old.
+var doubtful = map[classifier.Code]bool{
+	classifier.DeadlineOver: true,
+	classifier.Cancelled:    true,
+	classifier.Repeated:     true,
+}
+
 // Submitted takes a request at the moment it is sent.
 func (c *Checker) Submitted(r Request) {
 	c.mu.Lock()
@@ -216,6 +224,6 @@
 func (c *Checker) checkCut(r *request, a Answer) {
 	e := c.entry(r.Entry)
 	c.require(!a.Cut || e.crashed, PlannedStop, "request %s was cut by %s, which did not crash", r.ID, r.Entry)
-	doubt := a.Verdict == classifier.MayHaveRun && a.Code != classifier.DeadlineOver && a.Code != classifier.Repeated
+	doubt := a.Verdict == classifier.MayHaveRun && !doubtful[a.Code]
 	c.require(!doubt || !c.settled(r.At), PlannedStop, "request %s ended in doubt (%s) without any fault", r.ID, a.Code)
 }
--- a/checker/rules.go
+++ b/checker/rules.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/parser"
 )
 
 // inForce returns the rule sets in force at some time from since until now.
@@ -16,6 +18,16 @@
 	return sets
 }
 
+// Rules returns the accepted rules of a number, nil without any.
+func (c *Checker) Rules(number uint64) *parser.Rules {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if number == 0 || number >= uint64(len(c.rules)) {
+		return nil
+	}
+	return c.rules[number].Rules
+}
+
 // Accepted takes the number that an entry gave for an accepted change.
 func (c *Checker) Accepted(number uint64) {
 	c.mu.Lock()
--- /dev/null
+++ b/prover/caller.go
@@ -0,0 +1,244 @@
+package prover
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/caller"
+	"github.com/coltsfootlever/coltsfootlever/checker"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+const (
+	maxSubmissions = 4                      // of one job
+	callerPause    = 300 * time.Millisecond // before a job is handed in again
+)
+
+// errCut reports a connection that broke without an answer.
+const errCut = errors.ConstError("connection cut")
+
+type (
+	// Job is work that a caller hands in, once or several times.
+	Job struct {
+		ID         string
+		Queue      string
+		Key        string // identity of the key shown
+		Name       string // Idempotency-Key
+		Class      scheduler.Class
+		Idempotent bool
+		Slots      int
+		Deadline   time.Duration
+		Body       []byte
+		Persistent bool // handed in again also after an answer
+	}
+
+	// trip carries one request to a node and notes what came back.
+	trip struct {
+		node *Node
+		task string
+		cut  bool
+	}
+
+	// tally counts what happened.
+	tally struct {
+		mu     sync.Mutex
+		counts map[string]int
+	}
+)
+
+func (t *tally) add(what string, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.counts == nil {
+		t.counts = make(map[string]int)
+	}
+	t.counts[what] += n
+}
+
+// Count returns how often something happened.
+func (w *World) Count(what string) int {
+	w.tally.mu.Lock()
+	defer w.tally.mu.Unlock()
+	return w.tally.counts[what]
+}
+
+// Counts returns how often everything happened.
+func (w *World) Counts() string {
+	w.tally.mu.Lock()
+	defer w.tally.mu.Unlock()
+	return fmt.Sprint(w.tally.counts)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *trip) RoundTrip(r *http.Request) (*http.Response, error) {
+	node := t.node
+	answers := make(chan *http.Response, 1)
+	go func() {
+		if !node.gate.pass() {
+			return
+		}
+		recorder := httptest.NewRecorder()
+		node.entry.Callers().ServeHTTP(recorder, r)
+		if node.gate.pass() {
+			answers <- recorder.Result()
+		}
+	}()
+	select {
+	case response := <-answers:
+		t.note(response)
+		return response, nil
+	case <-node.gate.dead:
+		t.cut = true
+		return nil, errCut
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	}
+}
+
+// note reads the task's identity from an answer.
+func (t *trip) note(response *http.Response) {
+	t.task = response.Header.Get(admitter.JobHeader)
+	if response.StatusCode < http.StatusBadRequest {
+		return
+	}
+	body, _ := io.ReadAll(response.Body)
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	var p admitter.Problem
+	if json.Unmarshal(body, &p) == nil && p.Job != "" {
+		t.task = p.Job
+	}
+}
+
+// submit hands the job in once and tells the checker how it ended.
+func (w *World) submit(ctx context.Context, n *Node, j Job) *classifier.Error {
+	id := uuid.NewString()
+	w.audit.Submitted(checker.Request{
+		ID: id, Job: j.ID, Entry: n.Instance, Queue: j.Queue, Name: j.Name, Key: j.Key,
+		Idempotent: j.Idempotent, Want: j.Body, At: time.Now(),
+	})
+	t := &trip{node: n}
+	client := caller.New("http://"+n.Callers, &http.Client{Transport: t})
+	reply, err := client.Submit(ctx, caller.Request{
+		Queue: j.Queue, Key: w.rules.secret(j.Key), Name: j.Name, Class: j.Class, Idempotent: j.Idempotent,
+		Deadline: j.Deadline, Slots: j.Slots, Body: j.Body,
+	})
+	a := checker.Answer{Request: id, Task: t.task, Verdict: classifier.Of(err), Cut: t.cut, Output: reply.Output, At: time.Now()}
+	e := classifier.As(err)
+	if e != nil {
+		a.Code = e.Code
+	}
+	if ctx.Err() != nil {
+		a.Code, a.Verdict = classifier.Cancelled, classifier.MayHaveRun // the caller went away
+	}
+	w.audit.Answered(a)
+	w.tally.add(a.Verdict.String()+" "+string(a.Code), 1)
+	return e
+}
+
+// handIn hands the job in, again and elsewhere while it has not run or nobody
+// can tell. Callers do not spare what is not idempotent: its name protects it.
+func (w *World) handIn(ctx context.Context, j Job, rng *rand.Rand) {
+	for range maxSubmissions {
+		nodes := w.living()
+		if len(nodes) == 0 {
+			wait(ctx, time.Second)
+			continue
+		}
+		err := w.submit(ctx, nodes[rng.IntN(len(nodes))], j)
+		if ctx.Err() != nil || (err == nil && !j.Persistent) || final(err) {
+			return
+		}
+		wait(ctx, callerPause)
+	}
+}
+
+// final says whether handing in again is pointless.
+func final(err *classifier.Error) bool {
+	if err == nil {
+		return false
+	}
+	switch err.Code {
+	case classifier.Unauthorized, classifier.Forbidden, classifier.BadRequest, classifier.TaskFailed, classifier.NeverFits:
+		return true
+	}
+	return false
+}
+
+// call starts a caller with a random job.
+func (w *World) call(rng *rand.Rand) {
+	j := randomJob(rng)
+	own := rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
+	ctx, stop := context.WithCancel(context.Background())
+	if rng.IntN(12) == 0 { // goes away
+		time.AfterFunc(time.Duration(rng.IntN(4000))*time.Millisecond, stop)
+	}
+	w.callers.Go(func() {
+		defer stop()
+		w.handIn(ctx, j, own)
+	})
+}
+
+func randomJob(rng *rand.Rand) Job {
+	q := queues[rng.IntN(len(queues))]
+	j := Job{
+		ID:         uuid.NewString(),
+		Queue:      q.name,
+		Class:      scheduler.Background,
+		Idempotent: rng.IntN(3) == 0,
+		Slots:      1,
+		Deadline:   time.Duration(2+rng.IntN(30)) * time.Second,
+		Persistent: rng.IntN(4) == 0,
+	}
+	if !q.open || rng.IntN(2) == 0 {
+		j.Key = randomKey(rng, q)
+	}
+	if rng.IntN(3) == 0 {
+		j.Class = scheduler.Urgent
+	}
+	if rng.IntN(10) == 0 {
+		j.Slots = 2
+	}
+	if !j.Idempotent {
+		j.Name = randomName(rng)
+	}
+	work := Work{Job: j.ID, SleepMillis: randomSleep(rng), Fail: rng.IntN(30) == 0, Crash: rng.IntN(200) == 0}
+	j.Body, _ = json.Marshal(work) // cannot fail
+	return j
+}
+
+// randomKey returns a key of the queue's team, now and then another one.
+func randomKey(rng *rand.Rand, q queueRule) string {
+	if rng.IntN(20) == 0 {
+		return []string{"", "leads-0", "zoo-1", "unknown"}[rng.IntN(4)]
+	}
+	return fmt.Sprintf("%s-%d", q.team, rng.IntN(2))
+}
+
+// randomName returns a name with a time in it, now and then one without.
+func randomName(rng *rand.Rand) string {
+	if rng.IntN(8) == 0 {
+		return "job-" + uuid.NewString()
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
+// randomSleep returns milliseconds: most jobs are short, some outlive leases.
+func randomSleep(rng *rand.Rand) int {
+	if rng.IntN(20) == 0 {
+		return 5000 + rng.IntN(20000)
+	}
+	return 20 + rng.IntN(1000)
+}
--- /dev/null
+++ b/prover/node.go
@@ -0,0 +1,52 @@
+package prover
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/coltsfootlever/coltsfootlever/server"
+)
+
+// Node is one process of an entry instance.
+type Node struct {
+	Instance string
+	Zone     string
+	Peers    string // address
+	Callers  string // address
+
+	gate     *gate
+	entry    *server.Entry
+	cutList  atomic.Bool // cut off from the instance list
+	stopping atomic.Bool
+	stop     context.CancelFunc
+	ended    chan struct{} // closed when Run has returned
+	number   int
+}
+
+// alive says whether the process has not been killed and has not ended.
+func (n *Node) alive() bool {
+	select {
+	case <-n.gate.dead:
+		return false
+	default:
+		return true
+	}
+}
+
+// run runs the entry until its end. A process that ends by itself is dead to
+// the world from then on.
+func (n *Node) run(ctx context.Context, exited func(error)) {
+	err := n.entry.Run(ctx)
+	own := n.alive()
+	n.gate.kill()
+	close(n.ended)
+	if own {
+		exited(err)
+	}
+}
+
+// kill ends the process at once.
+func (n *Node) kill() {
+	n.gate.kill()
+	n.stop()
+}
--- /dev/null
+++ b/prover/rulebook.go
@@ -0,0 +1,114 @@
+package prover
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+)
+
+type (
+	// rulebook makes the rules that operators apply and knows the secrets of
+	// the keys.
+	rulebook struct {
+		mu      sync.Mutex
+		limits  map[string]int
+		keys    map[string]string // team by key
+		secrets map[string]string // by key
+	}
+
+	queueRule struct {
+		name, team, pool string
+		open             bool
+	}
+)
+
+var queues = []queueRule{
+	{name: "inquiries", team: "leads", pool: "scoring"},
+	{name: "consent", team: "leads", pool: "cards"},
+	{name: "renewals", team: "zoo", pool: "cards"},
+	{name: "visits", team: "zoo", pool: "scoring", open: true},
+	{name: "reports", team: "labs", pool: "scoring"},
+}
+
+func newRulebook() *rulebook {
+	b := &rulebook{
+		limits:  map[string]int{"leads": 6, "zoo": 9, "labs": 3},
+		keys:    make(map[string]string),
+		secrets: map[string]string{"unknown": "no-such-secret"},
+	}
+	for _, team := range []string{"leads", "zoo", "labs"} {
+		b.giveKey(team+"-0", team)
+		b.giveKey(team+"-1", team)
+	}
+	return b
+}
+
+// giveKey adds a key, with a new secret each time.
+func (b *rulebook) giveKey(id, team string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.keys[id] = team
+	b.secrets[id] = fmt.Sprintf("secret-%s-%d", id, len(b.secrets))
+}
+
+func (b *rulebook) withdrawKey(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.keys, id)
+}
+
+func (b *rulebook) setLimit(team string, limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits[team] = limit
+}
+
+func (b *rulebook) secret(key string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.secrets[key]
+}
+
+// rules returns the rules as they stand.
+func (b *rulebook) rules() *parser.Rules {
+	rules, err := parser.Parse("rules", strings.NewReader(b.text()))
+	if err != nil {
+		panic(err)
+	}
+	return rules
+}
+
+// text returns the rules as an operator writes them.
+func (b *rulebook) text() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var s strings.Builder
+	share := 1
+	for _, team := range []string{"leads", "zoo", "labs"} {
+		fmt.Fprintf(&s, "team %s customer c-%s share %d limit %d # prover\n", team, team, share, b.limits[team])
+		share++
+	}
+	fmt.Fprintf(&s, "pool scoring move-limit 30s then undo # prover\n")
+	fmt.Fprintf(&s, "pool cards move-limit 30s then continue # prover\n")
+	fmt.Fprintf(&s, "pool spare spare move-limit 30s then undo # prover\n")
+	for _, q := range queues {
+		open := ""
+		if q.open {
+			open = "open "
+		}
+		fmt.Fprintf(&s, "queue %s team %s %sservice s-%s pool %s bound 20 # prover\n", q.name, q.team, open, q.name, q.pool)
+	}
+	fmt.Fprintf(&s, "budget pool * max-absent 1 # prover\nbudget zone * max-absent 2 # prover\nbudget rack * max-absent 2 # prover\n")
+	for _, team := range []string{"leads", "zoo", "labs"} {
+		for n := range 2 {
+			id := fmt.Sprintf("%s-%d", team, n)
+			if b.keys[id] == team {
+				fmt.Fprintf(&s, "key %s team %s hash %s # prover\n", id, team, authenticator.Hash(b.secrets[id]))
+			}
+		}
+	}
+	return s.String()
+}
