--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -42,11 +42,12 @@
 	Distributor struct {
 		store       Store
 		peers       Peers
-		self        string
+		self        func() string
 		view        func() registrar.View
 		seeds       func() []string
 		accepting   func() error
 		assert      func(ok bool, format string, args ...any)
+		record      func(Summary)
 		log         *slog.Logger
 		confirmTime time.Duration
 
@@ -79,10 +80,19 @@
 // WithMembers sets the identity of this entry and the source of the
 // membership. Apply waits for the members of the view.
 func WithMembers(self string, view func() registrar.View) Option {
-	return func(d *Distributor) { d.self, d.view = self, view }
+	return func(d *Distributor) {
+		d.self = func() string { return self }
+		d.view = view
+	}
+}
+
+// WithSelf sets the source of this entry's identity where it is not known
+// before the entry has registered. It goes after WithMembers.
+func WithSelf(self func() string) Option {
+	return func(d *Distributor) { d.self = self }
 }
 
-// WithSeeds sets a source of addresses to ask for rules while no membership
+// WithSeeds sets a source of addresses to ask for rules while no other member
 // is known.
 func WithSeeds(seeds func() []string) Option {
 	return func(d *Distributor) { d.seeds = seeds }
@@ -99,6 +109,11 @@
 	return func(d *Distributor) { d.assert = assert }
 }
 
+// WithRecord sets the function told of each change that this entry committed.
+func WithRecord(record func(Summary)) Option {
+	return func(d *Distributor) { d.record = record }
+}
+
 // WithLog sets the logger.
 func WithLog(log *slog.Logger) Option {
 	return func(d *Distributor) { d.log = log }
@@ -114,9 +129,11 @@
 	d := &Distributor{
 		store:       store,
 		peers:       peers,
+		self:        func() string { return "" },
 		view:        func() registrar.View { return registrar.View{} },
 		seeds:       func() []string { return nil },
 		accepting:   func() error { return nil },
+		record:      func(Summary) {},
 		log:         slog.New(slog.DiscardHandler),
 		confirmTime: defaultConfirmTime,
 		behind:      make(chan struct{}, 1),
