Carry operators' reports in the randomised runs' network

Cause: the peers' interface gained Report while the runs' network was written. Change: peerPort implements it.

--- a/prover/network.go
+++ b/prover/network.go
@@ -249,3 +249,8 @@
 	})
 	return err
 }
+
+// Report implements server.Peers.
+func (p peerPort) Report(ctx context.Context, address string, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	return call(ctx, p, address, r, messenger.Handler.Report)
+}
