--- a/granter/plan.go
+++ b/granter/plan.go
@@ -58,12 +58,36 @@
 		}
 	}
 	parts := s.parts(next)
-	for i, target := range Split(cur.Team, next.Limit, parts) {
+	targets := Split(cur.Team, next.Limit, parts)
+	if next.Held() > next.Limit {
+		yield(next.Limit, parts, targets)
+	}
+	for i, target := range targets {
 		next.setTarget(parts[i].Member, s.view, target)
 	}
 	return next.settle()
 }
 
+// yield lowers targets while a lowered limit is taken back: what some members
+// still run above their targets, the others must not start anew.
+func yield(limit int, parts []Part, targets []int) {
+	rest := limit
+	var others []Demand
+	for i, p := range parts {
+		if p.Running > targets[i] {
+			rest -= p.Running
+			continue
+		}
+		others = append(others, Demand{Team: p.Member, Weight: p.Slots, Limit: limit, Demand: targets[i]})
+	}
+	shares := Shares(rest, others)
+	for i, p := range parts {
+		if p.Running <= targets[i] {
+			targets[i] = shares[p.Member]
+		}
+	}
+}
+
 func (s situation) isOutdated(a Account) bool {
 	newerView := func(g Grant) bool { return g.View > s.view }
 	return a.Rules > s.rules.Number || slices.ContainsFunc(a.Grants, newerView)
@@ -82,6 +106,7 @@
 		}
 		for _, t := range load.Teams {
 			if t.Team == a.Team {
+				part.Running += t.Running
 				part.Want += t.Running + t.Waiting
 			}
 		}
--- a/granter/split.go
+++ b/granter/split.go
@@ -17,10 +17,11 @@
 
 // Part is one member's part in the split of a team's limit.
 type Part struct {
-	Member string
-	Slots  int // slots that the member owns in the pools of the team
-	Want   int // slots that the team could use there now
-	Target int // target in force; 0 for a new member
+	Member  string
+	Slots   int // slots that the member owns in the pools of the team
+	Running int // slots that the team uses there
+	Want    int // slots that the team could use there now, those included
+	Target  int // target in force; 0 for a new member
 }
 
 // Split divides the limit over the members and returns their targets in the
