--- /dev/null
+++ b/scheduler/retries_test.go
@@ -0,0 +1,79 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+func TestRetriesAreAFractionOfSuccesses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := scheduler.NewRetries(scheduler.DefaultRetryRatio, 10)
+		take := func() int {
+			n := 0
+			for r.Take("cards") {
+				n++
+			}
+			return n
+		}
+		require.Equal(t, 10, take())
+		for range 205 {
+			r.Succeeded("cards")
+		}
+		require.Equal(t, 20, take())
+		require.Equal(t, 10, r.Left("passes"), "each queue has its own budget")
+		time.Sleep(time.Hour)
+		require.Equal(t, 10, take(), "time refills up to the floor only")
+		for range 10_000 {
+			r.Succeeded("cards")
+		}
+		require.Equal(t, 100, take())
+	})
+}
+
+func TestPoisonHoldsBackWhatFailsOnSeveralWorkers(t *testing.T) {
+	p := scheduler.NewPoison(3, 8)
+	require.False(t, p.Failed("bad", "w1"))
+	require.False(t, p.Failed("bad", "w1"))
+	require.False(t, p.Failed("bad", "w2"))
+	require.False(t, p.Held("bad"))
+	require.True(t, p.Failed("bad", "w3"))
+	require.True(t, p.Held("bad"))
+	for i := range 100 {
+		p.Failed(fmt.Sprint(i), "w1")
+		p.Forget(fmt.Sprint(i))
+	}
+	require.True(t, p.Held("bad"))
+	p.Forget("bad")
+	require.False(t, p.Held("bad"))
+}
+
+func TestCheckFits(t *testing.T) {
+	require.NoError(t, scheduler.CheckFits(scheduler.Task{Slots: 8}, 8))
+	require.NoError(t, scheduler.CheckFits(scheduler.Task{Slots: 9}, 0))
+	err := scheduler.CheckFits(scheduler.Task{Slots: 9}, 8)
+	require.Equal(t, classifier.NeverFits, classifier.As(err).Code)
+	require.Equal(t, classifier.NotRun, classifier.Of(err))
+}
+
+func BenchmarkCancelWave(b *testing.B) {
+	w := scheduler.NewWaiting()
+	w.SetBounds(map[string]int{"cards": 1 << 30})
+	ids := make([]string, b.N)
+	for i := range ids {
+		ids[i] = fmt.Sprint(i)
+		if err := w.Add(item(ids[i], "zoo", "cards", scheduler.Background, 1)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ResetTimer()
+	for _, id := range ids {
+		w.Cancel(id)
+	}
+}
