--- a/recorder/decision.go
+++ b/recorder/decision.go
@@ -18,6 +18,7 @@
 type (
 	// Decision is one entry of the journal.
 	Decision struct {
+		ID      string    `json:"id,omitempty"` // unique; given when it is recorded
 		Time    time.Time `json:"time"`
 		Entry   string    `json:"entry"`             // member that decided
 		Kind    Kind      `json:"kind"`              // kind of the subject
