Fit weights so that the members together come near the shares

Cause: each member schedules its own slots by weight and sees its own tasks only, so uneven demand leaves a team below its fleet-wide share. Change: the coordinator fits weights for contended pools and keeps the best of a bounded number of rounds; a member's own shares follow them. Planning looks members' loads up by name.

--- a/granter/coordinator.go
+++ b/granter/coordinator.go
@@ -204,6 +204,9 @@
 	for _, t := range rules.Teams {
 		s.teams[t.Name] = t
 	}
+	for _, hb := range s.loads {
+		s.members = append(s.members, newMemberLoad(hb))
+	}
 	for _, d := range view.Departed {
 		s.known[d.ID] = true
 		s.departed[d.ID] = now.After(d.Since.Add(c.taskLease + c.margin))
--- a/granter/plan.go
+++ b/granter/plan.go
@@ -20,6 +20,32 @@
 	known    map[string]bool            // members that the view tells about
 	departed map[string]bool            // true when nothing of them can run any more
 	loads    []messenger.Heartbeat      // of active members, sorted
+	members  []memberLoad               // the same by name
+}
+
+// memberLoad is a member's load by pool and by team.
+type memberLoad struct {
+	id      string
+	slots   map[string]int // owned, by pool
+	running map[string]int // slots, by team
+	wanted  map[string]int // slots, by team, running ones included
+}
+
+func newMemberLoad(hb messenger.Heartbeat) memberLoad {
+	m := memberLoad{
+		id:      hb.From,
+		slots:   make(map[string]int, len(hb.Pools)),
+		running: make(map[string]int, len(hb.Teams)),
+		wanted:  make(map[string]int, len(hb.Teams)),
+	}
+	for _, p := range hb.Pools {
+		m.slots[p.Pool] += p.Slots
+	}
+	for _, t := range hb.Teams {
+		m.running[t.Team] += t.Running
+		m.wanted[t.Team] += t.Running + t.Waiting
+	}
+	return m
 }
 
 // plans returns the accounts with an empty one for each team that has none,
@@ -95,22 +121,13 @@
 
 // parts describes the active members to Split.
 func (s situation) parts(a Account) []Part {
-	parts := make([]Part, 0, len(s.loads))
-	for _, load := range s.loads {
-		mine, _ := a.Grant(load.From)
-		part := Part{Member: load.From, Target: mine.Target}
-		for _, p := range load.Pools {
-			if s.pools[a.Team][p.Pool] {
-				part.Slots += p.Slots
-			}
-		}
-		for _, t := range load.Teams {
-			if t.Team == a.Team {
-				part.Running += t.Running
-				part.Want += t.Running + t.Waiting
-			}
+	parts := make([]Part, len(s.members))
+	for i, m := range s.members {
+		mine, _ := a.Grant(m.id)
+		parts[i] = Part{Member: m.id, Target: mine.Target, Running: m.running[a.Team], Want: m.wanted[a.Team]}
+		for pool := range s.pools[a.Team] {
+			parts[i].Slots += m.slots[pool]
 		}
-		parts = append(parts, part)
 	}
 	return parts
 }
--- a/granter/weights.go
+++ b/granter/weights.go
@@ -14,8 +14,11 @@
 const (
 	allotRounds   = 24   // rounds of fitting weights to the shares
 	maxCorrection = 4.0  // largest factor of one round
-	fitTolerance  = 0.01 // relative error at which fitting ends
-	weightChange  = 0.1  // relative change below which weights stay
+	fitTolerance  = 0.05 // distance from the shares at which fitting ends, in slots
+	minWeight     = 0.01
+	maxWeight     = 1e6
+	weightChange  = 0.1 // relative change below which weights stay
+	weightScale   = 100 // whole weights for a weight of 1
 )
 
 type (
@@ -52,6 +55,21 @@
 	return weights
 }
 
+// Shares divides one member's slots of the pool as its own scheduling does:
+// by these weights where the pool has them, else by those of the demands.
+func (w Weights) Shares(pool string, slots int, demands []Demand) map[string]int {
+	weights := w.Map(pool)
+	own := slices.Clone(demands)
+	for i := range own {
+		weight, ok := weights[own[i].Team]
+		if !ok {
+			weight = float64(own[i].weight())
+		}
+		own[i].Weight = int(math.Round(weight * weightScale))
+	}
+	return Shares(slots, own)
+}
+
 // near reports whether no weight of w differs from v's by more than
 // weightChange.
 func (w Weights) near(v Weights) bool {
@@ -139,44 +157,65 @@
 }
 
 // weights fits the weights by raising those of teams that would get less than
-// their share and lowering the others.
+// their share and lowering the others. Shares that cannot be reached, since a
+// team's work waits at members with too few slots, are approached.
 func (f fitting) weights(pool string) PoolWeights {
 	fair := FairShares(f.slots(), f.teams)
 	weights := make(map[string]float64, len(f.teams))
 	for _, d := range f.teams {
 		weights[d.Team] = float64(d.weight())
 	}
+	best, least := weights, math.Inf(1)
 	for range allotRounds {
-		if f.correct(weights, fair) < fitTolerance {
+		got := f.filled(weights)
+		if d := distance(fair, got); d < least {
+			best, least = maps.Clone(weights), d
+		}
+		if least < fitTolerance {
 			break
 		}
+		correct(weights, fair, got)
 	}
 	out := PoolWeights{Pool: pool}
 	for _, d := range f.teams {
-		rounded := math.Round(weights[d.Team]*100) / 100
-		out.Teams = append(out.Teams, TeamWeight{Team: d.Team, Weight: max(0.01, rounded)})
+		out.Teams = append(out.Teams, TeamWeight{Team: d.Team, Weight: threeDigits(best[d.Team])})
 	}
 	return out
 }
 
-// correct adjusts the weights once and returns the largest relative error.
-func (f fitting) correct(weights, fair map[string]float64) float64 {
+// threeDigits rounds to three significant digits, so that records stay small.
+func threeDigits(x float64) float64 {
+	scale := math.Pow(10, 2-math.Floor(math.Log10(x)))
+	return math.Round(x*scale) / scale
+}
+
+// filled returns what each team gets from all members together.
+func (f fitting) filled(weights map[string]float64) map[string]float64 {
 	got := make(map[string]float64, len(weights))
 	for _, m := range f.members {
 		m.fill(weights, got)
 	}
+	return got
+}
+
+// distance returns the largest difference, in slots.
+func distance(fair, got map[string]float64) float64 {
 	worst := 0.0
-	for _, d := range f.teams {
-		team := d.Team
-		if fair[team] <= 0 || got[team] <= 0 {
+	for team, n := range fair {
+		worst = max(worst, math.Abs(got[team]-n))
+	}
+	return worst
+}
+
+// correct scales each weight by what the team lacks.
+func correct(weights, fair, got map[string]float64) {
+	for team, n := range fair {
+		if n <= 0 || got[team] <= 0 {
 			continue
 		}
-		factor := fair[team] / got[team]
-		worst = max(worst, math.Abs(1-factor))
-		factor = min(maxCorrection, max(1/maxCorrection, factor))
-		weights[team] = min(1e6, max(1e-2, weights[team]*factor))
+		factor := min(maxCorrection, max(1/maxCorrection, n/got[team]))
+		weights[team] = min(maxWeight, max(minWeight, weights[team]*factor))
 	}
-	return worst
 }
 
 // fill adds the member's weighted max-min shares of its own slots to got.
