Keep a worker free for a large task that is passed over

Cause: a task that takes a whole worker never started while small tasks of other teams filled each slot that fell free. Change: a head that did not fit at 64 starts of others is preferred, and one worker of the pool collects free slots for it. Conclusion: the new test fails without the reservation and passes with it.

--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -74,6 +74,8 @@
 
 	pool struct {
 		workers []*worker // sorted by identity
+		kept    *worker   // collects free slots for a large task, or nil
+		keep    int       // slots of that task
 	}
 
 	worker struct {
@@ -194,7 +196,7 @@
 		if f.freeOn(w) < slots || avoid[w.ID] {
 			continue
 		}
-		if best == nil || f.before(w, best) {
+		if best == nil || f.prefers(slots, w, best) {
 			best = w
 		}
 	}
@@ -260,6 +262,27 @@
 	return loads
 }
 
+// Reserve keeps a worker of the pool from smaller tasks until it has the given
+// free slots for a large one. 0 ends the reservation.
+func (f *Fleet) Reserve(pool string, slots int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.pool(pool)
+	if slots > 0 && p.kept != nil && p.kept.open && p.kept.Pool == pool && p.kept.Slots >= slots {
+		p.keep = slots
+		return
+	}
+	p.kept, p.keep = nil, slots
+	if slots == 0 {
+		return
+	}
+	for _, w := range p.workers {
+		if w.Slots >= slots && f.freeOn(w) > 0 && (p.kept == nil || f.before(w, p.kept)) {
+			p.kept = w
+		}
+	}
+}
+
 func (f *Fleet) pool(name string) *pool {
 	p, ok := f.pools[name]
 	if !ok {
@@ -269,12 +292,21 @@
 	return p
 }
 
-// freeOn returns the slots that may be started on w now.
+// freeOn returns the slots that may be started on w now: none on the worker
+// kept for a large task until there is room for it.
 func (f *Fleet) freeOn(w *worker) int {
 	if !w.open || !w.health.takes(w.running, time.Now()) {
 		return 0
 	}
-	return max(0, w.Slots-w.running)
+	free := max(0, w.Slots-w.running)
+	if f.isKept(w) && free < f.pool(w.Pool).keep {
+		return 0
+	}
+	return free
+}
+
+func (f *Fleet) isKept(w *worker) bool {
+	return f.pool(w.Pool).kept == w
 }
 
 // before reports whether w is picked rather than v: the one with more free
@@ -286,6 +318,16 @@
 	return w.picked < v.picked
 }
 
+// prefers reports whether w is picked rather than v for the given slots. The
+// worker kept for a large task comes first for that and last for others.
+func (f *Fleet) prefers(slots int, w, v *worker) bool {
+	if f.isKept(w) || f.isKept(v) {
+		large := slots >= f.pool(w.Pool).keep
+		return f.isKept(w) == large
+	}
+	return f.before(w, v)
+}
+
 func (f *Fleet) forgetIdle(w *worker) {
 	if w.removed && w.running == 0 {
 		f.leavePool(w)
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -140,3 +140,45 @@
 		})
 	})
 }
+
+// A task that takes a whole worker starts although small tasks of another team
+// would fill every slot that falls free.
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	f, w := scheduler.NewFleet(), scheduler.NewWaiting()
+	for _, worker := range workers(3) {
+		f.Open(worker)
+	}
+	type running struct {
+		worker string
+		task   scheduler.Task
+		until  int
+	}
+	var all []running
+	require.NoError(t, w.Add(item("small-first", "small", "q", scheduler.Urgent, 1)))
+	for now := range 1000 {
+		for w.ByTeam("cards")["small"].Tasks < 30 {
+			require.NoError(t, w.Add(item(fmt.Sprint("s", now, w.Len()), "small", "q", scheduler.Urgent, 1)))
+		}
+		if now == 20 {
+			require.NoError(t, w.Add(item("large", "big", "large", scheduler.Background, 8)))
+		}
+		for len(all) > 0 && all[0].until <= now {
+			f.Free(all[0].worker, all[0].task.Slots, scheduler.Outcome{Task: all[0].task.ID, Ending: scheduler.Succeeded})
+			all = all[1:]
+		}
+		f.Reserve("cards", w.Starved("cards"))
+		for f.FreeSlots("cards") > 0 {
+			next, ok := w.Next("cards", f.FreeSlots("cards"), always)
+			if !ok {
+				break
+			}
+			if next.Task.ID == "large" {
+				return
+			}
+			worker, ok := f.Pick("cards", next.Task.Slots, nil)
+			require.True(t, ok)
+			all = append(all, running{worker.ID, next.Task, now + 10})
+		}
+	}
+	t.Fatal("the large task never started")
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,7 +17,7 @@
 		name       string
 		class      *class
 		head, tail *node
-		bypassed   int // times that a later task started before the head
+		bypassed   int // times that another task started since the head did not fit
 	}
 
 	// node is one waiting task.
@@ -45,10 +45,10 @@
 
 // candidate returns the first task that fits, beginning with the queue whose
 // turn it is.
-func (c *class) candidate(freeSlots int) *node {
+func (c *class) candidate(s *shelf, freeSlots int) *node {
 	for i := range c.queues {
 		q := c.queues[(c.next+i)%len(c.queues)]
-		if n := q.candidate(freeSlots); n != nil {
+		if n := q.candidate(s, freeSlots); n != nil {
 			return n
 		}
 	}
@@ -92,10 +92,11 @@
 
 // candidate returns the head, or a task close behind it when the head does
 // not fit and has not been passed over too often.
-func (q *queue) candidate(freeSlots int) *node {
+func (q *queue) candidate(s *shelf, freeSlots int) *node {
 	if q.head.item.Task.Slots <= freeSlots {
 		return q.head
 	}
+	s.skipped = append(s.skipped, q)
 	if q.bypassed >= maxBypass {
 		return nil
 	}
--- a/scheduler/shelf.go
+++ b/scheduler/shelf.go
@@ -26,7 +26,8 @@
 		lines   map[string]*line // by team
 		active  []*line          // with waiting tasks, in no order
 		weights map[string]float64
-		pass    float64 // pass of the last team served
+		pass    float64  // pass of the last team served
+		skipped []*queue // scratch space of Next: heads that did not fit
 	}
 
 	// line is what one team has waiting for one pool.
@@ -125,13 +126,29 @@
 	t := &n.item.Task
 	s.pass = max(s.pass, l.pass)
 	l.charges[t.ID] = l.cost
-	if n != n.list.head {
-		n.list.bypassed++
-	}
 	l.pass += float64(t.Slots) * l.cost / l.weight
 	l.started(t)
 }
 
+// passOver counts the start of another task against the heads that did not fit.
+func (s *shelf) passOver() {
+	for _, q := range s.skipped {
+		q.bypassed++
+	}
+}
+
+// starved returns the head that has been passed over too often and has waited
+// longest, or nil.
+func (s *shelf) starved() *node {
+	var oldest *node
+	for _, l := range s.active {
+		if n := l.starved(); n != nil && (oldest == nil || n.item.Since.Before(oldest.item.Since)) {
+			oldest = n
+		}
+	}
+	return oldest
+}
+
 // settle replaces the charge for a task by the time that it ran.
 func (s *shelf) settle(t Task, ran time.Duration, shares map[string]float64) {
 	l := s.line(t.Team, shares)
@@ -151,15 +168,26 @@
 
 // candidate returns the task that the team would start on a worker with the
 // given free slots, or nil.
-func (l *line) candidate(freeSlots int) *node {
+func (l *line) candidate(s *shelf, freeSlots int) *node {
 	first, second := l.class(Urgent), l.class(Background)
 	if l.urgents >= backgroundEvery-1 {
 		first, second = second, first
 	}
-	if n := first.candidate(freeSlots); n != nil {
+	if n := first.candidate(s, freeSlots); n != nil {
 		return n
 	}
-	return second.candidate(freeSlots)
+	return second.candidate(s, freeSlots)
+}
+
+func (l *line) starved() *node {
+	for i := range l.classes {
+		for _, q := range l.classes[i].queues {
+			if q.bypassed >= maxBypass {
+				return q.head
+			}
+		}
+	}
+	return nil
 }
 
 // started counts the start towards the guaranteed part of background work.
--- a/scheduler/waiting.go
+++ b/scheduler/waiting.go
@@ -17,7 +17,7 @@
 	// start before it when the head does not fit.
 	lookAhead = 16
 	// maxBypass is the number of times that a head that does not fit is passed
-	// over before its queue waits for it.
+	// over before its queue waits for it and a worker is kept free for it.
 	maxBypass = 64
 )
 
@@ -149,22 +149,47 @@
 	if !ok || freeSlots < 1 {
 		return Item{}, false
 	}
+	if n := s.starved(); n != nil && n.item.Task.Slots <= freeSlots && can(n.item.Task.Team, n.item.Task.Slots) {
+		return w.start(s, n), true
+	}
+	s.skipped = s.skipped[:0]
 	order := lineHeap(s.backlogged(w.lines[:0]))
 	w.lines = order
 	order.init()
 	for len(order) > 0 {
 		l := order.pop()
-		n := l.candidate(freeSlots)
+		n := l.candidate(s, freeSlots)
 		if n == nil || !can(l.team, n.item.Task.Slots) {
 			continue
 		}
-		s.start(l, n)
-		w.drop(n)
-		return n.item, true
+		s.passOver()
+		return w.start(s, n), true
 	}
 	return Item{}, false
 }
 
+func (w *Waiting) start(s *shelf, n *node) Item {
+	s.start(s.lines[n.item.Task.Team], n)
+	w.drop(n)
+	return n.item
+}
+
+// Starved returns the slots of the task that has been passed over too often
+// since it did not fit, 0 when there is none. Next prefers it; Fleet.Reserve
+// makes room for it.
+func (w *Waiting) Starved(pool string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	s, ok := w.pools[pool]
+	if !ok {
+		return 0
+	}
+	if n := s.starved(); n != nil {
+		return n.item.Task.Slots
+	}
+	return 0
+}
+
 // Done corrects what a started task was charged to its team by the time that
 // it ran; 0 takes the charge back. It must be called once for each task that
 // Next returned.
