claimer, registrar: doubt earlier names when no home has handed over

Cause: a random run found a name granted again by a member that joined an empty membership: nobody was left to tell it of the departures before. Change: a member that joins alone doubts all names dated before; the last member to leave departs without the mark of a hand-over.

--- a/claimer/gate.go
+++ b/claimer/gate.go
@@ -42,7 +42,8 @@
 )
 
 // adopt starts the round of the view v. Joined is the number of the view that
-// added this member.
+// added this member. A new member learns of departures before it joined from
+// the members that saw them, and doubts all earlier names when there is none.
 func (g *gate) adopt(v registrar.View, joined uint64) {
 	last := g.number
 	first := last == 0
@@ -55,7 +56,8 @@
 		g.addDoubt(g.doubt)
 	}
 	g.doubt = time.Time{}
-	g.pending = g.pending && !complete || departedSince(v, last)
+	alone := first && len(v.Members) <= 1
+	g.pending = g.pending && !complete || departedSince(v, last) || alone && v.Number > 1
 	g.number = v.Number
 	g.homes = newHomes(v.Active())
 	g.waiting = make(map[string]bool)
--- a/registrar/departure.go
+++ b/registrar/departure.go
@@ -176,7 +176,11 @@
 			}
 			return cur, false, errNewer
 		}
-		next, write := cur.remove([]string{id}, Left, id, time.Now())
+		reason := Left
+		if len(cur.Active()) == 0 {
+			reason = Last
+		}
+		next, write := cur.remove([]string{id}, reason, id, time.Now())
 		return next, write, nil
 	})
 }
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -16,6 +16,7 @@
 // Reasons of a departure.
 const (
 	Left       = "left"       // deregistered after handing over
+	Last       = "last"       // deregistered with no active member to hand over to
 	Superseded = "superseded" // a newer process of the instance registered
 	Gone       = "gone"       // the instance is not in the platform's list
 	Evicted    = "evicted"    // an operator vouched that the process is dead
@@ -56,7 +57,7 @@
 	Departure struct {
 		ID     string    `json:"id"`
 		Since  time.Time `json:"since"`  // when the removing write was prepared, by the writer's clock
-		Reason string    `json:"reason"` // "left", "superseded", "gone" or "evicted"
+		Reason string    `json:"reason"` // "left", "last", "superseded", "gone" or "evicted"
 		View   uint64    `json:"view"`   // number of the view that removed the member
 		By     string    `json:"by"`     // member or operator that removed it
 	}
