--- /dev/null
+++ b/server/operators_test.go
@@ -0,0 +1,215 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/mover"
+	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/server"
+)
+
+const (
+	operatorKey = "operator-key-for-tests-0123456789"
+	settleTime  = 30 * time.Second
+	rulesText   = `pool inquiries # asked by Cora
+pool consent # asked by Cora
+team leads customer foundation share 40 limit 16 # asked by Ana
+queue inquiry team leads open service router pool inquiries bound 50 # asked by Ana
+budget pool * max-absent 1 # asked by Dan
+objective inquiry within 1s target 90% # asked by Ana
+`
+)
+
+type (
+	// fleet is two entries over stand-ins in one bubble.
+	fleet struct {
+		store    *emulator.Store
+		platform *emulator.Platform
+		workers  *emulator.Fleet
+		entries  []*server.Entry
+		cut      map[string]bool // addresses that no message reaches
+	}
+
+	peers struct{ f *fleet }
+)
+
+// at returns the handler at an address.
+func (p peers) at(address string) (messenger.Handler, error) {
+	for n, e := range p.f.entries {
+		if entryAddress(n) == address && !p.f.cut[address] {
+			return e.PeerHandler(), nil
+		}
+	}
+	return nil, classifier.Refuse(classifier.PeerLost, "no connection to %s", address)
+}
+
+func pass[R, A any](ctx context.Context, p peers, address string, r R, method func(messenger.Handler, context.Context, R) (A, error)) (A, error) {
+	h, err := p.at(address)
+	if err != nil {
+		var none A
+		return none, err
+	}
+	return method(h, ctx, r)
+}
+
+func passEmpty[R any](ctx context.Context, p peers, address string, r R, method func(messenger.Handler, context.Context, R) error) error {
+	h, err := p.at(address)
+	if err != nil {
+		return err
+	}
+	return method(h, ctx, r)
+}
+
+func (p peers) Heartbeat(ctx context.Context, address string, hb messenger.Heartbeat) (messenger.Heartbeat, error) {
+	return pass(ctx, p, address, hb, messenger.Handler.Heartbeat)
+}
+
+func (p peers) Claim(ctx context.Context, address string, r messenger.ClaimRequest) (messenger.ClaimReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Claim)
+}
+
+func (p peers) Settle(ctx context.Context, address string, r messenger.SettleRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.Settle)
+}
+
+func (p peers) HandOver(ctx context.Context, address string, r messenger.HandOverRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.HandOver)
+}
+
+func (p peers) Attach(ctx context.Context, address string, r messenger.AttachRequest) (messenger.Answer, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Attach)
+}
+
+func (p peers) Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Forward)
+}
+
+func (p peers) Cancel(ctx context.Context, address string, r messenger.CancelRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.Cancel)
+}
+
+func (p peers) Changes(ctx context.Context, address string, r messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Changes)
+}
+
+func (p peers) Report(ctx context.Context, address string, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Report)
+}
+
+func entryAddress(n int) string { return fmt.Sprintf("10.0.0.%d:7100", n+1) }
+
+// newFleet lists two entries and two workers in each pool.
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		store:    emulator.NewStore(),
+		platform: emulator.NewPlatform(0, time.Second, nil),
+		workers:  &emulator.Fleet{},
+		cut:      map[string]bool{},
+	}
+	for n := range 4 {
+		id, address := fmt.Sprintf("i-%d", n), fmt.Sprintf("10.0.1.%d:9000", n+1)
+		pool := []string{"inquiries", "consent"}[n/2]
+		f.platform.Add(lister.Listing{ID: id, Kind: lister.WorkerKind, Address: address, Zone: "a", Rack: "a1", Slots: 8, Pool: pool, State: lister.Live})
+		f.workers.Add(address, emulator.NewWorker(id, 8, nil))
+	}
+	for n := range 2 {
+		cfg := server.DefaultSettings()
+		cfg.Instance, cfg.Zone = fmt.Sprintf("entry-%d", n), "a"
+		cfg.Peers, cfg.Callers = entryAddress(n), fmt.Sprintf("10.0.0.%d:7000", n+1)
+		cfg.OperatorHash = authenticator.Hash(operatorKey)
+		cfg.Log = slog.New(slog.DiscardHandler)
+		cfg.Assert = func(ok bool, format string, args ...any) { require.True(t, ok, format, args) }
+		f.platform.Add(lister.Listing{ID: cfg.Instance, Kind: lister.EntryKind, Address: cfg.Peers, Zone: "a", State: lister.Live})
+		e, err := server.New(cfg, server.Platform{Store: f.store, Instances: f.platform, Workers: f.workers, Peers: peers{f}})
+		require.NoError(t, err)
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// client returns an operator's client of one entry.
+func (f *fleet) client(n int) *operator.Client {
+	return operator.NewClient([]string{"entry"}, operatorKey, operator.WithHTTPClient(&http.Client{Transport: transport{f.entries[n].Operators()}}))
+}
+
+type transport struct{ h http.Handler }
+
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	t.h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// withFleet runs fn when the entries serve under rulesText.
+func withFleet(t *testing.T, fn func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, len(f.entries))
+		for _, e := range f.entries {
+			go func() { ended <- e.Run(ctx) }()
+		}
+		time.Sleep(settleTime)
+		_, err := f.client(0).Apply(ctx, operator.ApplyRequest{Text: rulesText})
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		fn(t, f)
+		cancel()
+		for range f.entries {
+			require.NoError(t, <-ended)
+		}
+	})
+}
+
+func find(t *testing.T, c *operator.Client, id string) mover.Instance {
+	all, err := c.Instances(t.Context(), "")
+	require.NoError(t, err)
+	for _, i := range all {
+		if i.ID == id {
+			return i
+		}
+	}
+	require.Fail(t, "not listed", id)
+	return mover.Instance{}
+}
+
+func TestOrdersThroughAnyEntry(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		_, err := a.DrainInstance(ctx, "i-0")
+		require.NoError(t, err)
+		_, err = b.DrainInstance(ctx, "i-1")
+		require.Equal(t, classifier.BudgetSpent, classifier.As(err).Code)
+		time.Sleep(settleTime)
+		require.Equal(t, mover.Drained, find(t, b, "i-0").Phase)
+
+		_, err = b.ResumeInstance(ctx, "i-0")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		_, err = b.MoveInstance(ctx, "i-1", "consent")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		moved := find(t, a, "i-1")
+		require.Equal(t, "consent", moved.Pool)
+		require.Equal(t, mover.Serving, moved.Phase)
+
+		pools, err := a.Pools(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []int{3, 1}, []int{pools[0].Instances, pools[1].Instances})
+		require.Equal(t, []int{0, 0}, []int{pools[0].Absent, pools[1].Absent})
+	})
+}
