Doubt only the names that a lost entry can have granted

Cause: after the loss of an entry, its names' new home doubted every name dated up to the staleness bound and two clock margins after the hand-over, although the platform had listed the instance as gone seconds earlier. Requests that had waited for the home were then answered may-have-run without ever having run. Change: a departure on the list's word records when the list first lacked the instance, and the doubt ends two clock margins after that. A member that sees itself vanish from the list takes itself for isolated. Claims wait for a lost home until the list must have shown the loss, at most to the task's deadline. Ruled out: answering not-run instead of the doubt, because a repeat under the name may have run before. Conclusion: the doubt shrinks to the time from the loss to the list's word plus the margins.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -201,7 +201,7 @@
 	defer c.mu.Unlock()
 	c.cfg.assert(next.Number > c.view.Number, "view %d after view %d", next.Number, c.view.Number)
 	c.gate.self = self.ID
-	c.gate.adopt(next, self.Joined)
+	c.gate.adopt(next, self.Joined, c.cfg.margin)
 	c.view = next
 	if len(c.gate.waiting) == 0 {
 		c.gate.finish(time.Now(), c.cfg.staleness, c.cfg.margin)
--- a/claimer/gate.go
+++ b/claimer/gate.go
@@ -44,7 +44,7 @@
 // adopt starts the round of the view v. Joined is the number of the view that
 // added this member. A new member learns of departures before it joined from
 // the members that saw them, and doubts all earlier names when there is none.
-func (g *gate) adopt(v registrar.View, joined uint64) {
+func (g *gate) adopt(v registrar.View, joined uint64, margin time.Duration) {
 	last := g.number
 	first := last == 0
 	if first {
@@ -55,9 +55,10 @@
 	if !complete && !g.doubt.IsZero() {
 		g.addDoubt(g.doubt)
 	}
-	g.doubt = time.Time{}
+	fixed, open := departedSince(v, last, margin)
+	g.doubt = fixed
 	alone := first && len(v.Members) <= 1
-	g.pending = g.pending && !complete || departedSince(v, last) || alone && v.Number > 1
+	g.pending = g.pending && !complete || open || alone && v.Number > 1
 	g.number = v.Number
 	g.homes = newHomes(v.Active())
 	g.waiting = make(map[string]bool)
@@ -80,24 +81,36 @@
 	}
 }
 
-// departedSince reports whether v holds, or may have dropped, a departure
-// without hand-over after the view last.
-func departedSince(v registrar.View, last uint64) bool {
-	if v.Number > last+maxSkipped {
-		return true
+// departedSince returns what the departures without hand-over after the view
+// last leave in doubt. fixed is the latest date of a name that a process which
+// had ended by a known time may have granted. open tells that v holds, or may
+// have dropped, a departure whose process may go on for a while.
+func departedSince(v registrar.View, last uint64, margin time.Duration) (fixed time.Time, open bool) {
+	open = v.Number > last+maxSkipped
+	for _, d := range v.Departed {
+		switch {
+		case d.View <= last || d.Reason == registrar.Left:
+		case d.Absent.IsZero():
+			open = true
+		default:
+			fixed = later(fixed, d.Absent.Add(clockChecks*margin))
+		}
 	}
-	return slices.ContainsFunc(v.Departed, func(d registrar.Departure) bool {
-		return d.View > last && d.Reason != registrar.Left
-	})
+	return fixed, open
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // hand notes that the member has handed over everything. It reports whether
 // the round is complete.
 func (g *gate) hand(from string, until time.Time, pending bool) bool {
 	delete(g.waiting, from)
-	if until.After(g.doubt) {
-		g.doubt = until
-	}
+	g.doubt = later(g.doubt, until)
 	g.pending = g.pending || pending
 	return len(g.waiting) == 0
 }
@@ -107,8 +120,8 @@
 // from now.
 func (g *gate) finish(now time.Time, staleness, margin time.Duration) {
 	until := g.doubt
-	if cut := now.Add(staleness + clockChecks*margin); g.pending && cut.After(until) {
-		until = cut
+	if g.pending {
+		until = later(until, now.Add(staleness+clockChecks*margin))
 	}
 	if !until.IsZero() {
 		g.addDoubt(until)
@@ -140,13 +153,12 @@
 	g.doubts = slices.DeleteFunc(g.doubts, func(d doubt) bool { return d.until.Before(oldest) })
 }
 
-// latest returns the latest date of any doubt, zero for none.
+// latest returns the latest date of any doubt, that of the round included, zero
+// for none.
 func (g *gate) latest() time.Time {
-	var latest time.Time
+	latest := g.doubt
 	for _, d := range g.doubts {
-		if d.until.After(latest) {
-			latest = d.until
-		}
+		latest = later(latest, d.until)
 	}
 	return latest
 }
--- a/registrar/change.go
+++ b/registrar/change.go
@@ -34,7 +34,7 @@
 	m.State = Active
 	for _, have := range v.Members {
 		if have.Instance == m.Instance {
-			w.drop(have.ID, Superseded, m.ID, now)
+			w.drop(Departure{ID: have.ID, Since: now, Reason: Superseded, By: m.ID})
 		}
 	}
 	w.Members = append(w.Members, m)
@@ -57,29 +57,27 @@
 	return w, true
 }
 
-// remove returns v without the members. It reports false when none of them is
-// registered.
-func (v View) remove(ids []string, reason, by string, now time.Time) (View, bool) {
+// remove returns v without the members of the departures. It reports false when
+// none of them is registered.
+func (v View) remove(departures []Departure, now time.Time) (View, bool) {
 	w := v.next(now)
-	for _, id := range ids {
-		w.drop(id, reason, by, now)
+	for _, d := range departures {
+		d.Since = now
+		w.drop(d)
 	}
 	return w, len(w.Members) < len(v.Members)
 }
 
-func (v *View) drop(id, reason, by string, now time.Time) {
-	kept := slices.DeleteFunc(v.Members, func(m Member) bool { return m.ID == id })
+func (v *View) drop(d Departure) {
+	kept := slices.DeleteFunc(v.Members, func(m Member) bool { return m.ID == d.ID })
 	if len(kept) == len(v.Members) {
 		return
 	}
 	v.Members = kept
-	v.Departed = append(v.Departed, Departure{
-		ID:     id,
-		Since:  now.UTC().Round(0),
-		Reason: reason,
-		View:   v.Number,
-		By:     by,
-	})
+	d.Since = d.Since.UTC().Round(0)
+	d.Absent = d.Absent.UTC().Round(0)
+	d.View = v.Number
+	v.Departed = append(v.Departed, d)
 	if n := len(v.Departed); n > maxDepartures {
 		v.Departed = slices.Delete(v.Departed, 0, n-maxDepartures)
 	}
--- a/registrar/departure.go
+++ b/registrar/departure.go
@@ -56,9 +56,11 @@
 		present[l.ID] = true
 		strangers = strangers || l.Kind == lister.EntryKind && !registered[l.ID]
 	}
+	r.delisted = r.seenListed && !present[r.self.Instance]
 	if !present[r.self.Instance] {
 		return
 	}
+	r.seenListed = true
 	r.listed = start
 	r.strangers = strangers
 	missing := make(map[string]time.Time)
@@ -86,38 +88,36 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	if err := r.remove(ctx, gone, Gone, r.Self().ID); err != nil {
-		r.log.Warn("removing members failed", "members", gone, "error", err)
+	if err := r.remove(ctx, gone); err != nil {
+		r.log.Warn("removing members failed", "members", len(gone), "error", err)
 		return
 	}
-	r.log.Info("members removed", "members", gone, "reason", Gone)
+	for _, d := range gone {
+		r.log.Info("member removed", "member", d.ID, "reason", d.Reason, "absent", d.Absent)
+	}
 }
 
-func (r *Registrar) gone() []string {
+// gone returns the departures of the members whose instance has been missing
+// for longer than the list lags.
+func (r *Registrar) gone() []Departure {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	f := r.facts(time.Now())
-	var gone []string
+	var gone []Departure
 	for _, m := range r.view.Others(r.self.ID) {
 		if f.countedOut(m.Instance, r.limits) {
-			gone = append(gone, m.ID)
+			gone = append(gone, Departure{ID: m.ID, Reason: Gone, By: r.self.ID, Absent: r.absent[m.Instance]})
 		}
 	}
 	return gone
 }
 
-// remove removes the members on evidence.
-func (r *Registrar) remove(ctx context.Context, ids []string, reason, by string) error {
-	start := time.Now()
-	v, err := r.update(ctx, func(cur View) (View, bool, error) {
-		next, write := cur.remove(ids, reason, by, time.Now())
+// remove removes members on evidence.
+func (r *Registrar) remove(ctx context.Context, departures []Departure) error {
+	return r.change(ctx, func(cur View) (View, bool, error) {
+		next, write := cur.remove(departures, time.Now())
 		return next, write, nil
 	})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	r.adopt(v, start)
-	return nil
 }
 
 // Evict removes a member on the word of the operator who, who vouches that its
@@ -127,7 +127,7 @@
 	if _, ok := r.View().Member(id); !ok {
 		return classifier.Refuse(classifier.NotFound, "no member %q is registered", id)
 	}
-	if err := r.remove(ctx, []string{id}, Evicted, who); err != nil {
+	if err := r.remove(ctx, []Departure{{ID: id, Reason: Evicted, By: who}}); err != nil {
 		return classifier.Doubt(classifier.StoreDown, "evicting %s: %v", id, err)
 	}
 	return nil
@@ -180,7 +180,7 @@
 		if len(cur.Active()) == 0 {
 			reason = Last
 		}
-		next, write := cur.remove([]string{id}, reason, id, time.Now())
+		next, write := cur.remove([]Departure{{ID: id, Reason: reason, By: id}}, time.Now())
 		return next, write, nil
 	})
 }
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -72,20 +72,22 @@
 		removed  chan struct{} // closed when self is no longer registered
 		turn     chan struct{} // one adoption at a time
 
-		mu        sync.Mutex
-		self      Member
-		view      View
-		proved    time.Time
-		beating   map[string]bool // heartbeats under way
-		heard     map[string]contact
-		reached   map[string]uint64    // highest view that a member is known to have
-		confirmed map[string]time.Time // departures that all members know
-		listed    time.Time
-		absent    map[string]time.Time
-		strangers bool
-		left      bool
-		onView    []func(old, next View)
-		onBeat    []func(messenger.Heartbeat)
+		mu         sync.Mutex
+		self       Member
+		view       View
+		proved     time.Time
+		beating    map[string]bool // heartbeats under way
+		heard      map[string]contact
+		reached    map[string]uint64    // highest view that a member is known to have
+		confirmed  map[string]time.Time // departures that all members know
+		listed     time.Time
+		absent     map[string]time.Time
+		strangers  bool
+		seenListed bool // the list has held the own instance
+		delisted   bool // the list held the own instance and does not any more
+		left       bool
+		onView     []func(old, next View)
+		onBeat     []func(messenger.Heartbeat)
 	}
 
 	// Option sets an optional part of a Registrar.
@@ -252,6 +254,7 @@
 		listed:    r.listed,
 		absent:    r.absent,
 		strangers: r.strangers,
+		delisted:  r.delisted,
 	}
 }
 
--- a/registrar/standing.go
+++ b/registrar/standing.go
@@ -37,6 +37,7 @@
 		listed    time.Time          // start of the last call for the instance list
 		absent    map[string]time.Time
 		strangers bool // the list holds an entry instance that is not registered
+		delisted  bool // the list held the own instance and does not any more
 	}
 
 	// limits are the bounds of a judgement.
@@ -70,6 +71,9 @@
 	if _, ok := f.view.Member(f.self); !ok {
 		return Isolated
 	}
+	if f.delisted {
+		return Isolated // others take the process for ended
+	}
 	if !f.proved.IsZero() && elapsed(f.proved, f.now) <= l.stale {
 		return Connected
 	}
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -56,10 +56,11 @@
 	// Departure records the evidence on which a member was removed.
 	Departure struct {
 		ID     string    `json:"id"`
-		Since  time.Time `json:"since"`  // when the removing write was prepared, by the writer's clock
-		Reason string    `json:"reason"` // "left", "last", "superseded", "gone" or "evicted"
-		View   uint64    `json:"view"`   // number of the view that removed the member
-		By     string    `json:"by"`     // member or operator that removed it
+		Absent time.Time `json:"absent,omitzero"` // for "gone": when the list first lacked the instance; the process had ended by then
+		Since  time.Time `json:"since"`           // when the removing write was prepared, by the writer's clock
+		Reason string    `json:"reason"`          // "left", "last", "superseded", "gone" or "evicted"
+		View   uint64    `json:"view"`            // number of the view that removed the member
+		By     string    `json:"by"`              // member or operator that removed it
 	}
 
 	// State is the phase of a member's life.
--- a/router/router.go
+++ b/router/router.go
@@ -26,6 +26,9 @@
 	// DefaultPatience is the wait for a local start after which peers are
 	// weighed again.
 	DefaultPatience = 400 * time.Millisecond
+	// homeReturn is the time after which a lost home of a name is worth asking
+	// for again.
+	homeReturn = 5 * time.Second
 	// backoff is the pause after a peer refused a forwarded task.
 	backoff = 100 * time.Millisecond
 )
@@ -182,8 +185,7 @@
 	if task.Idempotent {
 		return r.place(ctx, task)
 	}
-	digest := requestDigest(task)
-	decision, err := r.claimer.Claim(ctx, task.Team, task.Name, digest, task.ID)
+	decision, err := r.claim(ctx, task)
 	if err != nil {
 		return messenger.Answer{}, err
 	}
@@ -198,6 +200,18 @@
 	return answer, err
 }
 
+// claim asks the home of the task's name until the task's deadline.
+func (r *Router) claim(ctx context.Context, task scheduler.Task) (claimer.Decision, error) {
+	ctx, stop := context.WithDeadline(ctx, task.Deadline)
+	defer stop()
+	decision, err := r.claimer.Claim(ctx, task.Team, task.Name, requestDigest(task), task.ID)
+	e := classifier.As(err)
+	if e != nil && e.Code == classifier.HomeAbsent && e.RetryAfter == 0 {
+		return decision, e.After(homeReturn)
+	}
+	return decision, err
+}
+
 // requestDigest identifies what the caller asked for, so that a name used for
 // another request is seen.
 func requestDigest(task scheduler.Task) [32]byte {
--- a/server/entry.go
+++ b/server/entry.go
@@ -180,6 +180,7 @@
 		claimer.WithAssert(e.cfg.Assert),
 		claimer.WithStaleness(e.cfg.Staleness),
 		claimer.WithClockMargin(e.cfg.Margin),
+		claimer.WithPatience(e.homePatience()),
 	)
 	e.placer = placer.New(e.self().ID, e.platform.Workers, e.wallet, e.fleet, e.waiting,
 		placer.WithLog(e.cfg.Log),
@@ -200,6 +201,12 @@
 	)
 }
 
+// homePatience is how long a claim waits for a lost home to be replaced: until
+// the instance list lacks it for longer than it lags.
+func (e *Entry) homePatience() time.Duration {
+	return 2*e.cfg.ListLag + e.cfg.Staleness
+}
+
 // isOpen says whether the queue takes work without a key.
 func (e *Entry) isOpen(queue string) bool {
 	rules := e.rules.Rules()
