--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -282,3 +282,11 @@
 		c.mu.Unlock()
 	}
 }
+
+// IsHome reports whether this member is the home of the team's name under the
+// view that it has adopted.
+func (c *Claimer) IsHome(team, name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.owns(keyOf(team, name))
+}
--- a/claimer/gate.go
+++ b/claimer/gate.go
@@ -157,7 +157,7 @@
 	if len(g.waiting) == 0 {
 		return true
 	}
-	return !g.closed && g.homes.of(k) == g.self && g.always(g.bases, k)
+	return !g.closed && g.owns(k) && g.always(g.bases, k)
 }
 
 // doubtful reports whether a departed member may have granted the key. Names
@@ -178,3 +178,6 @@
 
 // isHome reports whether the member is active in the view.
 func (g *gate) isHome(id string) bool { return slices.Contains(g.homes.ids, id) }
+
+// owns reports whether this member is the home of the key under the view.
+func (g *gate) owns(k key) bool { return g.self != "" && g.homes.of(k) == g.self }
--- a/claimer/home.go
+++ b/claimer/home.go
@@ -73,7 +73,7 @@
 	if r.View != c.view.Number {
 		return classifier.Refuse(classifier.HomeAbsent, "claim under view %d, home knows view %d", r.View, c.view.Number)
 	}
-	if c.gate.homes.of(k) != c.gate.self {
+	if !c.gate.owns(k) {
 		return classifier.Refuse(classifier.HomeAbsent, "entry is not the home of the name")
 	}
 	if _, ok := c.view.Member(r.Member); !ok {
@@ -139,7 +139,7 @@
 	k := keyOf(r.Team, r.Name)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gate.homes.of(k) != c.gate.self || !c.gate.open(k) {
+	if !c.gate.owns(k) || !c.gate.open(k) {
 		return classifier.Refuse(classifier.HomeAbsent, "entry is not the home of the name")
 	}
 	c.names.settle(k, r.Task, r.Sequence, r.Verdict == classifier.NotRun)
