registrar: tell the loads of teams to the coordinator alone

Cause: at 270 teams every heartbeat to every peer would carry all loads. Change: a heartbeat tells whether its sender holds the coordinator's duty, and only replies to it carry the loads of teams. Conclusion: the test sees them at the coordinator only.

--- /dev/null
+++ b/claimer/bench_test.go
@@ -0,0 +1,40 @@
+package claimer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/claimer"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// static is a membership that never changes.
+type static struct{ view registrar.View }
+
+func (s static) Self() registrar.Member  { return s.view.Members[0] }
+func (s static) View() registrar.View    { return s.view }
+func (s static) Fresh() error            { return nil }
+func (s static) Refresh(context.Context) {}
+
+// BenchmarkClaimAtOwnHome measures a claim and its settlement without network.
+func BenchmarkClaimAtOwnHome(b *testing.B) {
+	view := registrar.View{Number: 1, Members: []registrar.Member{{ID: "entry-0.1", Joined: 1, State: registrar.Active}}}
+	c := claimer.New(static{view}, nil)
+	c.OnView(registrar.View{}, view)
+	ctx := b.Context()
+	b.ReportAllocs()
+	i := uint64(0)
+	for b.Loop() {
+		i++
+		name := dated(time.Now(), i)
+		d, err := c.Claim(ctx, "team", name, [32]byte{}, name)
+		if err != nil || !d.Granted {
+			b.Fatal(d, err)
+		}
+		require.NoError(b, c.Settle(ctx, "team", name, name, classifier.NotRun))
+	}
+}
--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -69,6 +69,8 @@
 
 		StoreAge:   time.Duration(p.GetStoreAgeNs()),
 		Membership: p.GetMembership(),
+
+		Coordinator: p.GetCoordinator(),
 	}
 	if hb.StoreAge < 0 {
 		return Heartbeat{}, errors.Annotatef(ErrMalformed, "store age %v below 0", hb.StoreAge)
--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -47,6 +47,8 @@
 
 		StoreAgeNs: int64(hb.StoreAge),
 		Membership: hb.Membership,
+
+		Coordinator: hb.Coordinator,
 	}
 	for _, l := range hb.Pools {
 		p.Pools = append(p.Pools, &peerpb.PoolLoad{
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -23,7 +23,9 @@
 		// whose view is older.
 		Membership []byte
 		Pools      []PoolLoad
-		Teams      []TeamLoad // only towards the coordinator and only busy teams
+		Teams      []TeamLoad // only in replies to the coordinator
+		// Coordinator tells that the sender asks for the loads of teams.
+		Coordinator bool
 	}
 
 	// PoolLoad is what the sender owns and runs in one pool.
--- a/registrar/heartbeat.go
+++ b/registrar/heartbeat.go
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(callTime, r.limits.stale))
 	defer cancel()
 	start := time.Now()
-	reply, err := r.peers.Heartbeat(ctx, m.Address, r.own())
+	reply, err := r.peers.Heartbeat(ctx, m.Address, r.own(false))
 	if err != nil || reply.From != m.ID {
 		return
 	}
@@ -82,12 +82,16 @@
 	r.tell(reply)
 }
 
-// own returns the member's heartbeat.
-func (r *Registrar) own() messenger.Heartbeat {
+// own returns the member's heartbeat, with the loads of teams or without.
+func (r *Registrar) own(teams bool) messenger.Heartbeat {
 	var hb messenger.Heartbeat
 	if r.cfg.load != nil {
 		hb.Pools, hb.Teams = r.cfg.load()
 	}
+	if !teams {
+		hb.Teams = nil
+	}
+	hb.Coordinator = r.cfg.duty != nil && r.cfg.duty.Held()
 	if r.cfg.rules != nil {
 		hb.Rules = r.cfg.rules()
 	}
@@ -159,7 +163,7 @@
 	if known {
 		r.tell(hb)
 	}
-	reply := r.own()
+	reply := r.own(hb.Coordinator)
 	if hb.View < v.Number {
 		raw, err := EncodeView(v)
 		if err != nil {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -124,7 +124,9 @@
 	return func(r *Registrar) { r.cfg.listPoll, r.limits.lag = poll, lag }
 }
 
-// WithLoad sets the source of the loads in heartbeats.
+// WithLoad sets the source of the loads in heartbeats. The loads of teams go
+// only to the member that holds the duty of WithDuty, in the replies to its
+// heartbeats.
 func WithLoad(fn func() ([]messenger.PoolLoad, []messenger.TeamLoad)) Option {
 	return func(r *Registrar) { r.cfg.load = fn }
 }
@@ -134,8 +136,9 @@
 	return func(r *Registrar) { r.cfg.rules = fn }
 }
 
-// WithDuty sets the right to remove members whose instance is gone. Without it
-// the registrar removes none.
+// WithDuty sets the coordinator's duty: the right to remove members whose
+// instance is gone and to be told the loads of teams. Without it the registrar
+// removes none.
 func WithDuty(duty interface{ Held() bool }) Option {
 	return func(r *Registrar) { r.cfg.duty = duty }
 }
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -340,6 +340,28 @@
 	})
 }
 
+func TestLoadsOfTeamsGoToTheCoordinator(t *testing.T) {
+	inFleet(t, func(t *testing.T, f *fleet) {
+		load := registrar.WithLoad(func() ([]messenger.PoolLoad, []messenger.TeamLoad) {
+			return []messenger.PoolLoad{{Pool: "p"}}, []messenger.TeamLoad{{Team: "t"}}
+		})
+		pools, teams := map[string]int{}, map[string]int{}
+		for _, id := range []string{"a", "b"} {
+			n := f.start(id, id+":1", load, registrar.WithDuty(duty(id == "a")))
+			n.OnHeartbeat(func(hb messenger.Heartbeat) {
+				f.do(func() { pools[id], teams[id] = pools[id]+len(hb.Pools), teams[id]+len(hb.Teams) })
+			})
+		}
+		time.Sleep(settle)
+		f.do(func() {
+			require.NotZero(t, pools["a"])
+			require.NotZero(t, pools["b"])
+			require.NotZero(t, teams["a"])
+			require.Zero(t, teams["b"])
+		})
+	})
+}
+
 func TestViewsPassBetweenPeers(t *testing.T) {
 	inFleet(t, func(t *testing.T, f *fleet) {
 		a, b := f.start("a", "a:1"), f.start("b", "b:1")
