--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -30,6 +30,7 @@
 		mu      sync.Mutex
 		view    registrar.View
 		members map[string]*member
+		ends    []func()
 	}
 
 	member struct {
@@ -171,6 +172,9 @@
 }
 
 func (s *site) stop() {
+	for _, end := range s.ends {
+		end()
+	}
 	for _, m := range s.members {
 		m.stop()
 		<-m.done
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -49,6 +49,7 @@
 		open    map[string]scheduler.Worker // take new work
 		closed  map[string]scheduler.Worker // take none, may still run some
 		refused map[string]int              // boots of instances whose worker said that it leaves
+		health  map[string]string           // by instance, what is still to be said in its record
 		eased   map[string]string           // by instance, the last order that a checkpoint was asked for
 	}
 
@@ -116,7 +117,7 @@
 		roster: NewRoster(),
 		wake:   make(chan struct{}, 1), settle: make(chan struct{}, 1),
 		open: map[string]scheduler.Worker{}, closed: map[string]scheduler.Worker{},
-		refused: map[string]int{}, eased: map[string]string{},
+		refused: map[string]int{}, eased: map[string]string{}, health: map[string]string{},
 	}
 	m.table = newTable(cfg.log, m.Wake)
 	return m
--- a/mover/orders.go
+++ b/mover/orders.go
@@ -97,7 +97,10 @@
 // drain is undone when work still runs after limit; 0 sets no limit. It
 // refuses as Drain does.
 func (o *Orders) Reboot(ctx context.Context, id, who string, limit time.Duration) (Instance, error) {
-	order := newOrder(RebootOrder, who)
+	return o.reboot(ctx, id, newOrder(RebootOrder, who), limit)
+}
+
+func (o *Orders) reboot(ctx context.Context, id string, order Order, limit time.Duration) (Instance, error) {
 	if limit > 0 {
 		order.Expires = order.Since.Add(limit)
 	}
--- a/mover/owner.go
+++ b/mover/owner.go
@@ -52,6 +52,43 @@
 	return i.Owner == m.self && i.Phase == Serving && i.Next == "" && !m.leaving(i.ID)
 }
 
+// ReportHealth takes word on an instance that this member owns: why it fails
+// what is started there, or "" when it does not. The record says so shortly
+// after, and a sick instance counts as absent.
+func (m *Mover) ReportHealth(id, why string) {
+	if i, ok := m.table.Get(id); !ok || i.Owner != m.self {
+		return
+	}
+	m.mu.Lock()
+	m.health[id] = why
+	m.mu.Unlock()
+	m.Wake()
+}
+
+// settleHealth writes what was reported on an instance.
+func (m *Mover) settleHealth(ctx context.Context, seen Instance) {
+	m.mu.Lock()
+	why, reported := m.health[seen.ID]
+	m.mu.Unlock()
+	if !reported {
+		return
+	}
+	if why != seen.Sick && seen.Phase == Serving {
+		next, rec, err := changeSeen(ctx, m.store, seen, right{self: m.self}, func(n *Instance) { n.Sick = why })
+		if err != nil {
+			m.report("health not noted", seen.ID, err)
+			return
+		}
+		m.table.store(next, rec.Revision)
+		m.note(next, "health: "+why)
+	}
+	m.mu.Lock()
+	if m.health[seen.ID] == why {
+		delete(m.health, seen.ID)
+	}
+	m.mu.Unlock()
+}
+
 func worker(i Instance) scheduler.Worker {
 	return scheduler.Worker{ID: i.ID, Address: i.Address, Pool: i.Pool, Zone: i.Zone, Rack: i.Rack, Slots: i.Slots}
 }
@@ -133,6 +170,7 @@
 // settleOne says in the record of an owned instance what this member has
 // done, and hands the instance to the platform when it is to reboot.
 func (m *Mover) settleOne(ctx context.Context, seen Instance) {
+	m.settleHealth(ctx, seen)
 	edit := released(seen, m.self)
 	if edit == nil {
 		m.reboot(ctx, seen)
--- /dev/null
+++ b/mover/rollout.go
@@ -0,0 +1,221 @@
+package mover
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+// States of a roll-out.
+const (
+	RolloutRunning RolloutState = "running"
+	RolloutPaused  RolloutState = "paused"  // by an operator
+	RolloutStopped RolloutState = "stopped" // by itself
+	RolloutDone    RolloutState = "done"
+)
+
+// States of an instance in a roll-out. One that is in none of them is still to
+// do.
+const (
+	StepActive StepState = "active" // ordered to reboot
+	StepProof  StepState = "proof"  // back in service, watched for a while
+	StepDone   StepState = "done"
+	StepFailed StepState = "failed"
+	StepWaits  StepState = "waits" // its drain was undone; tried again later
+)
+
+// Default limits of a roll-out.
+const (
+	DefaultMaxFailed  = 2                // failed instances before a roll-out stops
+	DefaultDrainLimit = 2 * time.Hour    // for running work before a drain is undone
+	proofTime         = 2 * time.Minute  // an instance must stay well after its return
+	retryDrainAfter   = 30 * time.Minute // before an undone drain is tried again
+)
+
+type (
+	// Rollout is the record of a maintenance roll-out. There is at most one.
+	Rollout struct {
+		ID         string         `json:"id"`
+		Pools      []string       `json:"pools,omitempty"` // empty for the fleet
+		State      RolloutState   `json:"state"`
+		Reason     string         `json:"reason,omitempty"` // why and where it stopped
+		Asked      string         `json:"asked"`
+		Since      time.Time      `json:"since"`
+		Ended      time.Time      `json:"ended,omitzero"`
+		Window     time.Duration  `json:"window-ns"`      // time in which it should be done; 0 for no pace
+		DrainLimit time.Duration  `json:"drain-limit-ns"` // after which a drain is undone and tried later
+		MaxFailed  int            `json:"max-failed"`     // failed instances that stop it
+		Total      int            `json:"total"`
+		Steps      []InstanceStep `json:"steps,omitempty"` // by instance, sorted
+	}
+
+	// InstanceStep is the state of one instance in a roll-out.
+	InstanceStep struct {
+		Instance string    `json:"instance"`
+		State    StepState `json:"state"`
+		Order    string    `json:"order,omitempty"` // the last one for this roll-out
+		Since    time.Time `json:"since,omitzero"`
+		Epoch    uint64    `json:"epoch,omitempty"` // of the instance's record when the state was set
+		Tries    int       `json:"tries,omitempty"`
+		Note     string    `json:"note,omitempty"`
+	}
+
+	// RolloutState is the state of a roll-out.
+	RolloutState string
+
+	// StepState is the state of an instance in a roll-out.
+	StepState string
+
+	// RolloutRequest asks for a roll-out. Zero limits take the defaults.
+	RolloutRequest struct {
+		Pools      []string      `json:"pools,omitempty"`
+		Who        string        `json:"who"`
+		Window     time.Duration `json:"window-ns,omitempty"`
+		DrainLimit time.Duration `json:"drain-limit-ns,omitempty"`
+		MaxFailed  int           `json:"max-failed,omitempty"`
+	}
+)
+
+// Step returns the state of an instance; false when it is still to do.
+func (r Rollout) Step(instance string) (InstanceStep, bool) {
+	n, ok := r.search(instance)
+	if !ok {
+		return InstanceStep{}, false
+	}
+	return r.Steps[n], true
+}
+
+func (r Rollout) search(instance string) (int, bool) {
+	return slices.BinarySearchFunc(r.Steps, instance, func(s InstanceStep, id string) int {
+		switch {
+		case s.Instance < id:
+			return -1
+		case s.Instance > id:
+			return 1
+		}
+		return 0
+	})
+}
+
+// set puts a step in the place of any earlier one of its instance.
+func (r *Rollout) set(s InstanceStep) {
+	n, ok := r.search(s.Instance)
+	if ok {
+		r.Steps[n] = s
+		return
+	}
+	r.Steps = slices.Insert(r.Steps, n, s)
+}
+
+// Count returns the instances in a state.
+func (r Rollout) Count(state StepState) int {
+	n := 0
+	for _, s := range r.Steps {
+		if s.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// covers reports whether the roll-out maintains the instances of a pool.
+func (r Rollout) covers(pool string) bool {
+	return len(r.Pools) == 0 || slices.Contains(r.Pools, pool)
+}
+
+// stop has the roll-out stop by itself.
+func (r *Rollout) stop(why string, now time.Time) {
+	r.State, r.Reason, r.Ended = RolloutStopped, why, now
+}
+
+// Rollout returns the record of the last roll-out; its ID is empty when there
+// was none.
+func (o *Orders) Rollout(ctx context.Context) (Rollout, error) {
+	rec, err := o.store.Get(ctx, keeper.MaintenanceKey)
+	if err != nil {
+		return Rollout{}, errors.Trace(err)
+	}
+	return keeper.Decode[Rollout](rec)
+}
+
+// StartRollout starts a roll-out. It refuses with Conflict while another is
+// running or paused, and with NotFound for a pool that no rule names.
+func (o *Orders) StartRollout(ctx context.Context, q RolloutRequest) (Rollout, error) {
+	rules := o.rules()
+	for _, p := range q.Pools {
+		if rules == nil || !hasPool(rules, p) {
+			return Rollout{}, classifier.Refuse(classifier.NotFound, "no rule names pool %q", p)
+		}
+	}
+	started := newRollout(q)
+	return o.editRollout(ctx, "started", func(r *Rollout) error {
+		if r.ID == started.ID {
+			return nil
+		}
+		if r.State == RolloutRunning || r.State == RolloutPaused {
+			return classifier.Refuse(classifier.Conflict, "roll-out %s is %s, asked by %s", r.ID, r.State, r.Asked)
+		}
+		*r = started
+		return nil
+	})
+}
+
+func newRollout(q RolloutRequest) Rollout {
+	r := Rollout{
+		ID: "wave-" + uuid.NewString()[:orderIDLength], Pools: q.Pools, State: RolloutRunning, Asked: q.Who,
+		Since: time.Now(), Window: q.Window, DrainLimit: q.DrainLimit, MaxFailed: q.MaxFailed,
+	}
+	if r.DrainLimit <= 0 {
+		r.DrainLimit = DefaultDrainLimit
+	}
+	if r.MaxFailed <= 0 {
+		r.MaxFailed = DefaultMaxFailed
+	}
+	return r
+}
+
+// PauseRollout has the roll-out order nothing more. What it has ordered ends.
+func (o *Orders) PauseRollout(ctx context.Context, who string) (Rollout, error) {
+	return o.editRollout(ctx, "paused by "+who, func(r *Rollout) error {
+		if r.State != RolloutRunning && r.State != RolloutPaused {
+			return classifier.Refuse(classifier.Conflict, "no roll-out is running")
+		}
+		r.State, r.Reason = RolloutPaused, "paused by "+who
+		return nil
+	})
+}
+
+// ResumeRollout has a roll-out go on that is paused or has stopped by itself.
+// Instances that failed are tried again.
+func (o *Orders) ResumeRollout(ctx context.Context, who string) (Rollout, error) {
+	return o.editRollout(ctx, "resumed by "+who, func(r *Rollout) error {
+		if r.State != RolloutPaused && r.State != RolloutStopped && r.State != RolloutRunning {
+			return classifier.Refuse(classifier.Conflict, "no roll-out is paused or stopped")
+		}
+		for n, s := range r.Steps {
+			if s.State == StepFailed {
+				r.Steps[n] = InstanceStep{Instance: s.Instance, State: StepWaits, Order: s.Order, Tries: s.Tries, Note: s.Note}
+			}
+		}
+		r.State, r.Reason, r.Ended = RolloutRunning, "", time.Time{}
+		return nil
+	})
+}
+
+func (o *Orders) editRollout(ctx context.Context, what string, edit func(*Rollout) error) (Rollout, error) {
+	next, _, err := keeper.Update(ctx, o.store, keeper.MaintenanceKey, func(cur Rollout, _ bool) (Rollout, bool, error) {
+		cur.Steps = slices.Clone(cur.Steps)
+		err := edit(&cur)
+		return cur, err == nil, err
+	})
+	if err == nil {
+		o.journal(waveDecision(o.self, next, what))
+	}
+	return next, err
+}
