--- a/commander/explain/explain.go
+++ b/commander/explain/explain.go
@@ -37,7 +37,7 @@
 			newKind(f, recorder.Instance, "say what happened to an instance", "i-0412"),
 			newKind(f, recorder.Team, "say what was decided on a team's limit", "leads"),
 			newKind(f, recorder.Move, "say how a move went", "move-7f3a09c1"),
-			newKind(f, recorder.Wave, "say how a wave of maintenance went", "wave-3"),
+			newKind(f, recorder.Wave, "say how a wave of maintenance went", "wave-5b1e09c7"),
 		},
 	}
 }
--- a/server/entry.go
+++ b/server/entry.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootlever/coltsfootlever/router"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
+	"github.com/coltsfootlever/coltsfootlever/surveyor"
 )
 
 // Names of the services in the kernel.
@@ -36,6 +37,8 @@
 	LedgerService      = "ledger-coordinator"
 	MoverService       = "mover"
 	FleetService       = "fleet-coordinator"
+	MaintainerService  = "maintainer"
+	SurveyorService    = "surveyor"
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
 	RouterService      = "router"
@@ -73,6 +76,7 @@
 	admitter *admitter.Admitter
 	loads    *loadTable
 	reports  *collector.Collector
+	survey   *surveyor.Surveyor
 	leaving  atomic.Bool
 }
 
@@ -170,6 +174,7 @@
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
 	)
+	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
 	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
 	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.record)
 }
@@ -236,6 +241,8 @@
 		{LedgerService, ledger},
 		{MoverService, e.mover},
 		{FleetService, fleet},
+		{MaintainerService, mover.NewMaintainer(fleet, e.orders)},
+		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
 		{RouterService, e.router},
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -213,3 +213,30 @@
 		require.Equal(t, []int{0, 0}, []int{pools[0].Absent, pools[1].Absent})
 	})
 }
+
+func TestMaintenanceReachesEachInstanceOnce(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		started, err := a.StartRollout(ctx, mover.RolloutRequest{Pools: []string{"consent"}})
+		require.NoError(t, err)
+		require.Equal(t, "bootstrap", started.Asked)
+		time.Sleep(10 * time.Second)
+		_, err = b.PauseRollout(ctx)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Minute)
+		paused, err := a.Rollout(ctx)
+		require.NoError(t, err)
+		require.Equal(t, mover.RolloutPaused, paused.State)
+		require.Equal(t, 1, paused.Count(mover.StepDone))
+
+		_, err = a.ResumeRollout(ctx)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Minute)
+		done, err := b.Rollout(ctx)
+		require.NoError(t, err)
+		require.Equal(t, mover.RolloutDone, done.State)
+		for id, boots := range map[string]int{"i-0": 0, "i-1": 0, "i-2": 1, "i-3": 1} {
+			require.Equal(t, boots, find(t, a, id).Boots, id)
+		}
+	})
+}
