Take slots back for urgent work, bound retries and hold back failing tasks

Cause: urgent work of a team below its share waited for the end of whatever ran; an idempotent task whose forwards were lost was tried 600 times a minute; a task that brings workers down was tried for ever.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -32,7 +32,10 @@
 		leaseEnd  time.Time // latest time at which the worker may still run the task
 		abandon   context.CancelFunc
 		cancelled bool
-		ordered   bool // a stop or checkpoint is under way
+		slots     int  // held on the worker and of the team's grant
+		spared    bool // a checkpoint or throttle has been ordered
+		stopping  bool // a stop has been ordered
+		ended     bool // the slots have been given back
 		missed    int  // renewals in a row without an answer
 	}
 
@@ -95,6 +98,7 @@
 		task:     j.task.ID,
 		number:   j.attempts,
 		started:  now,
+		slots:    j.task.Slots,
 		worker:   worker,
 		leaseEnd: startBy.Add(p.lease).Add(p.margin),
 		abandon:  abandon,
@@ -183,19 +187,28 @@
 // failed handles a task that reported a failure of its own. An idempotent one
 // is tried on other workers, since some workers fail all that they start.
 func (p *Placer) failed(j *job, a *attempt, f dispatcher.Finish) {
-	task := j.task
 	cause := &classifier.Error{Verdict: classifier.Ran, Code: classifier.TaskFailed, Message: "the task failed on worker " + a.worker.ID + ": " + f.Reason}
-	if !task.Idempotent || a.cancelled {
-		p.finish(j, result{err: cause})
-		return
-	}
-	if p.poison.Failed(task.ID, a.worker.ID) {
-		p.finish(j, result{err: heldBackAfter(cause)})
+	if p.strike(j, a, cause) {
 		return
 	}
 	p.retry(j, a, cause)
 }
 
+// strike counts a failure that may be the task's own fault. It ends an
+// idempotent task that has failed on too many workers and says whether it did.
+func (p *Placer) strike(j *job, a *attempt, cause *classifier.Error) bool {
+	if !j.task.Idempotent || a.cancelled || !p.poison.Failed(j.task.ID, a.worker.ID) {
+		return false
+	}
+	p.finish(j, result{err: &classifier.Error{
+		Verdict: cause.Verdict,
+		Code:    classifier.HeldBack,
+		Message: cause.Message + "; it has now failed on too many workers",
+	}})
+	p.forget(j)
+	return true
+}
+
 // interrupted handles a task that the worker stopped before its end.
 func (p *Placer) interrupted(j *job, a *attempt, f dispatcher.Finish) {
 	cause := classifier.Doubt(classifier.WorkerLost, "worker %s stopped the task before its end: %s", a.worker.ID, f.Reason)
@@ -218,6 +231,9 @@
 	} else {
 		p.linger(a)
 	}
+	if p.strike(j, a, err) {
+		return
+	}
 	p.retry(j, a, err)
 }
 
@@ -308,8 +324,9 @@
 // free returns the slots of an attempt to the worker and to the team.
 func (p *Placer) free(a *attempt, ending scheduler.Ending) {
 	task := a.job.task
-	p.fleet.Free(a.worker.ID, task.Slots, scheduler.Outcome{Task: task.ID, Ending: ending})
-	p.purse.Give(task.Team, task.Slots)
+	a.ended = true
+	p.fleet.Free(a.worker.ID, a.slots, scheduler.Outcome{Task: task.ID, Ending: ending})
+	p.purse.Give(task.Team, a.slots)
 	p.waiting.Done(task, time.Since(a.started))
 }
 
@@ -325,18 +342,23 @@
 	}
 	p.finish(j, result{err: classifier.Doubt(classifier.DeadlineOver, "the task was still running at its deadline")})
 	if j.task.Idempotent {
-		j.attempt.cancelled = true
-		p.order(j.attempt, p.workers.Stop)
+		p.stop(j.attempt)
+	}
+}
+
+// stop orders the worker to stop a running attempt.
+func (p *Placer) stop(a *attempt) {
+	if a.stopping {
+		return
 	}
+	a.stopping = true
+	a.cancelled = true
+	p.order(a, p.workers.Stop)
 }
 
 // order sends an order for a running attempt to its worker, outside the loop.
 // A lost order is harmless: the attempt ends with its lease.
 func (p *Placer) order(a *attempt, send func(ctx context.Context, address, task string) error) {
-	if a.ordered {
-		return
-	}
-	a.ordered = true
 	ctx, stop := context.WithTimeout(p.ctx, orderTimeout)
 	go func() {
 		defer stop()
@@ -358,7 +380,3 @@
 func heldBack(task scheduler.Task) *classifier.Error {
 	return classifier.Refuse(classifier.HeldBack, "task %q failed on too many workers before", task.ID)
 }
-
-func heldBackAfter(cause *classifier.Error) *classifier.Error {
-	return &classifier.Error{Verdict: classifier.Ran, Code: classifier.HeldBack, Message: cause.Message + "; it has now failed on too many workers"}
-}
--- a/placer/loop.go
+++ b/placer/loop.go
@@ -152,8 +152,7 @@
 		withdraw{task: e.task, cause: classifier.Refuse(classifier.Cancelled, "cancelled before the start")}.apply(p)
 		return
 	}
-	j.attempt.cancelled = true
-	p.order(j.attempt, p.workers.Stop)
+	p.stop(j.attempt)
 }
 
 func (e requeue) apply(p *Placer) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,8 +25,6 @@
 	DefaultStartBy = 2 * time.Second
 	// DefaultMargin is the allowed distance between two clocks.
 	DefaultMargin = 2 * time.Second
-	// UrgentWait is the wait of urgent work after which slots are taken back.
-	UrgentWait = 500 * time.Millisecond
 
 	ringSize  = 4096
 	tickEvery = 50 * time.Millisecond
@@ -44,6 +42,7 @@
 
 	// Purse holds the slots that this member may run for each team.
 	Purse interface {
+		Can(team string, n int) bool
 		Take(team string, n int) bool
 		Give(team string, n int)
 	}
@@ -62,8 +61,9 @@
 		Forget(task string)
 	}
 
-	// Shares tells the slots each team should have running at this member.
-	Shares func() map[string]int
+	// Shares tells the slots that each team should have running in the pool at
+	// this member, from the slots that run or wait there.
+	Shares func(pool string, demand map[string]int) map[string]int
 
 	// Placer places tasks. Use New.
 	Placer struct {
@@ -85,6 +85,7 @@
 		events   *supervisor.Ring[event]
 		renewals *supervisor.Ring[renewal]
 		jobs     map[string]*job
+		seized   map[string]time.Time // last seizure by pool
 		loads    atomic.Pointer[Loads]
 		stopped  chan struct{}
 		ctx      context.Context // of Run; ends the attempts with the loop
@@ -129,6 +130,11 @@
 	return func(p *Placer) { p.margin = margin }
 }
 
+// WithRetries sets the retry budgets of the queues.
+func WithRetries(retries Retries) Option {
+	return func(p *Placer) { p.retries = retries }
+}
+
 // WithShares sets the source of the shares that preemption works towards.
 func WithShares(shares Shares) Option {
 	return func(p *Placer) { p.shares = shares }
@@ -159,9 +165,9 @@
 		purse:    purse,
 		fleet:    fleet,
 		waiting:  waiting,
-		retries:  boundless{},
-		poison:   boundless{},
-		shares:   func() map[string]int { return nil },
+		retries:  scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor),
+		poison:   scheduler.NewPoison(scheduler.DefaultStrikes, scheduler.DefaultSuspects),
+		shares:   func(string, map[string]int) map[string]int { return nil },
 		leaving:  func(string) {},
 		journal:  func(recorder.Decision) {},
 		observe:  func(Observation) {},
@@ -171,6 +177,7 @@
 		events:   supervisor.NewRing[event](ringSize),
 		renewals: supervisor.NewRing[renewal](ringSize),
 		jobs:     make(map[string]*job),
+		seized:   make(map[string]time.Time),
 		stopped:  make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -1,6 +1,120 @@
 package placer
 
-import "time"
+import (
+	"context"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+const (
+	// UrgentWait is the wait of urgent work after which slots are taken back.
+	UrgentWait = 500 * time.Millisecond
+	// seizeEvery is the time between two seizures in one pool, so that the
+	// first can take effect.
+	seizeEvery = 200 * time.Millisecond
+)
+
+// throttled tells that a worker goes on with fewer slots for a task.
+type throttled struct {
+	attempt *attempt
+	slots   int // freed
+}
 
 // preempt takes slots back for urgent work that has waited too long.
-func (p *Placer) preempt(time.Time) {}
+func (p *Placer) preempt(now time.Time) {
+	for _, pool := range p.waiting.Pools() {
+		if now.Sub(p.seized[pool]) < seizeEvery {
+			continue
+		}
+		if item, ok := p.overdue(pool, now); ok {
+			p.seize(pool, item, now)
+		}
+	}
+}
+
+// overdue returns urgent work of the pool that has waited too long for a slot.
+func (p *Placer) overdue(pool string, now time.Time) (scheduler.Item, bool) {
+	for _, item := range p.waiting.Heads(pool) {
+		late := item.Task.Class == scheduler.Urgent && now.Sub(item.Since) >= UrgentWait
+		if late && p.purse.Can(item.Task.Team, item.Task.Slots) {
+			return item, true
+		}
+	}
+	return scheduler.Item{}, false
+}
+
+// seize orders the victims of one worker to make room for the item.
+func (p *Placer) seize(pool string, item scheduler.Item, now time.Time) {
+	running, attempts := p.runningIn(pool)
+	need := scheduler.Need{Team: item.Task.Team, Slots: item.Task.Slots, Free: p.fleet.FreeByWorker(pool)}
+	victims := scheduler.Victims(running, p.shares(pool, p.demand(pool)), need)
+	for _, v := range victims {
+		p.seized[pool] = now
+		p.take(attempts[v.Task], v)
+		p.journal(recorder.Decision{
+			Time: now, Entry: p.self, Kind: recorder.Job, Subject: v.Task, Action: string(v.Measure),
+			Facts: []recorder.Fact{{Name: "for", Value: item.Task.ID}, {Name: "waited", Value: now.Sub(item.Since).String()}},
+		})
+	}
+}
+
+// runningIn lists the attempts of the pool.
+func (p *Placer) runningIn(pool string) ([]scheduler.Running, map[string]*attempt) {
+	var running []scheduler.Running
+	attempts := make(map[string]*attempt)
+	for id, j := range p.jobs {
+		if j.attempt == nil || j.task.Pool != pool {
+			continue
+		}
+		attempts[id] = j.attempt
+		running = append(running, scheduler.Running{
+			Task:       id,
+			Team:       j.task.Team,
+			Class:      j.task.Class,
+			Worker:     j.attempt.worker.ID,
+			Slots:      j.attempt.slots,
+			Idempotent: j.task.Idempotent,
+			Spared:     j.attempt.spared || j.attempt.stopping,
+		})
+	}
+	return running, attempts
+}
+
+// demand counts by team the slots that run or wait in the pool.
+func (p *Placer) demand(pool string) map[string]int {
+	demand := make(map[string]int)
+	for _, j := range p.jobs {
+		if j.task.Pool == pool {
+			demand[j.task.Team] += j.task.Slots
+		}
+	}
+	return demand
+}
+
+// take orders one measure.
+func (p *Placer) take(a *attempt, v scheduler.Victim) {
+	a.spared = true
+	if v.Measure == scheduler.Checkpoint {
+		p.order(a, p.workers.Checkpoint)
+		return
+	}
+	p.order(a, func(ctx context.Context, address, task string) error {
+		if err := p.workers.Throttle(ctx, address, task); err != nil {
+			return err
+		}
+		p.put(throttled{attempt: a, slots: v.Frees})
+		return nil
+	})
+}
+
+func (e throttled) apply(p *Placer) {
+	a := e.attempt
+	if a.ended {
+		return
+	}
+	a.slots -= e.slots
+	p.fleet.Free(a.worker.ID, e.slots, scheduler.Outcome{Task: a.task, Ending: scheduler.Neutral})
+	p.purse.Give(a.job.task.Team, e.slots)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -29,8 +29,10 @@
 	// homeReturn is the time after which a lost home of a name is worth asking
 	// for again.
 	homeReturn = 5 * time.Second
-	// backoff is the pause after a peer refused a forwarded task.
-	backoff = 100 * time.Millisecond
+	// Pauses after a peer refused a forwarded task or its answer was lost. Each
+	// pause is twice as long as the one before.
+	minPause = 100 * time.Millisecond
+	maxPause = 2 * time.Second
 )
 
 type (
@@ -81,11 +83,17 @@
 		chooser  Chooser
 		journal  func(recorder.Decision)
 		open     func(queue string) bool
+		retries  Retries
 		patience time.Duration
 		jobs     *table
 		wait     sync.WaitGroup
 	}
 
+	// Retries bounds the retries of each queue.
+	Retries interface {
+		Take(queue string) bool
+	}
+
 	// Option changes a Router under construction.
 	Option func(*Router)
 )
@@ -106,6 +114,11 @@
 	return func(r *Router) { r.open = open }
 }
 
+// WithRetries sets the retry budgets of the queues.
+func WithRetries(retries Retries) Option {
+	return func(r *Router) { r.retries = retries }
+}
+
 // WithPatience sets the wait for a local start after which peers are weighed
 // again.
 func WithPatience(patience time.Duration) Option {
@@ -129,6 +142,7 @@
 		chooser:  chooser,
 		journal:  func(recorder.Decision) {},
 		open:     func(string) bool { return false },
+		retries:  scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor),
 		patience: DefaultPatience,
 		jobs:     newTable(maxJobs, maxAnswerBytes),
 	}
@@ -257,6 +271,7 @@
 func (r *Router) place(ctx context.Context, task scheduler.Task) (messenger.Answer, error) {
 	refused := make(map[string]bool)
 	var doubt *classifier.Error
+	wait := minPause
 	for {
 		if err := r.mayStart(ctx, task); err != nil {
 			return messenger.Answer{}, withDoubt(doubt, err)
@@ -268,6 +283,9 @@
 		answer, err := r.placeAt(ctx, task, member, refused)
 		if retriesElsewhere(task, err) {
 			doubt = classifier.As(err)
+			if !r.retries.Take(task.Queue) {
+				return answer, retriesSpent(task, doubt)
+			}
 		} else if !movesOn(err) {
 			return answer, withDoubt(doubt, err)
 		}
@@ -276,10 +294,16 @@
 			continue
 		}
 		refused[member] = true
-		pause(ctx, backoff)
+		pause(ctx, wait)
+		wait = min(2*wait, maxPause)
 	}
 }
 
+func retriesSpent(task scheduler.Task, doubt *classifier.Error) error {
+	e := classifier.Doubt(classifier.RetriesSpent, "%s; the retry budget of queue %q is spent", doubt.Message, task.Queue)
+	return e.After(time.Second)
+}
+
 // withDoubt turns a refusal into a doubt when an earlier attempt may have run.
 func withDoubt(doubt *classifier.Error, err error) error {
 	if doubt == nil || classifier.Of(err) != classifier.NotRun {
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -246,6 +246,20 @@
 	return total
 }
 
+// FreeByWorker returns the free slots of each worker of the pool that takes
+// work, full ones included.
+func (f *Fleet) FreeByWorker(pool string) map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	free := make(map[string]int)
+	for _, w := range f.pool(pool).workers {
+		if w.open && w.health.takes(w.running, time.Now()) {
+			free[w.ID] = w.Slots - w.running
+		}
+	}
+	return free
+}
+
 // Loads returns the use of each pool, sorted by pool.
 func (f *Fleet) Loads() []Load {
 	f.mu.Lock()
--- a/server/entry.go
+++ b/server/entry.go
@@ -187,17 +187,21 @@
 		claimer.WithClockMargin(e.cfg.Margin),
 		claimer.WithPatience(e.homePatience()),
 	)
+	retries := scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor)
 	e.placer = placer.New(e.self().ID, e.platform.Workers, e.wallet, e.fleet, e.waiting,
 		placer.WithLog(e.cfg.Log),
 		placer.WithLease(e.cfg.TaskLease),
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
 		placer.WithObserve(e.metrics.started),
+		placer.WithShares(e.localShares),
+		placer.WithRetries(retries),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
 	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
 		router.WithOpen(e.isOpen),
+		router.WithRetries(retries),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
--- a/server/load.go
+++ b/server/load.go
@@ -99,6 +99,21 @@
 
 func (e *Entry) record(recorder.Decision) {}
 
+// localShares divides this member's slots of the pool among the teams.
+func (e *Entry) localShares(pool string, demand map[string]int) map[string]int {
+	rules := e.rules.Rules()
+	if rules == nil {
+		return nil
+	}
+	var demands []granter.Demand
+	for _, t := range rules.Teams {
+		if n := demand[t.Name]; n > 0 {
+			demands = append(demands, granter.Demand{Team: t.Name, Weight: t.Share, Limit: e.wallet.Ceiling(t.Name), Demand: n})
+		}
+	}
+	return granter.Shares(localLoads{e}.PoolLoad(pool).Slots, demands)
+}
+
 // PoolLoad implements router.Local.
 func (l localLoads) PoolLoad(pool string) messenger.PoolLoad {
 	for _, load := range l.e.placer.Loads().Pools {
