--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -72,20 +72,22 @@
 		removed  chan struct{} // closed when self is no longer registered
 		turn     chan struct{} // one adoption at a time
 
-		mu        sync.Mutex
-		self      Member
-		view      View
-		proved    time.Time
-		beating   map[string]bool // heartbeats under way
-		heard     map[string]contact
-		reached   map[string]uint64    // highest view that a member is known to have
-		confirmed map[string]time.Time // departures that all members know
-		listed    time.Time
-		absent    map[string]time.Time
-		strangers bool
-		left      bool
-		onView    []func(old, next View)
-		onBeat    []func(messenger.Heartbeat)
+		mu         sync.Mutex
+		self       Member
+		view       View
+		proved     time.Time
+		beating    map[string]bool // heartbeats under way
+		heard      map[string]contact
+		reached    map[string]uint64    // highest view that a member is known to have
+		confirmed  map[string]time.Time // departures that all members know
+		listed     time.Time
+		absent     map[string]time.Time
+		strangers  bool
+		seenListed bool // the list has held the own instance
+		delisted   bool // the list held the own instance and does not any more
+		left       bool
+		onView     []func(old, next View)
+		onBeat     []func(messenger.Heartbeat)
 	}
 
 	// Option sets an optional part of a Registrar.
@@ -125,7 +127,9 @@
 	return func(r *Registrar) { r.cfg.listPoll, r.limits.lag = poll, lag }
 }
 
-// WithLoad sets the source of the loads in heartbeats.
+// WithLoad sets the source of the loads in heartbeats. The loads of teams go
+// only to the member that holds the duty of WithDuty, in the replies to its
+// heartbeats.
 func WithLoad(fn func() ([]messenger.PoolLoad, []messenger.TeamLoad)) Option {
 	return func(r *Registrar) { r.cfg.load = fn }
 }
@@ -135,8 +139,9 @@
 	return func(r *Registrar) { r.cfg.rules = fn }
 }
 
-// WithDuty sets the right to remove members whose instance is gone. Without it
-// the registrar removes none.
+// WithDuty sets the coordinator's duty: the right to remove members whose
+// instance is gone and to be told the loads of teams. Without it the registrar
+// removes none.
 func WithDuty(duty interface{ Held() bool }) Option {
 	return func(r *Registrar) { r.cfg.duty = duty }
 }
@@ -252,6 +257,7 @@
 		listed:    r.listed,
 		absent:    r.absent,
 		strangers: r.strangers,
+		delisted:  r.delisted,
 	}
 }
 
--- a/server/entry.go
+++ b/server/entry.go
@@ -25,6 +25,7 @@
 	"github.com/coltsfootlever/coltsfootlever/router"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
+	"github.com/coltsfootlever/coltsfootlever/surveyor"
 )
 
 // Names of the services in the kernel.
@@ -36,6 +37,8 @@
 	LedgerService      = "ledger-coordinator"
 	MoverService       = "mover"
 	FleetService       = "fleet-coordinator"
+	MaintainerService  = "maintainer"
+	SurveyorService    = "surveyor"
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
 	RouterService      = "router"
@@ -73,6 +76,7 @@
 	admitter *admitter.Admitter
 	loads    *loadTable
 	reports  *collector.Collector
+	survey   *surveyor.Surveyor
 	leaving  atomic.Bool
 }
 
@@ -170,6 +174,7 @@
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
 	)
+	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
 	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
 	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.record)
 }
@@ -180,18 +185,23 @@
 		claimer.WithAssert(e.cfg.Assert),
 		claimer.WithStaleness(e.cfg.Staleness),
 		claimer.WithClockMargin(e.cfg.Margin),
+		claimer.WithPatience(e.homePatience()),
 	)
+	retries := scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor)
 	e.placer = placer.New(e.self().ID, e.platform.Workers, e.wallet, e.fleet, e.waiting,
 		placer.WithLog(e.cfg.Log),
 		placer.WithLease(e.cfg.TaskLease),
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
 		placer.WithObserve(e.metrics.started),
+		placer.WithShares(e.localShares),
+		placer.WithRetries(retries),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
 	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
 		router.WithOpen(e.isOpen),
+		router.WithRetries(retries),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
@@ -200,6 +210,12 @@
 	)
 }
 
+// homePatience is how long a claim waits for a lost home to be replaced: until
+// the instance list lacks it for longer than it lags.
+func (e *Entry) homePatience() time.Duration {
+	return 2*e.cfg.ListLag + e.cfg.Staleness
+}
+
 // isOpen says whether the queue takes work without a key.
 func (e *Entry) isOpen(queue string) bool {
 	rules := e.rules.Rules()
@@ -236,6 +252,8 @@
 		{LedgerService, ledger},
 		{MoverService, e.mover},
 		{FleetService, fleet},
+		{MaintainerService, mover.NewMaintainer(fleet, e.orders)},
+		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
 		{RouterService, e.router},
