Make the test of large tasks fail without the reservation

Change: run times differ, so that slots fall free one by one. Conclusion: the test now fails without Reserve and passes with it.

--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -154,6 +155,7 @@
 		until  int
 	}
 	var all []running
+	started := 0
 	require.NoError(t, w.Add(item("small-first", "small", "q", scheduler.Urgent, 1)))
 	for now := range 1000 {
 		for w.ByTeam("cards")["small"].Tasks < 30 {
@@ -162,10 +164,12 @@
 		if now == 20 {
 			require.NoError(t, w.Add(item("large", "big", "large", scheduler.Background, 8)))
 		}
-		for len(all) > 0 && all[0].until <= now {
-			f.Free(all[0].worker, all[0].task.Slots, scheduler.Outcome{Task: all[0].task.ID, Ending: scheduler.Succeeded})
-			all = all[1:]
-		}
+		all = slices.DeleteFunc(all, func(r running) bool {
+			if r.until == now {
+				f.Free(r.worker, r.task.Slots, scheduler.Outcome{Task: r.task.ID, Ending: scheduler.Succeeded})
+			}
+			return r.until == now
+		})
 		f.Reserve("cards", w.Starved("cards"))
 		for f.FreeSlots("cards") > 0 {
 			next, ok := w.Next("cards", f.FreeSlots("cards"), always)
@@ -177,7 +181,8 @@
 			}
 			worker, ok := f.Pick("cards", next.Task.Slots, nil)
 			require.True(t, ok)
-			all = append(all, running{worker.ID, next.Task, now + 10})
+			started++
+			all = append(all, running{worker.ID, next.Task, now + 5 + started%11})
 		}
 	}
 	t.Fatal("the large task never started")
