Let a wallet refuse while its process may have missed a reclaim

Cause: a process that was paused for long wakes with its old ceilings, although its grants may have been reclaimed, and could start queued tasks. Change: Wallet.Guard takes the freshness check of the member; Take refuses while it fails. Conclusion: the entry has to install the guard.

--- a/granter/shares_test.go
+++ b/granter/shares_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/granter"
 )
 
@@ -91,6 +92,8 @@
 	w.Give("leads", 1)
 	require.Empty(t, w.Used())
 	require.Panics(t, func() { w.Give("leads", 1) })
+	w.Guard(func() error { return classifier.Refuse(classifier.Isolated, "paused") })
+	require.False(t, w.Take("leads", 1))
 }
 
 func BenchmarkShares270Teams(b *testing.B) {
--- a/granter/wallet.go
+++ b/granter/wallet.go
@@ -13,6 +13,7 @@
 	used    map[string]int
 	ceiling map[string]int
 	short   map[string]bool // teams refused since the last call of takeShort
+	fresh   func() error
 	assert  Assert
 }
 
@@ -29,12 +30,23 @@
 		used:    make(map[string]int),
 		ceiling: make(map[string]int),
 		short:   make(map[string]bool),
+		fresh:   func() error { return nil },
 		assert:  assert,
 	}
 }
 
+// Guard makes Take refuse while fresh returns an error. A process that was
+// paused for long still has its old ceilings when it wakes, although its grants
+// may have been reclaimed; fresh must fail from that moment until the process
+// has heard of it. Call it before Take is used.
+func (w *Wallet) Guard(fresh func() error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fresh = fresh
+}
+
 // Take reserves n slots for the team. It reports false and reserves nothing
-// when the team's ceiling leaves no room.
+// when the team's ceiling leaves no room or the guard refuses.
 func (w *Wallet) Take(team string, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -42,6 +54,9 @@
 		w.short[team] = true
 		return false
 	}
+	if w.fresh() != nil {
+		return false
+	}
 	w.used[team] += n
 	return true
 }
