Give one member room for the largest waiting task of a team

Cause: when every member wanted more than a small limit, each got a slot or two and a task of several slots could start nowhere. Change: heartbeats tell the slots of the largest waiting task of each team; a scarce limit is split such that one member has room for it; HoldersFor names the members whose grants fit a task.

--- a/granter/granter.go
+++ b/granter/granter.go
@@ -174,6 +174,16 @@
 	return members
 }
 
+// HoldersFor returns the members that hold enough slots of the team for one
+// task, those with most first.
+func (g *Granter) HoldersFor(team string, slots int) []string {
+	account, _ := g.Account(team)
+	return slices.DeleteFunc(g.HoldersOf(team), func(member string) bool {
+		grant, _ := account.Grant(member)
+		return grant.Held < slots
+	})
+}
+
 // Account returns the team's account as last seen.
 func (g *Granter) Account(team string) (Account, bool) {
 	g.mu.Lock()
--- a/granter/plan.go
+++ b/granter/plan.go
@@ -29,6 +29,7 @@
 	slots   map[string]int // owned, by pool
 	running map[string]int // slots, by team
 	wanted  map[string]int // slots, by team, running ones included
+	largest map[string]int // slots of the largest waiting task, by team
 }
 
 func newMemberLoad(hb messenger.Heartbeat) memberLoad {
@@ -37,6 +38,7 @@
 		slots:   make(map[string]int, len(hb.Pools)),
 		running: make(map[string]int, len(hb.Teams)),
 		wanted:  make(map[string]int, len(hb.Teams)),
+		largest: make(map[string]int, len(hb.Teams)),
 	}
 	for _, p := range hb.Pools {
 		m.slots[p.Pool] += p.Slots
@@ -44,6 +46,7 @@
 	for _, t := range hb.Teams {
 		m.running[t.Team] += t.Running
 		m.wanted[t.Team] += t.Running + t.Waiting
+		m.largest[t.Team] = max(m.largest[t.Team], t.Largest)
 	}
 	return m
 }
@@ -124,7 +127,13 @@
 	parts := make([]Part, len(s.members))
 	for i, m := range s.members {
 		mine, _ := a.Grant(m.id)
-		parts[i] = Part{Member: m.id, Target: mine.Target, Running: m.running[a.Team], Want: m.wanted[a.Team]}
+		parts[i] = Part{
+			Member:  m.id,
+			Target:  mine.Target,
+			Running: m.running[a.Team],
+			Want:    m.wanted[a.Team],
+			Largest: m.largest[a.Team],
+		}
 		for pool := range s.pools[a.Team] {
 			parts[i].Slots += m.slots[pool]
 		}
--- a/granter/split.go
+++ b/granter/split.go
@@ -21,6 +21,7 @@
 	Slots   int // slots that the member owns in the pools of the team
 	Running int // slots that the team uses there
 	Want    int // slots that the team could use there now, those included
+	Largest int // slots of the largest task that waits there
 	Target  int // target in force; 0 for a new member
 }
 
@@ -28,7 +29,8 @@
 // order of parts. All of the limit is handed out. Each member gets what it
 // wants, and the rest is spread by owned slots, so that a team can start
 // anywhere; when the members want more than the limit, it is divided among
-// them by weighted max-min. Targets in force stay while they serve the wants,
+// them by weighted max-min, such that the largest waiting task fits one of
+// them. Targets in force stay while they serve the wants,
 // so that the ledger changes seldom.
 func Split(team string, limit int, parts []Part) []int {
 	if len(parts) == 0 {
@@ -41,7 +43,7 @@
 		sum += wants[i]
 	}
 	if sum > limit {
-		return splitScarce(limit, parts, wants)
+		return splitScarce(team, limit, parts, wants)
 	}
 	slack := spread(team, limit-sum, parts)
 	if slackServes(limit, parts, wants, slack) {
@@ -53,24 +55,73 @@
 	return slack
 }
 
-func splitScarce(limit int, parts []Part, wants []int) []int {
+func splitScarce(team string, limit int, parts []Part, wants []int) []int {
 	demands := make([]Demand, len(parts))
 	for i, p := range parts {
 		demands[i] = Demand{Team: p.Member, Weight: p.Slots, Limit: limit, Demand: wants[i]}
 	}
+	ideal := divide(limit, parts, demands)
+	large := largestWaiting(limit, parts)
+	if slices.Max(ideal) < large {
+		ideal = concentrate(team, limit, large, parts, demands)
+	}
+	if isNear(limit, parts, ideal) && slices.Max(targets(parts)) >= large {
+		return targets(parts)
+	}
+	return ideal
+}
+
+// divide returns the shares of limit in the order of parts.
+func divide(limit int, parts []Part, demands []Demand) []int {
 	shares := Shares(limit, demands)
-	ideal := make([]int, len(parts))
-	near := sumTargets(parts) == limit
+	out := make([]int, len(parts))
 	for i, p := range parts {
-		ideal[i] = shares[p.Member]
-		near = near && max(ideal[i]-p.Target, p.Target-ideal[i]) <= max(1, ideal[i]/tolerance)
+		out[i] = shares[p.Member]
 	}
-	if near {
-		return targets(parts)
+	return out
+}
+
+// largestWaiting returns the slots of the largest waiting task that the limit
+// and its member's slots permit.
+func largestWaiting(limit int, parts []Part) int {
+	large := 0
+	for _, p := range parts {
+		if p.Largest <= min(limit, p.Slots) {
+			large = max(large, p.Largest)
+		}
 	}
+	return large
+}
+
+// concentrate gives one member room for the largest waiting task, and divides
+// the rest mainly among the others. A member that has the room keeps it.
+func concentrate(team string, limit, large int, parts []Part, demands []Demand) []int {
+	chosen, best := -1, 0.0
+	for i, p := range parts {
+		score := uniform(team, p.Member)
+		if p.Target >= large {
+			score++
+		}
+		if p.Largest == large && (chosen < 0 || score > best) {
+			chosen, best = i, score
+		}
+	}
+	demands[chosen].Demand = max(0, demands[chosen].Demand-large)
+	demands[chosen].Weight = 1 // the others come first
+	ideal := divide(limit-large, parts, demands)
+	ideal[chosen] += large
 	return ideal
 }
 
+func isNear(limit int, parts []Part, ideal []int) bool {
+	for i, p := range parts {
+		if max(ideal[i]-p.Target, p.Target-ideal[i]) > max(1, ideal[i]/tolerance) {
+			return false
+		}
+	}
+	return sumTargets(parts) == limit
+}
+
 // slackServes reports whether the targets in force cover all wants and leave
 // each member a fair part of the slack.
 func slackServes(limit int, parts []Part, wants, slack []int) bool {
--- a/messenger/decode.go
+++ b/messenger/decode.go
@@ -84,11 +84,11 @@
 		hb.Pools = append(hb.Pools, load)
 	}
 	for _, l := range p.GetTeams() {
-		counts, err := decodeCounts(l.GetRunning(), l.GetWaiting())
+		counts, err := decodeCounts(l.GetRunning(), l.GetWaiting(), l.GetLargest())
 		if err != nil {
 			return Heartbeat{}, errors.Trace(err)
 		}
-		load := TeamLoad{Team: l.GetTeam(), Pool: l.GetPool(), Running: counts[0], Waiting: counts[1]}
+		load := TeamLoad{Team: l.GetTeam(), Pool: l.GetPool(), Running: counts[0], Waiting: counts[1], Largest: counts[2]}
 		hb.Teams = append(hb.Teams, load)
 	}
 	return hb, nil
--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -64,6 +64,7 @@
 			Pool:    l.Pool,
 			Running: int64(l.Running),
 			Waiting: int64(l.Waiting),
+			Largest: int64(l.Largest),
 		})
 	}
 	return p
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -41,7 +41,8 @@
 		Team    string
 		Pool    string
 		Running int // slots in use
-		Waiting int // tasks waiting
+		Waiting int // slots of the tasks waiting
+		Largest int // slots of the largest task waiting
 	}
 
 	// ClaimRequest asks the home of a name for the right to start its task.
--- a/placer/loop.go
+++ b/placer/loop.go
@@ -237,6 +237,7 @@
 			load.Running += j.task.Slots
 		} else {
 			load.Waiting += j.task.Slots
+			load.Largest = max(load.Largest, j.task.Slots)
 		}
 		counts[k] = load
 	}
--- a/reporter/share.go
+++ b/reporter/share.go
@@ -17,7 +17,7 @@
 	Share    int     `json:"share"`    // weight
 	Limit    int     `json:"limit"`    // across all pools
 	Running  int     `json:"running"`  // slots
-	Waiting  int     `json:"waiting"`  // tasks
+	Waiting  int     `json:"waiting"`  // slots of waiting tasks
 	Fair     int     `json:"fair"`     // slots by weighted max-min
 	Distance float64 `json:"distance"` // of running from fair, relative to fair
 }
