Keep the coordinator's loads of teams, and give spent retries the verdict of their cause

Cause: heartbeats that peers send lack the loads of teams, and overwrote those of their replies at the coordinator, so weights were made from half of the demand; a task that failed by itself and found no retry left was called may-have-run although it ran. Change: a heartbeat that is no reply keeps the loads of teams last told; RetriesSpent carries the cause's verdict. The demo's share error leaves out teams sampled for less than a second of backlog. Conclusion: both faults are mended at their causes.

--- a/demonstrator/tally.go
+++ b/demonstrator/tally.go
@@ -45,11 +45,16 @@
 	// shareSum adds up what a team had and what was its fair share while it
 	// had more requests than it could run.
 	shareSum struct {
-		had  float64
-		fair float64
+		had     float64
+		fair    float64
+		samples int
 	}
 )
 
+// minSamples is the number of samples below which a team's share says nothing:
+// a second of backlog.
+const minSamples = 10
+
 func newTally(teams []teamSpec, pools map[string]int) *tally {
 	return &tally{
 		teams:    teams,
@@ -174,6 +179,7 @@
 			s = &shareSum{}
 			t.shares[team] = s
 		}
+		s.samples++
 		s.had += float64(t.running[team][pool])
 		s.fair += float64(fair[team])
 	}
@@ -182,7 +188,7 @@
 func (t *tally) shareError() float64 {
 	worst := 0.0
 	for _, s := range t.shares {
-		if s.fair == 0 {
+		if s.samples < minSamples || s.fair == 0 {
 			continue
 		}
 		distance := s.had/s.fair - 1
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
@@ -266,7 +267,7 @@
 		return
 	}
 	if !p.retries.Take(task.Queue) {
-		p.finish(j, result{err: classifier.Doubt(classifier.RetriesSpent, "%s; the retry budget of queue %q is spent", cause.Message, task.Queue).After(time.Second)})
+		p.finish(j, result{err: retriesSpent(task, cause)})
 		p.forget(j)
 		return
 	}
@@ -275,6 +276,17 @@
 	p.again(j, 0)
 }
 
+// retriesSpent ends a task for want of a retry. The verdict is that of its last
+// attempt.
+func retriesSpent(task scheduler.Task, cause *classifier.Error) *classifier.Error {
+	return &classifier.Error{
+		Verdict:    cause.Verdict,
+		Code:       classifier.RetriesSpent,
+		Message:    fmt.Sprintf("%s; the retry budget of queue %q is spent", cause.Message, task.Queue),
+		RetryAfter: time.Second,
+	}
+}
+
 // again returns the job to its queue after a delay.
 func (p *Placer) again(j *job, delay time.Duration) {
 	j.attempt = nil
--- a/registrar/heartbeat.go
+++ b/registrar/heartbeat.go
@@ -161,6 +161,7 @@
 	v := r.view
 	r.mu.Unlock()
 	if known {
+		hb.Partial = true
 		r.tell(hb)
 	}
 	reply := r.own(hb.Coordinator)
--- a/server/load.go
+++ b/server/load.go
@@ -37,6 +37,9 @@
 func (t *loadTable) put(hb messenger.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if hb.Partial {
+		hb.Teams = t.last[hb.From].hb.Teams
+	}
 	t.last[hb.From] = heardLoad{at: time.Now(), hb: hb}
 }
 
