Record decisions on jobs; serve explanations and reports over all entries

explain found nothing on jobs, since neither the router nor the placer recorded a step. They now record where a job was placed or forwarded, refusals, failed attempts and the end with its verdict. The entry that is asked collects the journals, burn counters, loads and surveys of all registered entries.

Refused and asynchronous requests were not counted at all, so a full queue did not burn its objective; requests whose queue is known are now counted once, whatever their end.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -69,7 +69,7 @@
 	// Ended is the end of one request as its caller saw it.
 	Ended struct {
 		Queue string
-		Class scheduler.Class
+		Class scheduler.Class // empty when the request was not accepted
 		Took  time.Duration
 		Err   *classifier.Error // nil for a whole answer
 	}
@@ -127,18 +127,20 @@
 }
 
 func (a *Admitter) submit(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
 	task, err := a.admit(w, r)
 	if err != nil {
-		a.writeProblem(w, r, "", classifier.As(err))
+		a.refuse(w, r, task, start, err)
 		return
 	}
 	job, err := a.jobs.Accept(r.Context(), task)
 	if err != nil {
-		a.writeProblem(w, r, task.ID, classifier.As(err))
+		a.refuse(w, r, task, start, err)
 		return
 	}
 	w.Header().Set(JobHeader, task.ID)
 	if r.Header.Get("Prefer") == "respond-async" {
+		go a.count(job)
 		writeJSON(w, http.StatusAccepted, Status{Job: task.ID, State: underWay})
 		return
 	}
@@ -151,10 +153,11 @@
 	select {
 	case <-job.Done():
 	case <-r.Context().Done():
+		go a.count(job)
 		return
 	}
+	a.count(job)
 	answer, err := job.Result()
-	a.ended(Ended{Queue: job.Task.Queue, Class: job.Task.Class, Took: time.Since(job.Task.Accepted), Err: err})
 	if err != nil {
 		a.writeProblem(w, r, job.Task.ID, err)
 		return
@@ -162,6 +165,25 @@
 	writeAnswer(w, answer)
 }
 
+// count tells how a job ends, when it does.
+func (a *Admitter) count(job *router.Job) {
+	<-job.Done()
+	_, err := job.Result()
+	a.ended(Ended{Queue: job.Task.Queue, Class: job.Task.Class, Took: time.Since(job.Task.Accepted), Err: err})
+}
+
+// refuse answers a request that was not accepted. It is counted if its queue
+// is one of the rules.
+func (a *Admitter) refuse(w http.ResponseWriter, r *http.Request, task scheduler.Task, start time.Time, err error) {
+	refusal := classifier.As(err)
+	if rules := a.rules(); rules != nil {
+		if q, unknown := findQueue(rules, r.PathValue("queue")); unknown == nil {
+			a.ended(Ended{Queue: q.Name, Class: task.Class, Took: time.Since(start), Err: refusal})
+		}
+	}
+	a.writeProblem(w, r, task.ID, refusal)
+}
+
 // admit checks a request and makes its task. Every error says NotRun.
 func (a *Admitter) admit(w http.ResponseWriter, r *http.Request) (scheduler.Task, error) {
 	if a.closing.Load() {
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -8,6 +8,7 @@
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/dispatcher"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 )
 
@@ -99,6 +100,7 @@
 		leaseEnd: startBy.Add(p.lease).Add(p.margin),
 		abandon:  abandon,
 	}
+	p.noteStart(j, now)
 	if j.attempts == 1 {
 		p.observe(Observation{Queue: j.task.Queue, Class: j.task.Class, Waited: now.Sub(j.task.Accepted)})
 	}
@@ -231,6 +233,7 @@
 		p.fleet.Close(a.worker.ID)
 		p.leaving(a.worker.ID)
 	}
+	p.note(j, "refused by worker "+a.worker.ID, recorder.Fact{Name: "reason", Value: err.Message})
 	j.avoid = withWorker(j.avoid, a.worker.ID)
 	j.refusals++
 	p.again(j, refusalDelay(j.refusals))
@@ -244,6 +247,7 @@
 // A non-idempotent one ends with the cause.
 func (p *Placer) retry(j *job, a *attempt, cause *classifier.Error) {
 	task := j.task
+	p.note(j, "attempt on worker "+a.worker.ID+" failed", recorder.Fact{Name: "reason", Value: cause.Message})
 	if !task.Idempotent || a.cancelled {
 		p.finish(j, result{err: cause})
 		p.forget(j)
--- /dev/null
+++ b/placer/journal.go
@@ -0,0 +1,44 @@
+package placer
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+)
+
+// note records a decision on a job.
+func (p *Placer) note(j *job, action string, facts ...recorder.Fact) {
+	p.journal(recorder.Decision{
+		Time:    time.Now(),
+		Entry:   p.self,
+		Kind:    recorder.Job,
+		Subject: j.task.ID,
+		Action:  action,
+		Facts:   facts,
+	})
+}
+
+// noteStart records why the attempt under way was started where it was.
+func (p *Placer) noteStart(j *job, now time.Time) {
+	d := recorder.Decision{
+		Time:    now,
+		Entry:   p.self,
+		Kind:    recorder.Job,
+		Subject: j.task.ID,
+		Action:  "started on worker " + j.attempt.worker.ID,
+		Facts: []recorder.Fact{
+			{Name: "attempt", Value: strconv.Itoa(j.attempt.number)},
+			{Name: "since-acceptance", Value: now.Sub(j.task.Accepted).String()},
+			{Name: "pool", Value: j.task.Pool},
+			{Name: "slots", Value: strconv.Itoa(j.task.Slots)},
+		},
+	}
+	if len(j.avoid) > 0 {
+		d.Weighed = []string{"avoided after an earlier attempt: " + strings.Join(slices.Sorted(maps.Keys(j.avoid)), ", ")}
+	}
+	p.journal(d)
+}
--- /dev/null
+++ b/router/journal.go
@@ -0,0 +1,41 @@
+package router
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// note records a decision on a task.
+func (r *Router) note(task scheduler.Task, action string, facts ...recorder.Fact) {
+	r.journal(recorder.Decision{
+		Time:    time.Now(),
+		Entry:   r.members.Self().ID,
+		Kind:    recorder.Job,
+		Subject: task.ID,
+		Action:  action,
+		Facts:   facts,
+	})
+}
+
+// noteEnd records how a task accepted here ended.
+func (r *Router) noteEnd(task scheduler.Task, answer messenger.Answer, err *classifier.Error) {
+	facts := []recorder.Fact{
+		{Name: "queue", Value: task.Queue},
+		{Name: "team", Value: task.Team},
+		{Name: "class", Value: string(task.Class)},
+		{Name: "idempotent", Value: strconv.FormatBool(task.Idempotent)},
+		{Name: "took", Value: time.Since(task.Accepted).String()},
+	}
+	if err != nil {
+		facts = append(facts, recorder.Fact{Name: "code", Value: string(err.Code)}, recorder.Fact{Name: "detail", Value: err.Message})
+		r.note(task, "ended: "+err.Verdict.String(), facts...)
+		return
+	}
+	facts = append(facts, recorder.Fact{Name: "worker", Value: answer.Worker}, recorder.Fact{Name: "attempt", Value: strconv.Itoa(answer.Attempt)})
+	r.note(task, "ended: "+classifier.Ran.String(), facts...)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -159,6 +159,7 @@
 	go func() {
 		defer r.wait.Done()
 		answer, err := r.execute(ctx, task)
+		r.noteEnd(task, answer, classifier.As(err))
 		r.jobs.end(job, answer, classifier.As(err))
 	}()
 	return job, nil
@@ -190,6 +191,7 @@
 		return messenger.Answer{}, err
 	}
 	if !decision.Granted {
+		r.note(task, "waits for the answer of task "+decision.Task+" at "+decision.Holder, recorder.Fact{Name: "name", Value: task.Name})
 		return r.attach(ctx, task, decision)
 	}
 	answer, err := r.place(ctx, task)
@@ -275,6 +277,7 @@
 			clear(refused)
 			continue
 		}
+		r.note(task, "not placed at "+member, recorder.Fact{Name: "reason", Value: err.Error()})
 		refused[member] = true
 		pause(ctx, backoff)
 	}
@@ -339,6 +342,7 @@
 // forward spends the task's one hop.
 func (r *Router) forward(ctx context.Context, task scheduler.Task, peer registrar.Member) (messenger.Answer, error) {
 	r.chooser.Sent(peer.ID, task.Pool)
+	r.note(task, "forwarded to "+peer.ID, recorder.Fact{Name: "pool", Value: task.Pool})
 	task.Forwarded = true
 	ctx, stop := context.WithDeadline(ctx, task.Deadline.Add(time.Second))
 	defer stop()
--- a/server/entry.go
+++ b/server/entry.go
@@ -21,7 +21,9 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
 	"github.com/coltsfootlever/coltsfootlever/router"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
@@ -39,6 +41,7 @@
 	FleetService       = "fleet-coordinator"
 	MaintainerService  = "maintainer"
 	SurveyorService    = "surveyor"
+	RecorderService    = "recorder"
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
 	RouterService      = "router"
@@ -48,6 +51,9 @@
 const (
 	// dutyName is the control duty that coordinates grants and instances.
 	dutyName = "coordinator"
+	// journalSize is the number of decisions that an entry remembers. Most are
+	// on jobs and have about 400 bytes.
+	journalSize = 16 << 10
 	// listPoll is the time between reads of the instance list.
 	listPoll = time.Second
 )
@@ -76,8 +82,11 @@
 	admitter *admitter.Admitter
 	loads    *loadTable
 	reports  *collector.Collector
-	survey   *surveyor.Surveyor
-	leaving  atomic.Bool
+	burn     *reporter.Meter
+
+	decisions *recorder.Recorder
+	survey    *surveyor.Surveyor
+	leaving   atomic.Bool
 }
 
 // New returns an entry that has not started. The error lists every fault of
@@ -155,6 +164,9 @@
 	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
 	e.loads = newLoadTable(e.self().ID)
 	e.reports = collector.New(e.members, e.platform.Peers)
+	e.burn = reporter.NewMeter()
+	ring := recorder.NewRing(e.platform.Store, e.cfg.Log)
+	e.decisions = recorder.New(e.self().ID, recorder.NewJournal(journalSize), ring)
 }
 
 func (e *Entry) buildLimits() {
@@ -173,10 +185,11 @@
 		mover.WithLog(e.cfg.Log),
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
+		mover.WithJournal(e.decisions.Record),
 	)
 	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
 	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
-	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.record)
+	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.decisions.Record)
 }
 
 func (e *Entry) buildPath() {
@@ -193,16 +206,18 @@
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
 		placer.WithObserve(e.metrics.started),
+		placer.WithJournal(e.decisions.Record),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
 	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
+		router.WithJournal(e.decisions.Record),
 		router.WithOpen(e.isOpen),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
 		admitter.WithLog(e.cfg.Log),
-		admitter.WithEnded(e.metrics.ended),
+		admitter.WithEnded(e.ended),
 	)
 }
 
@@ -241,6 +256,7 @@
 		name    string
 		service any
 	}{
+		{RecorderService, e.decisions},
 		{RegistrarService, e.members},
 		{DistributorService, e.rules},
 		{GrantsDutyService, e.duty},
@@ -261,6 +277,7 @@
 		}
 	}
 	e.connect()
+	e.offerReports()
 	e.addGauges()
 	return nil
 }
--- a/server/load.go
+++ b/server/load.go
@@ -7,7 +7,6 @@
 	"github.com/coltsfootlever/coltsfootlever/granter"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
-	"github.com/coltsfootlever/coltsfootlever/recorder"
 )
 
 // loadLife is the time for which a member's last report counts.
@@ -79,6 +78,7 @@
 	for _, t := range rules.Teams {
 		shares[t.Name] = float64(t.Share)
 	}
+	e.setObjectives(rules)
 	e.waiting.SetBounds(bounds)
 	e.waiting.SetShares(shares)
 	e.placer.Poke()
@@ -97,8 +97,6 @@
 	e.placer.Poke()
 }
 
-func (e *Entry) record(recorder.Decision) {}
-
 // PoolLoad implements router.Local.
 func (l localLoads) PoolLoad(pool string) messenger.PoolLoad {
 	for _, load := range l.e.placer.Loads().Pools {
--- a/server/meter.go
+++ b/server/meter.go
@@ -37,6 +37,9 @@
 		verdict = e.Err.Verdict.String()
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`coltsfootlever_requests_total{queue=%q,code=%q,verdict=%q}`, e.Queue, code, verdict)).Inc()
+	if e.Class == "" {
+		return
+	}
 	name := fmt.Sprintf(`coltsfootlever_request_seconds{queue=%q,class=%q}`, e.Queue, e.Class)
 	m.set.GetOrCreateHistogram(name).Update(e.Took.Seconds())
 }
--- a/server/operators.go
+++ b/server/operators.go
@@ -25,6 +25,8 @@
 		operator.InstancesNoun(e.orders),
 		operator.EntriesNoun(e.members),
 		operator.MaintenanceNoun(e.orders),
+		operator.ExplainNoun(reports{e}),
+		operator.ReportsNoun(reports{e}),
 	)
 	return h
 }
--- /dev/null
+++ b/server/reports.go
@@ -0,0 +1,170 @@
+package server
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/collector"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
+	"github.com/coltsfootlever/coltsfootlever/surveyor"
+)
+
+// Kinds of reports that entries ask each other for.
+const (
+	journalReport = "journal" // subject: kind of a decision's subject, a slash, its identity
+	burnReport    = "burn"
+	loadReport    = "load"
+	surveyReport  = "survey"
+)
+
+const (
+	ringTime = 3 * time.Second // for reading the journal of the key-value service
+	// ringName stands for the key-value service among entries without an answer.
+	ringName = "the key-value service"
+)
+
+// reports makes reports over all entries.
+type reports struct{ e *Entry }
+
+// offerReports lets peers ask for what this entry alone knows.
+func (e *Entry) offerReports() {
+	e.reports.Offer(journalReport, func(_ context.Context, subject string) (any, error) {
+		kind, id, _ := strings.Cut(subject, "/")
+		return e.decisions.Local(recorder.Kind(kind), id), nil
+	})
+	e.reports.Offer(burnReport, func(context.Context, string) (any, error) {
+		return e.burn.Counts(time.Now()), nil
+	})
+	e.reports.Offer(loadReport, func(context.Context, string) (any, error) {
+		loads := e.placer.Loads()
+		return messenger.Heartbeat{From: e.self().ID, Pools: loads.Pools, Teams: loads.Teams}, nil
+	})
+	e.reports.Offer(surveyReport, func(context.Context, string) (any, error) {
+		return e.survey.Survey(), nil
+	})
+}
+
+// ended counts the end of a request.
+func (e *Entry) ended(end admitter.Ended) {
+	e.metrics.ended(end)
+	if end.Err == nil {
+		e.burn.Answered(time.Now(), end.Queue, end.Took, nil)
+		return
+	}
+	e.burn.Answered(time.Now(), end.Queue, end.Took, end.Err)
+}
+
+// setObjectives tells what answers are good.
+func (e *Entry) setObjectives(rules *parser.Rules) {
+	within := make(map[string]time.Duration, len(rules.Objectives))
+	for _, o := range rules.Objectives {
+		within[o.Queue] = o.Within
+	}
+	e.burn.SetObjectives(within)
+}
+
+// Explain implements operator.Explainer.
+func (r reports) Explain(ctx context.Context, kind recorder.Kind, subject string) (operator.Explanation, error) {
+	parts, missing := collector.Collect[[]recorder.Decision](ctx, r.e.reports, journalReport, string(kind)+"/"+subject)
+	ringCtx, cancel := context.WithTimeout(ctx, ringTime)
+	defer cancel()
+	all, err := r.e.decisions.Explain(ringCtx, kind, subject)
+	if err != nil {
+		missing = append(missing, collector.Missing{Entry: ringName, Reason: err.Error()})
+	}
+	for _, p := range parts {
+		all = recorder.Merge(all, p.Body)
+	}
+	if kind == recorder.Job {
+		missing = append(missing, r.departed(subject)...)
+	}
+	return operator.Explanation{Kind: kind, Subject: subject, Decisions: all, Missing: missing}, nil
+}
+
+// departed names the member that accepted a job when it is registered no more.
+func (r reports) departed(job string) []collector.Missing {
+	_, member, named := strings.Cut(job, "@")
+	if _, ok := r.e.members.View().Member(member); ok || !named {
+		return nil
+	}
+	return []collector.Missing{{Entry: member, Reason: "it is no longer registered"}}
+}
+
+// inForce returns the rules, which reports need.
+func (r reports) inForce() (*parser.Rules, error) {
+	rules := r.e.rules.Rules()
+	if rules == nil {
+		return nil, classifier.Refuse(classifier.Unready, "this entry has no rules yet: rules apply puts the first ones in force")
+	}
+	return rules, nil
+}
+
+// Burn implements operator.Reports.
+func (r reports) Burn(ctx context.Context) (operator.BurnReply, error) {
+	rules, err := r.inForce()
+	if err != nil {
+		return operator.BurnReply{}, err
+	}
+	parts, missing := collector.Collect[[]reporter.QueueCount](ctx, r.e.reports, burnReport, "")
+	entries, counts := split(parts)
+	return operator.BurnReply{
+		Coverage: operator.Coverage{Entries: entries, Missing: missing},
+		Short:    reporter.ShortWindow,
+		Long:     reporter.LongWindow,
+		Queues:   reporter.BurnReport(rules.Objectives, reporter.Merge(counts...)),
+	}, nil
+}
+
+// Share implements operator.Reports.
+func (r reports) Share(ctx context.Context) (operator.ShareReply, error) {
+	rules, err := r.inForce()
+	if err != nil {
+		return operator.ShareReply{}, err
+	}
+	parts, missing := collector.Collect[messenger.Heartbeat](ctx, r.e.reports, loadReport, "")
+	entries, loads := split(parts)
+	return operator.ShareReply{
+		Coverage: operator.Coverage{Entries: entries, Missing: missing},
+		Teams:    reporter.ShareReport(rules, loads),
+	}, nil
+}
+
+// Fleet implements operator.Reports.
+func (r reports) Fleet(ctx context.Context) (operator.FleetReply, error) {
+	rollout, err := r.e.orders.Rollout(ctx)
+	if err != nil {
+		return operator.FleetReply{}, errors.Trace(err)
+	}
+	parts, missing := collector.Collect[surveyor.Survey](ctx, r.e.reports, surveyReport, "")
+	entries, _ := split(parts)
+	reply := operator.FleetReply{
+		Coverage: operator.Coverage{Entries: entries, Missing: missing},
+		Rollout:  operator.FiguresOf(rollout, time.Now()),
+	}
+	for _, p := range parts {
+		if reply.Watched == "" || p.Body.Since.Before(reply.Survey.Since) {
+			reply.Watched, reply.Survey = p.Entry, p.Body
+		}
+	}
+	return reply, nil
+}
+
+// split returns the entries that answered, and their answers.
+func split[T any](parts []collector.Part[T]) ([]string, []T) {
+	entries := make([]string, 0, len(parts))
+	bodies := make([]T, 0, len(parts))
+	for _, p := range parts {
+		entries = append(entries, p.Entry)
+		bodies = append(bodies, p.Body)
+	}
+	return entries, bodies
+}
