--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -6,6 +6,9 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"testing"
@@ -295,6 +298,8 @@
 		require.Equal(t, []int{1, 1}, []int{share.Teams[0].Running, share.Teams[0].Fair})
 		time.Sleep(settleTime)
 
+		checkPageMetrics(t, f.entries[0])
+
 		f.cut.Store(entryAddress(0), true)
 		team, err := b.Explain(ctx, recorder.Team, "leads")
 		require.NoError(t, err)
@@ -307,3 +312,19 @@
 			"the store's journal outlives the entry")
 	})
 }
+
+// checkPageMetrics checks that the alerts on the operators' pages are on
+// metrics that the entry has.
+func checkPageMetrics(t *testing.T, e *server.Entry) {
+	var metrics strings.Builder
+	e.WriteMetrics(&metrics)
+	pages, err := filepath.Glob("../docs/operating/*.md")
+	require.NoError(t, err)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, name := range regexp.MustCompile(`coltsfootlever_[a-z_]+`).FindAllString(string(text), -1) {
+			require.Contains(t, metrics.String(), name, page)
+		}
+	}
+}
