Log the slots taken back for urgent work

Change: each measure is logged with its task, worker and the urgent task it serves. Conclusion: the checker counted slots that the worker had given back; it has to follow the throttling.

--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -53,6 +53,7 @@
 	for _, v := range victims {
 		p.seized[pool] = now
 		p.take(attempts[v.Task], v)
+		p.log.Info("slots taken back", "task", v.Task, "worker", v.Worker, "measure", v.Measure, "for", item.Task.ID)
 		p.journal(recorder.Decision{
 			Time: now, Entry: p.self, Kind: recorder.Job, Subject: v.Task, Action: string(v.Measure),
 			Facts: []recorder.Fact{{Name: "for", Value: item.Task.ID}, {Name: "waited", Value: now.Sub(item.Since).String()}},
