--- a/commander/explain/explain.go
+++ b/commander/explain/explain.go
@@ -65,9 +65,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, m := range found.Missing {
-		opts.factory.Notef("The journal of %s was not read: %s\n", m.Entry, m.Reason)
-	}
+	opts.factory.NoteMissing(found.Missing)
 	switch {
 	case opts.JSON:
 		return opts.factory.PrintJSON(found)
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"crypto/sha256"
+	"fmt"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/dispatcher"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 )
 
@@ -103,6 +105,7 @@
 		leaseEnd: startBy.Add(p.lease).Add(p.margin),
 		abandon:  abandon,
 	}
+	p.noteStart(j, now)
 	if j.attempts == 1 {
 		p.observe(Observation{Queue: j.task.Queue, Class: j.task.Class, Waited: now.Sub(j.task.Accepted)})
 	}
@@ -247,6 +250,7 @@
 		p.fleet.Close(a.worker.ID)
 		p.leaving(a.worker.ID)
 	}
+	p.note(j, "refused by worker "+a.worker.ID, recorder.Fact{Name: "reason", Value: err.Message})
 	j.avoid = withWorker(j.avoid, a.worker.ID)
 	j.refusals++
 	p.again(j, refusalDelay(j.refusals))
@@ -260,13 +264,14 @@
 // A non-idempotent one ends with the cause.
 func (p *Placer) retry(j *job, a *attempt, cause *classifier.Error) {
 	task := j.task
+	p.note(j, "attempt on worker "+a.worker.ID+" failed", recorder.Fact{Name: "reason", Value: cause.Message})
 	if !task.Idempotent || a.cancelled {
 		p.finish(j, result{err: cause})
 		p.forget(j)
 		return
 	}
 	if !p.retries.Take(task.Queue) {
-		p.finish(j, result{err: classifier.Doubt(classifier.RetriesSpent, "%s; the retry budget of queue %q is spent", cause.Message, task.Queue).After(time.Second)})
+		p.finish(j, result{err: retriesSpent(task, cause)})
 		p.forget(j)
 		return
 	}
@@ -275,6 +280,17 @@
 	p.again(j, 0)
 }
 
+// retriesSpent ends a task for want of a retry. The verdict is that of its last
+// attempt.
+func retriesSpent(task scheduler.Task, cause *classifier.Error) *classifier.Error {
+	return &classifier.Error{
+		Verdict:    cause.Verdict,
+		Code:       classifier.RetriesSpent,
+		Message:    fmt.Sprintf("%s; the retry budget of queue %q is spent", cause.Message, task.Queue),
+		RetryAfter: time.Second,
+	}
+}
+
 // again returns the job to its queue after a delay.
 func (p *Placer) again(j *job, delay time.Duration) {
 	j.attempt = nil
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -30,7 +30,7 @@
 		d.Entry = r.self
 	}
 	if d.ID == "" {
-		d.ID = uuid.NewString()
+		d.ID = uuid.Must(uuid.NewV7()).String() // in the order of recording
 	}
 	r.journal.Record(d)
 	if d.Kind != Job {
--- a/server/load.go
+++ b/server/load.go
@@ -7,7 +7,6 @@
 	"github.com/coltsfootlever/coltsfootlever/granter"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
-	"github.com/coltsfootlever/coltsfootlever/recorder"
 )
 
 // loadLife is the time for which a member's last report counts.
@@ -37,6 +36,9 @@
 func (t *loadTable) put(hb messenger.Heartbeat) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if hb.Partial {
+		hb.Teams = t.last[hb.From].hb.Teams
+	}
 	t.last[hb.From] = heardLoad{at: time.Now(), hb: hb}
 }
 
@@ -79,6 +81,7 @@
 	for _, t := range rules.Teams {
 		shares[t.Name] = float64(t.Share)
 	}
+	e.setObjectives(rules)
 	e.waiting.SetBounds(bounds)
 	e.waiting.SetShares(shares)
 	e.placer.Poke()
@@ -97,8 +100,6 @@
 	e.placer.Poke()
 }
 
-func (e *Entry) record(recorder.Decision) {}
-
 // localShares divides this member's slots of the pool among the teams.
 func (e *Entry) localShares(pool string, demand map[string]int) map[string]int {
 	rules := e.rules.Rules()
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -6,12 +6,18 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/admitter"
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
@@ -19,6 +25,8 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
 	"github.com/coltsfootlever/coltsfootlever/server"
 )
 
@@ -41,7 +49,7 @@
 		platform *emulator.Platform
 		workers  *emulator.Fleet
 		entries  []*server.Entry
-		cut      map[string]bool // addresses that no message reaches
+		cut      sync.Map // addresses that no message reaches
 	}
 
 	peers struct{ f *fleet }
@@ -50,7 +58,7 @@
 // at returns the handler at an address.
 func (p peers) at(address string) (messenger.Handler, error) {
 	for n, e := range p.f.entries {
-		if entryAddress(n) == address && !p.f.cut[address] {
+		if _, cut := p.f.cut.Load(address); entryAddress(n) == address && !cut {
 			return e.PeerHandler(), nil
 		}
 	}
@@ -118,7 +126,6 @@
 		store:    emulator.NewStore(),
 		platform: emulator.NewPlatform(0, time.Second, nil),
 		workers:  &emulator.Fleet{},
-		cut:      map[string]bool{},
 	}
 	for n := range 4 {
 		id, address := fmt.Sprintf("i-%d", n), fmt.Sprintf("10.0.1.%d:9000", n+1)
@@ -240,3 +247,84 @@
 		}
 	})
 }
+
+// submit hands in a job at an entry and returns its identity.
+func (f *fleet) submit(t *testing.T, n int, body string) string {
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/queues/inquiry/jobs", strings.NewReader(body))
+	r.Header.Set(admitter.IdempotentHeader, "true")
+	w := httptest.NewRecorder()
+	f.entries[n].Callers().ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	return w.Header().Get(admitter.JobHeader)
+}
+
+func TestEveryEntryExplainsAndReports(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		job := f.submit(t, 0, `{"sleep-ms":10}`)
+		for range 3 {
+			f.submit(t, 1, `{"sleep-ms":2000}`) // too late for the objective
+		}
+		explained, err := b.Explain(ctx, recorder.Job, job)
+		require.NoError(t, err)
+		require.Empty(t, explained.Missing)
+		last := explained.Decisions[len(explained.Decisions)-1]
+		require.Equal(t, "ended: ran", last.Action)
+		require.Equal(t, f.entries[0].Status().Entry, last.Entry)
+
+		burn, err := a.Burn(ctx)
+		require.NoError(t, err)
+		require.Len(t, burn.Entries, 2)
+		require.Equal(t, []int{1, 3}, []int{burn.Queues[0].Short.Good, burn.Queues[0].Short.Bad})
+		require.InDelta(t, 7.5, burn.Queues[0].Short.Rate, 1e-6)
+		require.Equal(t, reporter.Burning, burn.Queues[0].State)
+
+		moved, err := a.MoveInstance(ctx, "i-1", "consent")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		move, err := b.Explain(ctx, recorder.Move, moved.Order.ID)
+		require.NoError(t, err)
+		require.Equal(t, "ordered: move", move.Decisions[0].Action)
+		require.Equal(t, "moved to pool consent", move.Decisions[len(move.Decisions)-1].Action)
+		report, err := b.Fleet(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []int{1, 1}, []int{report.Survey.Pools[0].Arrived, report.Survey.Pools[1].Left})
+
+		go f.submit(t, 1, `{"sleep-ms":9000}`)
+		time.Sleep(time.Second)
+		share, err := a.Share(ctx)
+		require.NoError(t, err)
+		require.Len(t, share.Teams, 1)
+		require.Equal(t, []int{1, 1}, []int{share.Teams[0].Running, share.Teams[0].Fair})
+		time.Sleep(settleTime)
+
+		checkPageMetrics(t, f.entries[0])
+
+		f.cut.Store(entryAddress(0), true)
+		team, err := b.Explain(ctx, recorder.Team, "leads")
+		require.NoError(t, err)
+		require.Len(t, team.Missing, 1)
+		var actions []string
+		for _, d := range team.Decisions {
+			actions = append(actions, d.Action)
+		}
+		require.Equal(t, []string{"rule added by bootstrap", "limit changed from 0 to 16 by rules 1", "limit in force changed from 0 to 16"}, actions,
+			"the store's journal outlives the entry")
+	})
+}
+
+// checkPageMetrics checks that the alerts on the operators' pages are on
+// metrics that the entry has.
+func checkPageMetrics(t *testing.T, e *server.Entry) {
+	var metrics strings.Builder
+	e.WriteMetrics(&metrics)
+	pages, err := filepath.Glob("../docs/operating/*.md")
+	require.NoError(t, err)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, name := range regexp.MustCompile(`coltsfootlever_[a-z_]+`).FindAllString(string(text), -1) {
+			require.Contains(t, metrics.String(), name, page)
+		}
+	}
+}
