Reclaim grants only when no member can still act for the departed one

Cause: a departed process that is without the store goes on while all members it knows confirm the old view, so the time of the departure is not evidence enough; holders that the view has forgotten were reclaimed on a guess. Change: the coordinator takes the registrar's evidence and staleness bound; holders without a departure on record keep their grants.

--- a/granter/bench_test.go
+++ b/granter/bench_test.go
@@ -52,13 +52,13 @@
 	c := NewCoordinator(nil, nil, nil, nil,
 		func() registrar.View { return view }, func() []messenger.Heartbeat { return loads })
 	accounts := plans(rules, nil)
-	s := c.situation(time.Now(), rules, accounts)
+	s := c.situation(time.Now(), rules)
 	for i := range accounts {
 		accounts[i] = s.plan(accounts[i])
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		s := c.situation(time.Now(), rules, accounts)
+		s := c.situation(time.Now(), rules)
 		for _, a := range accounts {
 			s.plan(a)
 		}
--- a/granter/coordinator.go
+++ b/granter/coordinator.go
@@ -51,9 +51,10 @@
 		period    time.Duration
 		taskLease time.Duration
 		margin    time.Duration
-		missing   map[string]time.Time // unknown holders, by the time first missed
-		next      int                  // account that the next round begins with
-		weights   *Weights             // last written under this duty; nil for none
+		evidence  func(id string) (time.Time, bool)
+		staleness time.Duration
+		next      int      // account that the next round begins with
+		weights   *Weights // last written under this duty; nil for none
 	}
 
 	// CoordinatorOption changes a Coordinator.
@@ -71,6 +72,14 @@
 	return func(c *Coordinator) { c.taskLease, c.margin = taskLease, margin }
 }
 
+// WithEvidence sets the source of the time since which a departed member can
+// start work only within the staleness bound. Grants are not reclaimed while it
+// reports false. The default is the time of the departure itself, which is not
+// enough when members go on without the key-value service.
+func WithEvidence(evidence func(id string) (time.Time, bool), staleness time.Duration) CoordinatorOption {
+	return func(c *Coordinator) { c.evidence, c.staleness = evidence, staleness }
+}
+
 // WithCoordinatorLog sets the logger.
 func WithCoordinatorLog(log *slog.Logger) CoordinatorOption {
 	return func(c *Coordinator) { c.log = log }
@@ -93,7 +102,6 @@
 		period:    DefaultRound,
 		taskLease: DefaultTaskLease,
 		margin:    DefaultClockMargin,
-		missing:   make(map[string]time.Time),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -125,7 +133,6 @@
 
 func (c *Coordinator) round(ctx context.Context, now time.Time) error {
 	if !c.duty.Held() {
-		clear(c.missing)
 		c.weights = nil
 		return nil
 	}
@@ -134,7 +141,7 @@
 	if rules == nil || !listed {
 		return nil
 	}
-	s := c.situation(now, rules, accounts)
+	s := c.situation(now, rules)
 	if err := c.writeAccounts(ctx, s, plans(rules, accounts)); err != nil {
 		return errors.Trace(err)
 	}
@@ -198,7 +205,7 @@
 }
 
 // situation gathers what the accounts are planned from.
-func (c *Coordinator) situation(now time.Time, rules *parser.Rules, accounts []Account) situation {
+func (c *Coordinator) situation(now time.Time, rules *parser.Rules) situation {
 	view := c.view()
 	s := situation{
 		rules:    rules,
@@ -206,7 +213,6 @@
 		teams:    make(map[string]parser.Team, len(rules.Teams)),
 		pools:    poolsByTeam(rules),
 		active:   make(map[string]bool),
-		known:    make(map[string]bool),
 		departed: make(map[string]bool),
 		loads:    activeLoads(view, c.loads()),
 	}
@@ -217,36 +223,21 @@
 		s.members = append(s.members, newMemberLoad(hb))
 	}
 	for _, d := range view.Departed {
-		s.known[d.ID] = true
-		s.departed[d.ID] = now.After(d.Since.Add(c.taskLease + c.margin))
+		s.departed[d.ID] = c.isDeparted(now, d)
 	}
 	for _, m := range view.Members {
-		s.known[m.ID] = true
 		s.departed[m.ID] = false
 		s.active[m.ID] = m.State == registrar.Active
 	}
-	c.missUnknown(now, s, accounts)
 	return s
 }
 
-// missUnknown treats holders that the view no longer tells about as departed
-// when they have been missing for as long as a departed member's tasks can run.
-// A holder that is missing from a view older than its grant may only just have
-// joined, and is left alone.
-func (c *Coordinator) missUnknown(now time.Time, s situation, accounts []Account) {
-	unknown := make(map[string]time.Time)
-	for _, a := range accounts {
-		for _, g := range a.Grants {
-			if s.known[g.Member] || g.View > s.view {
-				continue
-			}
-			since, ok := c.missing[g.Member]
-			if !ok {
-				since = now
-			}
-			unknown[g.Member] = since
-			s.departed[g.Member] = now.After(since.Add(c.taskLease + c.margin))
-		}
+// isDeparted reports whether nothing that the departed member started can run
+// any more.
+func (c *Coordinator) isDeparted(now time.Time, d registrar.Departure) bool {
+	since, ok := d.Since, true
+	if c.evidence != nil {
+		since, ok = c.evidence(d.ID)
 	}
-	c.missing = unknown
+	return ok && now.After(since.Add(c.staleness+c.taskLease+c.margin))
 }
--- a/granter/model_test.go
+++ b/granter/model_test.go
@@ -58,7 +58,8 @@
 	modelMember struct {
 		granter     *Granter
 		coordinator *Coordinator
-		seen        int // events delivered
+		seen        int  // events delivered
+		removed     bool // from the view, perhaps without knowing it
 		departed    time.Time
 		rules       int // index of the rules that its coordinator knows
 		view        int
@@ -164,7 +165,7 @@
 		func() *parser.Rules { return m.rules[mm.rules] },
 		func() registrar.View { return m.views[mm.view] },
 		func() []messenger.Heartbeat { return m.loads },
-		WithReclaim(modelLease, modelMargin))
+		WithReclaim(modelLease, modelMargin), WithEvidence(m.evidence, 0))
 	m.members = append(m.members, mm)
 	m.changeView(func(v *registrar.View) {
 		v.Members = append(v.Members, registrar.Member{ID: id, State: registrar.Active})
@@ -229,7 +230,11 @@
 	case 0:
 		m.setLimit(pick("limit", 9))
 	case 1:
-		mm.departed = m.now
+		if mm.removed {
+			mm.departed = m.now // it has learnt of its removal
+			return
+		}
+		mm.removed = true
 		m.changeView(func(v *registrar.View) {
 			v.Members = slices.DeleteFunc(v.Members, func(r registrar.Member) bool { return r.ID == mm.granter.self })
 			v.Departed = append(v.Departed, registrar.Departure{ID: mm.granter.self, Since: m.now})
@@ -241,6 +246,16 @@
 	}
 }
 
+// evidence tells since when a departed member has stopped.
+func (m *model) evidence(id string) (time.Time, bool) {
+	for _, mm := range m.members {
+		if mm.granter.self == id {
+			return mm.departed, !mm.departed.IsZero()
+		}
+	}
+	return time.Time{}, false
+}
+
 // lapse ends what departed members left running once its lease is over.
 func (m *model) lapse() {
 	for _, mm := range m.members {
@@ -335,6 +350,11 @@
 // settled ends all faults and lets everyone act until nothing changes.
 func (m *model) settled() Account {
 	m.store.late = nil
+	for _, mm := range m.members {
+		if mm.removed && mm.departed.IsZero() {
+			mm.departed = m.now
+		}
+	}
 	m.now = m.now.Add(modelLease + modelMargin + time.Second)
 	m.lapse()
 	for range 12 {
--- a/granter/plan.go
+++ b/granter/plan.go
@@ -17,7 +17,6 @@
 	teams    map[string]parser.Team
 	pools    map[string]map[string]bool // pools of each team's queues
 	active   map[string]bool            // members that take grants
-	known    map[string]bool            // members that the view tells about
 	departed map[string]bool            // true when nothing of them can run any more
 	loads    []messenger.Heartbeat      // of active members, sorted
 	members  []memberLoad               // the same by name
