--- a/caller/client.go
+++ b/caller/client.go
@@ -10,6 +10,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -65,7 +66,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return Reply{}, classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+		return Reply{}, unanswered(err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
@@ -105,6 +106,16 @@
 	return req, nil
 }
 
+// unanswered classifies a call without an answer. Without a connection nothing
+// was sent.
+func unanswered(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return classifier.Refuse(classifier.PeerLost, "the entry was not reached: %v", err)
+	}
+	return classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+}
+
 func set(req *http.Request, header, value string) {
 	if value != "" {
 		req.Header.Set(header, value)
@@ -161,7 +172,7 @@
 	}
 	res, err := c.http.Do(req)
 	if err != nil {
-		return nil, classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+		return nil, unanswered(err)
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
--- a/server/settings.go
+++ b/server/settings.go
@@ -123,15 +123,15 @@
 			faults = append(faults, errors.Errorf(format, args...))
 		}
 	}
-	need(s.Instance != "", "instance is empty: set the identity from the platform's instance list")
-	need(s.Zone != "", "zone is empty: set the availability zone")
-	need(isAddress(s.Peers), "peers is %q: set IP:PORT, such as 127.0.0.1:7100", s.Peers)
-	need(isAddress(s.Callers), "callers is %q: set IP:PORT, such as 127.0.0.1:7000", s.Callers)
-	need(s.TaskLease >= time.Second, "task-lease is %s: set at least 1s", s.TaskLease)
-	need(s.Margin > 0, "clock-margin is %s: set a positive duration", s.Margin)
-	need(s.Heartbeat >= 100*time.Millisecond, "heartbeat is %s: set at least 100ms", s.Heartbeat)
-	need(s.Staleness > s.Heartbeat, "staleness is %s: set more than the heartbeat of %s", s.Staleness, s.Heartbeat)
-	need(s.StopTime > 0, "stop-time is %s: set a positive duration", s.StopTime)
+	need(s.Instance != "", "--instance is empty: set the identity from the platform's instance list")
+	need(s.Zone != "", "--zone is empty: set the availability zone")
+	need(isAddress(s.Peers), "--peers is %q: set IP:PORT, such as 127.0.0.1:7100", s.Peers)
+	need(isAddress(s.Callers), "--callers is %q: set IP:PORT, such as 127.0.0.1:7000", s.Callers)
+	need(s.TaskLease >= time.Second, "--task-lease is %s: set at least 1s", s.TaskLease)
+	need(s.Margin > 0, "--clock-margin is %s: set a positive duration", s.Margin)
+	need(s.Heartbeat >= 100*time.Millisecond, "--heartbeat is %s: set at least 100ms", s.Heartbeat)
+	need(s.Staleness > s.Heartbeat, "--staleness is %s: set more than the heartbeat of %s", s.Staleness, s.Heartbeat)
+	need(s.StopTime > 0, "--stop-time is %s: set a positive duration", s.StopTime)
 	return stderrors.Join(faults...)
 }
 
