mover: record refused orders; surveyor: count up to the moment of the report

explain showed an order that was refused for want of budget as ordered only. The survey lagged by up to its period, so that a move just made was missing.

--- a/mover/orders.go
+++ b/mover/orders.go
@@ -180,6 +180,7 @@
 	if err != nil && !errors.Is(err, ErrMoved) {
 		return i, errors.Annotatef(err, "order %s refused (%v) and not taken back", placed.orderID(), cause)
 	}
+	o.noteUnder(i, placed.Order, "refused: "+classifier.As(cause).Message)
 	return i, cause
 }
 
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -203,6 +203,9 @@
 		require.Equal(t, classifier.BudgetSpent, classifier.As(err).Code)
 		time.Sleep(settleTime)
 		require.Equal(t, mover.Drained, find(t, b, "i-0").Phase)
+		refused, err := a.Explain(ctx, recorder.Instance, "i-1")
+		require.NoError(t, err)
+		require.Contains(t, refused.Decisions[len(refused.Decisions)-1].Action, "refused: budget of pool inquiries allows 1 absent")
 
 		_, err = b.ResumeInstance(ctx, "i-0")
 		require.NoError(t, err)
@@ -242,6 +245,9 @@
 		done, err := b.Rollout(ctx)
 		require.NoError(t, err)
 		require.Equal(t, mover.RolloutDone, done.State)
+		wave, err := b.Explain(ctx, recorder.Wave, done.ID)
+		require.NoError(t, err)
+		require.Equal(t, "done", wave.Decisions[len(wave.Decisions)-1].Action)
 		for id, boots := range map[string]int{"i-0": 0, "i-1": 0, "i-2": 1, "i-3": 1} {
 			require.Equal(t, boots, find(t, a, id).Boots, id)
 		}
--- a/surveyor/surveyor.go
+++ b/surveyor/surveyor.go
@@ -88,8 +88,9 @@
 	}
 }
 
-// Survey returns what has been seen so far.
+// Survey returns what has been seen until now.
 func (s *Surveyor) Survey() Survey {
+	s.look(time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	survey := Survey{Since: s.since, Until: s.last, Pools: []Pool{}}
