Hand workers over before an entry leaves

Cause: an entry that stopped as planned left its workers without an owner until the evidence of its departure was old enough, a lease and a margin later; peers went on forwarding to it while the balancer forgot it. Change: leaving waits, at most 30 s, until no record names the member as owner; a leaving entry advertises no slots. Conclusion: a planned stop moves workers by release, not by evidence.

--- a/server/entry.go
+++ b/server/entry.go
@@ -54,6 +54,9 @@
 	// journalSize is the number of decisions that an entry remembers. Most are
 	// on jobs and have about 400 bytes.
 	journalSize = 16 << 10
+	// handOverTime bounds the wait for other members to take over workers.
+	handOverTime = 30 * time.Second
+	handOverPoll = 50 * time.Millisecond
 	// listPoll is the time between reads of the instance list.
 	listPoll = time.Second
 )
@@ -150,7 +153,7 @@
 		registrar.WithStaleness(e.cfg.Staleness),
 		registrar.WithList(listPoll, e.cfg.ListLag),
 		registrar.WithDuty(heldFunc(func() bool { return e.duty.Held() })),
-		registrar.WithHandOver(func(ctx context.Context, view uint64) error { return e.claims.HandedOver(ctx, view) }),
+		registrar.WithHandOver(e.handOver),
 		registrar.WithLoad(func() ([]messenger.PoolLoad, []messenger.TeamLoad) { return e.report() }),
 		registrar.WithRules(func() uint64 { return e.rules.Number() }),
 	)
@@ -334,6 +337,32 @@
 	return errors.Annotate(e.grants.Release(ctx), "releasing grants")
 }
 
+// handOver waits until the other members have this member's names and workers.
+// Workers that nobody takes over in time move later, on the evidence that this
+// member has left.
+func (e *Entry) handOver(ctx context.Context, view uint64) error {
+	if err := e.claims.HandedOver(ctx, view); err != nil {
+		return errors.Trace(err)
+	}
+	for deadline := time.Now().Add(handOverTime); e.ownsWorkers() && time.Now().Before(deadline); {
+		if e.members.View().Number != view {
+			break
+		}
+		sleep(ctx, handOverPoll)
+	}
+	return errors.Trace(ctx.Err())
+}
+
+// ownsWorkers says whether a record names this member as owner.
+func (e *Entry) ownsWorkers() bool {
+	for _, i := range e.mover.Table().All() {
+		if i.Owner == e.self().ID {
+			return true
+		}
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/server/load.go
+++ b/server/load.go
@@ -67,6 +67,9 @@
 // report returns this member's loads for the next heartbeat.
 func (e *Entry) report() ([]messenger.PoolLoad, []messenger.TeamLoad) {
 	loads := e.placer.Loads()
+	if e.leaving.Load() {
+		loads.Pools = nil // so that peers forward nothing here
+	}
 	e.loads.put(messenger.Heartbeat{From: e.self().ID, Rules: e.rules.Number(), Pools: loads.Pools, Teams: loads.Teams})
 	return loads.Pools, loads.Teams
 }
