claimer: check in random runs that evidence of a departure holds

Cause: grants and workers are reclaimed on the registrar's evidence, which no test watched under faults. Change: every random run checks that no process acts on its view one staleness bound after another has evidence that it has stopped.

--- a/claimer/random_test.go
+++ b/claimer/random_test.go
@@ -14,10 +14,11 @@
 )
 
 const (
-	firstMembers = 3
-	mostMembers  = 5
-	nameCount    = 8
-	mostPlans    = 3000 // plans tried for a double grant
+	firstMembers   = 3
+	mostMembers    = 5
+	nameCount      = 8
+	evidencePeriod = 300 * time.Millisecond
+	mostPlans      = 3000 // plans tried for a double grant
 )
 
 type (
@@ -78,6 +79,7 @@
 		}
 		time.Sleep(5 * time.Second)
 		w.setFaults(p.Loss, p.Slow)
+		w.wg.Go(w.watchEvidence)
 		for _, s := range p.Steps {
 			w.step(s)
 			time.Sleep(time.Duration(s.Wait) * time.Millisecond)
@@ -89,6 +91,30 @@
 	return w
 }
 
+// watchEvidence checks that no process acts on its view when others have
+// evidence that it has stopped.
+func (w *world) watchEvidence() {
+	for w.ctx.Err() == nil {
+		time.Sleep(evidencePeriod)
+		live := w.live()
+		for _, n := range live {
+			if n.members.Fresh() == nil {
+				w.checkEvidence(n, live)
+			}
+		}
+	}
+}
+
+func (w *world) checkEvidence(n *node, live []*node) {
+	id := n.members.Self().ID
+	for _, m := range live {
+		since, ok := m.members.Evidence(id)
+		if ok && time.Since(since) > m.members.Staleness() {
+			w.fail("%s acts %v after the evidence of %s", id, time.Since(since), m.address)
+		}
+	}
+}
+
 // live returns the processes that have not stopped.
 func (w *world) live() []*node {
 	w.mu.Lock()
--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -99,7 +99,6 @@
 
 // start runs a process on the instance. Earlier processes of it go on.
 func (w *world) start(instance string) *node {
-	w.mu.Lock()
 	n := &node{
 		w:        w,
 		instance: instance,
@@ -108,8 +107,6 @@
 	}
 	close(n.wake)
 	n.port = w.store.Caller(n.address)
-	w.nodes = append(w.nodes, n)
-	w.mu.Unlock()
 	self := registrar.Member{Instance: instance, Address: n.address}
 	n.members = registrar.New(n, n, w, self,
 		registrar.WithDuty(held(true)),
@@ -124,6 +121,9 @@
 	})
 	ctx, cancel := context.WithCancel(w.ctx)
 	n.cancel = cancel
+	w.mu.Lock()
+	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
 	w.wg.Go(func() {
 		_ = n.members.Run(ctx)
 		cancel() // a member that was removed exits
