--- /dev/null
+++ b/mover/bench_test.go
@@ -0,0 +1,50 @@
+package mover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// targetFleet returns 1,100 instances in 77 pools and 14 members.
+func targetFleet() ([]Instance, []Candidate, []lister.Listing) {
+	var members []Candidate
+	for n := range 14 {
+		members = append(members, Candidate{ID: fmt.Sprintf("e%02d", n), Zone: fmt.Sprintf("z%d", n%6)})
+	}
+	var fleet []Instance
+	var list []lister.Listing
+	for n := range 1100 {
+		l := lister.Listing{ID: fmt.Sprintf("w%04d", n), Kind: lister.WorkerKind, Pool: fmt.Sprintf("p%02d", n%77),
+			Zone: fmt.Sprintf("z%d", n%6), Slots: 8, State: lister.Live}
+		fleet, list = append(fleet, newInstance(l)), append(list, l)
+	}
+	owners := Assign(fleet, members)
+	for n := range fleet {
+		fleet[n].Owner = owners[fleet[n].ID]
+	}
+	return fleet, members, list
+}
+
+func BenchmarkAssign1100(b *testing.B) {
+	fleet, members, _ := targetFleet()
+	for b.Loop() {
+		Assign(fleet, members)
+	}
+}
+
+// BenchmarkLook1100 is what a member spends four times a second.
+func BenchmarkLook1100(b *testing.B) {
+	fleet, _, list := targetFleet()
+	m := New(nil, "e00", scheduler.NewFleet(), nil)
+	m.roster.Put(list, time.Now())
+	for n, i := range fleet {
+		m.table.store(i, int64(n+1))
+	}
+	for b.Loop() {
+		m.look()
+	}
+}
--- a/mover/table.go
+++ b/mover/table.go
@@ -16,6 +16,7 @@
 	Table struct {
 		mu     sync.Mutex
 		rows   map[string]row
+		sorted []Instance // nil after a change
 		listed bool
 		log    *slog.Logger
 		wake   func()
@@ -40,18 +41,26 @@
 	return clone(r.inst), ok && !r.deleted
 }
 
-// All returns all records ordered by identity.
+// All returns all records ordered by identity. The caller must not change
+// them.
 func (t *Table) All() []Instance {
 	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sorted == nil {
+		t.sorted = t.list()
+	}
+	return t.sorted
+}
+
+func (t *Table) list() []Instance {
 	list := make([]Instance, 0, len(t.rows))
 	for _, r := range t.rows {
 		if !r.deleted {
 			list = append(list, clone(r.inst))
 		}
 	}
-	t.mu.Unlock()
 	slices.SortFunc(list, func(a, b Instance) int { return cmp.Compare(a.ID, b.ID) })
-	return list
+	return slices.Clip(list)
 }
 
 // reset takes a complete list of the records.
@@ -62,7 +71,7 @@
 		t.put(r)
 	}
 	t.mu.Lock()
-	t.listed = true
+	t.listed, t.sorted = true, nil
 	for id := range t.rows {
 		if !listed[id] {
 			delete(t.rows, id)
@@ -83,6 +92,7 @@
 	t.mu.Lock()
 	if r, ok := t.rows[id]; ok && r.revision < e.Revision {
 		t.rows[id] = row{revision: e.Revision, deleted: true}
+		t.sorted = nil
 	}
 	t.mu.Unlock()
 	t.wake()
@@ -105,6 +115,7 @@
 		return
 	}
 	t.rows[inst.ID] = row{inst: clone(inst), revision: revision}
+	t.sorted = nil
 }
 
 // known reports whether the records have been listed once.
