--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -68,9 +68,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reboots = append(c.reboots, id)
-	was := c.list[id]
+	was, ok := c.list[id]
 	delete(c.list, id)
-	if c.stuck[id] {
+	if c.stuck[id] || !ok {
 		return nil
 	}
 	time.AfterFunc(time.Minute, func() {
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -59,6 +59,7 @@
 		callLimit       time.Duration
 		checkpointAfter time.Duration
 		checkpoint      func(ctx context.Context, id string)
+		gate            func() bool
 		assert          func(ok bool, format string, args ...any)
 		journal         func(recorder.Decision)
 		log             *slog.Logger
@@ -81,6 +82,13 @@
 	return func(c *config) { c.checkpointAfter, c.checkpoint = after, fn }
 }
 
+// WithGate sets what tells whether this member may start work at all. While it
+// returns false, because the member may have been removed without knowing it,
+// all workers are closed to new work.
+func WithGate(fn func() bool) Option {
+	return func(c *config) { c.gate = fn }
+}
+
 // WithAssert sets what is called with each invariant.
 func WithAssert(fn func(ok bool, format string, args ...any)) Option {
 	return func(c *config) { c.assert = fn }
@@ -103,6 +111,7 @@
 		settlePeriod: defaultSettlePeriod,
 		callLimit:    defaultCallLimit,
 		checkpoint:   func(context.Context, string) {},
+		gate:         func() bool { return true },
 		journal:      func(recorder.Decision) {},
 		log:          slog.Default(),
 	}
--- a/mover/owner.go
+++ b/mover/owner.go
@@ -99,8 +99,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := map[string]scheduler.Worker{}
+	gate := m.cfg.gate()
 	for _, i := range all {
-		if m.serves(i) {
+		if gate && m.serves(i) {
 			wanted[i.ID] = worker(i)
 		}
 	}
--- /dev/null
+++ b/mover/random_test.go
@@ -0,0 +1,199 @@
+package mover
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+var (
+	seed    = flag.Uint64("seed", 1, "seed of the randomised run")
+	minutes = flag.Int("minutes", 10, "virtual minutes of the randomised run")
+)
+
+// chaos is a randomised run on a site.
+type chaos struct {
+	*site
+	rng   *rand.Rand
+	joins int
+}
+
+// TestRandomisedFleet gives random orders through random members, with all of
+// them driving at once, while the store fails and loses answers, instances
+// come and go, and members crash and are replaced. The asserts in the program
+// panic; after each second no two members take work for one instance, and
+// planned absences are within the budgets.
+func TestRandomisedFleet(t *testing.T) {
+	t.Logf("seed %d, %d minutes", *seed, *minutes)
+	within(t, 6, tight, func(s *site, _ map[string]*member) {
+		c := &chaos{site: s, rng: rand.New(rand.NewPCG(*seed, *seed)), joins: 3}
+		s.maintain(true)
+		for range *minutes * 60 {
+			c.act()
+			time.Sleep(time.Second)
+			c.check()
+		}
+		s.store.SetDown(false)
+		s.store.LoseNextAnswers(0)
+		s.settle()
+		require.Empty(t, s.absences().List)
+	})
+}
+
+func (c *chaos) member() *member {
+	ids := make([]string, 0, len(c.members))
+	for id := range c.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return c.members[ids[c.rng.IntN(len(ids))]]
+}
+
+func (c *chaos) pick() string {
+	return fmt.Sprintf("%s%02d", []string{"a", "b", "spare"}[c.rng.IntN(3)], c.rng.IntN(6))
+}
+
+// act does one random thing. Orders may fail; what they leave behind counts.
+func (c *chaos) act() {
+	ctx, o, id := c.t.Context(), c.member().orders, c.pick()
+	switch c.rng.IntN(24) {
+	case 0, 1, 2:
+		_, _ = o.Move(ctx, id, []string{"a", "b", "spare"}[c.rng.IntN(3)], "chaos")
+	case 3:
+		_, _ = o.Drain(ctx, id, "chaos")
+	case 4, 5:
+		_, _ = o.Resume(ctx, id, "chaos")
+	case 6, 7:
+		_, _ = o.Reboot(ctx, id, "chaos", time.Minute)
+	case 8:
+		_, _ = o.StartRollout(ctx, RolloutRequest{Who: "chaos", DrainLimit: time.Minute})
+	case 9:
+		c.store.SetDown(true)
+	case 10, 11, 12:
+		c.store.SetDown(false)
+	case 13:
+		c.store.LoseNextAnswers(c.rng.IntN(4))
+	case 14:
+		c.vanish(id)
+	case 15:
+		c.crash()
+	case 16:
+		c.member().port.SetDelay(time.Duration(c.rng.IntN(1500)) * time.Millisecond)
+	default:
+		c.run()
+	}
+}
+
+// run starts a task somewhere that ends at a random time.
+func (c *chaos) run() {
+	m := c.member()
+	w, ok := m.fleet.Pick([]string{"a", "b", "spare"}[c.rng.IntN(3)], 1, nil)
+	if ok {
+		time.AfterFunc(time.Duration(c.rng.IntN(90))*time.Second, func() { m.fleet.Free(w.ID, 1, scheduler.Outcome{}) })
+	}
+}
+
+// vanish takes an instance off the list for a while.
+func (c *chaos) vanish(id string) {
+	c.cloud.mu.Lock()
+	was, ok := c.cloud.list[id]
+	delete(c.cloud.list, id)
+	c.cloud.mu.Unlock()
+	if !ok {
+		return
+	}
+	time.AfterFunc(time.Duration(c.rng.IntN(60))*time.Second, func() {
+		was.Boots++
+		c.cloud.set(was)
+	})
+}
+
+// crash ends one member and starts another in its place.
+func (c *chaos) crash() {
+	for id, m := range c.members {
+		if id == "e1" || c.rng.IntN(2) == 0 {
+			continue // e1 reads for the checker
+		}
+		m.stop()
+		<-m.done
+		delete(c.members, id)
+		c.setView(func(v *registrar.View) {
+			v.Members = slices.DeleteFunc(slices.Clone(v.Members), func(x registrar.Member) bool { return x.ID == id })
+			v.Departed = append(slices.Clone(v.Departed), registrar.Departure{ID: id, Since: time.Now(), Reason: "superseded"})
+		})
+		c.joins++
+		c.join(fmt.Sprintf("e%d", c.joins), "z2").held.Store(true)
+		return
+	}
+}
+
+// opened returns the instances that the member takes work for.
+func (m *member) opened() []string {
+	m.mover.mu.Lock()
+	defer m.mover.mu.Unlock()
+	return slices.Collect(maps.Keys(m.mover.open))
+}
+
+func (c *chaos) check() {
+	open := map[string]string{}
+	for name, m := range c.members {
+		for _, id := range m.opened() {
+			require.Empty(c.t, open[id], "%s and %s take work for %s", open[id], name, id)
+			open[id] = name
+		}
+	}
+	e1 := c.members["e1"]
+	list, err := e1.orders.List(c.t.Context())
+	if err != nil {
+		return // an outage; the next second looks again
+	}
+	a, err := e1.budget.Absences(c.t.Context())
+	if err != nil {
+		return
+	}
+	for _, i := range list {
+		if _, ok := a.Find(i.ID); !ok && (i.Phase == Draining || i.Phase == Drained || i.Phase == Rebooting) {
+			now, err := e1.orders.Get(c.t.Context(), i.ID)
+			require.False(c.t, err == nil && now.Epoch == i.Epoch, "out of service without an absence: %+v", i)
+		}
+	}
+	for _, u := range planned(a) {
+		require.LessOrEqual(c.t, u.Absent, u.MaxAbsent, "%+v", u)
+	}
+}
+
+// planned returns the use of the budgets by planned absences alone.
+func planned(a budgeter.Absences) []budgeter.Usage {
+	a.List = slices.DeleteFunc(slices.Clone(a.List), func(x budgeter.Absence) bool { return x.Kind != budgeter.Planned })
+	return budgeter.Use([]parser.Budget(tight), a)
+}
+
+// settle lets all that is under way end.
+func (s *site) settle() {
+	for _, m := range s.members {
+		m.port.SetDelay(0)
+	}
+	_, _ = s.members["e1"].orders.PauseRollout(s.t.Context(), "settle")
+	time.Sleep(30 * time.Minute)
+	list, err := s.members["e1"].orders.List(s.t.Context())
+	require.NoError(s.t, err)
+	for _, i := range list {
+		_, _ = s.members["e1"].orders.Resume(s.t.Context(), i.ID, "settle")
+	}
+	time.Sleep(10 * time.Minute)
+	for _, i := range list {
+		require.Equal(s.t, lister.Live, s.cloud.list[i.ID].State, "%+v", i)
+	}
+}
