--- a/checker/checker_test.go
+++ b/checker/checker_test.go
@@ -211,6 +211,13 @@
 		{"more running than in force", checker.Limit, func(b *bench) {
 			b.start("r1", func(x *checker.Execution) { x.Slots = 3 })
 		}},
+		{"more running than in force after a throttle", checker.Limit, func(b *bench) {
+			b.start("r1", func(x *checker.Execution) { x.Slots = 2 })
+			b.Throttled("w1", "t-r1")
+			require.Empty(b.t, b.details)
+			b.request("r2")
+			b.start("r2", func(x *checker.Execution) { x.Slots = 2 })
+		}},
 		{"limit lowered under work", checker.Limit, func(b *bench) {
 			b.start("r1")
 			b.account(0, 0)
--- a/checker/task.go
+++ b/checker/task.go
@@ -69,12 +69,28 @@
 	c.checkRequest(x)
 }
 
+// Throttled tells that a worker goes on with a task on half of its slots,
+// rounded up.
+func (c *Checker) Throttled(instance, task string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, x := range c.tasks {
+		if key.instance == instance && key.task == task {
+			left := (x.Slots + 1) / 2
+			c.teams[x.Team] -= x.Slots - left
+			x.Slots = left
+			c.tasks[key] = x
+		}
+	}
+}
+
 func (c *Checker) taskEnded(key attempt, x Execution) {
-	if _, running := c.tasks[key]; !running {
+	began, running := c.tasks[key]
+	if !running {
 		return
 	}
 	delete(c.tasks, key)
-	c.teams[x.Team] -= x.Slots
+	c.teams[x.Team] -= began.Slots
 	if x.Outcome == "" {
 		c.fault = x.End
 	}
--- a/prover/ports.go
+++ b/prover/ports.go
@@ -34,6 +34,7 @@
 		gate  *gate
 		fleet *emulator.Fleet
 		audit *auditor
+		names map[string]string // worker by address
 	}
 
 	found struct {
@@ -173,7 +174,13 @@
 
 // Throttle implements server.Workers.
 func (p workerPort) Throttle(ctx context.Context, address, task string) error {
-	return p.order(ctx, address, task, p.fleet.Throttle)
+	return p.order(ctx, address, task, func(ctx context.Context, address, task string) error {
+		err := p.fleet.Throttle(ctx, address, task)
+		if err == nil {
+			p.audit.Throttled(p.names[address], task)
+		}
+		return err
+	})
 }
 
 func (p workerPort) order(ctx context.Context, address, task string, send func(context.Context, string, string) error) error {
--- a/prover/world.go
+++ b/prover/world.go
@@ -52,6 +52,7 @@
 		audit    *auditor
 		workers  map[string]*emulator.Worker
 		listings map[string]lister.Listing // of the workers at first
+		names    map[string]string         // worker by address
 		rules    *rulebook
 		tally    tally
 
@@ -91,6 +92,7 @@
 		fleet:    &emulator.Fleet{},
 		net:      newNetwork(),
 		workers:  make(map[string]*emulator.Worker),
+		names:    make(map[string]string),
 		listings: make(map[string]lister.Listing),
 		dark:     make(map[string]bool),
 		boots:    make(map[string]int),
@@ -137,6 +139,7 @@
 	}
 	w.workers[id] = emulator.NewWorker(id, slotsPerWorker, w.observe)
 	w.listings[id] = l
+	w.names[l.Address] = id
 	w.fleet.Add(l.Address, w.workers[id])
 	w.platform.Add(l)
 }
@@ -262,7 +265,7 @@
 	p := server.Platform{
 		Store:     storePort{gate: n.gate, port: w.store.Caller(n.Instance), audit: w.audit},
 		Instances: listPort{gate: n.gate, node: n, list: w.platform},
-		Workers:   workerPort{gate: n.gate, fleet: w.fleet, audit: w.audit},
+		Workers:   workerPort{gate: n.gate, fleet: w.fleet, audit: w.audit, names: w.names},
 		Peers:     peerPort{net: w.net, gate: n.gate, self: n.Instance},
 	}
 	if w.opts.Store != nil {
