Install the wallet's guard, the registrar's evidence and the reservation

Cause: the grants' safety after a pause and after a departure without the store depends on the entry passing on freshness and evidence; large tasks need the reservation. Change: three calls in the entry and the placer. Conclusion: server and placer tests are green with the race detector.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -55,6 +55,7 @@
 func (p *Placer) fill(now time.Time) {
 	p.expire(now)
 	for _, pool := range p.waiting.Pools() {
+		p.fleet.Reserve(pool, p.waiting.Starved(pool))
 		for p.startNext(pool, now) {
 		}
 	}
--- a/server/entry.go
+++ b/server/entry.go
@@ -174,6 +174,7 @@
 
 func (e *Entry) buildLimits() {
 	e.wallet = granter.NewWallet(e.cfg.Assert)
+	e.wallet.Guard(e.members.Fresh)
 	e.waiting = scheduler.NewWaiting()
 	e.grants = granter.New(e.platform.Store, e.self().ID, e.wallet,
 		granter.WithLog(e.cfg.Log),
@@ -253,6 +254,7 @@
 	evidence := e.cfg.TaskLease + placer.DefaultStartBy
 	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
 		granter.WithReclaim(evidence, e.cfg.Margin),
+		granter.WithEvidence(e.members.Evidence, e.members.Staleness()),
 		granter.WithCoordinatorLog(e.cfg.Log),
 		granter.WithCoordinatorJournal(e.decisions.Record),
 	)
