--- a/messenger/encode.go
+++ b/messenger/encode.go
@@ -64,6 +64,7 @@
 			Pool:    l.Pool,
 			Running: int64(l.Running),
 			Waiting: int64(l.Waiting),
+			Largest: int64(l.Largest),
 		})
 	}
 	return p
@@ -160,3 +161,7 @@
 func encodeChanges(r ChangesReply) *peerpb.ChangesReply {
 	return &peerpb.ChangesReply{Snapshot: r.Snapshot, Changes: r.Changes}
 }
+
+func encodeReport(r ReportReply) *peerpb.ReportReply {
+	return &peerpb.ReportReply{Payload: r.Payload}
+}
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -24,6 +24,9 @@
 		Membership []byte
 		Pools      []PoolLoad
 		Teams      []TeamLoad // only in replies to the coordinator
+		// Partial is set by the receiver of a heartbeat that is no reply and so
+		// lacks the loads of teams. It does not travel.
+		Partial bool
 		// Coordinator tells that the sender asks for the loads of teams.
 		Coordinator bool
 	}
@@ -41,7 +44,8 @@
 		Team    string
 		Pool    string
 		Running int // slots in use
-		Waiting int // tasks waiting
+		Waiting int // slots of the tasks waiting
+		Largest int // slots of the largest task waiting
 	}
 
 	// ClaimRequest asks the home of a name for the right to start its task.
@@ -145,4 +149,16 @@
 		Snapshot []byte
 		Changes  [][]byte
 	}
+
+	// ReportRequest asks for what the receiver itself knows for an operator's
+	// question.
+	ReportRequest struct {
+		Kind    string // kind of the report
+		Subject string // what it is about; empty for all
+	}
+
+	// ReportReply carries a report as JSON.
+	ReportReply struct {
+		Payload []byte
+	}
 )
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -71,20 +72,22 @@
 		removed  chan struct{} // closed when self is no longer registered
 		turn     chan struct{} // one adoption at a time
 
-		mu        sync.Mutex
-		self      Member
-		view      View
-		proved    time.Time
-		beating   map[string]bool // heartbeats under way
-		heard     map[string]contact
-		reached   map[string]uint64    // highest view that a member is known to have
-		confirmed map[string]time.Time // departures that all members know
-		listed    time.Time
-		absent    map[string]time.Time
-		strangers bool
-		left      bool
-		onView    []func(old, next View)
-		onBeat    []func(messenger.Heartbeat)
+		mu         sync.Mutex
+		self       Member
+		view       View
+		proved     time.Time
+		beating    map[string]bool // heartbeats under way
+		heard      map[string]contact
+		reached    map[string]uint64    // highest view that a member is known to have
+		confirmed  map[string]time.Time // departures that all members know
+		listed     time.Time
+		absent     map[string]time.Time
+		strangers  bool
+		seenListed bool // the list has held the own instance
+		delisted   bool // the list held the own instance and does not any more
+		left       bool
+		onView     []func(old, next View)
+		onBeat     []func(messenger.Heartbeat)
 	}
 
 	// Option sets an optional part of a Registrar.
@@ -160,9 +163,10 @@
 }
 
 // New returns a registrar for self, whose ID, Joined, State and Nonce it sets
-// itself.
+// itself. The ID is that of the process, whether it is registered yet or not.
 func New(store keeper.Swapper, peers Peers, list Lister, self Member, opts ...Option) *Registrar {
 	self.Nonce = uuid.NewString()
+	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36)
 	r := &Registrar{
 		store:  store,
 		peers:  peers,
@@ -210,7 +214,7 @@
 	return r.view
 }
 
-// Self returns the member that the registrar keeps. Its ID is empty before
+// Self returns the member that the registrar keeps. Its Joined is 0 before
 // registration.
 func (r *Registrar) Self() Member {
 	r.mu.Lock()
@@ -253,6 +257,7 @@
 		listed:    r.listed,
 		absent:    r.absent,
 		strangers: r.strangers,
+		delisted:  r.delisted,
 	}
 }
 
--- /dev/null
+++ b/server/operators_test.go
@@ -0,0 +1,336 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/mover"
+	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
+	"github.com/coltsfootlever/coltsfootlever/server"
+)
+
+const (
+	operatorKey = "operator-key-for-tests-0123456789"
+	settleTime  = 30 * time.Second
+	rulesText   = `pool inquiries # asked by Cora
+pool consent # asked by Cora
+team leads customer foundation share 40 limit 16 # asked by Ana
+queue inquiry team leads open service router pool inquiries bound 50 # asked by Ana
+budget pool * max-absent 1 # asked by Dan
+objective inquiry within 1s target 90% # asked by Ana
+`
+)
+
+type (
+	// fleet is two entries over stand-ins in one bubble.
+	fleet struct {
+		store    *emulator.Store
+		platform *emulator.Platform
+		workers  *emulator.Fleet
+		entries  []*server.Entry
+		cut      sync.Map // addresses that no message reaches
+	}
+
+	peers struct{ f *fleet }
+)
+
+// at returns the handler at an address.
+func (p peers) at(address string) (messenger.Handler, error) {
+	for n, e := range p.f.entries {
+		if _, cut := p.f.cut.Load(address); entryAddress(n) == address && !cut {
+			return e.PeerHandler(), nil
+		}
+	}
+	return nil, classifier.Refuse(classifier.PeerLost, "no connection to %s", address)
+}
+
+func pass[R, A any](ctx context.Context, p peers, address string, r R, method func(messenger.Handler, context.Context, R) (A, error)) (A, error) {
+	h, err := p.at(address)
+	if err != nil {
+		var none A
+		return none, err
+	}
+	return method(h, ctx, r)
+}
+
+func passEmpty[R any](ctx context.Context, p peers, address string, r R, method func(messenger.Handler, context.Context, R) error) error {
+	h, err := p.at(address)
+	if err != nil {
+		return err
+	}
+	return method(h, ctx, r)
+}
+
+func (p peers) Heartbeat(ctx context.Context, address string, hb messenger.Heartbeat) (messenger.Heartbeat, error) {
+	return pass(ctx, p, address, hb, messenger.Handler.Heartbeat)
+}
+
+func (p peers) Claim(ctx context.Context, address string, r messenger.ClaimRequest) (messenger.ClaimReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Claim)
+}
+
+func (p peers) Settle(ctx context.Context, address string, r messenger.SettleRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.Settle)
+}
+
+func (p peers) HandOver(ctx context.Context, address string, r messenger.HandOverRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.HandOver)
+}
+
+func (p peers) Attach(ctx context.Context, address string, r messenger.AttachRequest) (messenger.Answer, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Attach)
+}
+
+func (p peers) Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Forward)
+}
+
+func (p peers) Cancel(ctx context.Context, address string, r messenger.CancelRequest) error {
+	return passEmpty(ctx, p, address, r, messenger.Handler.Cancel)
+}
+
+func (p peers) Changes(ctx context.Context, address string, r messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Changes)
+}
+
+func (p peers) Report(ctx context.Context, address string, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	return pass(ctx, p, address, r, messenger.Handler.Report)
+}
+
+func entryAddress(n int) string { return fmt.Sprintf("10.0.0.%d:7100", n+1) }
+
+// newFleet lists two entries and two workers in each pool.
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{
+		store:    emulator.NewStore(),
+		platform: emulator.NewPlatform(0, time.Second, nil),
+		workers:  &emulator.Fleet{},
+	}
+	for n := range 4 {
+		id, address := fmt.Sprintf("i-%d", n), fmt.Sprintf("10.0.1.%d:9000", n+1)
+		pool := []string{"inquiries", "consent"}[n/2]
+		f.platform.Add(lister.Listing{ID: id, Kind: lister.WorkerKind, Address: address, Zone: "a", Rack: "a1", Slots: 8, Pool: pool, State: lister.Live})
+		f.workers.Add(address, emulator.NewWorker(id, 8, nil))
+	}
+	for n := range 2 {
+		cfg := server.DefaultSettings()
+		cfg.Instance, cfg.Zone = fmt.Sprintf("entry-%d", n), "a"
+		cfg.Peers, cfg.Callers = entryAddress(n), fmt.Sprintf("10.0.0.%d:7000", n+1)
+		cfg.OperatorHash = authenticator.Hash(operatorKey)
+		cfg.Log = slog.New(slog.DiscardHandler)
+		cfg.Assert = func(ok bool, format string, args ...any) { require.True(t, ok, format, args) }
+		f.platform.Add(lister.Listing{ID: cfg.Instance, Kind: lister.EntryKind, Address: cfg.Peers, Zone: "a", State: lister.Live})
+		e, err := server.New(cfg, server.Platform{Store: f.store, Instances: f.platform, Workers: f.workers, Peers: peers{f}})
+		require.NoError(t, err)
+		f.entries = append(f.entries, e)
+	}
+	return f
+}
+
+// client returns an operator's client of one entry.
+func (f *fleet) client(n int) *operator.Client {
+	return operator.NewClient([]string{"entry"}, operatorKey, operator.WithHTTPClient(&http.Client{Transport: transport{f.entries[n].Operators()}}))
+}
+
+type transport struct{ h http.Handler }
+
+func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	w := httptest.NewRecorder()
+	t.h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+// withFleet runs fn when the entries serve under rulesText.
+func withFleet(t *testing.T, fn func(t *testing.T, f *fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, len(f.entries))
+		for _, e := range f.entries {
+			go func() { ended <- e.Run(ctx) }()
+		}
+		time.Sleep(settleTime)
+		_, err := f.client(0).Apply(ctx, operator.ApplyRequest{Text: rulesText})
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		fn(t, f)
+		cancel()
+		for range f.entries {
+			require.NoError(t, <-ended)
+		}
+	})
+}
+
+func find(t *testing.T, c *operator.Client, id string) mover.Instance {
+	all, err := c.Instances(t.Context(), "")
+	require.NoError(t, err)
+	for _, i := range all {
+		if i.ID == id {
+			return i
+		}
+	}
+	require.Fail(t, "not listed", id)
+	return mover.Instance{}
+}
+
+func TestOrdersThroughAnyEntry(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		_, err := a.DrainInstance(ctx, "i-0")
+		require.NoError(t, err)
+		_, err = b.DrainInstance(ctx, "i-1")
+		require.Equal(t, classifier.BudgetSpent, classifier.As(err).Code)
+		time.Sleep(settleTime)
+		require.Equal(t, mover.Drained, find(t, b, "i-0").Phase)
+		refused, err := a.Explain(ctx, recorder.Instance, "i-1")
+		require.NoError(t, err)
+		require.Contains(t, refused.Decisions[len(refused.Decisions)-1].Action, "refused: budget of pool inquiries allows 1 absent")
+
+		_, err = b.ResumeInstance(ctx, "i-0")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		_, err = b.MoveInstance(ctx, "i-1", "consent")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		moved := find(t, a, "i-1")
+		require.Equal(t, "consent", moved.Pool)
+		require.Equal(t, mover.Serving, moved.Phase)
+
+		pools, err := a.Pools(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []int{3, 1}, []int{pools[0].Instances, pools[1].Instances})
+		require.Equal(t, []int{0, 0}, []int{pools[0].Absent, pools[1].Absent})
+	})
+}
+
+func TestMaintenanceReachesEachInstanceOnce(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		started, err := a.StartRollout(ctx, mover.RolloutRequest{Pools: []string{"consent"}})
+		require.NoError(t, err)
+		require.Equal(t, "bootstrap", started.Asked)
+		time.Sleep(10 * time.Second)
+		_, err = b.PauseRollout(ctx)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Minute)
+		paused, err := a.Rollout(ctx)
+		require.NoError(t, err)
+		require.Equal(t, mover.RolloutPaused, paused.State)
+		require.Equal(t, 1, paused.Count(mover.StepDone))
+
+		_, err = a.ResumeRollout(ctx)
+		require.NoError(t, err)
+		time.Sleep(10 * time.Minute)
+		done, err := b.Rollout(ctx)
+		require.NoError(t, err)
+		require.Equal(t, mover.RolloutDone, done.State)
+		wave, err := b.Explain(ctx, recorder.Wave, done.ID)
+		require.NoError(t, err)
+		require.Equal(t, "done", wave.Decisions[len(wave.Decisions)-1].Action)
+		for id, boots := range map[string]int{"i-0": 0, "i-1": 0, "i-2": 1, "i-3": 1} {
+			require.Equal(t, boots, find(t, a, id).Boots, id)
+		}
+	})
+}
+
+// submit hands in a job at an entry and returns its identity.
+func (f *fleet) submit(t *testing.T, n int, body string) string {
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/queues/inquiry/jobs", strings.NewReader(body))
+	r.Header.Set(admitter.IdempotentHeader, "true")
+	w := httptest.NewRecorder()
+	f.entries[n].Callers().ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+	return w.Header().Get(admitter.JobHeader)
+}
+
+func TestEveryEntryExplainsAndReports(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		ctx, a, b := t.Context(), f.client(0), f.client(1)
+		job := f.submit(t, 0, `{"sleep-ms":10}`)
+		for range 3 {
+			f.submit(t, 1, `{"sleep-ms":2000}`) // too late for the objective
+		}
+		explained, err := b.Explain(ctx, recorder.Job, job)
+		require.NoError(t, err)
+		require.Empty(t, explained.Missing)
+		last := explained.Decisions[len(explained.Decisions)-1]
+		require.Equal(t, "ended: ran", last.Action)
+		require.Equal(t, f.entries[0].Status().Entry, last.Entry)
+
+		burn, err := a.Burn(ctx)
+		require.NoError(t, err)
+		require.Len(t, burn.Entries, 2)
+		require.Equal(t, []int{1, 3}, []int{burn.Queues[0].Short.Good, burn.Queues[0].Short.Bad})
+		require.InDelta(t, 7.5, burn.Queues[0].Short.Rate, 1e-6)
+		require.Equal(t, reporter.Burning, burn.Queues[0].State)
+
+		moved, err := a.MoveInstance(ctx, "i-1", "consent")
+		require.NoError(t, err)
+		time.Sleep(settleTime)
+		move, err := b.Explain(ctx, recorder.Move, moved.Order.ID)
+		require.NoError(t, err)
+		require.Equal(t, "ordered: move", move.Decisions[0].Action)
+		require.Equal(t, "moved to pool consent", move.Decisions[len(move.Decisions)-1].Action)
+		report, err := b.Fleet(ctx)
+		require.NoError(t, err)
+		require.Equal(t, []int{1, 1}, []int{report.Survey.Pools[0].Arrived, report.Survey.Pools[1].Left})
+
+		go f.submit(t, 1, `{"sleep-ms":9000}`)
+		time.Sleep(time.Second)
+		share, err := a.Share(ctx)
+		require.NoError(t, err)
+		require.Len(t, share.Teams, 1)
+		require.Equal(t, []int{1, 1}, []int{share.Teams[0].Running, share.Teams[0].Fair})
+		time.Sleep(settleTime)
+
+		checkPageMetrics(t, f.entries[0])
+
+		f.cut.Store(entryAddress(0), true)
+		team, err := b.Explain(ctx, recorder.Team, "leads")
+		require.NoError(t, err)
+		require.Len(t, team.Missing, 1)
+		var actions []string
+		for _, d := range team.Decisions {
+			actions = append(actions, d.Action)
+		}
+		require.Equal(t, []string{"rule added by bootstrap", "limit changed from 0 to 16 by rules 1", "limit in force changed from 0 to 16"}, actions,
+			"the store's journal outlives the entry")
+	})
+}
+
+// checkPageMetrics checks that the alerts on the operators' pages are on
+// metrics that the entry has.
+func checkPageMetrics(t *testing.T, e *server.Entry) {
+	var metrics strings.Builder
+	e.WriteMetrics(&metrics)
+	pages, err := filepath.Glob("../docs/operating/*.md")
+	require.NoError(t, err)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, name := range regexp.MustCompile(`coltsfootlever_[a-z_]+`).FindAllString(string(text), -1) {
+			require.Contains(t, metrics.String(), name, page)
+		}
+	}
+}
