--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -51,10 +51,15 @@
 		list    map[string]lister.Listing
 		stuck   map[string]bool
 		reboots []string
+		delay   time.Duration // of the list
 	}
 )
 
 func (c *cloud) List(context.Context) ([]lister.Listing, error) {
+	c.mu.Lock()
+	delay := c.delay
+	c.mu.Unlock()
+	time.Sleep(delay)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var list []lister.Listing
@@ -80,6 +85,12 @@
 	return nil
 }
 
+func (c *cloud) slow(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = d
+}
+
 func (c *cloud) set(l lister.Listing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -231,7 +231,7 @@
 		Now: time.Now(), Started: r.Since, Total: r.Total, Todo: m.todo(r, absent),
 		Absent: m.unproven(r, absent), Budgets: rules.Budgets,
 	}
-	picked := planner.Next(state, planner.Options{Window: r.Window, Patience: patience(r), Reserve: m.reserve})
+	picked := planner.Next(state, planner.Options{Window: r.Window, Patience: pacedPatience, Reserve: m.reserve})
 	for _, c := range picked[:min(len(picked), ordersPerRound)] {
 		if !m.c.duty.Held() {
 			return nil
@@ -256,13 +256,6 @@
 	return budgeter.Absences{Rules: absent.Rules, List: list}
 }
 
-func patience(r Rollout) time.Duration {
-	if r.Window <= 0 {
-		return 0
-	}
-	return pacedPatience
-}
-
 // orderOne orders one reboot. A refusal leaves the instance to a later round.
 func (m *Maintainer) orderOne(ctx context.Context, r Rollout, c planner.Candidate) error {
 	order := newOrder(RebootOrder, r.ID)
--- a/mover/owner_test.go
+++ b/mover/owner_test.go
@@ -1,6 +1,8 @@
 package mover
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,19 +32,39 @@
 	})
 }
 
+// An upstream that is listed as leaving is closed to new work within 3 s, also
+// without the key-value service, a coordinator, or a quick instance list.
 func TestLeavingWorkerGetsNoNewWork(t *testing.T) {
-	within(t, 3, nil, func(s *site, m map[string]*member) {
-		owner := m[s.instance("a00").Owner]
-		s.cloud.edit("a00", func(l *lister.Listing) { l.State = lister.LeavingOut })
-		m["e1"].held.Store(false) // even without a coordinator
+	within(t, 6, nil, func(s *site, m map[string]*member) {
+		m["e1"].held.Store(false)
 		s.store.SetDown(true)
-		time.Sleep(2 * time.Second)
-		_, ok := owner.fleet.Pick("a", 1, nil)
-		require.False(t, ok)
+		s.cloud.slow(500 * time.Millisecond)
+		longest := time.Duration(0)
+		for n := range 18 {
+			id := fmt.Sprintf("%s%02d", []string{"a", "b", "spare"}[n%3], n/3)
+			time.Sleep(time.Duration(n*137) * time.Millisecond)
+			listed := time.Now()
+			s.cloud.edit(id, func(l *lister.Listing) { l.State = lister.LeavingOut })
+			for s.takesWork(id) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			longest = max(longest, time.Since(listed))
+		}
+		require.LessOrEqual(t, longest, 3*time.Second)
+		t.Logf("longest time from the listing to the last new work: %v", longest)
 		s.store.SetDown(false)
 	})
 }
 
+func (s *site) takesWork(id string) bool {
+	for _, m := range s.members {
+		if slices.Contains(m.opened(), id) {
+			return true
+		}
+	}
+	return false
+}
+
 func TestRefusalClosesWorkerUntilReboot(t *testing.T) {
 	within(t, 3, nil, func(s *site, m map[string]*member) {
 		owner := m[s.instance("b01").Owner]
--- a/mover/rollout.go
+++ b/mover/rollout.go
@@ -33,6 +33,7 @@
 // Default limits of a roll-out.
 const (
 	DefaultMaxFailed  = 2                // failed instances before a roll-out stops
+	DefaultWindow     = 84 * time.Hour   // for the whole roll-out
 	DefaultDrainLimit = 2 * time.Hour    // for running work before a drain is undone
 	proofTime         = 2 * time.Minute  // an instance must stay well after its return
 	retryDrainAfter   = 30 * time.Minute // before an undone drain is tried again
@@ -48,7 +49,7 @@
 		Asked      string         `json:"asked"`
 		Since      time.Time      `json:"since"`
 		Ended      time.Time      `json:"ended,omitzero"`
-		Window     time.Duration  `json:"window-ns"`      // time in which it should be done; 0 for no pace
+		Window     time.Duration  `json:"window-ns"`      // time in which it should be done
 		DrainLimit time.Duration  `json:"drain-limit-ns"` // after which a drain is undone and tried later
 		MaxFailed  int            `json:"max-failed"`     // failed instances that stop it
 		Total      int            `json:"total"`
@@ -171,6 +172,9 @@
 		ID: "wave-" + uuid.NewString()[:orderIDLength], Pools: q.Pools, State: RolloutRunning, Asked: q.Who,
 		Since: time.Now(), Window: q.Window, DrainLimit: q.DrainLimit, MaxFailed: q.MaxFailed,
 	}
+	if r.Window <= 0 {
+		r.Window = DefaultWindow
+	}
 	if r.DrainLimit <= 0 {
 		r.DrainLimit = DefaultDrainLimit
 	}
--- a/planner/wave_test.go
+++ b/planner/wave_test.go
@@ -99,15 +99,23 @@
 	} {
 		t.Run(in.name, func(t *testing.T) {
 			out := &strings.Builder{}
-			_, _ = fmt.Fprintf(out, "%-28s %10s %14s %14s %10s %12s %11s %6s\n",
-				"order", "roll-out h", "buffer inst-h", "of it idle", "longest h", "checkpoints", "overdrafts", "left")
+			_, _ = fmt.Fprintf(out, "%-28s %10s %14s %14s %10s %12s %7s %11s %6s\n",
+				"order", "roll-out h", "buffer inst-h", "of it idle", "longest h", "checkpoints", "undone", "overdrafts", "left")
+			walk := func(name string, w *world, next order) figures {
+				f := w.walk(next)
+				_, _ = fmt.Fprintf(out, "%-28s %10.1f %14.1f %14.1f %10.1f %12d %7d %11d %6d\n", name,
+					f.rollout.Hours(), f.buffer.Hours(), f.idle.Hours(), f.longest.Hours(), f.checkpoints, f.undone, f.overdrafts, f.left)
+				return f
+			}
 			run := func(name string, checkpoint bool, next order) figures {
 				w := input(in.n, in.pools, in.zones, in.step, in.budgets)
 				w.checkpoint = checkpoint
-				f := w.walk(next)
-				_, _ = fmt.Fprintf(out, "%-28s %10.1f %14.1f %14.1f %10.1f %12d %11d %6d\n", name,
-					f.rollout.Hours(), f.buffer.Hours(), f.idle.Hours(), f.longest.Hours(), f.checkpoints, f.overdrafts, f.left)
-				return f
+				return walk(name, w, next)
+			}
+			blind := func(name string, limit time.Duration) {
+				w := input(in.n, in.pools, in.zones, in.step, in.budgets)
+				w.checkpoint, w.blind, w.limit = true, true, limit
+				walk(name, w, planned(Options{}))
 			}
 			if in.all {
 				run("one by one", false, oneByOne)
@@ -118,6 +126,10 @@
 				run("planner, paced", false, planned(Options{Window: in.window, Patience: patience}))
 				run("planner, paced, checkpoints", true, planned(Options{Window: in.window, Patience: patience}))
 			}
+			if in.all {
+				blind("no estimates, limit 2 h", 2*time.Hour)
+				blind("no estimates, limit 10 min", 10*time.Minute)
+			}
 			f := run("planner, fast, checkpoints", true, planned(Options{Window: in.window / 8, Patience: patience}))
 			require.Zero(t, f.overdrafts)
 			require.Zero(t, f.left)
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -26,6 +26,8 @@
 		phase                string // "", "draining", "rebooting" or "done"
 		since                time.Time
 		failed               time.Time // out of service by itself until then
+		notBefore            time.Time // an undone drain is tried again from here on
+		tries                int
 	}
 
 	// slot runs one job after another.
@@ -48,6 +50,8 @@
 		budgets    []parser.Budget
 		failures   []failure
 		checkpoint bool
+		blind      bool          // the planner gets no estimates
+		limit      time.Duration // after which a drain is undone; 0 for none
 		figures    figures
 	}
 
@@ -57,6 +61,7 @@
 		idle        time.Duration // part of buffer before the reboots
 		longest     time.Duration // longest drain
 		checkpoints int
+		undone      int // drains
 		overdrafts  int
 		left        int // instances not maintained when the walk ends
 	}
@@ -159,7 +164,7 @@
 func (w *world) wait(b *box) time.Duration {
 	var longest time.Duration
 	for _, s := range b.slots {
-		if !s.busy(w.now) {
+		if w.blind || !s.busy(w.now) {
 			continue
 		}
 		left := w.now.Sub(s.start)
@@ -175,7 +180,7 @@
 func (w *world) state() State {
 	s := State{Now: w.now, Started: w.start, Total: len(w.boxes), Budgets: w.budgets}
 	for _, b := range w.boxes {
-		c := Candidate{ID: b.id, Pool: b.pool, Zone: b.zone, Rack: b.rack, Wait: w.wait(b)}
+		c := Candidate{ID: b.id, Pool: b.pool, Zone: b.zone, Rack: b.rack, Wait: w.wait(b), NotBefore: b.notBefore}
 		switch {
 		case b.failed.After(w.now) || b.phase == "draining" || b.phase == "rebooting":
 			s.Absent.List = append(s.Absent.List, absenceOf(b))
@@ -262,6 +267,10 @@
 		if idle == slotsEach && !b.failed.After(w.now) {
 			w.figures.longest = max(w.figures.longest, w.now.Sub(b.since))
 			b.phase, b.since = "rebooting", w.now
+		} else if w.limit > 0 && w.now.Sub(b.since) >= w.limit {
+			w.figures.undone++
+			b.tries++
+			b.phase, b.since, b.notBefore = "", w.now, w.now.Add(30*time.Minute*time.Duration(b.tries))
 		}
 	case "rebooting":
 		w.figures.buffer += w.step
