mover: an order refused before it started costs its instance no waiting time

Two controllers that race could see each other's order withdrawn for want of budget and put the instance off by 30 minutes. Also: say what a roll-out waits for, ask the platform again 30 s after a refusal, and start the epoch of a new record above any earlier.

--- a/mover/change.go
+++ b/mover/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -51,7 +52,7 @@
 			return cur, false, nil
 		}
 		if !exists {
-			next.Epoch = 1
+			next.Epoch = uint64(time.Now().UnixMilli()) // above any epoch of an earlier record of the instance
 			return next, true, nil
 		}
 		next.Epoch = cur.Epoch + 1
--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -52,6 +52,7 @@
 		stuck   map[string]bool
 		reboots []string
 		delay   time.Duration // of the list
+		err     error         // of a reboot, which is then not done
 	}
 )
 
@@ -73,6 +74,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reboots = append(c.reboots, id)
+	if c.err != nil {
+		return c.err
+	}
 	was, ok := c.list[id]
 	delete(c.list, id)
 	if c.stuck[id] || !ok {
@@ -91,6 +95,18 @@
 	c.delay = d
 }
 
+func (c *cloud) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.err = err
+}
+
+func (c *cloud) calls() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.reboots)
+}
+
 func (c *cloud) set(l lister.Listing) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -20,6 +20,8 @@
 	maintainerPeriod = 2 * time.Second
 	ordersPerRound   = 10              // reboots ordered in one round
 	pacedPatience    = 2 * time.Minute // longest estimated wait while a roll-out keeps its pace
+	maxNamedWaits    = 8               // reasons to wait that the record keeps
+	orderRefused     = "refused"       // how an order ends that did not start
 	maxNamedFailures = 4               // failures that the reason of a stop names
 )
 
@@ -164,6 +166,9 @@
 		s.Since, s.Epoch = now, i.Epoch
 		s.State, s.Note = endedAs(i, s.Order)
 		s.Tries++
+		if s.Note == orderRefused {
+			s.Since, s.Tries = time.Time{}, s.Tries-1 // it has not drained; it is tried again at once
+		}
 	case StepProof:
 		switch {
 		case i.Phase.gone():
@@ -201,7 +206,7 @@
 	if r.Count(StepFailed) >= r.MaxFailed {
 		r.stop(failures(r), now)
 	} else if done == r.Total && r.Total > 0 {
-		r.State, r.Ended = RolloutDone, now
+		r.State, r.Ended, r.Waits = RolloutDone, now, nil
 	}
 	return r
 }
@@ -231,7 +236,11 @@
 		Now: time.Now(), Started: r.Since, Total: r.Total, Todo: m.todo(r, absent),
 		Absent: m.unproven(r, absent), Budgets: rules.Budgets,
 	}
-	picked := planner.Next(state, planner.Options{Window: r.Window, Patience: pacedPatience, Reserve: m.reserve})
+	options := planner.Options{Window: r.Window, Patience: pacedPatience, Reserve: m.reserve}
+	picked := planner.Next(state, options)
+	if err := m.waits(ctx, r, planner.Blocked(state, options)); err != nil {
+		return err
+	}
 	for _, c := range picked[:min(len(picked), ordersPerRound)] {
 		if !m.c.duty.Held() {
 			return nil
@@ -243,6 +252,22 @@
 	return nil
 }
 
+// waits notes in the roll-out what it waits for.
+func (m *Maintainer) waits(ctx context.Context, r Rollout, reasons []string) error {
+	reasons = reasons[:min(len(reasons), maxNamedWaits)]
+	if slices.Equal(reasons, r.Waits) {
+		return nil
+	}
+	next, _, err := keeper.Update(ctx, m.c.m.store, keeper.MaintenanceKey, func(cur Rollout, _ bool) (Rollout, bool, error) {
+		cur.Waits = reasons
+		return cur, cur.ID == r.ID, nil
+	})
+	if err == nil && len(reasons) > 0 {
+		m.c.m.cfg.journal(waveDecision(m.c.m.self, next, "waits: "+strings.Join(reasons, "; ")))
+	}
+	return errors.Trace(err)
+}
+
 // unproven adds the instances that have just returned to the absences, so that
 // no more of a pool are taken out before these have proved well.
 func (m *Maintainer) unproven(r Rollout, absent budgeter.Absences) budgeter.Absences {
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -19,6 +19,7 @@
 const (
 	defaultListPeriod   = time.Second            // between two reads of the instance list
 	defaultSettlePeriod = 250 * time.Millisecond // between two looks at draining workers
+	rebootRetry         = 30 * time.Second       // before the platform is asked again after a refusal
 	defaultCallLimit    = 2 * time.Second        // for one call of the platform
 )
 
@@ -50,6 +51,7 @@
 		closed  map[string]scheduler.Worker // take none, may still run some
 		refused map[string]int              // boots of instances whose worker said that it leaves
 		health  map[string]string           // by instance, what is still to be said in its record
+		asked   map[string]time.Time        // by instance, when the platform was asked for a reboot
 		eased   map[string]string           // by instance, the last order that a checkpoint was asked for
 	}
 
@@ -126,7 +128,7 @@
 		roster: NewRoster(),
 		wake:   make(chan struct{}, 1), settle: make(chan struct{}, 1),
 		open: map[string]scheduler.Worker{}, closed: map[string]scheduler.Worker{},
-		refused: map[string]int{}, eased: map[string]string{}, health: map[string]string{},
+		refused: map[string]int{}, eased: map[string]string{}, asked: map[string]time.Time{}, health: map[string]string{},
 	}
 	m.table = newTable(cfg.log, m.Wake)
 	return m
--- a/mover/orders.go
+++ b/mover/orders.go
@@ -176,7 +176,7 @@
 
 // withdraw takes back an order that has not started.
 func (o *Orders) withdraw(ctx context.Context, placed Instance, cause error) (Instance, error) {
-	i, _, err := changeSeen(ctx, o.store, placed, right{self: o.self}, func(n *Instance) { end(n, "refused") })
+	i, _, err := changeSeen(ctx, o.store, placed, right{self: o.self}, func(n *Instance) { end(n, orderRefused) })
 	if err != nil && !errors.Is(err, ErrMoved) {
 		return i, errors.Annotatef(err, "order %s refused (%v) and not taken back", placed.orderID(), cause)
 	}
--- a/mover/orders_test.go
+++ b/mover/orders_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/budgeter"
@@ -117,6 +118,30 @@
 	})
 }
 
+// A reboot that the platform refuses is asked for again; one with an open
+// answer is not, until the instance should have returned.
+func TestRebootIsAskedAgainOnlyAfterARefusal(t *testing.T) {
+	for name, test := range map[string]struct {
+		err   error
+		after time.Duration
+		calls int
+	}{
+		"refused": {classifier.Refuse(classifier.NoCapacity, "busy"), 40 * time.Second, 2},
+		"open":    {errors.New("answer lost"), 5 * time.Minute, 1},
+		"late":    {errors.New("answer lost"), 11 * time.Minute, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			within(t, 3, nil, func(s *site, m map[string]*member) {
+				s.cloud.fail(test.err)
+				_, err := m["e1"].orders.Reboot(s.t.Context(), "a01", "asha", 0)
+				require.NoError(t, err)
+				time.Sleep(test.after)
+				require.Equal(t, test.calls, s.cloud.calls())
+			})
+		})
+	}
+}
+
 func TestLostInstanceCountsAndReturns(t *testing.T) {
 	within(t, 6, oneOfEachPool, func(s *site, m map[string]*member) {
 		gone := s.cloud.drop("a04")
--- a/mover/owner.go
+++ b/mover/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -119,6 +120,19 @@
 	for id, w := range wanted {
 		m.openOne(id, w)
 	}
+	m.forgetGone()
+}
+
+// forgetGone drops what is remembered of instances without a record.
+func (m *Mover) forgetGone() {
+	gone := func(id string) bool {
+		_, ok := m.table.Get(id)
+		return !ok
+	}
+	maps.DeleteFunc(m.refused, func(id string, _ int) bool { return gone(id) })
+	maps.DeleteFunc(m.eased, func(id, _ string) bool { return gone(id) })
+	maps.DeleteFunc(m.health, func(id, _ string) bool { return gone(id) })
+	maps.DeleteFunc(m.asked, func(id string, _ time.Time) bool { return gone(id) })
 }
 
 // openOne opens a worker unless it still runs work under an earlier pool or
@@ -229,7 +243,7 @@
 // started meanwhile. The record says that it is being asked before it is, so
 // that no later owner asks again while an answer is open.
 func (m *Mover) reboot(ctx context.Context, seen Instance) {
-	if seen.Phase != Rebooting || seen.Order == nil || !seen.Order.Sent.IsZero() || !m.idle(seen) {
+	if seen.Phase != Rebooting || seen.Order == nil || !seen.Order.Sent.IsZero() || !m.idle(seen) || !m.mayAsk(seen.ID, time.Now()) {
 		return
 	}
 	next, err := m.sent(ctx, seen, time.Now())
@@ -250,6 +264,18 @@
 	m.note(next, "reboot asked of the platform")
 }
 
+// mayAsk reports whether the platform may be asked to reboot an instance now,
+// and notes that it is.
+func (m *Mover) mayAsk(id string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.asked[id]) < rebootRetry {
+		return false
+	}
+	m.asked[id] = now
+	return true
+}
+
 // sent notes in the record when the platform was asked for the reboot; the
 // zero time takes the note back.
 func (m *Mover) sent(ctx context.Context, seen Instance, at time.Time) (Instance, error) {
--- a/mover/rollout.go
+++ b/mover/rollout.go
@@ -53,6 +53,7 @@
 		DrainLimit time.Duration  `json:"drain-limit-ns"` // after which a drain is undone and tried later
 		MaxFailed  int            `json:"max-failed"`     // failed instances that stop it
 		Total      int            `json:"total"`
+		Waits      []string       `json:"waits,omitempty"` // what instances still to do wait for
 		Steps      []InstanceStep `json:"steps,omitempty"` // by instance, sorted
 	}
 
--- a/mover/rollout_test.go
+++ b/mover/rollout_test.go
@@ -72,6 +72,8 @@
 				s.maintain(all)
 				_, err := m["e2"].orders.StartRollout(s.t.Context(), RolloutRequest{Who: "asha"})
 				require.NoError(t, err)
+				time.Sleep(5 * time.Second)
+				require.Equal(t, "budget of pool a allows 1 absent", s.rollout().Waits[0])
 				for range 900 {
 					time.Sleep(time.Second)
 					s.withinBudgets()
--- a/planner/wave.go
+++ b/planner/wave.go
@@ -98,6 +98,11 @@
 	}
 )
 
+// absence returns what a drain of the candidate would take from the budgets.
+func (c Candidate) absence(now time.Time) budgeter.Absence {
+	return budgeter.Absence{Instance: c.ID, Pool: c.Pool, Zone: c.Zone, Rack: c.Rack, Kind: budgeter.Planned, Since: now}
+}
+
 func byWait(a, b Candidate) int {
 	return cmp.Or(cmp.Compare(a.Wait, b.Wait), cmp.Compare(a.ID, b.ID))
 }
@@ -114,7 +119,7 @@
 
 func (r *round) take(list []Candidate) {
 	for _, c := range list {
-		x := budgeter.Absence{Instance: c.ID, Pool: c.Pool, Zone: c.Zone, Rack: c.Rack, Kind: budgeter.Planned, Since: r.now}
+		x := c.absence(r.now)
 		if _, spent := r.counter.Spent(x); spent {
 			continue
 		}
--- a/planner/wave_test.go
+++ b/planner/wave_test.go
@@ -141,6 +141,18 @@
 	}
 }
 
+func TestBlockedNamesWhatIsWaitedFor(t *testing.T) {
+	now := time.Date(2026, 1, 5, 0, 0, 0, 0, time.UTC)
+	s := State{Now: now, Started: now, Total: 4, Budgets: every(1, 9, 9), Todo: []Candidate{
+		{ID: "a1", Pool: "a"}, {ID: "a2", Pool: "a"}, {ID: "b1", Pool: "b", Wait: time.Hour}, {ID: "c1", Pool: "c", NotBefore: now.Add(time.Minute)},
+	}}
+	require.Equal(t, []string{
+		"budget of pool a allows 1 absent",
+		"drains that were undone are tried again later",
+		"long work is under way and there is time",
+	}, Blocked(s, Options{Window: time.Hour, Patience: patience}))
+}
+
 func golden(t *testing.T, name, got string) {
 	path := filepath.Join("testdata", name)
 	if *update {
