mover: take no instance list older than the record as evidence

A list now counts as evidence only when it was read after the record became known here, and for a missing instance by the lag of the list later.

--- a/mover/absence.go
+++ b/mover/absence.go
@@ -50,12 +50,14 @@
 	l, listed := c.m.roster.Find(i.ID)
 	live := listed && l.State == lister.Live
 	marked := absent && x.Kind == budgeter.Unplanned
-	missing := c.m.roster.MissingFor(i.ID) > c.cfg.listLag
+	read := c.m.roster.Updated()
+	changed, phased := c.m.table.since(i.ID)
+	missing := c.m.roster.MissingFor(i.ID) > c.cfg.listLag && read.Sub(phased) > c.cfg.listLag
 	switch {
 	case i.Phase == Rebooting:
 		return nil // its absence is planned; the time limit of the reboot ends it
 	case i.Phase.gone():
-		return c.attendGone(ctx, i, l, live)
+		return c.attendGone(ctx, i, l, live && read.After(phased))
 	case missing:
 		if err := c.mark(ctx, i, marked); err != nil {
 			return err
@@ -65,7 +67,7 @@
 		return nil // perhaps the list lags
 	case !live || i.Sick != "":
 		return c.mark(ctx, i, marked)
-	case i.Phase == Serving && (l.Address != i.Address || l.Slots != i.Slots || l.Boots != i.Boots):
+	case i.Phase == Serving && read.After(changed) && relisted(i, l):
 		_, err := c.write(ctx, i, right{}, "listed with another address, size or boot", func(n *Instance) { relist(n, l) })
 		return err
 	case absent && i.Phase == Serving && i.orderID() != x.Order:
@@ -76,6 +78,10 @@
 	return nil
 }
 
+func relisted(i Instance, l lister.Listing) bool {
+	return l.Address != i.Address || l.Slots != i.Slots || l.Boots != i.Boots
+}
+
 func relist(n *Instance, l lister.Listing) {
 	n.Address, n.Slots, n.Boots = l.Address, l.Slots, l.Boots
 }
--- a/mover/drive.go
+++ b/mover/drive.go
@@ -106,7 +106,7 @@
 		}}
 	case i.Order.Kind == RebootOrder:
 		return step{why: "handed over for a reboot", edit: func(n *Instance) {
-			n.Phase, n.Order.Boots = Rebooting, f.listing.Boots
+			n.Phase, n.Order.Boots = Rebooting, max(n.Boots, f.listing.Boots)
 		}}
 	}
 	return step{}
--- a/mover/rollout_test.go
+++ b/mover/rollout_test.go
@@ -74,7 +74,7 @@
 				require.NoError(t, err)
 				time.Sleep(5 * time.Second)
 				require.Equal(t, "budget of pool a allows 1 absent", s.rollout().Waits[0])
-				for range 900 {
+				for range 1200 {
 					time.Sleep(time.Second)
 					s.withinBudgets()
 				}
--- a/mover/table.go
+++ b/mover/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
@@ -26,6 +27,8 @@
 		inst     Instance
 		revision int64
 		deleted  bool
+		changed  time.Time // when this revision became known here
+		phased   time.Time // when its phase became known here
 	}
 )
 
@@ -114,10 +117,24 @@
 	if r, ok := t.rows[inst.ID]; ok && r.revision >= revision {
 		return
 	}
-	t.rows[inst.ID] = row{inst: clone(inst), revision: revision}
+	now := time.Now()
+	next := row{inst: clone(inst), revision: revision, changed: now, phased: now}
+	if r, ok := t.rows[inst.ID]; ok && !r.deleted && r.inst.Phase == inst.Phase {
+		next.phased = r.phased
+	}
+	t.rows[inst.ID] = next
 	t.sorted = nil
 }
 
+// since returns when the record and when its phase became known here. Evidence
+// from before says nothing about them.
+func (t *Table) since(id string) (changed, phased time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[id]
+	return r.changed, r.phased
+}
+
 // known reports whether the records have been listed once.
 func (t *Table) known() bool {
 	t.mu.Lock()
