--- a/emulator/store.go
+++ b/emulator/store.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
 	"strings"
 	"time"
 
@@ -12,21 +11,17 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
 
-const (
-	defaultHistory = 10_000          // events kept for watches
-	callTimeout    = 2 * time.Second // longest wait of a call for its answer
-)
+const callTimeout = 2 * time.Second // longest wait of a call for its answer
 
 type (
 	// Store is a stand-in for the platform's key-value service. Its own
-	// methods make calls that only the faults of the whole service meet; Port
-	// gives one caller its own way to the service with faults of its own.
+	// methods make calls that only the faults of the whole service meet.
 	Store struct {
 		*Port
 		ports map[string]*Port
 	}
 
-	// Port is one caller's way to a Store.
+	// Port is one caller's way to a Store, with faults of its own.
 	Port struct {
 		engine *engine
 		gates  []*gate // its own and that of the whole service
@@ -45,42 +40,27 @@
 		records  []keeper.Record
 		revision int64
 	}
-
-	// StoreOption changes a Store.
-	StoreOption func(*Store)
 )
 
-// WithHistory sets the least number of events kept for watches.
-func WithHistory(n int) StoreOption {
-	return func(s *Store) { s.engine.keep = n }
-}
-
 // NewStore returns an empty store.
-func NewStore(opts ...StoreOption) *Store {
+func NewStore() *Store {
 	e := &engine{
 		records: make(map[string]item),
 		leases:  make(map[keeper.LeaseID]*lease),
-		keep:    defaultHistory,
-		changed: make(chan struct{}),
+		changed: newSignal(),
 	}
 	all := &Port{engine: e, gates: []*gate{{}}, calls: make(map[string]int)}
-	s := &Store{Port: all, ports: map[string]*Port{"": all}}
-	for _, opt := range opts {
-		opt(s)
-	}
-	return s
+	return &Store{Port: all, ports: map[string]*Port{"": all}}
 }
 
 // Caller returns the named caller's way to the store.
 func (s *Store) Caller(name string) *Port {
 	s.engine.mu.Lock()
 	defer s.engine.mu.Unlock()
-	p, ok := s.ports[name]
-	if !ok {
-		p = &Port{engine: s.engine, gates: []*gate{{}, s.gates[0]}, calls: make(map[string]int)}
-		s.ports[name] = p
+	if s.ports[name] == nil {
+		s.ports[name] = &Port{engine: s.engine, gates: []*gate{{}, s.gates[0]}, calls: make(map[string]int)}
 	}
-	return p
+	return s.ports[name]
 }
 
 // Calls returns the number of calls of all callers by kind.
@@ -112,13 +92,6 @@
 	s.engine.compact(revision)
 }
 
-// Calls returns the number of calls by kind.
-func (p *Port) Calls() map[string]int {
-	p.engine.mu.Lock()
-	defer p.engine.mu.Unlock()
-	return maps.Clone(p.calls)
-}
-
 // SetDown makes calls and watches fail with ErrUnavailable.
 func (p *Port) SetDown(down bool) { p.set(func(g *gate) { g.down = down }) }
 
@@ -136,7 +109,7 @@
 	p.engine.mu.Lock()
 	defer p.engine.mu.Unlock()
 	change(p.gates[0])
-	p.engine.wake()
+	p.engine.changed.give()
 }
 
 // state returns the sum of the faults in force.
@@ -197,44 +170,37 @@
 // Watch implements the key-value service.
 func (p *Port) Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error {
 	p.engine.mu.Lock()
+	defer p.engine.mu.Unlock()
 	p.calls["watch"]++
-	p.engine.mu.Unlock()
-	for {
-		events, delay, changed, err := p.pending(after)
-		if err != nil {
+	for ctx.Err() == nil {
+		faults := p.state()
+		events, err := p.engine.since(after)
+		switch {
+		case faults.down:
+			return errors.Trace(keeper.ErrUnavailable)
+		case err != nil:
 			return err
+		case len(events) == 0 || faults.hung:
+			p.engine.changed.wait(ctx, &p.engine.mu)
+			continue
 		}
-		if len(events) > 0 && !sleep(ctx, delay) {
-			return ctx.Err()
-		}
-		for _, ev := range events {
-			after = ev.Revision
-			if strings.HasPrefix(ev.Key, prefix) {
-				ev.Value = bytes.Clone(ev.Value)
-				fn(ev)
-			}
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
+		after = events[len(events)-1].Revision
+		p.engine.mu.Unlock()
+		if sleep(ctx, faults.delay) {
+			deliver(prefix, events, fn)
 		}
+		p.engine.mu.Lock()
 	}
+	return ctx.Err()
 }
 
-// pending returns the events after a revision that the faults let through.
-func (p *Port) pending(after int64) ([]keeper.Event, time.Duration, <-chan struct{}, error) {
-	p.engine.mu.Lock()
-	defer p.engine.mu.Unlock()
-	faults := p.state()
-	if faults.down {
-		return nil, 0, nil, errors.Trace(keeper.ErrUnavailable)
-	}
-	if faults.hung {
-		return nil, 0, p.engine.changed, nil
+func deliver(prefix string, events []keeper.Event, fn func(keeper.Event)) {
+	for _, ev := range events {
+		if strings.HasPrefix(ev.Key, prefix) {
+			ev.Value = bytes.Clone(ev.Value)
+			fn(ev)
+		}
 	}
-	events, err := p.engine.since(after)
-	return events, faults.delay, p.engine.changed, err
 }
 
 // order is a call without a result.
@@ -272,14 +238,7 @@
 // outcome of effect, or false when ctx ended first.
 func delayed[T any](ctx context.Context, p *Port, delay time.Duration, effect func() (T, error)) (func() (T, error), bool) {
 	for p.state().hung {
-		changed := p.engine.changed
-		p.engine.mu.Unlock()
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-		p.engine.mu.Lock()
-		if ctx.Err() != nil {
+		if !p.engine.changed.wait(ctx, &p.engine.mu) {
 			return nil, false
 		}
 	}
@@ -315,18 +274,3 @@
 	}
 	return errors.Trace(keeper.ErrUnavailable)
 }
-
-// sleep waits for d and reports whether ctx lives on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/granter/wallet.go
+++ b/granter/wallet.go
@@ -12,6 +12,8 @@
 	mu      sync.Mutex
 	used    map[string]int
 	ceiling map[string]int
+	short   map[string]bool // teams refused since the last call of takeShort
+	fresh   func() error
 	assert  Assert
 }
 
@@ -27,16 +29,32 @@
 	return &Wallet{
 		used:    make(map[string]int),
 		ceiling: make(map[string]int),
+		short:   make(map[string]bool),
+		fresh:   func() error { return nil },
 		assert:  assert,
 	}
 }
 
+// Guard makes Take refuse while fresh returns an error. A process that was
+// paused for long still has its old ceilings when it wakes, although its grants
+// may have been reclaimed; fresh must fail from that moment until the process
+// has heard of it. Call it before Take is used.
+func (w *Wallet) Guard(fresh func() error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.fresh = fresh
+}
+
 // Take reserves n slots for the team. It reports false and reserves nothing
-// when the team's ceiling leaves no room.
+// when the team's ceiling leaves no room or the guard refuses.
 func (w *Wallet) Take(team string, n int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if n < 1 || w.used[team]+n > w.ceiling[team] {
+		w.short[team] = true
+		return false
+	}
+	if w.fresh() != nil {
 		return false
 	}
 	w.used[team] += n
@@ -106,6 +124,21 @@
 	w.ceiling[team] = n
 }
 
+func (w *Wallet) usedBy(team string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used[team]
+}
+
+// takeShort returns the teams that were refused since the last call.
+func (w *Wallet) takeShort() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	short := w.short
+	w.short = make(map[string]bool)
+	return short
+}
+
 func panicUnless(ok bool, format string, args ...any) {
 	if !ok {
 		panic(fmt.Sprintf(format, args...))
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -16,8 +16,19 @@
 		View     uint64 // number of the sender's membership view
 		Rules    uint64 // number of the sender's rules
 		HasStore bool   // the sender reached the key-value service within its bound
-		Pools    []PoolLoad
-		Teams    []TeamLoad // only towards the coordinator and only busy teams
+		// StoreAge is the age of the proof that View was the latest membership,
+		// at the time of sending. It counts only with HasStore.
+		StoreAge time.Duration
+		// Membership is the encoded registrar.View, only in a reply to a peer
+		// whose view is older.
+		Membership []byte
+		Pools      []PoolLoad
+		Teams      []TeamLoad // only in replies to the coordinator
+		// Partial is set by the receiver of a heartbeat that is no reply and so
+		// lacks the loads of teams. It does not travel.
+		Partial bool
+		// Coordinator tells that the sender asks for the loads of teams.
+		Coordinator bool
 	}
 
 	// PoolLoad is what the sender owns and runs in one pool.
@@ -33,7 +44,8 @@
 		Team    string
 		Pool    string
 		Running int // slots in use
-		Waiting int // tasks waiting
+		Waiting int // slots of the tasks waiting
+		Largest int // slots of the largest task waiting
 	}
 
 	// ClaimRequest asks the home of a name for the right to start its task.
@@ -44,6 +56,9 @@
 		Digest [32]byte // of the request, so that a reused name is seen
 		Member string   // claimant
 		Task   string   // task that the name is claimed for
+		// Sequence grows with each claim of the claimant, so that a late
+		// message of an earlier claim is seen.
+		Sequence uint64
 	}
 
 	// ClaimReply is the answer of the home.
@@ -62,6 +77,8 @@
 		Name    string
 		Task    string
 		Verdict classifier.Verdict
+		// Sequence is that of the claim that is settled.
+		Sequence uint64
 	}
 
 	// HandOverRequest passes names to their new home after a change of view.
@@ -70,6 +87,12 @@
 		View  uint64
 		Names []HeldName
 		Last  bool // no further part follows
+		// Doubt is the latest date of a name that the sender cannot vouch for:
+		// a departed member may have granted it. Zero for none.
+		Doubt time.Time
+		// Open tells that the sender has adopted a departure whose latest date
+		// is not fixed yet.
+		Open bool
 	}
 
 	// HeldName is one name as its home remembers it.
@@ -79,7 +102,10 @@
 		Member  string
 		Task    string
 		Claimed time.Time
-		Settled bool // the task ended with Ran or MayHaveRun
+		Settled bool   // the task ended with Ran or MayHaveRun
+		View    uint64 // number of the view under which the name was granted
+		// Sequence is that of the claim.
+		Sequence uint64
 	}
 
 	// AttachRequest waits for the answer of a task that the receiver runs or
@@ -123,4 +149,16 @@
 		Snapshot []byte
 		Changes  [][]byte
 	}
+
+	// ReportRequest asks for what the receiver itself knows for an operator's
+	// question.
+	ReportRequest struct {
+		Kind    string // kind of the report
+		Subject string // what it is about; empty for all
+	}
+
+	// ReportReply carries a report as JSON.
+	ReportReply struct {
+		Payload []byte
+	}
 )
--- a/mover/orders.go
+++ b/mover/orders.go
@@ -180,6 +180,7 @@
 	if err != nil && !errors.Is(err, ErrMoved) {
 		return i, errors.Annotatef(err, "order %s refused (%v) and not taken back", placed.orderID(), cause)
 	}
+	o.noteUnder(i, placed.Order, "refused: "+classifier.As(cause).Message)
 	return i, cause
 }
 
@@ -236,8 +237,9 @@
 // instance waits for the instance list to show it live.
 func (o *Orders) Resume(ctx context.Context, id, who string) (Instance, error) {
 	var refusal error
+	var ended *Order
 	i, _, err := change(ctx, o.store, id, right{self: o.self}, func(n *Instance) bool {
-		refusal = resumable(*n, id)
+		refusal, ended = resumable(*n, id), n.Order
 		if refusal != nil || (n.Phase == Serving && n.Order == nil && n.Sick == "") {
 			return false
 		}
@@ -250,7 +252,7 @@
 	if err != nil || refusal != nil {
 		return i, firstError(err, refusal)
 	}
-	o.note(i, "resumed by "+who)
+	o.noteUnder(i, ended, "resumed by "+who)
 	return i, nil // the coordinator returns the absence once it is seen healthy
 }
 
@@ -342,13 +344,18 @@
 }
 
 func (o *Orders) note(i Instance, action string) {
+	o.noteUnder(i, i.Order, action)
+}
+
+// noteUnder is note for an order that the decision may have ended.
+func (o *Orders) noteUnder(i Instance, under *Order, action string) {
 	d := recorder.Decision{Time: time.Now(), Entry: o.self, Kind: recorder.Instance, Subject: i.ID, Action: action}
-	if i.Order != nil {
-		d.Facts = []recorder.Fact{{Name: "order", Value: i.Order.ID}, {Name: "pool", Value: i.Pool}, {Name: "asked", Value: i.Order.Asked}}
+	if under != nil {
+		d.Facts = []recorder.Fact{{Name: "order", Value: under.ID}, {Name: "pool", Value: i.Pool}, {Name: "asked", Value: under.Asked}}
 	}
 	o.journal(d)
-	if i.Order != nil && i.Order.Kind == MoveOrder {
-		d.Kind, d.Subject = recorder.Move, i.Order.ID
+	if under != nil && under.Kind == MoveOrder {
+		d.Kind, d.Subject = recorder.Move, under.ID
 		o.journal(d)
 	}
 }
--- /dev/null
+++ b/registrar/change.go
@@ -0,0 +1,84 @@
+package registrar
+
+import (
+	"slices"
+	"time"
+)
+
+// next returns a copy of v with the following number and without departures
+// that have outlived their use at now.
+func (v View) next(now time.Time) View {
+	departed := slices.Clone(v.Departed)
+	departed = slices.DeleteFunc(departed, func(d Departure) bool {
+		return now.Sub(d.Since) > departureLife
+	})
+	return View{
+		Number:   v.Number + 1,
+		Members:  slices.Clone(v.Members),
+		Previous: v.Active(),
+		Departed: departed,
+	}
+}
+
+// register returns v with m added. It removes older incarnations of m's
+// instance. It reports false when the process of m is
+// registered already.
+func (v View) register(m Member, now time.Time) (View, bool) {
+	for _, have := range v.Members {
+		if have.Nonce == m.Nonce {
+			return v, false
+		}
+	}
+	w := v.next(now)
+	m.Joined = w.Number
+	m.State = Active
+	for _, have := range v.Members {
+		if have.Instance == m.Instance {
+			w.drop(Departure{ID: have.ID, Since: now, Reason: Superseded, By: m.ID})
+		}
+	}
+	w.Members = append(w.Members, m)
+	return w, true
+}
+
+// retire returns v with the member in state Leaving. It reports false when
+// there is nothing to change.
+func (v View) retire(id string, now time.Time) (View, bool) {
+	m, ok := v.Member(id)
+	if !ok || m.State == Leaving {
+		return v, false
+	}
+	w := v.next(now)
+	for i := range w.Members {
+		if w.Members[i].ID == id {
+			w.Members[i].State = Leaving
+		}
+	}
+	return w, true
+}
+
+// remove returns v without the members of the departures. It reports false when
+// none of them is registered.
+func (v View) remove(departures []Departure, now time.Time) (View, bool) {
+	w := v.next(now)
+	for _, d := range departures {
+		d.Since = now
+		w.drop(d)
+	}
+	return w, len(w.Members) < len(v.Members)
+}
+
+func (v *View) drop(d Departure) {
+	kept := slices.DeleteFunc(v.Members, func(m Member) bool { return m.ID == d.ID })
+	if len(kept) == len(v.Members) {
+		return
+	}
+	v.Members = kept
+	d.Since = d.Since.UTC().Round(0)
+	d.Absent = d.Absent.UTC().Round(0)
+	d.View = v.Number
+	v.Departed = append(v.Departed, d)
+	if n := len(v.Departed); n > maxDepartures {
+		v.Departed = slices.Delete(v.Departed, 0, n-maxDepartures)
+	}
+}
--- /dev/null
+++ b/router/handler.go
@@ -0,0 +1,127 @@
+package router
+
+import (
+	"context"
+	"strings"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+)
+
+// HandleForward runs a task that a peer forwarded. It is never forwarded again.
+func (r *Router) HandleForward(ctx context.Context, request messenger.ForwardRequest) (messenger.Answer, error) {
+	r.wait.Add(1)
+	defer r.wait.Done()
+	task := request.Task
+	task.Forwarded = true
+	return r.placer.Submit(ctx, task, placer.Patience{})
+}
+
+// HandleAttach waits for the answer of a task that this member accepted. A
+// request without a name asks for the state of a job instead: it is answered at
+// once, and only for the job's team.
+func (r *Router) HandleAttach(ctx context.Context, request messenger.AttachRequest) (messenger.Answer, error) {
+	job, ok := r.jobs.find(request.Task)
+	if !ok {
+		return messenger.Answer{}, classifier.Doubt(classifier.Repeated, "task %q is no longer known and may have run", request.Task)
+	}
+	if request.Name == "" {
+		return r.state(job, request.Team)
+	}
+	select {
+	case <-job.Done():
+	case <-ctx.Done():
+		return messenger.Answer{}, classifier.Doubt(classifier.DeadlineOver, "the task of the name %q is still under way", request.Name)
+	}
+	return whole(job)
+}
+
+// whole returns the result of an ended job.
+func whole(job *Job) (messenger.Answer, error) {
+	answer, err := job.Result()
+	if err != nil {
+		return messenger.Answer{}, err
+	}
+	return answer, nil
+}
+
+// state returns the result of a job for its team. UnderWay tells that it has
+// none yet.
+func (r *Router) state(job *Job, team string) (messenger.Answer, error) {
+	if job.Task.Team != team && !r.open(job.Task.Queue) {
+		return messenger.Answer{}, classifier.Refuse(classifier.Forbidden, "job %q belongs to another team: send its team's key", job.Task.ID)
+	}
+	select {
+	case <-job.Done():
+		return whole(job)
+	default:
+		return messenger.Answer{}, classifier.Doubt(classifier.UnderWay, "job %q is under way", job.Task.ID)
+	}
+}
+
+// State returns the result of a job that this member or another one accepted.
+// The error has the code UnderWay while the job has none, and Forbidden for
+// another team's job.
+func (r *Router) State(ctx context.Context, team, task string) (messenger.Answer, error) {
+	request := messenger.AttachRequest{Team: team, Task: task}
+	member := acceptedBy(task)
+	if member == r.members.Self().ID {
+		return r.HandleAttach(ctx, request)
+	}
+	peer, ok := r.members.View().Member(member)
+	if !ok {
+		return messenger.Answer{}, classifier.Doubt(classifier.NotFound, "no entry that accepted job %q is registered", task)
+	}
+	return r.peers.Attach(ctx, peer.Address, request)
+}
+
+// HandleCancel withdraws a task that a peer forwarded here, or one that this
+// member accepted.
+func (r *Router) HandleCancel(ctx context.Context, request messenger.CancelRequest) error {
+	return r.Cancel(ctx, request.Task)
+}
+
+// Cancel withdraws the task wherever it is. A waiting task ends with NotRun, a
+// running one is stopped. A task that nobody knows is NotFound.
+func (r *Router) Cancel(ctx context.Context, task string) error {
+	if r.placer.Cancel(ctx, task) {
+		return nil
+	}
+	if member, ok := r.jobs.route(task); ok {
+		return r.cancelAt(ctx, task, member)
+	}
+	job, ok := r.jobs.find(task)
+	if ok {
+		return ended(job)
+	}
+	member := acceptedBy(task)
+	if member == "" || member == r.members.Self().ID {
+		return classifier.Refuse(classifier.NotFound, "no job %q is known here", task)
+	}
+	return r.cancelAt(ctx, task, member)
+}
+
+// ended refuses to cancel a job that is over or between two places.
+func ended(job *Job) error {
+	select {
+	case <-job.Done():
+		return classifier.Refuse(classifier.Conflict, "job %q has already ended", job.Task.ID)
+	default:
+		return classifier.Refuse(classifier.Conflict, "job %q is being placed: cancel again in a moment", job.Task.ID)
+	}
+}
+
+func (r *Router) cancelAt(ctx context.Context, task, member string) error {
+	peer, ok := r.members.View().Member(member)
+	if !ok {
+		return classifier.Refuse(classifier.NotFound, "the entry %q that accepted job %q is gone", member, task)
+	}
+	return r.peers.Cancel(ctx, peer.Address, messenger.CancelRequest{Task: task})
+}
+
+// acceptedBy returns the member named in a task's identity.
+func acceptedBy(task string) string {
+	_, member, _ := strings.Cut(task, "@")
+	return member
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,7 +17,7 @@
 		name       string
 		class      *class
 		head, tail *node
-		bypassed   int // times that a later task started before the head
+		bypassed   int // times that another task started since the head did not fit
 	}
 
 	// node is one waiting task.
@@ -26,6 +26,7 @@
 		list       *queue
 		prev, next *node
 		dropped    bool
+		first      bool // goes to the head of its queue
 	}
 )
 
@@ -44,10 +45,10 @@
 
 // candidate returns the first task that fits, beginning with the queue whose
 // turn it is.
-func (c *class) candidate(freeSlots int) *node {
+func (c *class) candidate(s *shelf, freeSlots int) *node {
 	for i := range c.queues {
 		q := c.queues[(c.next+i)%len(c.queues)]
-		if n := q.candidate(freeSlots); n != nil {
+		if n := q.candidate(s, freeSlots); n != nil {
 			return n
 		}
 	}
@@ -69,6 +70,10 @@
 }
 
 func (q *queue) push(n *node) {
+	if n.first && q.head != nil {
+		q.pushFront(n)
+		return
+	}
 	n.list, n.prev = q, q.tail
 	if q.tail == nil {
 		q.head = n
@@ -78,12 +83,20 @@
 	q.tail = n
 }
 
+func (q *queue) pushFront(n *node) {
+	n.list, n.next = q, q.head
+	q.head.prev = n
+	q.head = n
+	q.bypassed = 0
+}
+
 // candidate returns the head, or a task close behind it when the head does
 // not fit and has not been passed over too often.
-func (q *queue) candidate(freeSlots int) *node {
+func (q *queue) candidate(s *shelf, freeSlots int) *node {
 	if q.head.item.Task.Slots <= freeSlots {
 		return q.head
 	}
+	s.skipped = append(s.skipped, q)
 	if q.bypassed >= maxBypass {
 		return nil
 	}
