--- a/prover/auditor.go
+++ b/prover/auditor.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,7 @@
 	auditor struct {
 		*checker.Checker
 		store *emulator.Store
+		trace *trace
 
 		mu   sync.Mutex
 		seen int64 // last revision told
@@ -48,6 +50,7 @@
 	err = a.store.Watch(ctx, "", a.seen, func(ev keeper.Event) {
 		if ev.Revision > a.seen {
 			a.seen = ev.Revision
+			a.traceEvent(ev)
 			a.Stored(ev, time.Now())
 		}
 		if ev.Revision >= last {
@@ -59,6 +62,12 @@
 	}
 }
 
+// traceEvent notes a change of a record under the last part of its key.
+func (a *auditor) traceEvent(ev keeper.Event) {
+	subject := ev.Key[strings.LastIndexByte(ev.Key, '/')+1:]
+	a.trace.note(subject, "revision %d deleted %t %s", ev.Revision, ev.Deleted, ev.Value)
+}
+
 // expect notes the job that a start is for.
 func (a *auditor) expect(s dispatcher.Start) {
 	var w Work
@@ -72,6 +81,13 @@
 	a.catchUp()
 	job, _ := a.jobs.Load(x.Order.Task)
 	id, _ := job.(string)
+	what := "starts"
+	if !x.End.IsZero() {
+		what = "ends " + string(x.Outcome)
+	}
+	for _, subject := range []string{x.Order.Name, x.Worker} {
+		a.trace.note(subject, "%s %s task %s attempt %d of %s for %s", x.Worker, what, x.Order.Task, x.Order.Attempt, x.Order.Owner, x.Order.Team)
+	}
 	a.Execution(checker.Execution{
 		Job:        id,
 		Task:       x.Order.Task,
--- a/prover/caller.go
+++ b/prover/caller.go
@@ -144,6 +144,8 @@
 		a.Code, a.Verdict = classifier.Cancelled, classifier.MayHaveRun // the caller went away
 	}
 	w.audit.Answered(a)
+	w.trace.note(j.Name, "%s answered request %s: task %s, %v", n.Instance, id, a.Task, err)
+	w.trace.note(id, "task %s at %s, %v", a.Task, n.Instance, err)
 	w.tally.add(a.Verdict.String()+" "+string(a.Code), 1)
 	return e
 }
--- a/prover/network.go
+++ b/prover/network.go
@@ -28,9 +28,10 @@
 
 	// peerPort is a node's way to its peers. It implements server.Peers.
 	peerPort struct {
-		net  *network
-		gate *gate
-		self string // instance
+		net   *network
+		gate  *gate
+		self  string // instance
+		trace *trace
 	}
 
 	reply[T any] struct {
@@ -209,12 +210,17 @@
 
 // Claim implements server.Peers.
 func (p peerPort) Claim(ctx context.Context, address string, r messenger.ClaimRequest) (messenger.ClaimReply, error) {
-	return call(ctx, p, address, r, messenger.Handler.Claim)
+	reply, err := call(ctx, p, address, r, messenger.Handler.Claim)
+	p.trace.note(r.Name, "%s claims for task %s of %s under view %d: granted %t, holder %s, task %s, view %d, %v, %v",
+		p.self, r.Task, address, r.View, reply.Granted, reply.Holder, reply.Task, reply.View, reply.Err, err)
+	return reply, err
 }
 
 // Settle implements server.Peers.
 func (p peerPort) Settle(ctx context.Context, address string, r messenger.SettleRequest) error {
-	return order(ctx, p, address, r, messenger.Handler.Settle)
+	err := order(ctx, p, address, r, messenger.Handler.Settle)
+	p.trace.note(r.Name, "%s settles task %s as %s at %s: %v", p.self, r.Task, r.Verdict, address, err)
+	return err
 }
 
 // HandOver implements server.Peers.
@@ -229,7 +235,9 @@
 
 // Forward implements server.Peers.
 func (p peerPort) Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error) {
-	return call(ctx, p, address, r, messenger.Handler.Forward)
+	answer, err := call(ctx, p, address, r, messenger.Handler.Forward)
+	p.trace.note(r.Task.Name, "%s forwarded task %s to %s: %v, %v", p.self, r.Task.ID, address, answer.Err, err)
+	return answer, err
 }
 
 // Cancel implements server.Peers.
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -48,7 +48,7 @@
 	for _, b := range breaches {
 		counts[b.Invariant]++
 		if counts[b.Invariant] <= shown {
-			lines += b.String() + "\n"
+			lines += b.String() + "\n" + b.Trace
 		}
 	}
 	return fmt.Sprintf("seed %d: %v\n%s%s", seed, counts, p, lines)
--- a/prover/world.go
+++ b/prover/world.go
@@ -55,6 +55,7 @@
 		names    map[string]string         // worker by address
 		rules    *rulebook
 		tally    tally
+		trace    *trace
 
 		mu       sync.Mutex
 		nodes    map[string]*Node // latest process by instance
@@ -76,6 +77,7 @@
 		Invariant checker.Invariant
 		Detail    string
 		After     time.Duration // since the start of the run
+		Trace     string        // what happened to its subjects before
 	}
 )
 
@@ -97,13 +99,14 @@
 		dark:     make(map[string]bool),
 		boots:    make(map[string]int),
 		rules:    newRulebook(),
+		trace:    newTrace(),
 		nodes:    make(map[string]*Node),
 	}
 	if w.opts.Log == nil {
 		w.opts.Log = slog.New(slog.DiscardHandler)
 	}
 	start := time.Now()
-	w.audit = &auditor{store: w.store}
+	w.audit = &auditor{store: w.store, trace: w.trace}
 	w.audit.Checker = checker.New(func(i checker.Invariant, detail string) { w.breach(i, detail, start) })
 	w.platform = emulator.NewPlatform(listLag, rebootTime, w.power)
 	n := 0
@@ -121,7 +124,7 @@
 func (w *World) breach(i checker.Invariant, detail string, start time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.breaches = append(w.breaches, Breach{Invariant: i, Detail: detail, After: time.Since(start)})
+	w.breaches = append(w.breaches, Breach{Invariant: i, Detail: detail, After: time.Since(start), Trace: w.trace.of(detail)})
 }
 
 // Breaches returns the broken invariants so far.
@@ -266,7 +269,7 @@
 		Store:     storePort{gate: n.gate, port: w.store.Caller(n.Instance), audit: w.audit},
 		Instances: listPort{gate: n.gate, node: n, list: w.platform},
 		Workers:   workerPort{gate: n.gate, fleet: w.fleet, audit: w.audit, names: w.names},
-		Peers:     peerPort{net: w.net, gate: n.gate, self: n.Instance},
+		Peers:     peerPort{net: w.net, gate: n.gate, self: n.Instance, trace: w.trace},
 	}
 	if w.opts.Store != nil {
 		p.Store = w.opts.Store(p.Store)
