--- a/prover/fault.go
+++ b/prover/fault.go
@@ -39,17 +39,19 @@
 	case StoreSlow:
 		w.storeFault(s.For, upTo(entries), func(p *emulator.Port, on bool) { p.SetDelay(slowness(on, s.B)) })
 	case LoseWrites:
-		w.disturb()
-		w.store.Caller(entryName(a)).LoseNextAnswers(1 + s.B%5)
+		port := w.store.Caller(entryName(a))
+		w.platformFor(s.For, func() { port.LoseNextAnswers(1 + s.B%5) }, func() { port.LoseNextAnswers(0) })
 	case LapseLeases:
 		w.disturb()
 		w.store.LapseLeases()
 	case LoseMessages:
-		w.disturb()
-		w.net.set(func(n *network) { n.loseRequests += 1 + s.B })
+		w.platformFor(s.For,
+			func() { w.net.set(func(n *network) { n.loseRequests = 1 + s.B }) },
+			func() { w.net.set(func(n *network) { n.loseRequests = 0 }) })
 	case LoseReplies:
-		w.disturb()
-		w.net.set(func(n *network) { n.loseReplies += 1 + s.B })
+		w.platformFor(s.For,
+			func() { w.net.set(func(n *network) { n.loseReplies = 1 + s.B }) },
+			func() { w.net.set(func(n *network) { n.loseReplies = 0 }) })
 	case SlowNetwork:
 		w.slowNetwork(s.For, upTo(entries), time.Duration(100+100*s.B)*time.Millisecond)
 	default:
@@ -70,7 +72,7 @@
 	case FailWorker:
 		w.workerFault(id, s.For, func(f *emulator.WorkerFaults, on bool) { f.Failing = on })
 	case SpoilAnswers:
-		w.spoil(id, s.B)
+		w.spoil(id, s.B, s.For)
 	case LeaveWorker:
 		w.leave(id, s.For)
 	case LoseRack:
@@ -234,11 +236,12 @@
 		func() { worker.Inject(func(f *emulator.WorkerFaults) { set(f, false) }) })
 }
 
-func (w *World) spoil(id string, n int) {
-	w.disturb()
+// spoil spoils some of a worker's next answers.
+func (w *World) spoil(id string, n int, d time.Duration) {
 	faults := []emulator.AnswerFault{emulator.LoseAnswer, emulator.TruncateAnswer, emulator.CrossAnswer}
-	w.workers[id].Inject(func(f *emulator.WorkerFaults) {
-		for i := range 1 + n%6 {
+	w.workerFault(id, d, func(f *emulator.WorkerFaults, on bool) {
+		f.Answers = nil
+		for i := 0; on && i <= n%6; i++ {
 			f.Answers = append(f.Answers, faults[(n+i)%len(faults)])
 		}
 	})
