--- a/granter/coordinator.go
+++ b/granter/coordinator.go
@@ -10,6 +10,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 )
 
@@ -46,6 +47,7 @@
 		view      func() registrar.View
 		loads     func() []messenger.Heartbeat
 		log       *slog.Logger
+		journal   func(recorder.Decision)
 		period    time.Duration
 		taskLease time.Duration
 		margin    time.Duration
@@ -87,6 +89,7 @@
 		view:      view,
 		loads:     loads,
 		log:       slog.New(slog.DiscardHandler),
+		journal:   func(recorder.Decision) {},
 		period:    DefaultRound,
 		taskLease: DefaultTaskLease,
 		margin:    DefaultClockMargin,
@@ -164,15 +167,21 @@
 	if !c.duty.Held() {
 		return errors.New("the duty was lost during the round")
 	}
+	var before Account
 	change := func(cur Account, exists bool) (Account, bool, error) {
 		if !exists {
 			cur = Account{Team: team}
 		}
+		before = cur
 		next := s.plan(cur)
 		return next, !next.equal(cur), nil
 	}
-	_, _, err := keeper.Update(ctx, c.store, keeper.LedgerPrefix+team, change)
-	return errors.Trace(err)
+	after, _, err := keeper.Update(ctx, c.store, keeper.LedgerPrefix+team, change)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	c.note(before, after)
+	return nil
 }
 
 func (c *Coordinator) writeWeights(ctx context.Context, s situation) error {
@@ -204,6 +213,9 @@
 	for _, t := range rules.Teams {
 		s.teams[t.Name] = t
 	}
+	for _, hb := range s.loads {
+		s.members = append(s.members, newMemberLoad(hb))
+	}
 	for _, d := range view.Departed {
 		s.known[d.ID] = true
 		s.departed[d.ID] = now.After(d.Since.Add(c.taskLease + c.margin))
--- a/mover/coordinator.go
+++ b/mover/coordinator.go
@@ -157,19 +157,28 @@
 	}
 	c.m.table.store(next, rec.Revision)
 	c.m.Wake()
-	c.note(next, why)
+	c.noteUnder(next, seen.Order, why)
 	return next, nil
 }
 
+// note records a decision on an instance, and on the move that it is under.
 func (c *Coordinator) note(i Instance, why string, facts ...recorder.Fact) {
+	c.noteUnder(i, i.Order, why, facts...)
+}
+
+// noteUnder is note for an order that the decision may have ended.
+func (c *Coordinator) noteUnder(i Instance, under *Order, why string, facts ...recorder.Fact) {
 	facts = append(facts, recorder.Fact{Name: "phase", Value: string(i.Phase)},
 		recorder.Fact{Name: "pool", Value: i.Pool}, recorder.Fact{Name: "owner", Value: i.Owner})
 	d := recorder.Decision{
 		Time: time.Now(), Entry: c.m.self, Kind: recorder.Instance, Subject: i.ID, Action: why, Facts: facts,
 	}
 	c.m.cfg.journal(d)
-	if i.Order != nil && i.Order.Kind == MoveOrder {
-		d.Kind, d.Subject = recorder.Move, i.Order.ID
+	if under == nil {
+		under = i.Order
+	}
+	if under != nil && under.Kind == MoveOrder {
+		d.Kind, d.Subject = recorder.Move, under.ID
 		c.m.cfg.journal(d)
 	}
 }
--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -68,9 +68,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reboots = append(c.reboots, id)
-	was := c.list[id]
+	was, ok := c.list[id]
 	delete(c.list, id)
-	if c.stuck[id] {
+	if c.stuck[id] || !ok {
 		return nil
 	}
 	time.AfterFunc(time.Minute, func() {
@@ -153,7 +153,7 @@
 	opts = append([]Option{WithAssert(panicking), WithLog(slog.New(slog.DiscardHandler))}, opts...)
 	m.mover = New(m.port, id, m.fleet, s.cloud, opts...)
 	m.budget = budgeter.New(m.port, s.getRules, budgeter.WithAssert(panicking))
-	m.coord = NewCoordinator(m.mover, m, s.current, s.getRules, m.budget)
+	m.coord = NewCoordinator(m.mover, m, s.current, s.getRules, m.budget, WithForgetAfter(10*time.Minute))
 	m.orders = NewOrders(m.port, id, s.getRules, m.budget, nil)
 	s.members[id] = m
 	s.setView(func(v *registrar.View) {
--- a/scheduler/fleet_test.go
+++ b/scheduler/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -140,3 +141,49 @@
 		})
 	})
 }
+
+// A task that takes a whole worker starts although small tasks of another team
+// would fill every slot that falls free.
+func TestLargeTaskIsNotStarvedBySmallOnes(t *testing.T) {
+	f, w := scheduler.NewFleet(), scheduler.NewWaiting()
+	for _, worker := range workers(3) {
+		f.Open(worker)
+	}
+	type running struct {
+		worker string
+		task   scheduler.Task
+		until  int
+	}
+	var all []running
+	started := 0
+	require.NoError(t, w.Add(item("small-first", "small", "q", scheduler.Urgent, 1)))
+	for now := range 1000 {
+		for w.ByTeam("cards")["small"].Tasks < 30 {
+			require.NoError(t, w.Add(item(fmt.Sprint("s", now, w.Len()), "small", "q", scheduler.Urgent, 1)))
+		}
+		if now == 20 {
+			require.NoError(t, w.Add(item("large", "big", "large", scheduler.Background, 8)))
+		}
+		all = slices.DeleteFunc(all, func(r running) bool {
+			if r.until == now {
+				f.Free(r.worker, r.task.Slots, scheduler.Outcome{Task: r.task.ID, Ending: scheduler.Succeeded})
+			}
+			return r.until == now
+		})
+		f.Reserve("cards", w.Starved("cards"))
+		for f.FreeSlots("cards") > 0 {
+			next, ok := w.Next("cards", f.FreeSlots("cards"), always)
+			if !ok {
+				break
+			}
+			if next.Task.ID == "large" {
+				return
+			}
+			worker, ok := f.Pick("cards", next.Task.Slots, nil)
+			require.True(t, ok)
+			started++
+			all = append(all, running{worker.ID, next.Task, now + 5 + started%11})
+		}
+	}
+	t.Fatal("the large task never started")
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -21,7 +21,9 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
 	"github.com/coltsfootlever/coltsfootlever/router"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
@@ -39,6 +41,7 @@
 	FleetService       = "fleet-coordinator"
 	MaintainerService  = "maintainer"
 	SurveyorService    = "surveyor"
+	RecorderService    = "recorder"
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
 	RouterService      = "router"
@@ -48,6 +51,12 @@
 const (
 	// dutyName is the control duty that coordinates grants and instances.
 	dutyName = "coordinator"
+	// journalSize is the number of decisions that an entry remembers. Most are
+	// on jobs and have about 400 bytes.
+	journalSize = 16 << 10
+	// handOverTime bounds the wait for other members to take over workers.
+	handOverTime = 30 * time.Second
+	handOverPoll = 50 * time.Millisecond
 	// listPoll is the time between reads of the instance list.
 	listPoll = time.Second
 )
@@ -76,8 +85,11 @@
 	admitter *admitter.Admitter
 	loads    *loadTable
 	reports  *collector.Collector
-	survey   *surveyor.Surveyor
-	leaving  atomic.Bool
+	burn     *reporter.Meter
+
+	decisions *recorder.Recorder
+	survey    *surveyor.Surveyor
+	leaving   atomic.Bool
 }
 
 // New returns an entry that has not started. The error lists every fault of
@@ -141,7 +153,7 @@
 		registrar.WithStaleness(e.cfg.Staleness),
 		registrar.WithList(listPoll, e.cfg.ListLag),
 		registrar.WithDuty(heldFunc(func() bool { return e.duty.Held() })),
-		registrar.WithHandOver(func(ctx context.Context, view uint64) error { return e.claims.HandedOver(ctx, view) }),
+		registrar.WithHandOver(e.handOver),
 		registrar.WithLoad(func() ([]messenger.PoolLoad, []messenger.TeamLoad) { return e.report() }),
 		registrar.WithRules(func() uint64 { return e.rules.Number() }),
 	)
@@ -155,6 +167,9 @@
 	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
 	e.loads = newLoadTable(e.self().ID)
 	e.reports = collector.New(e.members, e.platform.Peers)
+	e.burn = reporter.NewMeter()
+	ring := recorder.NewRing(e.platform.Store, e.cfg.Log)
+	e.decisions = recorder.New(e.self().ID, recorder.NewJournal(journalSize), ring)
 }
 
 func (e *Entry) buildLimits() {
@@ -173,10 +188,11 @@
 		mover.WithLog(e.cfg.Log),
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
+		mover.WithJournal(e.decisions.Record),
 	)
 	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
 	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
-	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.record)
+	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.decisions.Record)
 }
 
 func (e *Entry) buildPath() {
@@ -194,19 +210,21 @@
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
 		placer.WithObserve(e.metrics.started),
+		placer.WithJournal(e.decisions.Record),
 		placer.WithShares(e.localShares),
 		placer.WithRetries(retries),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
 	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
+		router.WithJournal(e.decisions.Record),
 		router.WithOpen(e.isOpen),
 		router.WithRetries(retries),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
 		admitter.WithLog(e.cfg.Log),
-		admitter.WithEnded(e.metrics.ended),
+		admitter.WithEnded(e.ended),
 	)
 }
 
@@ -236,6 +254,7 @@
 	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
 		granter.WithReclaim(evidence, e.cfg.Margin),
 		granter.WithCoordinatorLog(e.cfg.Log),
+		granter.WithCoordinatorJournal(e.decisions.Record),
 	)
 	fleet := mover.NewCoordinator(e.mover, e.duty, e.members.View, e.rules.Rules, e.budgets,
 		mover.WithEvidence(evidence, e.cfg.Margin),
@@ -245,6 +264,7 @@
 		name    string
 		service any
 	}{
+		{RecorderService, e.decisions},
 		{RegistrarService, e.members},
 		{DistributorService, e.rules},
 		{GrantsDutyService, e.duty},
@@ -265,6 +285,7 @@
 		}
 	}
 	e.connect()
+	e.offerReports()
 	e.addGauges()
 	return nil
 }
@@ -316,6 +337,32 @@
 	return errors.Annotate(e.grants.Release(ctx), "releasing grants")
 }
 
+// handOver waits until the other members have this member's names and workers.
+// Workers that nobody takes over in time move later, on the evidence that this
+// member has left.
+func (e *Entry) handOver(ctx context.Context, view uint64) error {
+	if err := e.claims.HandedOver(ctx, view); err != nil {
+		return errors.Trace(err)
+	}
+	for deadline := time.Now().Add(handOverTime); e.ownsWorkers() && time.Now().Before(deadline); {
+		if e.members.View().Number != view {
+			break
+		}
+		sleep(ctx, handOverPoll)
+	}
+	return errors.Trace(ctx.Err())
+}
+
+// ownsWorkers says whether a record names this member as owner.
+func (e *Entry) ownsWorkers() bool {
+	for _, i := range e.mover.Table().All() {
+		if i.Owner == e.self().ID {
+			return true
+		}
+	}
+	return false
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
