server: let spare pools lend

The lending of instances between pools was decided but ran in no entry. A test keeps a pool short of slots for two minutes: it borrows one instance, and gives it back when its work fits its own again.

--- a/server/entry.go
+++ b/server/entry.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/planner"
 	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 	"github.com/coltsfootlever/coltsfootlever/reporter"
@@ -40,6 +41,7 @@
 	MoverService       = "mover"
 	FleetService       = "fleet-coordinator"
 	MaintainerService  = "maintainer"
+	LendingService     = "lending"
 	SurveyorService    = "surveyor"
 	RecorderService    = "recorder"
 	ClaimerService     = "claimer"
@@ -273,6 +275,7 @@
 		{MoverService, e.mover},
 		{FleetService, fleet},
 		{MaintainerService, mover.NewMaintainer(fleet, e.orders)},
+		{LendingService, mover.NewLending(fleet, e.orders, e.poolLoads, planner.DefaultLendOptions())},
 		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
--- a/server/load.go
+++ b/server/load.go
@@ -57,6 +57,15 @@
 	return loads
 }
 
+// poolLoads returns the load of each pool, one line for each member and pool.
+func (e *Entry) poolLoads() []messenger.PoolLoad {
+	var loads []messenger.PoolLoad
+	for _, hb := range e.loads.all() {
+		loads = append(loads, hb.Pools...)
+	}
+	return loads
+}
+
 // heard takes a peer's heartbeat.
 func (e *Entry) heard(hb messenger.Heartbeat) {
 	e.loads.put(hb)
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -34,7 +34,7 @@
 	operatorKey = "operator-key-for-tests-0123456789"
 	settleTime  = 30 * time.Second
 	rulesText   = `pool inquiries # asked by Cora
-pool consent # asked by Cora
+pool consent spare # asked by Cora
 team leads customer foundation share 40 limit 16 # asked by Ana
 queue inquiry team leads open service router pool inquiries bound 50 # asked by Ana
 budget pool * max-absent 1 # asked by Dan
@@ -258,6 +258,7 @@
 func (f *fleet) submit(t *testing.T, n int, body string) string {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "/v1/queues/inquiry/jobs", strings.NewReader(body))
 	r.Header.Set(admitter.IdempotentHeader, "true")
+	r.Header.Set(admitter.DeadlineHeader, "1h")
 	w := httptest.NewRecorder()
 	f.entries[n].Callers().ServeHTTP(w, r)
 	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
@@ -334,3 +335,25 @@
 		}
 	}
 }
+
+// TestSparePoolLends keeps a pool short of slots for minutes and then idle.
+func TestSparePoolLends(t *testing.T) {
+	withFleet(t, func(t *testing.T, f *fleet) {
+		c := f.client(0)
+		_, err := c.Apply(t.Context(), operator.ApplyRequest{Base: 1, Text: strings.Replace(rulesText, "limit 16", "limit 32", 1)})
+		require.NoError(t, err)
+		var jobs sync.WaitGroup
+		for n := range 80 {
+			jobs.Go(func() { f.submit(t, n%2, `{"sleep-ms":50000}`) })
+		}
+		time.Sleep(2 * time.Minute)
+		pools, err := c.Pools(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, []int{1, 1}, []int{pools[0].Lent, pools[1].Borrowed})
+		jobs.Wait()
+		time.Sleep(20 * time.Minute)
+		pools, err = c.Pools(t.Context())
+		require.NoError(t, err)
+		require.Equal(t, []int{0, 0}, []int{pools[0].Lent, pools[1].Borrowed})
+	})
+}
