claimer: take a repeated acknowledgement of a hand-over

When two views followed closely, the round started for the first one could read the second, and the round for the second handed over under it again. The second acknowledgement closed a closed channel, which ended the process. Seen in a test of two entries under the race detector; a test now acknowledges twice, and panicked before.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -216,14 +216,19 @@
 }
 
 // checkSent closes sentAll once every active member has acknowledged this
-// round. The caller holds mu.
+// round. Views that follow closely are handed over under twice, and so
+// acknowledged twice. The caller holds mu.
 func (c *Claimer) checkSent() {
 	for _, id := range c.view.Active() {
 		if id != c.gate.self && !c.sent[id] {
 			return
 		}
 	}
-	close(c.sentAll)
+	select {
+	case <-c.sentAll:
+	default:
+		close(c.sentAll)
+	}
 }
 
 // HandedOver waits until every active member of the view with the number has
