--- a/server/entry.go
+++ b/server/entry.go
@@ -349,13 +349,14 @@
 	if err := e.claims.HandedOver(ctx, view); err != nil {
 		return errors.Trace(err)
 	}
-	for deadline := time.Now().Add(handOverTime); e.ownsWorkers() && time.Now().Before(deadline); {
-		if e.members.View().Number != view {
-			break
-		}
+	deadline := time.Now().Add(handOverTime)
+	for e.ownsWorkers() && time.Now().Before(deadline) && e.members.View().Number == view {
 		sleep(ctx, handOverPoll)
+		if ctx.Err() != nil {
+			return errors.Trace(ctx.Err())
+		}
 	}
-	return errors.Trace(ctx.Err())
+	return nil
 }
 
 // ownsWorkers says whether a record names this member as owner.
