Take no list older than a member's registration as word that it is gone

Cause: an entry that was lost and replaced registered while the lagging list still lacked its instance. Ruled out: the trace shows the claims granted by different homes under view 6 with no lost message. Change: absence is counted by member, and only from lists called for later than the registration was seen plus the lag. Conclusion: the recorded absence is evidence only under a list that covers the registration.

--- a/registrar/departure.go
+++ b/registrar/departure.go
@@ -64,18 +64,26 @@
 	r.listed = start
 	r.strangers = strangers
 	missing := make(map[string]time.Time)
-	for instance := range registered {
-		if present[instance] {
+	for _, m := range r.view.Members {
+		if present[m.Instance] || !r.listCovers(m.ID, start) {
 			continue
 		}
-		missing[instance] = start
-		if since, ok := r.absent[instance]; ok {
-			missing[instance] = since
+		missing[m.ID] = start
+		if since, ok := r.absent[m.ID]; ok {
+			missing[m.ID] = since
 		}
 	}
 	r.absent = missing
 }
 
+// listCovers reports whether a list called for at start is newer than the
+// member's registration, however much it lags. An older one may lack an
+// instance that was lost and replaced. The caller holds mu.
+func (r *Registrar) listCovers(id string, start time.Time) bool {
+	seen, ok := r.firstSeen[id]
+	return ok && start.Sub(seen) > r.limits.lag
+}
+
 // removeGone removes the members whose instance has been missing from the
 // list for longer than the list lags.
 func (r *Registrar) removeGone(ctx context.Context) {
@@ -105,8 +113,8 @@
 	f := r.facts(time.Now())
 	var gone []Departure
 	for _, m := range r.view.Others(r.self.ID) {
-		if f.countedOut(m.Instance, r.limits) {
-			gone = append(gone, Departure{ID: m.ID, Reason: Gone, By: r.self.ID, Absent: r.absent[m.Instance]})
+		if f.countedOut(m.ID, r.limits) {
+			gone = append(gone, Departure{ID: m.ID, Reason: Gone, By: r.self.ID, Absent: r.absent[m.ID]})
 		}
 	}
 	return gone
--- a/registrar/follow.go
+++ b/registrar/follow.go
@@ -150,6 +150,7 @@
 	}
 	r.view = v
 	r.prune(old)
+	r.noteNew(time.Now())
 	r.confirm(time.Now())
 	me, ok := v.Member(r.self.ID)
 	if !ok && r.self.Joined > 0 {
@@ -175,6 +176,7 @@
 	for _, m := range old.Members {
 		if _, ok := r.view.Member(m.ID); !ok {
 			delete(r.heard, m.ID)
+			delete(r.firstSeen, m.ID)
 			delete(r.reached, m.ID)
 		}
 	}
@@ -185,6 +187,15 @@
 	}
 }
 
+// noteNew notes the members that the view has added. The caller holds mu.
+func (r *Registrar) noteNew(now time.Time) {
+	for _, m := range r.view.Members {
+		if _, ok := r.firstSeen[m.ID]; !ok {
+			r.firstSeen[m.ID] = now
+		}
+	}
+}
+
 // knows reports whether m is known to have seen the view with the number.
 func (r *Registrar) knows(m Member, number uint64) bool {
 	return m.Joined >= number || r.reached[m.ID] >= number
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -81,7 +81,8 @@
 		reached    map[string]uint64    // highest view that a member is known to have
 		confirmed  map[string]time.Time // departures that all members know
 		listed     time.Time
-		absent     map[string]time.Time
+		absent     map[string]time.Time // first read of the list that lacked the member's instance
+		firstSeen  map[string]time.Time // when the member was first seen in a view
 		strangers  bool
 		seenListed bool // the list has held the own instance
 		delisted   bool // the list held the own instance and does not any more
@@ -190,6 +191,7 @@
 		reached:   map[string]uint64{},
 		confirmed: map[string]time.Time{},
 		absent:    map[string]time.Time{},
+		firstSeen: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -281,7 +283,7 @@
 		return false
 	}
 	for _, m := range r.view.Others(r.self.ID) {
-		if !r.knows(m, r.self.Joined) && !f.countedOut(m.Instance, r.limits) {
+		if !r.knows(m, r.self.Joined) && !f.countedOut(m.ID, r.limits) {
 			return false
 		}
 	}
--- a/registrar/standing.go
+++ b/registrar/standing.go
@@ -32,12 +32,12 @@
 		now       time.Time
 		self      string
 		view      View
-		proved    time.Time          // the view was the latest one at this time
-		heard     map[string]contact // last answers by member
-		listed    time.Time          // start of the last call for the instance list
-		absent    map[string]time.Time
-		strangers bool // the list holds an entry instance that is not registered
-		delisted  bool // the list held the own instance and does not any more
+		proved    time.Time            // the view was the latest one at this time
+		heard     map[string]contact   // last answers by member
+		listed    time.Time            // start of the last call for the instance list
+		absent    map[string]time.Time // by member
+		strangers bool                 // the list holds an entry instance that is not registered
+		delisted  bool                 // the list held the own instance and does not any more
 	}
 
 	// limits are the bounds of a judgement.
@@ -82,7 +82,7 @@
 		switch {
 		case f.hasSameState(m.ID, l):
 			heard++
-		case !f.countedOut(m.Instance, l):
+		case !f.countedOut(m.ID, l):
 			return Isolated
 		}
 	}
@@ -99,10 +99,10 @@
 	return ok && !c.hasStore && c.view == f.view.Number && elapsed(c.at, f.now) <= l.stale
 }
 
-// countedOut reports whether the instance has been missing from the list for
+// countedOut reports whether the member's instance has been missing from the list for
 // longer than the list lags.
-func (f facts) countedOut(instance string, l limits) bool {
-	since, ok := f.absent[instance]
+func (f facts) countedOut(id string, l limits) bool {
+	since, ok := f.absent[id]
 	return ok && f.listIsFresh(l) && elapsed(since, f.now) > l.lag
 }
 
