registrar: isolate a member that hears nobody, and make identities unique

Cause: random runs with the check of evidence found two faults. A process cut off from the store and all others took this for an outage once the other instances had left the list, and went on 44 s after evidence of its departure, next to the successor on its own instance. Two processes of an instance that started within one microsecond had the same identity, so the first did not see itself replaced. Change: an outage needs the answer of at least one other member; the rule about unregistered instances on the list goes. Identities end in digits of the nonce. The test of the lone member expects isolation now, which is the stricter rule. Ruled out: going on alone, since nothing tells it from being cut off.

--- a/registrar/departure.go
+++ b/registrar/departure.go
@@ -51,10 +51,8 @@
 	for _, m := range r.view.Members {
 		registered[m.Instance] = true
 	}
-	strangers := false
 	for _, l := range listings {
 		present[l.ID] = true
-		strangers = strangers || l.Kind == lister.EntryKind && !registered[l.ID]
 	}
 	r.delisted = r.seenListed && !present[r.self.Instance]
 	if !present[r.self.Instance] {
@@ -62,7 +60,6 @@
 	}
 	r.seenListed = true
 	r.listed = start
-	r.strangers = strangers
 	missing := make(map[string]time.Time)
 	for instance := range registered {
 		if present[instance] {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,6 +34,7 @@
 	fastHeartbeat = 500 * time.Millisecond // while the service does not answer
 	callTime      = 2 * time.Second        // longest wait for one answer
 	maxReads      = 3                      // reads of the membership under way
+	nonceDigits   = 4                      // of the nonce in an identity
 	listReads     = 3                      // missed readings after which the list is stale
 	minRetry      = 100 * time.Millisecond
 	maxRetry      = 2 * time.Second
@@ -82,7 +83,6 @@
 		confirmed  map[string]time.Time // departures that all members know
 		listed     time.Time
 		absent     map[string]time.Time
-		strangers  bool
 		seenListed bool // the list has held the own instance
 		delisted   bool // the list held the own instance and does not any more
 		left       bool
@@ -166,7 +166,7 @@
 // itself. The ID is that of the process, whether it is registered yet or not.
 func New(store keeper.Swapper, peers Peers, list Lister, self Member, opts ...Option) *Registrar {
 	self.Nonce = uuid.NewString()
-	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36)
+	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36) + self.Nonce[:nonceDigits]
 	r := &Registrar{
 		store:  store,
 		peers:  peers,
@@ -249,15 +249,14 @@
 // facts returns what a standing is judged on. The caller holds mu.
 func (r *Registrar) facts(now time.Time) facts {
 	return facts{
-		now:       now,
-		self:      r.self.ID,
-		view:      r.view,
-		proved:    r.proved,
-		heard:     r.heard,
-		listed:    r.listed,
-		absent:    r.absent,
-		strangers: r.strangers,
-		delisted:  r.delisted,
+		now:      now,
+		self:     r.self.ID,
+		view:     r.view,
+		proved:   r.proved,
+		heard:    r.heard,
+		listed:   r.listed,
+		absent:   r.absent,
+		delisted: r.delisted,
 	}
 }
 
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -224,12 +224,6 @@
 			f.store.SetDown(true)
 			f.kill(b)
 			f.kill(c)
-		}, registrar.Outage},
-		{"store down, others dead, stranger starts", func(f *fleet, _, b, c *node) {
-			f.store.SetDown(true)
-			f.kill(b)
-			f.kill(c)
-			f.start("d", "d:1")
 		}, registrar.Isolated},
 	}
 	for _, tt := range tests {
--- a/registrar/standing.go
+++ b/registrar/standing.go
@@ -29,15 +29,14 @@
 
 	// facts are what a standing is judged on.
 	facts struct {
-		now       time.Time
-		self      string
-		view      View
-		proved    time.Time          // the view was the latest one at this time
-		heard     map[string]contact // last answers by member
-		listed    time.Time          // start of the last call for the instance list
-		absent    map[string]time.Time
-		strangers bool // the list holds an entry instance that is not registered
-		delisted  bool // the list held the own instance and does not any more
+		now      time.Time
+		self     string
+		view     View
+		proved   time.Time          // the view was the latest one at this time
+		heard    map[string]contact // last answers by member
+		listed   time.Time          // start of the last call for the instance list
+		absent   map[string]time.Time
+		delisted bool // the list held the own instance and does not any more
 	}
 
 	// limits are the bounds of a judgement.
@@ -86,8 +85,8 @@
 			return Isolated
 		}
 	}
-	if heard == 0 && !f.alone(l) {
-		return Isolated
+	if heard == 0 {
+		return Isolated // alone, an outage looks like being cut off
 	}
 	return Outage
 }
@@ -106,12 +105,6 @@
 	return ok && f.listIsFresh(l) && elapsed(since, f.now) > l.lag
 }
 
-// alone reports whether a fresh list holds no other entry instance. A member
-// that hears nobody cannot tell an outage from being cut off in another way.
-func (f facts) alone(l limits) bool {
-	return f.listIsFresh(l) && !f.strangers
-}
-
 func (f facts) listIsFresh(l limits) bool {
 	return !f.listed.IsZero() && elapsed(f.listed, f.now) <= l.listed
 }
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -43,7 +43,7 @@
 
 	// Member is one process of an entry instance.
 	Member struct {
-		ID       string `json:"id"`       // identity: instance and start of the process, such as "entry-a1.mj2k3x9q1"
+		ID       string `json:"id"`       // identity: instance, start of the process and a nonce, such as "entry-a1.9bkkzw07i8f3a2"
 		Instance string `json:"instance"` // instance of the platform's list
 		Zone     string `json:"zone"`
 		Address  string `json:"address"` // IP number and port for peers
