Say what was weighed when a job is forwarded; let the demonstration wait

explain job shows the free slots and queues of this entry and of the best peer that a forwarded job was sent by. The demonstration ended when its first entry had registered all others but not reached them yet; it asks again now.

--- a/demonstrator/demo.go
+++ b/demonstrator/demo.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/caller"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/distributor"
 )
 
 const (
@@ -109,13 +110,23 @@
 }
 
 // applyRules applies the rules file through the first entry as soon as all
-// entries are registered.
+// entries are registered and it has reached them.
 func (d *demo) applyRules(ctx context.Context) error {
 	if err := d.until(ctx, func() bool { return len(d.entries[0].Members()) == entryCount }); err != nil {
 		return errors.Annotate(err, "entries did not register")
 	}
-	started := time.Now()
-	applied, err := d.entries[0].ApplyRules(ctx, 0, []byte(rulesText(d.keys, d.queues)), "demo")
+	var started time.Time
+	var applied distributor.Applied
+	var refused error
+	text := []byte(rulesText(d.keys, d.queues))
+	err := d.until(ctx, func() bool {
+		started = time.Now()
+		applied, refused = d.entries[0].ApplyRules(ctx, 0, text, "demo")
+		return refused == nil || classifier.As(refused).Code != classifier.Unready
+	})
+	if refused != nil {
+		return errors.Trace(refused)
+	}
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -101,6 +102,19 @@
 	return ok && best.free >= task.Slots
 }
 
+// Weighed implements Weigher.
+func (c *LoadChooser) Weighed(task scheduler.Task, exclude map[string]bool) []string {
+	own, owns := c.ownOption(task)
+	weighed := []string{"here: " + own.String()}
+	if !owns {
+		weighed[0] = "here: no worker in the pool or no grant for the team"
+	}
+	if best, ok := c.bestPeer(task, exclude); ok {
+		weighed = append(weighed, "best peer "+best.member+": "+best.String())
+	}
+	return weighed
+}
+
 // ownOption weighs this member. It is none without a worker in the pool or a
 // grant for the team.
 func (c *LoadChooser) ownOption(task scheduler.Task) (option, bool) {
@@ -139,6 +153,11 @@
 	return option{member: member, free: l.Slots - busy, queue: float64(busy) / float64(max(l.Slots, 1))}
 }
 
+// String describes the option for an explanation.
+func (o option) String() string {
+	return fmt.Sprintf("%d free slots, %.1f tasks a slot", max(o.free, 0), o.queue)
+}
+
 func (o option) before(other option) bool {
 	if (o.free > 0) != (other.free > 0) {
 		return o.free > 0
--- a/router/journal.go
+++ b/router/journal.go
@@ -22,6 +22,22 @@
 	})
 }
 
+// noteForward records where a task is sent and what else was weighed.
+func (r *Router) noteForward(task scheduler.Task, to string, refused map[string]bool) {
+	d := recorder.Decision{
+		Time:    time.Now(),
+		Entry:   r.members.Self().ID,
+		Kind:    recorder.Job,
+		Subject: task.ID,
+		Action:  "forwarded to " + to,
+		Facts:   []recorder.Fact{{Name: "pool", Value: task.Pool}},
+	}
+	if w, ok := r.chooser.(Weigher); ok {
+		d.Weighed = w.Weighed(task, refused)
+	}
+	r.journal(d)
+}
+
 // noteEnd records how a task accepted here ended.
 func (r *Router) noteEnd(task scheduler.Task, answer messenger.Answer, err *classifier.Error) {
 	facts := []recorder.Fact{
--- a/router/router.go
+++ b/router/router.go
@@ -73,6 +73,11 @@
 		Sent(member, pool string)
 	}
 
+	// Weigher is a Chooser that says what it chooses by.
+	Weigher interface {
+		Weighed(task scheduler.Task, exclude map[string]bool) []string
+	}
+
 	// Router routes tasks. Use New.
 	Router struct {
 		log      *slog.Logger
@@ -360,13 +365,13 @@
 	if !ok {
 		return messenger.Answer{}, classifier.Refuse(classifier.PeerLost, "member %q has left", member)
 	}
+	r.noteForward(task, peer.ID, refused)
 	return r.forward(ctx, task, peer)
 }
 
 // forward spends the task's one hop.
 func (r *Router) forward(ctx context.Context, task scheduler.Task, peer registrar.Member) (messenger.Answer, error) {
 	r.chooser.Sent(peer.ID, task.Pool)
-	r.note(task, "forwarded to "+peer.ID, recorder.Fact{Name: "pool", Value: task.Pool})
 	task.Forwarded = true
 	ctx, stop := context.WithDeadline(ctx, task.Deadline.Add(time.Second))
 	defer stop()
