--- a/server/entry.go
+++ b/server/entry.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/planner"
 	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 	"github.com/coltsfootlever/coltsfootlever/reporter"
@@ -40,6 +41,7 @@
 	MoverService       = "mover"
 	FleetService       = "fleet-coordinator"
 	MaintainerService  = "maintainer"
+	LendingService     = "lending"
 	SurveyorService    = "surveyor"
 	RecorderService    = "recorder"
 	ClaimerService     = "claimer"
@@ -174,6 +176,7 @@
 
 func (e *Entry) buildLimits() {
 	e.wallet = granter.NewWallet(e.cfg.Assert)
+	e.wallet.Guard(e.members.Fresh)
 	e.waiting = scheduler.NewWaiting()
 	e.grants = granter.New(e.platform.Store, e.self().ID, e.wallet,
 		granter.WithLog(e.cfg.Log),
@@ -253,6 +256,7 @@
 	evidence := e.cfg.TaskLease + placer.DefaultStartBy
 	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
 		granter.WithReclaim(evidence, e.cfg.Margin),
+		granter.WithEvidence(e.members.Evidence, e.members.Staleness()),
 		granter.WithCoordinatorLog(e.cfg.Log),
 		granter.WithCoordinatorJournal(e.decisions.Record),
 	)
@@ -273,6 +277,7 @@
 		{MoverService, e.mover},
 		{FleetService, fleet},
 		{MaintainerService, mover.NewMaintainer(fleet, e.orders)},
+		{LendingService, mover.NewLending(fleet, e.orders, e.poolLoads, planner.DefaultLendOptions())},
 		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
@@ -344,13 +349,14 @@
 	if err := e.claims.HandedOver(ctx, view); err != nil {
 		return errors.Trace(err)
 	}
-	for deadline := time.Now().Add(handOverTime); e.ownsWorkers() && time.Now().Before(deadline); {
-		if e.members.View().Number != view {
-			break
-		}
+	deadline := time.Now().Add(handOverTime)
+	for e.ownsWorkers() && time.Now().Before(deadline) && e.members.View().Number == view {
 		sleep(ctx, handOverPoll)
+		if ctx.Err() != nil {
+			return errors.Trace(ctx.Err())
+		}
 	}
-	return errors.Trace(ctx.Err())
+	return nil
 }
 
 // ownsWorkers says whether a record names this member as owner.
