--- a/claimer/home.go
+++ b/claimer/home.go
@@ -44,6 +44,9 @@
 	if held, ok := c.names.names[k]; ok {
 		return c.decideHeld(r, held)
 	}
+	if c.names.gaveUp(r.Task, r.Sequence) {
+		return messenger.ClaimReply{}, classifier.Refuse(classifier.HomeAbsent, "the claim of task %s was withdrawn", r.Task)
+	}
 	if err := c.checkNew(r, k, now); err != nil {
 		return messenger.ClaimReply{}, err
 	}
