--- a/claimer/world_test.go
+++ b/claimer/world_test.go
@@ -84,6 +84,15 @@
 	w.faults = append(w.faults, fmt.Sprintf(format, args...))
 }
 
+// takeFaults returns and forgets the faults found.
+func (w *world) takeFaults() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	faults := w.faults
+	w.faults = nil
+	return faults
+}
+
 func (w *world) assert(ok bool, format string, args ...any) {
 	if !ok {
 		w.fail(format, args...)
@@ -213,6 +222,13 @@
 	n.wake = make(chan struct{})
 }
 
+// ended reports whether the process was killed.
+func (n *node) ended() bool {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.stopped
+}
+
 func (n *node) resume() {
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
@@ -257,11 +273,11 @@
 	answer := make(chan result, 1)
 	w.wg.Go(func() {
 		time.Sleep(delay)
-		if lost || !to.awake() {
+		if lost || !to.awake() || to.ended() {
 			return
 		}
 		a, err := call(w.ctx, to)
-		if !unheard && to.awake() {
+		if !unheard && to.awake() && !to.ended() {
 			answer <- result{a, err}
 		}
 	})
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -34,6 +34,7 @@
 	fastHeartbeat = 500 * time.Millisecond // while the service does not answer
 	callTime      = 2 * time.Second        // longest wait for one answer
 	maxReads      = 3                      // reads of the membership under way
+	nonceDigits   = 4                      // of the nonce in an identity
 	listReads     = 3                      // missed readings after which the list is stale
 	minRetry      = 100 * time.Millisecond
 	maxRetry      = 2 * time.Second
@@ -81,10 +82,10 @@
 		reached    map[string]uint64    // highest view that a member is known to have
 		confirmed  map[string]time.Time // departures that all members know
 		listed     time.Time
-		absent     map[string]time.Time
-		strangers  bool
-		seenListed bool // the list has held the own instance
-		delisted   bool // the list held the own instance and does not any more
+		absent     map[string]time.Time // first read of the list that lacked the member's instance
+		firstSeen  map[string]time.Time // when the member was first seen in a view
+		seenListed bool                 // the list has held the own instance
+		delisted   bool                 // the list held the own instance and does not any more
 		left       bool
 		onView     []func(old, next View)
 		onBeat     []func(messenger.Heartbeat)
@@ -166,7 +167,7 @@
 // itself. The ID is that of the process, whether it is registered yet or not.
 func New(store keeper.Swapper, peers Peers, list Lister, self Member, opts ...Option) *Registrar {
 	self.Nonce = uuid.NewString()
-	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36)
+	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36) + self.Nonce[:nonceDigits]
 	r := &Registrar{
 		store:  store,
 		peers:  peers,
@@ -190,6 +191,7 @@
 		reached:   map[string]uint64{},
 		confirmed: map[string]time.Time{},
 		absent:    map[string]time.Time{},
+		firstSeen: map[string]time.Time{},
 	}
 	for _, opt := range opts {
 		opt(r)
@@ -249,15 +251,14 @@
 // facts returns what a standing is judged on. The caller holds mu.
 func (r *Registrar) facts(now time.Time) facts {
 	return facts{
-		now:       now,
-		self:      r.self.ID,
-		view:      r.view,
-		proved:    r.proved,
-		heard:     r.heard,
-		listed:    r.listed,
-		absent:    r.absent,
-		strangers: r.strangers,
-		delisted:  r.delisted,
+		now:      now,
+		self:     r.self.ID,
+		view:     r.view,
+		proved:   r.proved,
+		heard:    r.heard,
+		listed:   r.listed,
+		absent:   r.absent,
+		delisted: r.delisted,
 	}
 }
 
@@ -281,7 +282,7 @@
 		return false
 	}
 	for _, m := range r.view.Others(r.self.ID) {
-		if !r.knows(m, r.self.Joined) && !f.countedOut(m.Instance, r.limits) {
+		if !r.knows(m, r.self.Joined) && !f.countedOut(m.ID, r.limits) {
 			return false
 		}
 	}
