Reclaim workers on the same evidence as grants, and renew no lease after a pause in doubt

Cause: the fleet's coordinator took a departed owner's workers by the departure's time alone, before every member knew of it; a process that was paused, removed and woke could extend leases past the time after which its grants are reclaimed. Conclusion: one evidence rule serves grants and workers.

--- a/mover/coordinator.go
+++ b/mover/coordinator.go
@@ -56,6 +56,8 @@
 	}
 
 	coordination struct {
+		departed      func(id string) (time.Time, bool)
+		staleness     time.Duration
 		period        time.Duration
 		taskLease     time.Duration
 		clockMargin   time.Duration
@@ -77,6 +79,13 @@
 	return func(c *coordination) { c.taskLease, c.clockMargin = taskLease, clockMargin }
 }
 
+// WithDepartures sets the source of the time since which a departed member can
+// start nothing on a view that lacks its departure, plus the staleness bound.
+// Without it the time of the departure itself counts.
+func WithDepartures(departed func(id string) (time.Time, bool), staleness time.Duration) CoordinatorOption {
+	return func(c *coordination) { c.departed, c.staleness = departed, staleness }
+}
+
 // WithListLag sets the largest lag of the instance list.
 func WithListLag(d time.Duration) CoordinatorOption {
 	return func(c *coordination) { c.listLag = d }
--- a/mover/ownership.go
+++ b/mover/ownership.go
@@ -67,12 +67,18 @@
 			return ""
 		}
 	}
-	for _, d := range v.Departed {
-		if d.ID == member && now.Sub(d.Since) >= c.cfg.taskLease+c.cfg.clockMargin {
-			return d.Reason
-		}
+	d, ok := v.Departure(member)
+	if !ok {
+		return ""
 	}
-	return ""
+	since := d.Since
+	if c.cfg.departed != nil {
+		since, ok = c.cfg.departed(member)
+	}
+	if !ok || now.Sub(since) < c.cfg.staleness+c.cfg.taskLease+c.cfg.clockMargin {
+		return ""
+	}
+	return d.Reason
 }
 
 // own spreads the instances over the active members. The owner of an instance
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -77,6 +77,7 @@
 		poison   Poison
 		shares   Shares
 		leaving  func(instance string)
+		fresh    func() error
 		journal  func(recorder.Decision)
 		observe  func(Observation)
 		lease    time.Duration
@@ -145,6 +146,12 @@
 	return func(p *Placer) { p.leaving = leaving }
 }
 
+// WithFresh sets the check made after a pause of the process, before any lease
+// is renewed: whether this member may rely on what it knows.
+func WithFresh(fresh func() error) Option {
+	return func(p *Placer) { p.fresh = fresh }
+}
+
 // WithJournal sets the function that takes decisions for explanation.
 func WithJournal(journal func(recorder.Decision)) Option {
 	return func(p *Placer) { p.journal = journal }
@@ -169,6 +176,7 @@
 		poison:   scheduler.NewPoison(scheduler.DefaultStrikes, scheduler.DefaultSuspects),
 		shares:   func(string, map[string]int) map[string]int { return nil },
 		leaving:  func(string) {},
+		fresh:    func() error { return nil },
 		journal:  func(recorder.Decision) {},
 		observe:  func(Observation) {},
 		lease:    DefaultLease,
--- a/placer/renew.go
+++ b/placer/renew.go
@@ -12,6 +12,8 @@
 const (
 	// renewalsAtOnce bounds the renewals under way at one moment.
 	renewalsAtOnce = 16
+	// maxDrift is the lateness of a tick that is not taken for a pause.
+	maxDrift = 2 * time.Second
 	// renewalTimeout bounds one renewal.
 	renewalTimeout = 2 * time.Second
 	// maxMissed is the unanswered renewals in a row after which a worker is
@@ -41,6 +43,7 @@
 func (p *Placer) renew(ctx context.Context) {
 	tick := time.NewTicker(p.lease / 3)
 	defer tick.Stop()
+	watch := pauseWatch{most: p.lease/3 + maxDrift, last: time.Now()}
 	group := &errgroup.Group{}
 	group.SetLimit(renewalsAtOnce)
 	defer func() { _ = group.Wait() }()
@@ -49,7 +52,9 @@
 		case <-ctx.Done():
 			return
 		case <-tick.C:
-			p.send(collect{})
+			if watch.mayRenew(time.Now(), p.fresh) {
+				p.send(collect{})
+			}
 		case r := <-p.renewals.C():
 			group.Go(func() error {
 				p.renewOne(ctx, r)
@@ -59,6 +64,27 @@
 	}
 }
 
+// pauseWatch notices that the process was paused. It may have been removed and
+// its grants given away meanwhile, so it renews nothing until it is known to be
+// a member still.
+type pauseWatch struct {
+	most   time.Duration // longest time between two looks without a pause
+	last   time.Time
+	paused bool
+}
+
+// mayRenew says whether leases may be renewed at now. A suspended machine stops
+// the monotonic clock only, so the wall clock counts too.
+func (w *pauseWatch) mayRenew(now time.Time, fresh func() error) bool {
+	gap := max(now.Sub(w.last), now.Round(0).Sub(w.last.Round(0)))
+	w.last = now
+	w.paused = w.paused || gap > w.most
+	if w.paused && fresh() == nil {
+		w.paused = false
+	}
+	return !w.paused
+}
+
 func (p *Placer) renewOne(ctx context.Context, r renewal) {
 	ctx, stop := context.WithTimeout(ctx, renewalTimeout)
 	defer stop()
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -19,8 +19,9 @@
 		PoolLoad(pool string) messenger.PoolLoad
 		// Room returns the slots that the team may still take here.
 		Room(team string) int
-		// Holders returns the members that hold grants of the team.
-		Holders(team string) []string
+		// Holders returns the members that hold grants of the team for a task
+		// of so many slots.
+		Holders(team string, slots int) []string
 	}
 
 	// LoadChooser chooses by the loads that the heartbeats carry: this member
@@ -121,7 +122,7 @@
 	load := c.local.PoolLoad(task.Pool)
 	o := weigh(c.self, load, 0)
 	o.free = min(o.free, c.local.Room(task.Team))
-	return o, load.Slots > 0 && contains(c.local.Holders(task.Team), c.self)
+	return o, load.Slots > 0 && contains(c.local.Holders(task.Team, task.Slots), c.self)
 }
 
 // bestPeer returns the peer with the most free slots, then the shortest queue.
@@ -130,7 +131,7 @@
 	defer c.mu.Unlock()
 	var best option
 	found := false
-	for _, member := range c.local.Holders(task.Team) {
+	for _, member := range c.local.Holders(task.Team, task.Slots) {
 		load, ok := c.peers[member]
 		if !ok || exclude[member] || time.Since(load.heard) > heardFor {
 			continue
--- a/server/entry.go
+++ b/server/entry.go
@@ -212,6 +212,7 @@
 		placer.WithLease(e.cfg.TaskLease),
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
+		placer.WithFresh(e.members.Fresh),
 		placer.WithObserve(e.metrics.started),
 		placer.WithJournal(e.decisions.Record),
 		placer.WithShares(e.localShares),
@@ -262,6 +263,7 @@
 	)
 	fleet := mover.NewCoordinator(e.mover, e.duty, e.members.View, e.rules.Rules, e.budgets,
 		mover.WithEvidence(evidence, e.cfg.Margin),
+		mover.WithDepartures(e.members.Evidence, e.members.Staleness()),
 		mover.WithListLag(e.cfg.ListLag),
 	)
 	services := []struct {
--- a/server/load.go
+++ b/server/load.go
@@ -143,6 +143,6 @@
 }
 
 // Holders implements router.Local.
-func (l localLoads) Holders(team string) []string {
-	return l.e.grants.HoldersOf(team)
+func (l localLoads) Holders(team string, slots int) []string {
+	return l.e.grants.HoldersFor(team, slots)
 }
