--- a/server/entry.go
+++ b/server/entry.go
@@ -86,6 +86,7 @@
 	router   *router.Router
 	admitter *admitter.Admitter
 	loads    *loadTable
+	demands  func() []messenger.Heartbeat // that grants and weights follow
 	reports  *collector.Collector
 	burn     *reporter.Meter
 
@@ -97,6 +98,15 @@
 // New returns an entry that has not started. The error lists every fault of
 // the settings.
 func New(cfg Settings, platform Platform) (*Entry, error) {
+	e, err := build(cfg, platform)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return e, e.register()
+}
+
+// build makes the services without registering them.
+func build(cfg Settings, platform Platform) (*Entry, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, errors.Annotate(err, "settings")
 	}
@@ -108,7 +118,7 @@
 	e.buildLimits()
 	e.buildFleet()
 	e.buildPath()
-	return e, e.register()
+	return e, nil
 }
 
 // reportBroken logs and counts a broken invariant.
@@ -168,6 +178,7 @@
 	)
 	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
 	e.loads = newLoadTable(e.self().ID)
+	e.demands = e.loads.all
 	e.reports = collector.New(e.members, e.platform.Peers)
 	e.burn = reporter.NewMeter()
 	ring := recorder.NewRing(e.platform.Store, e.cfg.Log)
@@ -254,7 +265,7 @@
 // register gives the kernel its services in the order of their start.
 func (e *Entry) register() error {
 	evidence := e.cfg.TaskLease + placer.DefaultStartBy
-	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
+	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.demands,
 		granter.WithReclaim(evidence, e.cfg.Margin),
 		granter.WithEvidence(e.members.Evidence, e.members.Staleness()),
 		granter.WithCoordinatorLog(e.cfg.Log),
