mover: take no instance out before the one that just returned has proved well

A roll-out that looked at its steps before an instance returned and at the absences after it ordered the next one at once: no budget was overdrawn, but the instance was not watched first.

--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -269,12 +269,14 @@
 }
 
 // unproven adds the instances that have just returned to the absences, so that
-// no more of a pool are taken out before these have proved well.
+// no more of a pool are taken out before these have proved well. One may have
+// returned since the roll-out's record was brought up to date.
 func (m *Maintainer) unproven(r Rollout, absent budgeter.Absences) budgeter.Absences {
 	list := slices.Clone(absent.List)
 	for _, i := range m.c.m.table.All() {
 		s, _ := r.Step(i.ID)
-		if _, out := absent.Find(i.ID); s.State == StepProof && !out {
+		begun := s.State == StepActive || s.State == StepProof
+		if _, out := absent.Find(i.ID); begun && !out {
 			list = append(list, absence(i, s.Order, s.Since))
 		}
 	}
