Stop starts on workers of a member in doubt, tell of sick workers and checkpoint before a stop

Cause: the mover's gate, its reports of health and its checkpoints were not connected, so an isolated member kept workers open, no roll-out stopped because an instance came back sick, and draining waited for whatever ran. Change: the entry connects them: the gate asks for freshness, workers set aside are reported every 2 s, and a worker that has drained for 30 s has its idempotent tasks saved and stopped.

--- a/placer/preempt.go
+++ b/placer/preempt.go
@@ -16,6 +16,9 @@
 	seizeEvery = 200 * time.Millisecond
 )
 
+// checkpointWorker asks for checkpoints of all that may be resumed on a worker.
+type checkpointWorker struct{ instance string }
+
 // throttled tells that a worker goes on with fewer slots for a task.
 type throttled struct {
 	attempt *attempt
@@ -94,6 +97,24 @@
 	return demand
 }
 
+// CheckpointWorker asks the tasks on a worker to save their progress and stop, so
+// that the worker can be taken out of service. Tasks that may not run again are
+// left alone.
+func (p *Placer) CheckpointWorker(instance string) {
+	p.put(checkpointWorker{instance: instance})
+}
+
+func (e checkpointWorker) apply(p *Placer) {
+	for _, j := range p.jobs {
+		a := j.attempt
+		if a == nil || a.worker.ID != e.instance || !j.task.Idempotent || a.spared || a.stopping {
+			continue
+		}
+		a.spared = true
+		p.order(a, p.workers.Checkpoint)
+	}
+}
+
 // take orders one measure.
 func (p *Placer) take(a *attempt, v scheduler.Victim) {
 	a.spared = true
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -89,3 +90,17 @@
 		panic(fmt.Sprintf(format, args...))
 	}
 }
+
+// Aside returns the workers that are set aside, sorted.
+func (f *Fleet) Aside() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for id, w := range f.workers {
+		if w.health.isAside() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -46,6 +46,7 @@
 	RecorderService    = "recorder"
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
+	HealthService      = "worker-health"
 	RouterService      = "router"
 	AdmitterService    = "admitter"
 )
@@ -59,6 +60,11 @@
 	// handOverTime bounds the wait for other members to take over workers.
 	handOverTime = 30 * time.Second
 	handOverPoll = 50 * time.Millisecond
+	// checkpointAfter is the time for which a draining worker's tasks may go on
+	// before they are asked to save their progress and stop.
+	checkpointAfter = 30 * time.Second
+	// healthPoll is the time between looks at the workers set aside.
+	healthPoll = 2 * time.Second
 	// listPoll is the time between reads of the instance list.
 	listPoll = time.Second
 )
@@ -202,6 +208,8 @@
 		mover.WithLog(e.cfg.Log),
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
+		mover.WithGate(func() bool { return e.members.Fresh() == nil }),
+		mover.WithCheckpoint(checkpointAfter, func(_ context.Context, id string) { e.placer.CheckpointWorker(id) }),
 		mover.WithJournal(e.decisions.Record),
 	)
 	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
@@ -249,6 +257,39 @@
 	return 2*e.cfg.ListLag + e.cfg.Staleness
 }
 
+// watchHealth tells the mover of workers that fail what is started on them.
+func (e *Entry) watchHealth(ctx context.Context) error {
+	tick := time.NewTicker(healthPoll)
+	defer tick.Stop()
+	aside := make(map[string]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		aside = e.reportHealth(aside)
+	}
+}
+
+// reportHealth reports the workers newly set aside and those that are not any
+// more, and returns the former together with those that still are.
+func (e *Entry) reportHealth(before map[string]bool) map[string]bool {
+	now := make(map[string]bool)
+	for _, id := range e.fleet.Aside() {
+		now[id] = true
+		if !before[id] {
+			e.mover.ReportHealth(id, "fails what is started on it")
+		}
+	}
+	for id := range before {
+		if !now[id] {
+			e.mover.ReportHealth(id, "")
+		}
+	}
+	return now
+}
+
 // isOpen says whether the queue takes work without a key.
 func (e *Entry) isOpen(queue string) bool {
 	rules := e.rules.Rules()
@@ -294,6 +335,7 @@
 		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
+		{HealthService, supervisor.Func(e.watchHealth)},
 		{RouterService, e.router},
 		{AdmitterService, e.admitter},
 	}
