--- a/prover/rulebook.go
+++ b/prover/rulebook.go
@@ -6,7 +6,6 @@
 	"sync"
 
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
-	"github.com/coltsfootlever/coltsfootlever/parser"
 )
 
 type (
@@ -72,15 +71,6 @@
 	return b.secrets[key]
 }
 
-// rules returns the rules as they stand.
-func (b *rulebook) rules() *parser.Rules {
-	rules, err := parser.Parse("rules", strings.NewReader(b.text()))
-	if err != nil {
-		panic(err)
-	}
-	return rules
-}
-
 // text returns the rules as an operator writes them.
 func (b *rulebook) text() string {
 	b.mu.Lock()
--- a/prover/switched_test.go
+++ b/prover/switched_test.go
@@ -71,45 +71,62 @@
 	return func(s server.Store) server.Store { return blindStore{s, prefix} }
 }
 
+// cutOff leaves one entry of three without the store and its peers, while a key
+// is withdrawn.
+func cutOff(run int) prover.Plan {
+	return prover.Plan{Entries: 3, Load: uint64(run), Every: 50 * time.Millisecond, Steps: []prover.Step{
+		{Kind: prover.CutStore, A: 0, For: time.Minute},
+		{Kind: prover.CutPeers, A: 0, B: 1, For: time.Minute},
+		{Kind: prover.CutPeers, A: 0, B: 2, For: time.Minute},
+		{Kind: prover.WithdrawKey, A: 1, B: 0, After: time.Second, For: time.Minute},
+	}}
+}
+
+// of returns the plans of the given kinds.
+func of(kinds ...prover.Kind) func(run int) prover.Plan {
+	plans := prover.Plans(kinds...)
+	return func(run int) prover.Plan { return plans.Example(run) }
+}
+
 // Each test switches one mechanism off, and the checker must find it.
 func TestSwitchedOff(t *testing.T) {
 	tests := []struct {
 		name string
 		opts prover.Options
-		only []prover.Kind
+		plan func(run int) prover.Plan
 		want checker.Invariant
 	}{
 		{
 			"compare-and-swap of the ledger", prover.Options{Store: blind(keeper.LedgerPrefix)},
-			[]prover.Kind{prover.ChangeLimit, prover.CrashEntry, prover.StoreSlow, prover.PauseEntry}, checker.Limit,
+			of(prover.ChangeLimit, prover.CrashEntry, prover.StoreSlow, prover.PauseEntry), checker.Limit,
 		},
 		{
 			"compare-and-swap of instances", prover.Options{Store: blind(keeper.InstancePrefix)},
-			[]prover.Kind{prover.Move, prover.Drain, prover.Wave, prover.StoreSlow, prover.PauseEntry, prover.CrashEntry}, checker.OnePool,
+			of(prover.Move, prover.Drain, prover.Wave, prover.StoreSlow, prover.PauseEntry, prover.CrashEntry), checker.OnePool,
 		},
 		{
 			"compare-and-swap of absences", prover.Options{Store: blind(keeper.AbsencesKey)},
-			[]prover.Kind{prover.Wave, prover.Drain, prover.StoreSlow}, checker.Budgets,
+			of(prover.Wave, prover.Drain, prover.StoreSlow), checker.Budgets,
 		},
 		{
 			"compare-and-swap of rules", prover.Options{Store: blind(keeper.RulesPrefix)},
-			[]prover.Kind{prover.RaceOperators, prover.StoreSlow}, checker.Configuration,
+			of(prover.RaceOperators, prover.StoreSlow), checker.Configuration,
 		},
 		{
 			"claims", prover.Options{Peers: func(p server.Peers) server.Peers { return freePeers{p} }},
-			[]prover.Kind{prover.Burst}, checker.AtMostOnce,
+			of(prover.Burst), checker.AtMostOnce,
 		},
 		{
 			"hand-over of names", prover.Options{Peers: func(p server.Peers) server.Peers { return forgetfulPeers{p} }},
-			[]prover.Kind{prover.StopEntry}, checker.AtMostOnce,
+			of(prover.StopEntry), checker.AtMostOnce,
 		},
 		{
 			"leases of tasks", prover.Options{Workers: func(w server.Workers) server.Workers { return endlessWorkers{w} }},
-			[]prover.Kind{prover.CrashEntry, prover.LoseEntry}, checker.OnePool,
+			of(prover.CrashEntry, prover.LoseEntry), checker.OnePool,
 		},
 		{
 			"staleness bound", prover.Options{Settings: func(s *server.Settings) { s.Staleness = 24 * time.Hour }},
-			[]prover.Kind{prover.CutStore, prover.CutPeers, prover.WithdrawKey, prover.PauseEntry}, checker.WithdrawnKey,
+			cutOff, checker.WithdrawnKey,
 		},
 	}
 	for _, tt := range tests {
@@ -118,13 +135,15 @@
 			fired := map[checker.Invariant]int{}
 			runs := 0
 			for ; runs < maxSwitchedRuns && fired[tt.want] == 0; runs++ {
-				w := run(t, prover.Plans(tt.only...).Example(runs), tt.opts)
+				w := run(t, tt.plan(runs), tt.opts)
 				for _, b := range w.Breaches() {
 					fired[b.Invariant]++
 				}
 			}
 			t.Logf("%d runs: %v", runs, fired)
 			require.Positive(t, fired[tt.want])
+			last := tt.plan(runs - 1)
+			require.Empty(t, report(runs-1, last, run(t, last, options())), "with the mechanism on")
 		})
 	}
 }
