--- a/measurer/run.go
+++ b/measurer/run.go
@@ -24,6 +24,7 @@
 	longTask     = 100 * time.Second
 	namedJobs    = 5 // an entry and second
 	decodeRuns   = 20
+	collections  = 4
 )
 
 // Phases of a run.
@@ -208,10 +209,13 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// heap returns the bytes that are live.
+// heap returns the bytes that are live. Further collections free what pools
+// and finalizers still hold after the first.
 func heap() float64 {
 	var m runtime.MemStats
-	runtime.GC()
+	for range collections {
+		runtime.GC()
+	}
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
--- a/measurer/slope.go
+++ b/measurer/slope.go
@@ -74,6 +74,13 @@
 		}
 		fmt.Fprintln(w)
 	}
+	for _, kind := range storeKinds {
+		fmt.Fprintf(w, "%s, calls and B, fleet\t", kind)
+		for _, p := range r.Phases {
+			fmt.Fprintf(w, "%.4g, %.4g\t", p.All[kind].Calls, p.All[kind].Bytes)
+		}
+		fmt.Fprintln(w)
+	}
 	fmt.Fprintf(w, "instance list: %.0f B, decoding %.2f ms\t\n", r.ListBytes, r.ListDecode)
 	return w.Flush()
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -26,7 +26,7 @@
 	teamLimit      = 40
 	zoneCount      = 6
 	rackSize       = 20
-	pipeBytes      = 64 << 10
+	pipeBytes      = 4 << 10 // small, since it counts as memory of the entries
 )
 
 type (
