server: benchmark claim and forward, and time the loss of a rack

Cause: the cost per request of claim and forward was not measured end to end. Change: BenchmarkRequest compares them with a local idempotent request over loopback; the loss of a rack is timed with broken, silent and delisted workers.

--- /dev/null
+++ b/server/bench_test.go
@@ -0,0 +1,127 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/caller"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+	"github.com/coltsfootlever/coltsfootlever/server"
+)
+
+const (
+	benchWait  = 20 * time.Second
+	benchPoll  = 50 * time.Millisecond
+	benchLimit = 64
+	benchRules = `pool solo # measurement
+team leads customer a share 1 limit 64 # measurement
+queue leads team leads open service s pool solo bound 1000 # measurement
+`
+)
+
+// startEntry starts an entry whose peers' port is on loopback.
+func (f *fleet) startEntry(b *testing.B, n int) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	cfg := server.DefaultSettings()
+	cfg.Instance, cfg.Zone = fmt.Sprintf("entry-%d", n), "a"
+	cfg.Peers, cfg.Callers = l.Addr().String(), fmt.Sprintf("127.0.0.1:%d", 7000+n)
+	cfg.OperatorHash = authenticator.Hash(operatorKey)
+	cfg.Log = slog.New(slog.DiscardHandler)
+	cfg.Assert = func(ok bool, format string, args ...any) { require.True(b, ok, format, args) }
+	f.platform.Add(lister.Listing{ID: cfg.Instance, Kind: lister.EntryKind, Address: cfg.Peers, Zone: "a", State: lister.Live})
+	client := messenger.NewClient()
+	e, err := server.New(cfg, server.Platform{Store: f.store, Instances: f.platform, Workers: f.workers, Peers: client})
+	require.NoError(b, err)
+	f.entries = append(f.entries, e)
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 2)
+	go func() { ended <- messenger.NewServer(e.PeerHandler(), messenger.WithListener(l)).Run(ctx) }()
+	go func() { ended <- e.Run(ctx) }()
+	b.Cleanup(func() {
+		stop()
+		<-ended
+		<-ended
+		_ = client.Close()
+	})
+}
+
+// newSolo returns an entry that owns the one worker of a pool, and one that has
+// to forward.
+func newSolo(b *testing.B) (owner, other *server.Entry) {
+	f := &fleet{store: emulator.NewStore(), platform: emulator.NewPlatform(0, time.Second, nil), workers: &emulator.Fleet{}}
+	f.platform.Add(lister.Listing{ID: "w", Kind: lister.WorkerKind, Address: "10.0.1.1:9000", Zone: "a", Rack: "a1", Slots: benchLimit, Pool: "solo", State: lister.Live})
+	f.workers.Add("10.0.1.1:9000", emulator.NewWorker("w", benchLimit, nil))
+	for n := range 2 {
+		f.startEntry(b, n)
+	}
+	until(b, func() bool {
+		_, err := f.client(0).Apply(b.Context(), operator.ApplyRequest{Text: benchRules})
+		return err == nil
+	})
+	until(b, func() bool {
+		owner, other = f.entries[0], f.entries[1]
+		if other.OwnedSlots() > 0 {
+			owner, other = other, owner
+		}
+		return owner.GrantedSlots("leads") > 0 && owner.OwnedSlots() > 0 && submit(b, other, caller.Request{Idempotent: true}) == nil
+	})
+	time.Sleep(2 * server.DefaultHeartbeat) // loads are known
+	return owner, other
+}
+
+func until(b *testing.B, done func() bool) {
+	for end := time.Now().Add(benchWait); !done(); time.Sleep(benchPoll) {
+		require.True(b, time.Now().Before(end), "the fleet did not get ready")
+	}
+}
+
+func submit(b *testing.B, e *server.Entry, r caller.Request) error {
+	client := caller.New("http://entry", &http.Client{Transport: transport{e.Callers()}})
+	r.Queue, r.Class, r.Deadline, r.Body = "leads", scheduler.Urgent, time.Minute, []byte("{}")
+	_, err := client.Submit(b.Context(), r)
+	return err
+}
+
+// BenchmarkRequest measures a request from the callers' handler to the answer.
+// Workers answer at once. Peers' messages go over loopback. Half of the names
+// have the other entry as home.
+func BenchmarkRequest(b *testing.B) {
+	owner, other := newSolo(b)
+	for _, c := range []struct {
+		name       string
+		entry      *server.Entry
+		idempotent bool
+	}{
+		{"local-idempotent", owner, true},
+		{"local-claimed", owner, false},
+		{"forwarded-idempotent", other, true},
+		{"forwarded-claimed", other, false},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r := caller.Request{Idempotent: c.idempotent}
+				if !c.idempotent {
+					r.Name = uuid.Must(uuid.NewV7()).String()
+				}
+				if err := submit(b, c.entry, r); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/server/compare_test.go
+++ b/server/compare_test.go
@@ -31,7 +31,6 @@
 	compareWarm    = 30 * time.Second
 	compareTime    = 60 * time.Second
 	compareSample  = 100 * time.Millisecond
-	taskMillis     = 300
 	compareTeams   = `pool all # measurement
 team alpha customer a share 3 limit 60 # measurement
 team beta customer b share 2 limit 60 # measurement
@@ -60,35 +59,40 @@
 
 	// sighting is what the workers saw of one request.
 	sighting struct {
-		crowd  string
-		class  scheduler.Class
-		sent   time.Time
-		starts []emulator.Execution
+		crowd    string
+		class    scheduler.Class
+		sent     time.Time
+		starts   []emulator.Execution
+		answer   error
+		answered bool
 	}
 
 	// gauge measures by what the workers see.
 	gauge struct {
+		crowds  []crowd
+		millis  int // length of a task
 		mu      sync.Mutex
 		seen    map[string]*sighting // by the name in the request
 		running map[string]int       // slots by crowd
 		busy    map[string]map[string]bool
 		had     map[string]float64
-		last    map[string]time.Time // last start by worker
 		samples int
 		ended   int
 		on      bool
-		urgent  []time.Duration
+		urgent  map[string][]time.Duration // from sending to the first start, by crowd
 	}
 )
 
-var crowds = []crowd{
-	{team: "alpha", share: 3, background: 120, urgent: 5, entry: 0},
-	{team: "beta", share: 2, background: 120, urgent: 5, entry: -1},
-	{team: "gamma", share: 1, background: 120, urgent: 5, entry: 1},
+func newCrowds() []crowd {
+	return []crowd{
+		{team: "alpha", share: 3, background: 120, urgent: 5, entry: 0},
+		{team: "beta", share: 2, background: 120, urgent: 5, entry: -1},
+		{team: "gamma", share: 1, background: 120, urgent: 5, entry: 1},
+	}
 }
 
 func newGauge() *gauge {
-	return &gauge{seen: map[string]*sighting{}, running: map[string]int{}, busy: map[string]map[string]bool{}, had: map[string]float64{}, last: map[string]time.Time{}}
+	return &gauge{crowds: newCrowds(), millis: 300, seen: map[string]*sighting{}, running: map[string]int{}, busy: map[string]map[string]bool{}, had: map[string]float64{}, urgent: map[string][]time.Duration{}}
 }
 
 func (g *gauge) observe(x emulator.Execution) {
@@ -109,9 +113,8 @@
 	g.running[s.crowd] += x.Order.Slots
 	g.busy[x.Worker][x.Order.Name] = true
 	s.starts = append(s.starts, x)
-	g.last[x.Worker] = x.Start
 	if g.on && s.class == scheduler.Urgent && len(s.starts) == 1 {
-		g.urgent = append(g.urgent, x.Start.Sub(s.sent))
+		g.urgent[s.crowd] = append(g.urgent[s.crowd], x.Start.Sub(s.sent))
 	}
 }
 
@@ -124,6 +127,9 @@
 func (g *gauge) answered(name string, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s := g.seen[name]; s != nil {
+		s.answer, s.answered = err, true
+	}
 	delete(g.seen, name)
 	if g.on && err == nil {
 		g.ended++
@@ -136,7 +142,7 @@
 	for range int(d / compareSample) {
 		time.Sleep(compareSample)
 		g.mu.Lock()
-		for _, c := range crowds {
+		for _, c := range g.crowds {
 			g.had[c.team] += float64(g.running[c.team])
 		}
 		g.samples++
@@ -156,7 +162,7 @@
 func (g *gauge) shareError() (worst, used float64) {
 	var demands []granter.Demand
 	total := compareWorkers * compareSlots
-	for _, c := range crowds {
+	for _, c := range g.crowds {
 		demands = append(demands, granter.Demand{Team: c.team, Weight: c.share, Limit: 60, Demand: total})
 	}
 	for team, fair := range granter.Shares(total, demands) {
@@ -233,7 +239,7 @@
 func (f *fleet) load(ctx context.Context, g *gauge, shared string) func() {
 	ctx, stop := context.WithCancel(ctx)
 	var callers sync.WaitGroup
-	for _, c := range crowds {
+	for _, c := range g.crowds {
 		for n := range c.background + c.urgent {
 			class, every := scheduler.Background, time.Duration(0)
 			if n >= c.background {
@@ -262,7 +268,7 @@
 	time.Sleep(time.Duration(n) * 7 * time.Millisecond)
 	for i := 0; ctx.Err() == nil; i++ {
 		r.Name = fmt.Sprintf("%s-%d-%d", c.team, n, i)
-		r.Body = fmt.Appendf(nil, `{"sleep-ms":%d}`, taskMillis)
+		r.Body = fmt.Appendf(nil, `{"sleep-ms":%d}`, g.millis)
 		g.send(r.Name, &sighting{crowd: c.team, class: class, sent: time.Now()})
 		_, err := client.Submit(context.WithoutCancel(ctx), r)
 		g.answered(r.Name, err)
@@ -270,37 +276,56 @@
 	}
 }
 
+type comparison struct {
+	name   string
+	v      server.Variant
+	rules  string
+	shared string
+}
+
 func TestCompare(t *testing.T) {
-	for _, v := range []struct {
-		name   string
-		v      server.Variant
-		rules  string
-		shared string
-	}{
-		{name: "coltsfootlever", rules: compareTeams},
-		{name: "never forwards", v: server.Variant{Alone: true}, rules: compareTeams},
-		{name: "even split", v: server.Variant{EvenSplit: true}, rules: compareTeams},
-		{name: "even split, never forwards", v: server.Variant{Alone: true, EvenSplit: true}, rules: compareTeams},
-		{name: "FIFO", rules: compareOne, shared: "one"},
-	} {
-		t.Run(v.name, func(t *testing.T) {
-			withCompared(t, v.v, v.rules, func(t *testing.T, f *fleet, g *gauge, _ map[string]*emulator.Worker) {
-				before := calls(f.store)
-				time.Sleep(compareTime)
-				idle := calls(f.store) - before
-				stop := f.load(t.Context(), g, v.shared)
-				time.Sleep(compareWarm)
-				before = calls(f.store)
-				g.measure(compareTime)
-				loaded := calls(f.store) - before
-				stop()
-				worst, used := g.shareError()
-				t.Logf("%-28s share-error %.3f slots-used %.3f urgent p50 %v p99 %v requests %d; store calls/s idle %.1f loaded %.1f, per 1000 requests above idle %.1f; had %v",
-					v.name, worst, used, percentile(g.urgent, 50), percentile(g.urgent, 99), g.ended, float64(idle)/compareTime.Seconds(),
-					float64(loaded)/compareTime.Seconds(), float64(loaded-idle)*1000/float64(max(g.ended, 1)), g.had)
-			})
-		})
+	for _, millis := range []int{300, 3000} {
+		for _, gamma := range []int{-1, 1} {
+			for _, c := range []comparison{
+				{name: "coltsfootlever", rules: compareTeams},
+				{name: "never forwards", v: server.Variant{Alone: true}, rules: compareTeams},
+				{name: "even split", v: server.Variant{EvenSplit: true}, rules: compareTeams},
+				{name: "even split, never forwards", v: server.Variant{Alone: true, EvenSplit: true}, rules: compareTeams},
+				{name: "FIFO", rules: compareOne, shared: "one"},
+			} {
+				t.Run(fmt.Sprintf("%dms/gamma at %d/%s", millis, gamma, c.name), func(t *testing.T) { c.run(t, millis, gamma) })
+			}
+		}
+	}
+}
+
+// run measures with tasks of a length and the callers of gamma at an entry.
+func (c comparison) run(t *testing.T, millis, gamma int) {
+	withCompared(t, c.v, c.rules, func(t *testing.T, f *fleet, g *gauge, _ map[string]*emulator.Worker) {
+		g.millis, g.crowds[2].entry = millis, gamma
+		before := calls(f.store)
+		time.Sleep(compareTime)
+		idle := calls(f.store) - before
+		stop := f.load(t.Context(), g, c.shared)
+		time.Sleep(compareWarm)
+		before = calls(f.store)
+		g.measure(compareTime)
+		loaded := calls(f.store) - before
+		stop()
+		worst, used := g.shareError()
+		urgent := slices.Concat(g.urgent["alpha"], g.urgent["beta"], g.urgent["gamma"])
+		t.Logf("share-error %.3f slots-used %.3f %s urgent p50 %v p99 %v (%d) requests %d; store calls/s idle %.1f loaded %.1f, per 1000 requests %.1f, above idle %.1f",
+			worst, used, g.slots(), percentile(urgent, 50), percentile(urgent, 99), len(urgent), g.ended, float64(idle)/compareTime.Seconds(),
+			float64(loaded)/compareTime.Seconds(), float64(loaded)*1000/float64(max(g.ended, 1)), float64(loaded-idle)*1000/float64(max(g.ended, 1)))
+	})
+}
+
+// slots returns the mean slots and the urgent delay of each team.
+func (g *gauge) slots() (text string) {
+	for _, c := range g.crowds {
+		text += fmt.Sprintf("%s %.1f (urgent p99 %v) ", c.team, g.had[c.team]/float64(g.samples), percentile(g.urgent[c.team], 99))
 	}
+	return text
 }
 
 func calls(s *emulator.Store) int {
--- a/server/rackloss_test.go
+++ b/server/rackloss_test.go
@@ -1,6 +1,7 @@
 package server_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -13,24 +14,37 @@
 // TestRackLoss measures the time from the loss of a rack with two workers until
 // the work that ran there starts on others.
 func TestRackLoss(t *testing.T) {
-	for name, lose := range map[string]func(*emulator.WorkerFaults){
-		"connections break":   func(f *emulator.WorkerFaults) { f.Crashed = true },
-		"nothing is answered": func(f *emulator.WorkerFaults) { f.Paused = true },
+	crash := func(f *emulator.WorkerFaults) { f.Crashed = true }
+	hang := func(f *emulator.WorkerFaults) { f.Paused = true }
+	for _, loss := range []struct {
+		name string
+		do   func(*emulator.WorkerFaults)
+		gone time.Duration // until the instance list lacks the workers; 0 for never
+	}{
+		{"connections break", crash, 0},
+		{"nothing is answered", hang, 0},
+		{"nothing is answered, delisted after 5s", hang, 5 * time.Second},
 	} {
-		t.Run(name, func(t *testing.T) {
+		t.Run(loss.name, func(t *testing.T) {
 			withCompared(t, server.Variant{}, compareTeams, func(t *testing.T, f *fleet, g *gauge, workers map[string]*emulator.Worker) {
+				g.millis = 3000
 				stop := f.load(t.Context(), g, "")
 				time.Sleep(compareWarm)
 				lost := []string{"w00", "w03"}
 				at, hit := time.Now(), g.at(lost)
+				require.NotEmpty(t, hit)
 				for _, id := range lost {
-					workers[id].Inject(lose)
+					workers[id].Inject(loss.do)
 				}
-				time.Sleep(compareTime)
-				again, ended := g.elsewhere(hit, lost, at)
-				t.Logf("%s: %d ran there; %d placed elsewhere after p50 %v, last %v; %d ended without a new start; the last start there after %v",
-					name, len(hit), len(again), percentile(again, 50), percentile(again, 100), ended, g.last[lost[0]].Sub(at))
-				require.NotEmpty(t, hit)
+				if loss.gone > 0 {
+					time.Sleep(loss.gone)
+					f.platform.Remove(lost[0])
+					f.platform.Remove(lost[1])
+				}
+				time.Sleep(2 * compareTime)
+				again, none := g.elsewhere(hit, lost, at)
+				t.Logf("%d ran there; %d placed elsewhere after p50 %v, last %v; %d not placed elsewhere: %v",
+					len(hit), len(again), percentile(again, 50), percentile(again, 100), len(none), none)
 				for _, id := range lost {
 					workers[id].Inject(func(f *emulator.WorkerFaults) { *f = emulator.WorkerFaults{} })
 				}
@@ -55,7 +69,7 @@
 
 // elsewhere returns the times from at to the next start of the requests, and
 // how many had none.
-func (g *gauge) elsewhere(hit []*sighting, lost []string, at time.Time) (again []time.Duration, none int) {
+func (g *gauge) elsewhere(hit []*sighting, lost []string, at time.Time) (again []time.Duration, none []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, s := range hit {
@@ -67,7 +81,7 @@
 			}
 		}
 		if next == 0 {
-			none++
+			none = append(none, fmt.Sprint(s.answered, " ", s.answer))
 			continue
 		}
 		again = append(again, next)
