--- a/router/router.go
+++ b/router/router.go
@@ -69,8 +69,9 @@
 		Choose(task scheduler.Task, exclude map[string]bool) (member string, ok bool)
 		// Better says whether a peer would start the task at once.
 		Better(task scheduler.Task, exclude map[string]bool) bool
-		// Sent tells that a task has been forwarded to the member.
-		Sent(member, pool string)
+		// Placed tells that a task is handed to the member, and returns what to
+		// call when it has been answered.
+		Placed(task scheduler.Task, member string) (done func())
 	}
 
 	// Weigher is a Chooser that says what it chooses by.
@@ -357,6 +358,7 @@
 
 // placeAt runs the task at one member.
 func (r *Router) placeAt(ctx context.Context, task scheduler.Task, member string, refused map[string]bool) (messenger.Answer, error) {
+	defer r.chooser.Placed(task, member)()
 	if member == r.members.Self().ID {
 		leave := func() bool { return r.chooser.Better(task, refused) }
 		return r.placer.Submit(ctx, task, placer.Patience{Every: r.patience, Leave: leave})
@@ -371,7 +373,6 @@
 
 // forward spends the task's one hop.
 func (r *Router) forward(ctx context.Context, task scheduler.Task, peer registrar.Member) (messenger.Answer, error) {
-	r.chooser.Sent(peer.ID, task.Pool)
 	task.Forwarded = true
 	ctx, stop := context.WithDeadline(ctx, task.Deadline.Add(time.Second))
 	defer stop()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -105,7 +105,7 @@
 
 func (m *member) Choose(scheduler.Task, map[string]bool) (string, bool) { return m.choose, true }
 func (m *member) Better(scheduler.Task, map[string]bool) bool           { return false }
-func (m *member) Sent(string, string)                                   {}
+func (m *member) Placed(scheduler.Task, string) func()                  { return func() {} }
 
 func (m *member) submit(t *testing.T, name string, idempotent bool) (messenger.Answer, *classifier.Error) {
 	task := scheduler.Task{
--- a/scheduler/health.go
+++ b/scheduler/health.go
@@ -104,3 +104,17 @@
 	slices.Sort(ids)
 	return ids
 }
+
+// Busy returns the workers with slots in use, sorted.
+func (f *Fleet) Busy() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var ids []string
+	for id, w := range f.workers {
+		if w.running > 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -257,7 +257,8 @@
 	return 2*e.cfg.ListLag + e.cfg.Staleness
 }
 
-// watchHealth tells the mover of workers that fail what is started on them.
+// watchHealth tells the mover of workers that fail what is started on them, and
+// the placer of workers that are gone.
 func (e *Entry) watchHealth(ctx context.Context) error {
 	tick := time.NewTicker(healthPoll)
 	defer tick.Stop()
@@ -269,6 +270,17 @@
 		case <-tick.C:
 		}
 		aside = e.reportHealth(aside)
+		e.abandonLost()
+	}
+}
+
+// abandonLost gives up the attempts on workers that the instance list lacks for
+// longer than it lags. Their slots stay taken until their leases are over.
+func (e *Entry) abandonLost() {
+	for _, id := range e.fleet.Busy() {
+		if e.mover.Roster().MissingFor(id) > e.cfg.ListLag {
+			e.placer.WorkerGone(id)
+		}
 	}
 }
 
