--- a/measurer/measurer_test.go
+++ b/measurer/measurer_test.go
@@ -12,7 +12,10 @@
 	"github.com/coltsfootlever/coltsfootlever/measurer"
 )
 
-var slopes = flag.Bool("slopes", false, "measure all sizes and print the slopes")
+var (
+	slopes = flag.Bool("slopes", false, "measure all sizes and print the slopes")
+	at     = flag.String("at", "", "measure one size, as ENTRIES/WORKERS/POOLS/TEAMS")
+)
 
 // small, middle and target are the sizes measured; the others change one
 // dimension of middle.
@@ -41,7 +44,8 @@
 	require.InDelta(t, 1, idle.Members[measurer.Heartbeats].Calls, 0.2, "two peers, each every 2 s")
 	require.Zero(t, idle.Members[measurer.Renewals].Calls)
 	require.Positive(t, load.All[measurer.Renewals].Calls)
-	require.Greater(t, named.All[measurer.PeerCalls].Calls, load.All[measurer.PeerCalls].Calls)
+	require.Zero(t, load.All[measurer.Claims].Calls)
+	require.Positive(t, named.All[measurer.Claims].Calls)
 	require.InDelta(t, idle.All[measurer.PeerSent].Bytes, idle.All[measurer.PeerReceived].Bytes, 1)
 }
 
@@ -51,6 +55,17 @@
 	require.InDelta(t, 2, slope, 1e-9)
 }
 
+// TestSize measures only on request.
+func TestSize(t *testing.T) {
+	if *at == "" {
+		t.Skip("run with -at ENTRIES/WORKERS/POOLS/TEAMS")
+	}
+	var size measurer.Size
+	_, err := fmt.Sscanf(*at, "%d/%d/%d/%d", &size.Entries, &size.Workers, &size.Pools, &size.Teams)
+	require.NoError(t, err)
+	require.NoError(t, run(t, size).Print(os.Stdout))
+}
+
 // TestSlopes measures only on request; see docs/CAPACITY.md.
 func TestSlopes(t *testing.T) {
 	if !*slopes {
--- a/measurer/meter.go
+++ b/measurer/meter.go
@@ -11,7 +11,10 @@
 	PeerSent     = "peer-sent"     // bytes written to peers' connections, with framing
 	PeerReceived = "peer-received" // bytes read from peers' connections, with framing
 	Heartbeats   = "heartbeats"    // calls made
-	PeerCalls    = "peer-calls"    // other calls made
+	Claims       = "claims"        // of names, made to their homes
+	Settlements  = "settlements"   // of names, made to their homes
+	Forwards     = "forwards"      // of tasks, made to peers
+	RuleFetches  = "rule-fetches"  // of rule changes, made to peers
 	ListReads    = "list-reads"    // of the instance list
 	Renewals     = "renewals"      // of workers' leases
 	Starts       = "starts"        // of tasks
--- a/measurer/port.go
+++ b/measurer/port.go
@@ -144,25 +144,25 @@
 
 // Claim implements server.Peers.
 func (p peerPort) Claim(ctx context.Context, address string, r messenger.ClaimRequest) (messenger.ClaimReply, error) {
-	p.meter.Add(PeerCalls, 0)
+	p.meter.Add(Claims, 0)
 	return p.Peers.Claim(ctx, address, r)
 }
 
 // Settle implements server.Peers.
 func (p peerPort) Settle(ctx context.Context, address string, r messenger.SettleRequest) error {
-	p.meter.Add(PeerCalls, 0)
+	p.meter.Add(Settlements, 0)
 	return p.Peers.Settle(ctx, address, r)
 }
 
 // Forward implements server.Peers.
 func (p peerPort) Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error) {
-	p.meter.Add(PeerCalls, 0)
+	p.meter.Add(Forwards, 0)
 	return p.Peers.Forward(ctx, address, r)
 }
 
 // Changes implements server.Peers.
 func (p peerPort) Changes(ctx context.Context, address string, r messenger.ChangesRequest) (messenger.ChangesReply, error) {
-	p.meter.Add(PeerCalls, 0)
+	p.meter.Add(RuleFetches, 0)
 	return p.Peers.Changes(ctx, address, r)
 }
 
--- a/measurer/slope.go
+++ b/measurer/slope.go
@@ -30,7 +30,6 @@
 		{"coordinator sent B", func(p Phase) float64 { return p.Coordinator[PeerSent].Bytes }},
 		{"coordinator received B", func(p Phase) float64 { return p.Coordinator[PeerReceived].Bytes }},
 		{"heartbeats", func(p Phase) float64 { return p.Members[Heartbeats].Calls }},
-		{"other peer calls", func(p Phase) float64 { return p.Members[PeerCalls].Calls }},
 		{"store reads", func(p Phase) float64 { return p.Members.Total(StoreReads...).Calls }},
 		{"store writes", func(p Phase) float64 { return p.Members.Total(StoreWrites...).Calls }},
 		{"store B", func(p Phase) float64 { return p.Members.Total(storeKinds...).Bytes }},
@@ -41,6 +40,10 @@
 		{"fleet store writes", func(p Phase) float64 { return p.All.Total(StoreWrites...).Calls }},
 		{"list reads", func(p Phase) float64 { return p.Members[ListReads].Calls }},
 		{"list B", func(p Phase) float64 { return p.Members[ListReads].Bytes }},
+		{"starts", func(p Phase) float64 { return p.Members[Starts].Calls }},
+		{"claims", func(p Phase) float64 { return p.Members[Claims].Calls }},
+		{"settlements", func(p Phase) float64 { return p.Members[Settlements].Calls }},
+		{"forwards", func(p Phase) float64 { return p.Members[Forwards].Calls }},
 		{"renewals", func(p Phase) float64 { return p.Members[Renewals].Calls }},
 		{"renewals B", func(p Phase) float64 { return p.Members[Renewals].Bytes }},
 	}
