--- a/measurer/run.go
+++ b/measurer/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -174,11 +175,7 @@
 	for time.Since(start) < phaseTime/2 {
 		next := time.Now().Add(time.Second)
 		for n := range count {
-			name, err := uuid.NewV7()
-			if err != nil {
-				return errors.Trace(err)
-			}
-			if err := w.submit(ctx, n, name.String(), time.Millisecond); err != nil {
+			if err := w.submit(ctx, n, newName(), time.Millisecond); err != nil {
 				return errors.Trace(err)
 			}
 		}
@@ -187,6 +184,17 @@
 	return nil
 }
 
+// newName returns a UUID version 7 of the present time. uuid.NewV7 would go on
+// from the last time of an earlier bubble.
+func newName() string {
+	id := uuid.New()
+	var date [8]byte
+	binary.BigEndian.PutUint64(date[:], uint64(time.Now().UnixMilli()))
+	copy(id[:6], date[2:])
+	id[6] = id[6]&0x0f | 0x70
+	return id.String()
+}
+
 // decodeList returns the bytes of the instance list and the processor time in
 // milliseconds that one decoding takes.
 func (w *world) decodeList(ctx context.Context) (bytes, milliseconds float64) {
