--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -133,13 +133,18 @@
 		a.refuse(w, r, task, start, err)
 		return
 	}
-	job, err := a.jobs.Accept(r.Context(), task)
+	async := r.Header.Get("Prefer") == "respond-async"
+	ctx := r.Context()
+	if async {
+		ctx = context.WithoutCancel(ctx) // the job outlives this answer
+	}
+	job, err := a.jobs.Accept(ctx, task)
 	if err != nil {
 		a.refuse(w, r, task, start, err)
 		return
 	}
 	w.Header().Set(JobHeader, task.ID)
-	if r.Header.Get("Prefer") == "respond-async" {
+	if async {
 		go a.count(job)
 		writeJSON(w, http.StatusAccepted, Status{Job: task.ID, State: underWay})
 		return
--- a/demonstrator/load.go
+++ b/demonstrator/load.go
@@ -147,9 +147,10 @@
 	for n := 0; n < maxRepeats && err != nil && lostConnection(err); n++ {
 		base = l.balancer.pick(r)
 		reply, err = l.submit(ctx, base, out)
+		doubt = doubt || classifier.Of(err) == classifier.MayHaveRun
 	}
 	if doubt && classifier.Of(err) == classifier.NotRun {
-		// A refusal of the repeat says nothing about the first try.
+		// A refusal of the last try says nothing about those before.
 		err = classifier.Doubt(classifier.As(err).Code, "%v", err)
 	}
 	crossed := err == nil && !bytes.Equal(reply.Output, out.call.Body)
--- a/distributor/apply.go
+++ b/distributor/apply.go
@@ -85,7 +85,7 @@
 	if err := d.accepting(); err != nil {
 		return unwritten(err)
 	}
-	if err := d.refresh(ctx); err != nil {
+	if err := d.Refresh(ctx); err != nil {
 		return classifier.Refuse(classifier.StoreDown, "nothing was changed: %v", err)
 	}
 	return nil
@@ -218,7 +218,7 @@
 	if err == nil && found.Op == change.Op {
 		return d.committed(ctx, change, record)
 	}
-	if err := d.refresh(ctx); err != nil {
+	if err := d.Refresh(ctx); err != nil {
 		d.log.Warn("reading the winning change", "err", err)
 	}
 	return errors.Trace(d.conflict(change.Number - 1))
--- a/distributor/follow.go
+++ b/distributor/follow.go
@@ -43,8 +43,8 @@
 	}
 }
 
-// refresh reads the sequence from the service and adopts what is new.
-func (d *Distributor) refresh(ctx context.Context) error {
+// Refresh reads the sequence from the service and adopts what is new.
+func (d *Distributor) Refresh(ctx context.Context) error {
 	before := d.Number()
 	records, _, err := d.store.List(ctx, keeper.ChangePrefix)
 	if err != nil {
@@ -144,7 +144,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := d.refresh(ctx); err != nil {
+	if err := d.Refresh(ctx); err != nil {
 		d.log.Warn("catching up with the rules", "err", err)
 	}
 }
--- a/emulator/handler.go
+++ b/emulator/handler.go
@@ -1,7 +1,10 @@
 package emulator
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -147,15 +150,32 @@
 // Handler serves the instance list.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET "+lister.InstancesPath, serve(http.StatusOK, func(r *http.Request, _ struct{}) ([]lister.Listing, error) {
-		return p.List(r.Context())
-	}))
+	mux.HandleFunc("GET "+lister.InstancesPath, p.serveList)
 	mux.Handle("POST "+lister.InstancesPath+"/{id}/reboot", serve(http.StatusAccepted, func(r *http.Request, in struct{}) (struct{}, error) {
 		return in, p.Reboot(r.Context(), r.PathValue("id"))
 	}))
 	return mux
 }
 
+// serveList answers with the list, or with its entity tag alone when the caller
+// has it already.
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	list, err := p.List(r.Context())
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	raw, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	sum := sha256.Sum256(raw)
+	w.Header().Set("ETag", strconv.Quote(hex.EncodeToString(sum[:16])))
+	w.Header().Set("Content-Type", "application/json")
+	http.ServeContent(w, r, "", time.Time{}, bytes.NewReader(raw))
+}
+
 // serve answers a call with the JSON form of what fn returns. The connection
 // is broken when the answer is lost.
 func serve[In, Out any](status int, fn func(*http.Request, In) (Out, error)) http.HandlerFunc {
--- a/lister/client.go
+++ b/lister/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,6 +25,9 @@
 		http     *http.Client
 		endpoint string
 		timeout  time.Duration
+
+		mu   sync.Mutex
+		last version
 	}
 
 	// ClientOption changes a Client.
@@ -54,27 +58,59 @@
 	return c
 }
 
-// List returns the live and leaving instances. Its error is ErrUnavailable.
+// List returns the live and leaving instances. An unchanged list is not
+// transferred again. The caller must not change the returned slice. Its error
+// is ErrUnavailable.
 func (c *Client) List(ctx context.Context) ([]Listing, error) {
-	reply, err := c.do(ctx, http.MethodGet, InstancesPath)
+	known := c.known()
+	reply, err := c.do(ctx, http.MethodGet, InstancesPath, known.header())
 	if err != nil {
 		return nil, errors.Annotatef(ErrUnavailable, "%v", err)
 	}
-	if reply.Status != http.StatusOK {
+	switch {
+	case reply.Status == http.StatusNotModified && known.tag != "":
+		return known.list, nil
+	case reply.Status != http.StatusOK:
 		return nil, errors.Annotatef(ErrUnavailable, "status %d", reply.Status)
 	}
-	var list []Listing
-	if err := json.Unmarshal(reply.Body, &list); err != nil {
+	next := version{tag: reply.Header.Get("ETag")}
+	if err := json.Unmarshal(reply.Body, &next.list); err != nil {
 		return nil, errors.Annotatef(ErrUnavailable, "%v", err)
 	}
-	return list, nil
+	c.keep(next)
+	return next.list, nil
+}
+
+// version is a list with its entity tag, empty when it has none.
+type version struct {
+	tag  string
+	list []Listing
+}
+
+func (v version) header() http.Header {
+	if v.tag == "" {
+		return nil
+	}
+	return http.Header{"If-None-Match": {v.tag}}
+}
+
+func (c *Client) known() version {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+func (c *Client) keep(v version) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last = v
 }
 
 // Reboot restarts an instance. It returns when the platform has taken the
 // order; the list shows when the instance is back. Errors are ErrNotFound,
 // ErrUnavailable and ErrUnknown.
 func (c *Client) Reboot(ctx context.Context, id string) error {
-	reply, err := c.do(ctx, http.MethodPost, InstancesPath+"/"+url.PathEscape(id)+"/reboot")
+	reply, err := c.do(ctx, http.MethodPost, InstancesPath+"/"+url.PathEscape(id)+"/reboot", nil)
 	switch {
 	case err != nil && requester.AsError(err).Sent:
 		return errors.Annotatef(ErrUnknown, "%v", err)
@@ -90,8 +126,8 @@
 	return errors.Annotatef(ErrUnknown, "status %d", reply.Status)
 }
 
-func (c *Client) do(ctx context.Context, method, path string) (requester.Reply, error) {
+func (c *Client) do(ctx context.Context, method, path string, header http.Header) (requester.Reply, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return requester.Do(ctx, c.http, method, c.endpoint+path, nil)
+	return requester.DoWith(ctx, c.http, method, c.endpoint+path, header, nil)
 }
--- a/messenger/message.go
+++ b/messenger/message.go
@@ -25,7 +25,7 @@
 		Pools      []PoolLoad
 		Teams      []TeamLoad // only in replies to the coordinator
 		// Partial is set by the receiver of a heartbeat that is no reply and so
-		// lacks the loads of teams. It does not travel.
+		// lacks the loads. It does not travel.
 		Partial bool
 		// Coordinator tells that the sender asks for the loads of teams.
 		Coordinator bool
--- a/registrar/heartbeat.go
+++ b/registrar/heartbeat.go
@@ -74,7 +74,7 @@
 	ctx, cancel := context.WithTimeout(ctx, min(callTime, r.limits.stale))
 	defer cancel()
 	start := time.Now()
-	reply, err := r.peers.Heartbeat(ctx, m.Address, r.own(false))
+	reply, err := r.peers.Heartbeat(ctx, m.Address, r.request())
 	if err != nil || reply.From != m.ID {
 		return
 	}
@@ -82,6 +82,14 @@
 	r.tell(reply)
 }
 
+// request returns a heartbeat without loads: each member learns those of its
+// peers from their replies, so that they cross once in a period and not twice.
+func (r *Registrar) request() messenger.Heartbeat {
+	hb := r.own(false)
+	hb.Pools = nil
+	return hb
+}
+
 // own returns the member's heartbeat, with the loads of teams or without.
 func (r *Registrar) own(teams bool) messenger.Heartbeat {
 	var hb messenger.Heartbeat
--- a/requester/requester.go
+++ b/requester/requester.go
@@ -21,6 +21,7 @@
 	// Reply is a whole answer.
 	Reply struct {
 		Status int
+		Header http.Header
 		Body   []byte
 	}
 
@@ -58,6 +59,10 @@
 // Whether bytes were written to a connection is no evidence, because a
 // transport may still write them after it has reported a failure.
 func Open(ctx context.Context, client *http.Client, method, url string, in any) (*http.Response, error) {
+	return open(ctx, client, method, url, nil, in)
+}
+
+func open(ctx context.Context, client *http.Client, method, url string, header http.Header, in any) (*http.Response, error) {
 	var body io.Reader
 	if in != nil {
 		raw, err := json.Marshal(in)
@@ -75,6 +80,9 @@
 	if err != nil {
 		return nil, &Error{Err: errors.Annotate(err, "making the request")}
 	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
 	req.Header.Set("Content-Type", "application/json")
 	res, err := client.Do(req)
 	if err != nil {
@@ -86,7 +94,12 @@
 // Do sends a request like Open and reads the whole answer, whatever its
 // status. The error is an *Error.
 func Do(ctx context.Context, client *http.Client, method, url string, in any) (Reply, error) {
-	res, err := Open(ctx, client, method, url, in)
+	return DoWith(ctx, client, method, url, nil, in)
+}
+
+// DoWith is Do with further headers.
+func DoWith(ctx context.Context, client *http.Client, method, url string, header http.Header, in any) (Reply, error) {
+	res, err := open(ctx, client, method, url, header, in)
 	if err != nil {
 		return Reply{}, err
 	}
@@ -98,7 +111,7 @@
 	if err != nil {
 		return Reply{}, &Error{Sent: true, Answered: true, Err: err}
 	}
-	return Reply{Status: res.StatusCode, Body: body}, nil
+	return Reply{Status: res.StatusCode, Header: res.Header, Body: body}, nil
 }
 
 // AsError returns err as an *Error. Any other error may have been sent.
--- a/server/entry.go
+++ b/server/entry.go
@@ -47,6 +47,7 @@
 	ClaimerService     = "claimer"
 	PlacerService      = "placer"
 	HealthService      = "worker-health"
+	FreshnessService   = "freshness"
 	RouterService      = "router"
 	AdmitterService    = "admitter"
 )
@@ -98,6 +99,7 @@
 
 	decisions *recorder.Recorder
 	survey    *surveyor.Surveyor
+	fresh     *freshness
 	leaving   atomic.Bool
 }
 
@@ -183,6 +185,7 @@
 		distributor.WithAccepting(e.accepting),
 	)
 	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
+	e.fresh = newFreshness(e.members, e.cfg.Staleness)
 	e.loads = newLoadTable(e.self().ID)
 	e.demands = e.loads.all
 	e.reports = collector.New(e.members, e.platform.Peers)
@@ -193,7 +196,7 @@
 
 func (e *Entry) buildLimits() {
 	e.wallet = granter.NewWallet(e.cfg.Assert)
-	e.wallet.Guard(e.members.Fresh)
+	e.wallet.Guard(e.fresh.check)
 	e.waiting = scheduler.NewWaiting()
 	e.grants = granter.New(e.platform.Store, e.self().ID, e.wallet,
 		granter.WithLog(e.cfg.Log),
@@ -208,7 +211,7 @@
 		mover.WithLog(e.cfg.Log),
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPoll),
-		mover.WithGate(func() bool { return e.members.Fresh() == nil }),
+		mover.WithGate(func() bool { return e.fresh.check() == nil }),
 		mover.WithCheckpoint(checkpointAfter, func(_ context.Context, id string) { e.placer.CheckpointWorker(id) }),
 		mover.WithJournal(e.decisions.Record),
 	)
@@ -231,21 +234,21 @@
 		placer.WithLease(e.cfg.TaskLease),
 		placer.WithMargin(e.cfg.Margin),
 		placer.WithLeaving(e.mover.Refused),
-		placer.WithFresh(e.members.Fresh),
+		placer.WithFresh(e.fresh.check),
 		placer.WithObserve(e.metrics.started),
 		placer.WithJournal(e.decisions.Record),
 		placer.WithShares(e.localShares),
 		placer.WithRetries(retries),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
-	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
+	e.router = router.New(memberView{Registrar: e.members, fresh: e.fresh.check}, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
 		router.WithJournal(e.decisions.Record),
 		router.WithOpen(e.isOpen),
 		router.WithRetries(retries),
 	)
 	keys := &authenticator.Authenticator{}
-	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
+	e.admitter = admitter.New(e.rules.Rules, keys, e.fresh.check, e.router,
 		admitter.WithLog(e.cfg.Log),
 		admitter.WithEnded(e.ended),
 	)
@@ -347,6 +350,7 @@
 		{SurveyorService, e.survey},
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
+		{FreshnessService, supervisor.Func(e.watchFreshness)},
 		{HealthService, supervisor.Func(e.watchHealth)},
 		{RouterService, e.router},
 		{AdmitterService, e.admitter},
@@ -389,13 +393,15 @@
 	if e.rules.Rules() == nil {
 		return errors.New("no rules known")
 	}
-	return e.members.Fresh()
+	return e.fresh.check()
 }
 
 // Stop ends the entry's service without cutting a request: it fails the
 // readiness check, waits for the balancer, refuses new work, waits for work
 // under way, hands over names and gives up grants and workers. ctx bounds the
-// whole. Run must still be running.
+// whole; when it ends before the work does, the entry stays registered, and
+// others take over on the evidence that its process is gone. Run must still be
+// running.
 func (e *Entry) Stop(ctx context.Context) error {
 	e.leaving.Store(true)
 	sleep(ctx, e.cfg.Balancer)
@@ -403,12 +409,27 @@
 	if err := e.router.Wait(ctx); err != nil {
 		return errors.Annotate(err, "waiting for work under way")
 	}
+	if err := e.waitForWorkers(ctx); err != nil {
+		return errors.Annotate(err, "waiting for tasks on workers")
+	}
 	if err := e.members.Leave(ctx); err != nil {
 		return errors.Annotate(err, "leaving the membership")
 	}
 	return errors.Annotate(e.grants.Release(ctx), "releasing grants")
 }
 
+// waitForWorkers waits until no worker runs a task of this entry, answered or
+// not: a member that has left may not go on renewing leases.
+func (e *Entry) waitForWorkers(ctx context.Context) error {
+	for len(e.fleet.Busy()) > 0 {
+		sleep(ctx, handOverPoll)
+		if ctx.Err() != nil {
+			return errors.Trace(ctx.Err())
+		}
+	}
+	return nil
+}
+
 // handOver waits until the other members have this member's names and workers.
 // Workers that nobody takes over in time move later, on the evidence that this
 // member has left.
--- /dev/null
+++ b/server/freshness_test.go
@@ -0,0 +1,43 @@
+package server
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// judge is a standing set by the test.
+type judge struct{ isolated bool }
+
+func (j *judge) Fresh() error {
+	if j.isolated {
+		return errors.New("isolated")
+	}
+	return nil
+}
+
+func (j *judge) Standing() registrar.Standing { return registrar.Connected }
+
+func TestContactAloneDoesNotMakeRulesFresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		j := &judge{}
+		f := newFreshness(j, 3*time.Second)
+		require.NoError(t, f.check())
+		j.isolated = true
+		require.Error(t, f.check())
+		j.isolated = false
+		require.Error(t, f.check(), "the rules have not been read since")
+		time.Sleep(time.Second)
+		f.cleared(time.Now())
+		require.NoError(t, f.check())
+		time.Sleep(10 * time.Second)
+		require.Error(t, f.check(), "the process was paused")
+		f.cleared(time.Now().Add(-time.Second))
+		require.Error(t, f.check(), "a reading that began before the doubt says nothing")
+	})
+}
--- a/server/load.go
+++ b/server/load.go
@@ -38,6 +38,7 @@
 	defer t.mu.Unlock()
 	if hb.Partial {
 		hb.Teams = t.last[hb.From].hb.Teams
+		hb.Pools = t.last[hb.From].hb.Pools
 	}
 	t.last[hb.From] = heardLoad{at: time.Now(), hb: hb}
 }
@@ -69,7 +70,9 @@
 // heard takes a peer's heartbeat.
 func (e *Entry) heard(hb messenger.Heartbeat) {
 	e.loads.put(hb)
-	e.chooser.Heard(hb)
+	if !hb.Partial {
+		e.chooser.Heard(hb)
+	}
 	e.rules.Heard(hb.From, hb.Rules)
 }
 
--- a/server/meter.go
+++ b/server/meter.go
@@ -62,7 +62,7 @@
 	e.metrics.gauge(`coltsfootlever_up_seconds`, func() float64 { return time.Since(started).Seconds() })
 	e.metrics.gauge(`coltsfootlever_rules_number`, func() float64 { return float64(e.rules.Number()) })
 	e.metrics.gauge(`coltsfootlever_view_number`, func() float64 { return float64(e.members.View().Number) })
-	e.metrics.gauge(`coltsfootlever_fresh`, func() float64 { return flag(e.members.Fresh() == nil) })
+	e.metrics.gauge(`coltsfootlever_fresh`, func() float64 { return flag(e.fresh.check() == nil) })
 	e.metrics.gauge(`coltsfootlever_coordinator`, func() float64 { return flag(e.duty.Held()) })
 	e.metrics.gauge(`coltsfootlever_waiting_tasks`, func() float64 { return float64(e.waiting.Len()) })
 	e.metrics.gauge(`coltsfootlever_ring_full_total{ring="placer"}`, func() float64 { return float64(e.placer.Full()) })
--- a/server/operators.go
+++ b/server/operators.go
@@ -11,7 +11,7 @@
 
 // Operators returns the operators' HTTP interface.
 func (e *Entry) Operators() http.Handler {
-	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReady(e.members.Fresh)}
+	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReady(e.fresh.check)}
 	if e.cfg.OperatorHash != "" {
 		opts = append(opts, operator.WithBootstrap(e.cfg.OperatorHash))
 	}
