--- a/router/router.go
+++ b/router/router.go
@@ -90,6 +90,7 @@
 		journal  func(recorder.Decision)
 		open     func(queue string) bool
 		retries  Retries
+		largest  func(pool string) int
 		patience time.Duration
 		jobs     *table
 		wait     sync.WaitGroup
@@ -120,6 +121,12 @@
 	return func(r *Router) { r.open = open }
 }
 
+// WithLargest sets the function that gives the slots of the largest worker of a
+// pool, 0 when unknown. A task that fits none is refused at once.
+func WithLargest(largest func(pool string) int) Option {
+	return func(r *Router) { r.largest = largest }
+}
+
 // WithRetries sets the retry budgets of the queues.
 func WithRetries(retries Retries) Option {
 	return func(r *Router) { r.retries = retries }
@@ -148,6 +155,7 @@
 		chooser:  chooser,
 		journal:  func(recorder.Decision) {},
 		open:     func(string) bool { return false },
+		largest:  func(string) int { return 0 },
 		retries:  scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor),
 		patience: DefaultPatience,
 		jobs:     newTable(maxJobs, maxAnswerBytes),
@@ -168,6 +176,9 @@
 // ctx ends unless it has not started and has no name. A full table refuses with
 // NotRun.
 func (r *Router) Accept(ctx context.Context, task scheduler.Task) (*Job, error) {
+	if err := scheduler.CheckFits(task, r.largest(task.Pool)); err != nil {
+		return nil, err
+	}
 	job := newJob(task)
 	if err := r.jobs.add(job); err != nil {
 		return nil, err
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -232,3 +232,12 @@
 		require.Equal(t, classifier.Forbidden, classifier.As(stateErr).Code)
 	})
 }
+
+func TestTaskThatFitsNoWorkerIsRefusedAtOnce(t *testing.T) {
+	n := newNetwork()
+	m := n.members["a"]
+	r := router.New(m, m, peers{m}, m, m, router.WithLargest(func(string) int { return 8 }))
+	_, err := r.Accept(t.Context(), scheduler.Task{ID: "t", Pool: "match", Slots: 9})
+	require.Equal(t, classifier.NeverFits, classifier.As(err).Code)
+	require.Equal(t, classifier.NotRun, classifier.Of(err))
+}
--- a/server/entry.go
+++ b/server/entry.go
@@ -58,14 +58,9 @@
 	// journalSize is the number of decisions that an entry remembers. Most are
 	// on jobs and have about 400 bytes.
 	journalSize = 16 << 10
-	// handOverTime bounds the wait for other members to take over workers.
-	handOverTime = 30 * time.Second
-	handOverPoll = 50 * time.Millisecond
 	// checkpointAfter is the time for which a draining worker's tasks may go on
 	// before they are asked to save their progress and stop.
 	checkpointAfter = 30 * time.Second
-	// healthPoll is the time between looks at the workers set aside.
-	healthPoll = 2 * time.Second
 	// listPoll is the time between reads of the instance list.
 	listPoll = time.Second
 )
@@ -101,6 +96,7 @@
 	survey    *surveyor.Surveyor
 	fresh     *freshness
 	leaving   atomic.Bool
+	largest   atomic.Pointer[map[string]int] // slots of the largest worker by pool
 }
 
 // New returns an entry that has not started. The error lists every fault of
@@ -246,6 +242,7 @@
 		router.WithJournal(e.decisions.Record),
 		router.WithOpen(e.isOpen),
 		router.WithRetries(retries),
+		router.WithLargest(e.largestIn),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.fresh.check, e.router,
@@ -260,51 +257,6 @@
 	return 2*e.cfg.ListLag + e.cfg.Staleness
 }
 
-// watchHealth tells the mover of workers that fail what is started on them, and
-// the placer of workers that are gone.
-func (e *Entry) watchHealth(ctx context.Context) error {
-	tick := time.NewTicker(healthPoll)
-	defer tick.Stop()
-	aside := make(map[string]bool)
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-		aside = e.reportHealth(aside)
-		e.abandonLost()
-	}
-}
-
-// abandonLost gives up the attempts on workers that the instance list lacks for
-// longer than it lags. Their slots stay taken until their leases are over.
-func (e *Entry) abandonLost() {
-	for _, id := range e.fleet.Busy() {
-		if e.mover.Roster().MissingFor(id) > e.cfg.ListLag {
-			e.placer.WorkerGone(id)
-		}
-	}
-}
-
-// reportHealth reports the workers newly set aside and those that are not any
-// more, and returns the former together with those that still are.
-func (e *Entry) reportHealth(before map[string]bool) map[string]bool {
-	now := make(map[string]bool)
-	for _, id := range e.fleet.Aside() {
-		now[id] = true
-		if !before[id] {
-			e.mover.ReportHealth(id, "fails what is started on it")
-		}
-	}
-	for id := range before {
-		if !now[id] {
-			e.mover.ReportHealth(id, "")
-		}
-	}
-	return now
-}
-
 // isOpen says whether the queue takes work without a key.
 func (e *Entry) isOpen(queue string) bool {
 	rules := e.rules.Rules()
@@ -395,73 +347,3 @@
 	}
 	return e.fresh.check()
 }
-
-// Stop ends the entry's service without cutting a request: it fails the
-// readiness check, waits for the balancer, refuses new work, waits for work
-// under way, hands over names and gives up grants and workers. ctx bounds the
-// whole; when it ends before the work does, the entry stays registered, and
-// others take over on the evidence that its process is gone. Run must still be
-// running.
-func (e *Entry) Stop(ctx context.Context) error {
-	e.leaving.Store(true)
-	sleep(ctx, e.cfg.Balancer)
-	e.admitter.Close()
-	if err := e.router.Wait(ctx); err != nil {
-		return errors.Annotate(err, "waiting for work under way")
-	}
-	if err := e.waitForWorkers(ctx); err != nil {
-		return errors.Annotate(err, "waiting for tasks on workers")
-	}
-	if err := e.members.Leave(ctx); err != nil {
-		return errors.Annotate(err, "leaving the membership")
-	}
-	return errors.Annotate(e.grants.Release(ctx), "releasing grants")
-}
-
-// waitForWorkers waits until no worker runs a task of this entry, answered or
-// not: a member that has left may not go on renewing leases.
-func (e *Entry) waitForWorkers(ctx context.Context) error {
-	for len(e.fleet.Busy()) > 0 {
-		sleep(ctx, handOverPoll)
-		if ctx.Err() != nil {
-			return errors.Trace(ctx.Err())
-		}
-	}
-	return nil
-}
-
-// handOver waits until the other members have this member's names and workers.
-// Workers that nobody takes over in time move later, on the evidence that this
-// member has left.
-func (e *Entry) handOver(ctx context.Context, view uint64) error {
-	if err := e.claims.HandedOver(ctx, view); err != nil {
-		return errors.Trace(err)
-	}
-	deadline := time.Now().Add(handOverTime)
-	for e.ownsWorkers() && time.Now().Before(deadline) && e.members.View().Number == view {
-		sleep(ctx, handOverPoll)
-		if ctx.Err() != nil {
-			return errors.Trace(ctx.Err())
-		}
-	}
-	return nil
-}
-
-// ownsWorkers says whether a record names this member as owner.
-func (e *Entry) ownsWorkers() bool {
-	for _, i := range e.mover.Table().All() {
-		if i.Owner == e.self().ID {
-			return true
-		}
-	}
-	return false
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
