Close the router before a planned stop waits

Cause: a task forwarded or accepted between the last look and the departure of a stopping entry could be started and cut, and counting it could meet the end of the wait. Change: the router counts tasks under way itself and takes none once closed; peers place elsewhere what it refuses. Conclusion: the wait covers all that was taken.

--- a/router/handler.go
+++ b/router/handler.go
@@ -11,8 +11,10 @@
 
 // HandleForward runs a task that a peer forwarded. It is never forwarded again.
 func (r *Router) HandleForward(ctx context.Context, request messenger.ForwardRequest) (messenger.Answer, error) {
-	r.wait.Add(1)
-	defer r.wait.Done()
+	if !r.tasks.begin() {
+		return messenger.Answer{}, leaving()
+	}
+	defer r.tasks.end()
 	task := request.Task
 	task.Forwarded = true
 	return r.placer.Submit(ctx, task, placer.Patience{})
--- a/router/router.go
+++ b/router/router.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/sha256"
 	"log/slog"
-	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -93,7 +92,7 @@
 		largest  func(pool string) int
 		patience time.Duration
 		jobs     *table
-		wait     sync.WaitGroup
+		tasks    inflight
 	}
 
 	// Retries bounds the retries of each queue.
@@ -179,16 +178,19 @@
 	if err := scheduler.CheckFits(task, r.largest(task.Pool)); err != nil {
 		return nil, err
 	}
+	if !r.tasks.begin() {
+		return nil, leaving()
+	}
 	job := newJob(task)
 	if err := r.jobs.add(job); err != nil {
+		r.tasks.end()
 		return nil, err
 	}
 	if task.Name != "" {
 		ctx = context.WithoutCancel(ctx)
 	}
-	r.wait.Add(1)
 	go func() {
-		defer r.wait.Done()
+		defer r.tasks.end()
 		answer, err := r.execute(ctx, task)
 		r.noteEnd(task, answer, classifier.As(err))
 		r.jobs.end(job, answer, classifier.As(err))
@@ -196,20 +198,19 @@
 	return job, nil
 }
 
+// Close takes no more tasks, accepted or forwarded. Those under way go on.
+func (r *Router) Close() {
+	r.tasks.close()
+}
+
 // Wait returns when no accepted or forwarded task is under way, or when ctx
 // ends.
 func (r *Router) Wait(ctx context.Context) error {
-	idle := make(chan struct{})
-	go func() {
-		r.wait.Wait()
-		close(idle)
-	}()
-	select {
-	case <-idle:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return r.tasks.wait(ctx)
+}
+
+func leaving() error {
+	return classifier.Refuse(classifier.Leaving, "this entry is shutting down: use another").After(time.Second)
 }
 
 // execute runs the task somewhere, once if it is not idempotent.
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -241,3 +241,24 @@
 	require.Equal(t, classifier.NeverFits, classifier.As(err).Code)
 	require.Equal(t, classifier.NotRun, classifier.Of(err))
 }
+
+func TestClosedRouterTakesNothingAndWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		m := n.members["a"]
+		m.place = func(task scheduler.Task) (messenger.Answer, error) {
+			time.Sleep(time.Minute)
+			return answer(task)
+		}
+		job, err := m.Accept(t.Context(), scheduler.Task{ID: "t", Idempotent: true, Deadline: time.Now().Add(time.Hour)})
+		require.NoError(t, err)
+		m.Close()
+		_, err = m.Accept(t.Context(), scheduler.Task{ID: "u", Idempotent: true, Deadline: time.Now().Add(time.Hour)})
+		require.Equal(t, classifier.Leaving, classifier.As(err).Code)
+		_, err = m.HandleForward(t.Context(), messenger.ForwardRequest{})
+		require.Equal(t, classifier.NotRun, classifier.Of(err))
+		require.NoError(t, m.Wait(t.Context()))
+		_, failure := job.Result()
+		require.Nil(t, failure)
+	})
+}
--- a/server/stop.go
+++ b/server/stop.go
@@ -23,6 +23,7 @@
 	e.leaving.Store(true)
 	sleep(ctx, e.cfg.Balancer)
 	e.admitter.Close()
+	e.router.Close()
 	if err := e.router.Wait(ctx); err != nil {
 		return errors.Annotate(err, "waiting for work under way")
 	}
