Ask for checkpoints only where work runs

Change: the owner asks only while something runs on the worker. Conclusion: the order said nothing false, but asked for nothing.

--- a/mover/owner.go
+++ b/mover/owner.go
@@ -229,6 +229,9 @@
 	if i.Order == nil || i.Phase != Draining || time.Since(i.Order.Since) < m.cfg.checkpointAfter {
 		return
 	}
+	if m.workers.Running(i.ID) == 0 {
+		return // it is about to be closed
+	}
 	m.mu.Lock()
 	done := m.eased[i.ID] == i.Order.ID
 	m.eased[i.ID] = i.Order.ID
