--- a/caller/client.go
+++ b/caller/client.go
@@ -12,8 +12,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -64,9 +66,9 @@
 	if err != nil {
 		return Reply{}, classifier.Refuse(classifier.BadRequest, "%v", err)
 	}
-	res, err := c.http.Do(req)
+	res, err := c.do(req)
 	if err != nil {
-		return Reply{}, unanswered(err)
+		return Reply{}, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
@@ -106,14 +108,21 @@
 	return req, nil
 }
 
-// unanswered classifies a call without an answer. Without a connection nothing
-// was sent.
-func unanswered(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return classifier.Refuse(classifier.PeerLost, "the entry was not reached: %v", err)
-	}
-	return classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+// do sends the request. Nothing was sent only if there never was a connection:
+// net/http repeats a request with an Idempotency-Key by itself when its
+// connection breaks, so the last error may be that of a repeat.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	res, err := c.http.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err == nil {
+		return res, nil
+	}
+	var dial *net.OpError
+	if !connected.Load() && errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, classifier.Refuse(classifier.PeerLost, "the entry was not reached: %v", err)
+	}
+	return nil, classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
 }
 
 func set(req *http.Request, header, value string) {
@@ -170,9 +179,9 @@
 	if key != "" {
 		set(req, "Authorization", "Bearer "+key)
 	}
-	res, err := c.http.Do(req)
+	res, err := c.do(req)
 	if err != nil {
-		return nil, unanswered(err)
+		return nil, err
 	}
 	defer func() { _ = res.Body.Close() }()
 	body, err := io.ReadAll(res.Body)
--- a/server/freshness.go
+++ b/server/freshness.go
@@ -29,7 +29,7 @@
 		bound   time.Duration // longest time between two looks without doubt
 
 		mu     sync.Mutex
-		last   time.Time // of the last look
+		last   time.Time // of the last look at a member that was not isolated
 		doubt  bool      // the rules may be old
 		doubts time.Time // when the doubt was last renewed
 	}
@@ -60,16 +60,19 @@
 }
 
 // look notes one look at the standing and says whether the rules are in doubt.
-// A long time without a look counts as isolation: the process was paused.
+// They are after a time without a fresh look that is longer than the bound,
+// whether the member was isolated or the process paused.
 func (f *freshness) look(now time.Time, isolated bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	gap := max(now.Sub(f.last), now.Round(0).Sub(f.last.Round(0)))
-	f.last = now
-	if isolated || gap > f.bound {
+	if gap > f.bound {
 		f.doubt = true
 		f.doubts = now
 	}
+	if !isolated {
+		f.last = now
+	}
 	return f.doubt
 }
 
@@ -118,15 +121,21 @@
 		if e.rules.Refresh(ctx) == nil {
 			e.fresh.cleared(start)
 		}
-	case e.members.Standing() == registrar.Outage && start.Sub(since) > e.cfg.Staleness && e.peersKnowNoMore():
+	case e.members.Standing() == registrar.Outage && e.peersKnowNoMore(since):
 		e.fresh.cleared(start)
 	}
 }
 
-// peersKnowNoMore says whether no peer that was heard has newer rules.
-func (e *Entry) peersKnowNoMore() bool {
-	for _, hb := range e.loads.all() {
-		if hb.Rules > e.rules.Number() {
+// peersKnowNoMore says whether every peer that counts has been heard after since
+// and has no newer rules. A peer that was not heard within the staleness bound
+// is counted out, or the standing would not be that of an outage.
+func (e *Entry) peersKnowNoMore(since time.Time) bool {
+	for _, m := range e.members.View().Others(e.self().ID) {
+		hb, at, ok := e.loads.of(m.ID)
+		if !ok || time.Since(at) > e.cfg.Staleness {
+			continue
+		}
+		if at.Before(since) || hb.Rules > e.rules.Number() {
 			return false
 		}
 	}
--- a/server/freshness_test.go
+++ b/server/freshness_test.go
@@ -31,6 +31,11 @@
 		j.isolated = true
 		require.Error(t, f.check())
 		j.isolated = false
+		require.NoError(t, f.check(), "isolated for less than the bound")
+		j.isolated = true
+		time.Sleep(4 * time.Second)
+		require.Error(t, f.check())
+		j.isolated = false
 		require.Error(t, f.check(), "the rules have not been read since")
 		time.Sleep(time.Second)
 		f.cleared(time.Now())
--- a/server/load.go
+++ b/server/load.go
@@ -43,6 +43,14 @@
 	t.last[hb.From] = heardLoad{at: time.Now(), hb: hb}
 }
 
+// of returns the last report of a member and when it came.
+func (t *loadTable) of(member string) (hb messenger.Heartbeat, at time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l, ok := t.last[member]
+	return l.hb, l.at, ok
+}
+
 // all returns the reports that still count.
 func (t *loadTable) all() []messenger.Heartbeat {
 	t.mu.Lock()
