Let job commands call entries over TLS

Cause: --at took an IP number and port only, so a team's commands could not reach an entry that serves TLS.

--- a/commander/caller.go
+++ b/commander/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 
@@ -18,7 +19,8 @@
 	Key     string `arg:"--,env:COLTSFOOTLEVER_TEAM_KEY" help:"the team's key"`
 }
 
-// Caller returns a client of the callers' interface.
+// Caller returns a client of the callers' interface at an IP number and port or
+// a URL.
 func (f *Factory) Caller(t Team) *caller.Client {
 	address := t.At
 	if address == "" {
@@ -28,7 +30,10 @@
 	if client == nil {
 		client = http.DefaultClient
 	}
-	return caller.New("http://"+address, client)
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	return caller.New(strings.TrimSuffix(address, "/"), client)
 }
 
 // Secret returns the team's key, empty when none is configured.
