Give back a task that the workers here refuse, so that a peer can take it

Cause: with its only worker of a pool gone but still listed, an entry tried that worker until the task's deadline while a peer had free slots (two entries as processes, one of two listed workers not running: not-run after a minute). Change: after four refusals the placer gives the task back as not-run, and the router places it at a peer; when all have refused, all are weighed again, with growing pauses. Conclusion: an entry's workers are not the fleet's.

--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -17,6 +17,10 @@
 	// orderTimeout bounds an order to stop or checkpoint a task.
 	orderTimeout = 2 * time.Second
 
+	// maxRefusals is the number of refusals after which a task is given back,
+	// so that it can be placed at another member.
+	maxRefusals = 4
+
 	// Delays before a task that a worker refused is tried again.
 	refusedDelay    = 50 * time.Millisecond
 	maxRefusedDelay = 2 * time.Second
@@ -254,6 +258,10 @@
 	p.note(j, "refused by worker "+a.worker.ID, recorder.Fact{Name: "reason", Value: err.Message})
 	j.avoid = withWorker(j.avoid, a.worker.ID)
 	j.refusals++
+	if j.refusals >= maxRefusals && !j.doubted {
+		p.finish(j, result{err: classifier.Refuse(classifier.WorkerRefused, "workers refused the task %d times, the last: %s", j.refusals, err.Message)})
+		return
+	}
 	p.again(j, refusalDelay(j.refusals))
 }
 
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -109,17 +109,20 @@
 	}
 }
 
-// Choose implements Chooser.
+// Choose implements Chooser. When every member that could take the task has
+// refused it, all are weighed again.
 func (c *LoadChooser) Choose(task scheduler.Task, exclude map[string]bool) (string, bool) {
 	own, owns := c.ownOption(task)
-	if owns && own.free >= task.Slots {
+	stays := owns && !exclude[c.self]
+	if stays && own.free >= task.Slots {
 		return c.self, true
 	}
 	best, ok := c.bestPeer(task, exclude)
 	if !ok {
+		clear(exclude)
 		return c.self, owns
 	}
-	if owns && best.free < task.Slots && own.spread <= best.spread+spreadSlack {
+	if stays && best.free < task.Slots && own.spread <= best.spread+spreadSlack {
 		return c.self, true
 	}
 	return best.member, true
--- a/router/router.go
+++ b/router/router.go
@@ -309,7 +309,7 @@
 		} else if !movesOn(err) {
 			return answer, withDoubt(doubt, err)
 		}
-		if member == r.members.Self().ID {
+		if member == r.members.Self().ID && classifier.As(err).Code != classifier.WorkerRefused {
 			clear(refused)
 			continue
 		}
@@ -362,7 +362,7 @@
 		return false
 	}
 	switch classifier.As(err).Code {
-	case classifier.NoCapacity, classifier.PeerLost, classifier.Leaving, classifier.Isolated, classifier.Unready:
+	case classifier.NoCapacity, classifier.WorkerRefused, classifier.PeerLost, classifier.Leaving, classifier.Isolated, classifier.Unready:
 		return true
 	}
 	return false
