Call the project's bearer and the standard library's contains

Cause: admission read the Authorization header with a copy of authenticator.Bearer, and the chooser had its own contains. Change: both copies are gone. Conclusion: behaviour is as it was.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
@@ -235,7 +236,7 @@
 	if q.Open {
 		return nil
 	}
-	key, err := a.keys.Check(rules, bearer(r))
+	key, err := a.keys.Check(rules, authenticator.Bearer(r.Header))
 	if err != nil {
 		return classifier.Refuse(classifier.Unauthorized, "queue %q needs a key in force: send Authorization: Bearer KEY", q.Name)
 	}
@@ -269,7 +270,7 @@
 
 // teamOf returns the team of the key shown, empty without a key.
 func (a *Admitter) teamOf(r *http.Request) (string, error) {
-	secret := bearer(r)
+	secret := authenticator.Bearer(r.Header)
 	if secret == "" {
 		return "", nil
 	}
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -4,7 +4,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -13,15 +12,6 @@
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 )
 
-// bearer returns the secret of the Authorization header, empty without one.
-func bearer(r *http.Request) string {
-	scheme, secret, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
-	}
-	return strings.TrimSpace(secret)
-}
-
 // readTask reads headers and body. Its errors name the header and what to send.
 func readTask(w http.ResponseWriter, r *http.Request, maxBody int64) (scheduler.Task, error) {
 	now := time.Now()
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,7 +161,7 @@
 	o.spread = c.spreadAt(task, c.self, load.Slots)
 	c.mu.Unlock()
 	o.free = min(o.free, c.local.Room(task.Team))
-	return o, load.Slots > 0 && contains(c.local.Holders(task.Team, task.Slots), c.self)
+	return o, load.Slots > 0 && slices.Contains(c.local.Holders(task.Team, task.Slots), c.self)
 }
 
 // bestPeer returns a peer with a free slot, else the one with the least of the
@@ -218,12 +219,3 @@
 	}
 	return o.member < other.member
 }
-
-func contains(members []string, member string) bool {
-	for _, m := range members {
-		if m == member {
-			return true
-		}
-	}
-	return false
-}
