--- a/authenticator/authenticator.go
+++ b/authenticator/authenticator.go
@@ -26,12 +26,12 @@
 // hash of the secret, so its time tells nothing of the keys in force. Without
 // rules it refuses with Unready, otherwise with Unauthorized.
 func (a *Authenticator) Check(rules *parser.Rules, secret string) (parser.Key, error) {
-	if rules == nil {
-		return parser.Key{}, classifier.Refuse(classifier.Unready, "no rules are known yet: try again or ask another entry")
-	}
 	if secret == "" {
 		return parser.Key{}, classifier.Refuse(classifier.Unauthorized, "no key: send the header Authorization: Bearer KEY")
 	}
+	if rules == nil {
+		return parser.Key{}, classifier.Refuse(classifier.Unready, "no rules are known yet: try again or ask another entry")
+	}
 	hash := Hash(secret)
 	key, ok := a.index(rules).keys[hash]
 	if !ok || !equal(key.Hash, hash) {
--- /dev/null
+++ b/commander/exit.go
@@ -0,0 +1,95 @@
+package commander
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+)
+
+// Exit codes of the command line. The help lists them.
+const (
+	ExitOK           = 0
+	ExitFailure      = 1
+	ExitUsage        = 2
+	ExitFaults       = 3
+	ExitConflict     = 4
+	ExitUnconfirmed  = 5
+	ExitUnauthorized = 6
+	ExitUnreachable  = 7
+	ExitUnknown      = 8
+)
+
+// UnconfirmedError reports that a change is accepted but that some registered
+// entries have not said that they have it in force.
+type UnconfirmedError struct {
+	Number  uint64
+	Missing []string
+}
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string {
+	return fmt.Sprintf("rules %d are accepted, but not yet confirmed by %s; run status to see when they are",
+		e.Number, strings.Join(e.Missing, ", "))
+}
+
+// ExitCode returns the exit code for the outcome of a command.
+func ExitCode(err error) int {
+	var usage *UsageError
+	var faults parser.Errors
+	var conflict *distributor.ConflictError
+	var unconfirmed *UnconfirmedError
+	var verdict *classifier.Error
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &usage):
+		return ExitUsage
+	case errors.As(err, &faults):
+		return ExitFaults
+	case errors.As(err, &conflict):
+		return ExitConflict
+	case errors.As(err, &unconfirmed):
+		return ExitUnconfirmed
+	case errors.As(err, &verdict):
+		return exitCodeOf(verdict)
+	default:
+		return ExitFailure
+	}
+}
+
+func exitCodeOf(e *classifier.Error) int {
+	switch {
+	case e.Verdict == classifier.MayHaveRun:
+		return ExitUnknown
+	case e.Code == classifier.Unauthorized, e.Code == classifier.Forbidden:
+		return ExitUnauthorized
+	case e.Code == classifier.PeerLost:
+		return ExitUnreachable
+	case e.Code == classifier.Conflict:
+		return ExitConflict
+	default:
+		return ExitFailure
+	}
+}
+
+// Message returns the text of an error for people.
+func Message(err error) string {
+	var verdict *classifier.Error
+	if errors.As(err, &verdict) {
+		return fmt.Sprintf("%s (%s, %s)", verdict.Message, verdict.Code, verdict.Verdict)
+	}
+	return err.Error()
+}
+
+// Confirmed returns an UnconfirmedError unless all entries have confirmed.
+func Confirmed(applied distributor.Applied) error {
+	if len(applied.Missing) == 0 {
+		return nil
+	}
+	return &UnconfirmedError{Number: applied.Number, Missing: applied.Missing}
+}
--- /dev/null
+++ b/commander/root/root.go
@@ -0,0 +1,26 @@
+// Package root assembles the command line from its nouns.
+package root
+
+import (
+	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/commander/key"
+	"github.com/coltsfootlever/coltsfootlever/commander/rules"
+	"github.com/coltsfootlever/coltsfootlever/commander/status"
+	"github.com/coltsfootlever/coltsfootlever/commander/team"
+)
+
+// New returns the whole command line.
+func New(f *commander.Factory) *commander.Command {
+	return &commander.Command{
+		Name:    "coltsfootlever",
+		Short:   "share a fleet of instances fairly among teams",
+		Long:    "Shares a fleet of instances fairly among teams and maintains it without breaking running work.",
+		Example: "$ coltsfootlever rules check fleet.rules\n$ coltsfootlever status",
+		Commands: []*commander.Command{
+			rules.New(f),
+			key.New(f),
+			team.New(f),
+			status.New(f),
+		},
+	}
+}
--- a/distributor/apply.go
+++ b/distributor/apply.go
@@ -57,6 +57,7 @@
 			fmt.Fprintf(&b, "\n  %d by %s: %s %s %s", c.Number, c.Who, diff.Action, diff.Kind, diff.Name)
 		}
 	}
+	fmt.Fprintf(&b, "\nnothing was changed: bring these changes into your set and apply it with base %d", e.Number)
 	return b.String()
 }
 
@@ -82,7 +83,7 @@
 // prepare checks that changes are accepted here and reads the latest rules.
 func (d *Distributor) prepare(ctx context.Context) error {
 	if err := d.accepting(); err != nil {
-		return errors.Trace(err)
+		return unwritten(err)
 	}
 	if err := d.refresh(ctx); err != nil {
 		return classifier.Refuse(classifier.StoreDown, "nothing was changed: %v", err)
@@ -116,6 +117,17 @@
 	return applied, nil
 }
 
+// unwritten gives an error that came before any write the verdict NotRun. An
+// error that says so itself is returned as it is.
+func unwritten(err error) error {
+	var faults parser.Errors
+	var verdict *classifier.Error
+	if err == nil || errors.As(err, &faults) || errors.As(err, &verdict) {
+		return errors.Trace(err)
+	}
+	return classifier.Refuse(classifier.BadRequest, "nothing was changed: %v", err)
+}
+
 func numberOf(rules *parser.Rules) uint64 {
 	if rules == nil {
 		return 0
@@ -135,7 +147,7 @@
 	}
 	next, err := parser.Patch(cur, change.Differences)
 	if err != nil {
-		return Change{}, nil, errors.Trace(err)
+		return Change{}, nil, unwritten(err)
 	}
 	change.Digest = digest(next)
 	if _, err := keeper.Encode(change.Op, snapshotOf(next)); err != nil {
--- a/distributor/confirm.go
+++ b/distributor/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 
 	"github.com/coltsfootlever/coltsfootlever/registrar"
@@ -74,3 +75,14 @@
 	}
 	return confirmed, missing, d.progress
 }
+
+// Numbers returns the number of the rules in force by member, as last heard.
+func (d *Distributor) Numbers() map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	numbers := maps.Clone(d.heard)
+	if d.self != "" {
+		numbers[d.self] = d.number
+	}
+	return numbers
+}
--- a/distributor/edit.go
+++ b/distributor/edit.go
@@ -39,11 +39,11 @@
 	next := *cur
 	keys, err := edit(slices.Clone(cur.Keys))
 	if err != nil {
-		return Applied{}, errors.Trace(err)
+		return Applied{}, unwritten(err)
 	}
 	next.Keys = keys
 	if err := parser.Check(&next); err != nil {
-		return Applied{}, errors.Trace(err)
+		return Applied{}, unwritten(err)
 	}
 	return d.applyTo(ctx, cur, cur.Number, &next, who)
 }
