--- /dev/null
+++ b/admitter/request.go
@@ -0,0 +1,117 @@
+package admitter
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// bearer returns the secret of the Authorization header, empty without one.
+func bearer(r *http.Request) string {
+	scheme, secret, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(secret)
+}
+
+// readTask reads headers and body. Its errors name the header and what to send.
+func readTask(w http.ResponseWriter, r *http.Request, maxBody int64) (scheduler.Task, error) {
+	now := time.Now()
+	task := scheduler.Task{Accepted: now}
+	var err error
+	if task.Class, err = readClass(r.Header.Get(ClassHeader)); err != nil {
+		return task, err
+	}
+	if task.Idempotent, err = readBool(IdempotentHeader, r.Header.Get(IdempotentHeader)); err != nil {
+		return task, err
+	}
+	if task.Name, err = readName(r.Header.Get(NameHeader), task.Idempotent); err != nil {
+		return task, err
+	}
+	if task.Slots, err = readSlots(r.Header.Get(SlotsHeader)); err != nil {
+		return task, err
+	}
+	wait, err := readDeadline(r.Header.Get(DeadlineHeader))
+	if err != nil {
+		return task, err
+	}
+	task.Deadline = now.Add(wait)
+	task.Body, err = readBody(w, r, maxBody)
+	return task, err
+}
+
+func badRequest(format string, args ...any) error {
+	return classifier.Refuse(classifier.BadRequest, format, args...)
+}
+
+func readClass(value string) (scheduler.Class, error) {
+	switch class := scheduler.Class(value); class {
+	case "":
+		return scheduler.Background, nil
+	case scheduler.Urgent, scheduler.Background:
+		return class, nil
+	}
+	return "", badRequest("%s is %q: use urgent or background", ClassHeader, value)
+}
+
+func readBool(header, value string) (bool, error) {
+	switch value {
+	case "", "false":
+		return false, nil
+	case "true":
+		return true, nil
+	}
+	return false, badRequest("%s is %q: use true or false", header, value)
+}
+
+func readName(value string, idempotent bool) (string, error) {
+	if value == "" && !idempotent {
+		return "", badRequest("a request that is not idempotent needs an %s, best a UUID version 7; or send %s: true", NameHeader, IdempotentHeader)
+	}
+	if len(value) > MaxNameLength {
+		return "", badRequest("%s has %d bytes: use at most %d", NameHeader, len(value), MaxNameLength)
+	}
+	return value, nil
+}
+
+func readSlots(value string) (int, error) {
+	if value == "" {
+		return 1, nil
+	}
+	n, err := strconv.Atoi(value)
+	if err != nil || n < 1 || n > MaxSlots {
+		return 0, badRequest("%s is %q: use a whole number from 1 to %d", SlotsHeader, value, MaxSlots)
+	}
+	return n, nil
+}
+
+func readDeadline(value string) (time.Duration, error) {
+	if value == "" {
+		return DefaultDeadline, nil
+	}
+	d, err := time.ParseDuration(value)
+	if err != nil || d <= 0 || d > MaxDeadline {
+		return 0, badRequest("%s is %q: use a duration such as 30s, at most %s", DeadlineHeader, value, MaxDeadline)
+	}
+	return d, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, badRequest("the body is larger than %d bytes: send a smaller one", maxBody)
+	}
+	if err != nil {
+		return nil, badRequest("the body ended early: send it whole")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/admitter/response.go
@@ -0,0 +1,105 @@
+package admitter
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/router"
+)
+
+// States of a job.
+const (
+	underWay = "under-way"
+	answered = "answered"
+	failed   = "failed"
+)
+
+type (
+	// Problem is the body of every failed request.
+	Problem struct {
+		Type    string             `json:"type"`
+		Title   string             `json:"title"`
+		Status  int                `json:"status"`
+		Detail  string             `json:"detail"`
+		Verdict classifier.Verdict `json:"verdict"`
+		Code    classifier.Code    `json:"code"`
+		Job     string             `json:"job,omitempty"`
+	}
+
+	// Status describes a job.
+	Status struct {
+		Job     string              `json:"job"`
+		Queue   string              `json:"queue"`
+		State   string              `json:"state"` // under-way, answered or failed
+		Verdict *classifier.Verdict `json:"verdict,omitempty"`
+		Code    classifier.Code     `json:"code,omitempty"`
+		Detail  string              `json:"detail,omitempty"`
+		Output  []byte              `json:"output,omitempty"`
+		Worker  string              `json:"worker,omitempty"`
+	}
+)
+
+func statusOf(job *router.Job) Status {
+	s := Status{Job: job.Task.ID, Queue: job.Task.Queue, State: underWay}
+	select {
+	case <-job.Done():
+	default:
+		return s
+	}
+	answer, err := job.Result()
+	verdict := classifier.Ran
+	s.Verdict = &verdict
+	s.State = answered
+	s.Output = answer.Output
+	s.Worker = answer.Worker
+	if err != nil {
+		s.State = failed
+		verdict = err.Verdict
+		s.Code = err.Code
+		s.Detail = err.Message
+	}
+	return s
+}
+
+func writeAnswer(w http.ResponseWriter, answer messenger.Answer) {
+	h := w.Header()
+	h.Set("Content-Type", "application/octet-stream")
+	h.Set("Content-Length", strconv.Itoa(len(answer.Output)))
+	h.Set(VerdictHeader, classifier.Ran.String())
+	h.Set(WorkerHeader, answer.Worker)
+	h.Set(DigestHeader, hex.EncodeToString(answer.Digest[:]))
+	w.WriteHeader(http.StatusOK)
+	_, _ = w.Write(answer.Output) // a caller that went away can ask for the status
+}
+
+func (a *Admitter) writeProblem(w http.ResponseWriter, r *http.Request, job string, e *classifier.Error) {
+	h := w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(VerdictHeader, e.Verdict.String())
+	if e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	status := e.Code.Status()
+	a.log.Debug("request failed", "path", r.URL.Path, "job", job, "code", e.Code, "verdict", e.Verdict.String())
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(Problem{
+		Type:    "about:blank",
+		Title:   http.StatusText(status),
+		Status:  status,
+		Detail:  e.Message,
+		Verdict: e.Verdict,
+		Code:    e.Code,
+		Job:     job,
+	})
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,175 @@
+// Package caller calls entries as the teams' programs do: it submits jobs over
+// HTTP, checks that the answer is whole and its own, and reads the verdict of a
+// failure.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+type (
+	// Request is one job to submit.
+	Request struct {
+		Queue      string
+		Key        string // secret of a key; empty for an open queue
+		Name       string // Idempotency-Key
+		Class      scheduler.Class
+		Idempotent bool
+		Deadline   time.Duration // 0 for the entry's default
+		Slots      int           // 0 for 1
+		Async      bool          // answer with the job's status at once
+		Body       []byte
+	}
+
+	// Reply is the answer to a job.
+	Reply struct {
+		Job    string
+		Worker string
+		Output []byte
+	}
+
+	// Client submits jobs to one address. Use New.
+	Client struct {
+		base string
+		http *http.Client
+	}
+)
+
+// New returns a client of the entry at base, such as "http://127.0.0.1:8080".
+func New(base string, c *http.Client) *Client {
+	return &Client{base: base, http: c}
+}
+
+// Submit hands in a job and waits for its end. The error is a
+// *classifier.Error: NotRun when the entry said so or no byte was sent, the
+// entry's verdict when it gave one, MayHaveRun otherwise.
+func (c *Client) Submit(ctx context.Context, r Request) (Reply, error) {
+	req, err := c.request(ctx, r)
+	if err != nil {
+		return Reply{}, classifier.Refuse(classifier.BadRequest, "%v", err)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return Reply{}, classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return Reply{}, classifier.Doubt(classifier.Truncated, "the entry's answer broke off: %v", err)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return Reply{}, problem(res, body)
+	}
+	reply := Reply{Job: res.Header.Get(admitter.JobHeader), Worker: res.Header.Get(admitter.WorkerHeader), Output: body}
+	return reply, checkDigest(res.Header.Get(admitter.DigestHeader), body)
+}
+
+func (c *Client) request(ctx context.Context, r Request) (*http.Request, error) {
+	target := c.base + "/v1/queues/" + url.PathEscape(r.Queue) + "/jobs"
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	set(req, admitter.NameHeader, r.Name)
+	set(req, admitter.ClassHeader, string(r.Class))
+	if r.Key != "" {
+		set(req, "Authorization", "Bearer "+r.Key)
+	}
+	if r.Idempotent {
+		set(req, admitter.IdempotentHeader, "true")
+	}
+	if r.Deadline > 0 {
+		set(req, admitter.DeadlineHeader, r.Deadline.String())
+	}
+	if r.Slots > 0 {
+		set(req, admitter.SlotsHeader, strconv.Itoa(r.Slots))
+	}
+	if r.Async {
+		set(req, "Prefer", "respond-async")
+	}
+	return req, nil
+}
+
+func set(req *http.Request, header, value string) {
+	if value != "" {
+		req.Header.Set(header, value)
+	}
+}
+
+func checkDigest(want string, body []byte) error {
+	if want == "" {
+		return nil
+	}
+	sum := sha256.Sum256(body)
+	if hex.EncodeToString(sum[:]) != want {
+		return classifier.Doubt(classifier.Truncated, "the answer does not match its digest")
+	}
+	return nil
+}
+
+// problem reads a problem document. An answer that is none leaves a doubt.
+func problem(res *http.Response, body []byte) error {
+	var p admitter.Problem
+	if err := json.Unmarshal(body, &p); err != nil || p.Code == "" {
+		return classifier.Doubt(classifier.Internal, "status %d without a problem document", res.StatusCode)
+	}
+	e := &classifier.Error{Verdict: p.Verdict, Code: p.Code, Message: p.Detail}
+	if seconds, err := strconv.Atoi(res.Header.Get("Retry-After")); err == nil {
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return e
+}
+
+// Status asks for the state of a job.
+func (c *Client) Status(ctx context.Context, key, job string) (admitter.Status, error) {
+	var status admitter.Status
+	body, err := c.job(ctx, http.MethodGet, key, job)
+	if err != nil {
+		return status, err
+	}
+	return status, errors.Trace(json.Unmarshal(body, &status))
+}
+
+// Cancel withdraws a job.
+func (c *Client) Cancel(ctx context.Context, key, job string) error {
+	_, err := c.job(ctx, http.MethodDelete, key, job)
+	return err
+}
+
+func (c *Client) job(ctx context.Context, method, key, job string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+"/v1/jobs/"+url.PathEscape(job), nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if key != "" {
+		set(req, "Authorization", "Bearer "+key)
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, classifier.Doubt(classifier.PeerLost, "no answer from the entry: %v", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return nil, classifier.Doubt(classifier.Truncated, "the entry's answer broke off: %v", err)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		return nil, problem(res, body)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/commander/caller.go
@@ -0,0 +1,38 @@
+package commander
+
+import (
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/caller"
+)
+
+// DefaultCallers is the callers' address called when no other is configured.
+const DefaultCallers = "127.0.0.1:7001"
+
+// Team holds the options of commands that act for a team.
+type Team struct {
+	At      string `arg:"--at,env:COLTSFOOTLEVER_AT" placeholder:"IP:PORT" help:"callers' address of an entry or of the balancer [default: 127.0.0.1:7001]"`
+	KeyFile string `arg:"--team-key-file,env:COLTSFOOTLEVER_TEAM_KEY_FILE" placeholder:"FILE" help:"file that holds the team's key"`
+	Key     string `arg:"--,env:COLTSFOOTLEVER_TEAM_KEY" help:"the team's key"`
+}
+
+// Caller returns a client of the callers' interface.
+func (f *Factory) Caller(t Team) *caller.Client {
+	address := t.At
+	if address == "" {
+		address = DefaultCallers
+	}
+	client := f.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	return caller.New("http://"+address, client)
+}
+
+// Secret returns the team's key, empty when none is configured.
+func (t Team) Secret() (string, error) {
+	secret, err := Connection{KeyFile: t.KeyFile, Key: t.Key}.secret()
+	return secret, errors.Annotate(err, "team's key")
+}
--- a/commander/file.go
+++ b/commander/file.go
@@ -8,6 +8,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/admitter"
 	"github.com/coltsfootlever/coltsfootlever/parser"
 )
 
@@ -27,7 +28,8 @@
 
 // ReadRules reads and checks a rules file. Faults come back as parser.Errors.
 func (f *Factory) ReadRules(name string) (*RulesFile, error) {
-	text, err := f.read(name)
+	// A little more than a rules file may hold, so that Parse reports a longer one.
+	text, err := f.read(name, parser.MaxFileBytes+1)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -41,9 +43,20 @@
 	return file, nil
 }
 
-// read reads a little more than a rules file may hold, so that Parse reports
-// a longer one.
-func (f *Factory) read(name string) ([]byte, error) {
+// ReadInput reads the body of a request from a file or, for Stdin, from the
+// input. A larger one than an entry takes is an error.
+func (f *Factory) ReadInput(name string) ([]byte, error) {
+	body, err := f.read(name, admitter.DefaultMaxBody+1)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(body) > admitter.DefaultMaxBody {
+		return nil, errors.Errorf("%s holds more than %d bytes: send a smaller request", name, admitter.DefaultMaxBody)
+	}
+	return body, nil
+}
+
+func (f *Factory) read(name string, limit int64) ([]byte, error) {
 	r := f.In
 	if name != Stdin {
 		file, err := os.Open(name)
@@ -53,7 +66,7 @@
 		defer file.Close()
 		r = file
 	}
-	text, err := io.ReadAll(io.LimitReader(r, parser.MaxFileBytes+1))
+	text, err := io.ReadAll(io.LimitReader(r, limit))
 	return text, errors.Annotatef(err, "reading %s", name)
 }
 
--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -3,8 +3,12 @@
 
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/commander/demo"
+	"github.com/coltsfootlever/coltsfootlever/commander/job"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
+	"github.com/coltsfootlever/coltsfootlever/commander/serve"
+	"github.com/coltsfootlever/coltsfootlever/commander/standin"
 	"github.com/coltsfootlever/coltsfootlever/commander/status"
 	"github.com/coltsfootlever/coltsfootlever/commander/team"
 )
@@ -21,6 +25,10 @@
 			key.New(f),
 			team.New(f),
 			status.New(f),
+			job.New(f),
+			serve.New(f),
+			demo.New(f),
+			standin.New(f),
 		},
 	}
 }
--- /dev/null
+++ b/commander/serve/check.go
@@ -0,0 +1,44 @@
+package serve
+
+import (
+	stderrors "errors"
+	"net/netip"
+	"net/url"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/commander"
+)
+
+// setting is one setting with its value.
+type setting struct {
+	name, value string
+}
+
+// faults returns what is wrong with the settings that only the daemon has.
+func (o *Options) faults() []error {
+	var faults []error
+	for _, s := range []setting{{"--store", o.Store}, {"--instance-list", o.List}} {
+		u, err := url.Parse(s.value)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			faults = append(faults, errors.Errorf("%s is %q: set a URL such as http://127.0.0.1:2379", s.name, s.value))
+		}
+	}
+	for _, s := range []setting{{"--operators", o.Operators}, {"--metrics", o.Metrics}} {
+		if _, err := netip.ParseAddrPort(s.value); s.value != "" && err != nil {
+			faults = append(faults, errors.Errorf("%s is %q: set IP:PORT, or leave it out", s.name, s.value))
+		}
+	}
+	if o.Operators != "" && o.Operator == "" && !o.KeyLess {
+		faults = append(faults, errors.New("--operators is set without an operator key: set COLTSFOOTLEVER_OPERATOR_KEY, or --operators-by-rules-only if the rules have an operator key"))
+	}
+	return append(faults, o.TLS.faults()...)
+}
+
+// join returns all faults as one wrong command line, nil when there is none.
+func join(faults []error) error {
+	if len(faults) == 0 {
+		return nil
+	}
+	return &commander.UsageError{Program: "coltsfootlever serve", Message: stderrors.Join(faults...).Error()}
+}
--- /dev/null
+++ b/commander/serve/tls.go
@@ -0,0 +1,113 @@
+package serve
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+
+	"github.com/juju/errors"
+	grpccredentials "google.golang.org/grpc/credentials"
+
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+)
+
+type (
+	// TLS holds the files that protect connections. Without them connections
+	// are in the clear.
+	TLS struct {
+		Cert     string `arg:"--tls-cert,env:COLTSFOOTLEVER_TLS_CERT" placeholder:"FILE" help:"certificate shown to callers and operators"`
+		Key      string `arg:"--tls-key,env:COLTSFOOTLEVER_TLS_KEY" placeholder:"FILE" help:"key of --tls-cert"`
+		PeerCert string `arg:"--peer-cert,env:COLTSFOOTLEVER_PEER_CERT" placeholder:"FILE" help:"certificate shown to peers"`
+		PeerKey  string `arg:"--peer-key,env:COLTSFOOTLEVER_PEER_KEY" placeholder:"FILE" help:"key of --peer-cert"`
+		PeerCA   string `arg:"--peer-ca,env:COLTSFOOTLEVER_PEER_CA" placeholder:"FILE" help:"authority that peers' certificates must come from"`
+	}
+
+	// credentials are the loaded files; nil parts are not protected.
+	credentials struct {
+		callers *tls.Config
+		peers   *tls.Config
+	}
+)
+
+// faults returns what is wrong with the choice of files.
+func (t TLS) faults() []error {
+	var faults []error
+	if (t.Cert == "") != (t.Key == "") {
+		faults = append(faults, errors.New("--tls-cert and --tls-key belong together: set both or neither"))
+	}
+	set := 0
+	for _, file := range []string{t.PeerCert, t.PeerKey, t.PeerCA} {
+		if file != "" {
+			set++
+		}
+	}
+	if set != 0 && set != 3 {
+		faults = append(faults, errors.New("--peer-cert, --peer-key and --peer-ca belong together: set all or none"))
+	}
+	return faults
+}
+
+// load reads the files.
+func (t TLS) load() (credentials, error) {
+	var c credentials
+	if t.Cert != "" {
+		cert, err := tls.LoadX509KeyPair(t.Cert, t.Key)
+		if err != nil {
+			return c, errors.Annotate(err, "certificate for callers")
+		}
+		c.callers = &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}
+	}
+	if t.PeerCert == "" {
+		return c, nil
+	}
+	cert, err := tls.LoadX509KeyPair(t.PeerCert, t.PeerKey)
+	if err != nil {
+		return c, errors.Annotate(err, "certificate for peers")
+	}
+	pool, err := authority(t.PeerCA)
+	if err != nil {
+		return c, errors.Trace(err)
+	}
+	c.peers = &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{cert},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}
+	return c, nil
+}
+
+func authority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Annotate(err, "authority for peers")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("authority for peers: %s holds no certificate in PEM form", file)
+	}
+	return pool, nil
+}
+
+func (c credentials) wrap(l net.Listener) net.Listener {
+	if c.callers == nil {
+		return l
+	}
+	return tls.NewListener(l, c.callers)
+}
+
+func (c credentials) clientOptions() []messenger.ClientOption {
+	if c.peers == nil {
+		return nil
+	}
+	return []messenger.ClientOption{messenger.WithCredentials(grpccredentials.NewTLS(c.peers))}
+}
+
+func (c credentials) serverOptions() []messenger.ServerOption {
+	if c.peers == nil {
+		return nil
+	}
+	return []messenger.ServerOption{messenger.WithServerCredentials(grpccredentials.NewTLS(c.peers))}
+}
--- /dev/null
+++ b/demonstrator/fleet.go
@@ -0,0 +1,183 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/server"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	listLag  = 2 * time.Second
+	reboot   = 3 * time.Second
+)
+
+type (
+	// platform is the stand-in platform on loopback.
+	platform struct {
+		store     *emulator.Store
+		instances *emulator.Platform
+		workers   *emulator.Fleet
+		storeURL  string
+		listURL   string
+		closers   []func()
+	}
+
+	// entry is one running entry.
+	entry struct {
+		*server.Entry
+		instance string
+		base     string // of the callers' interface
+		kill     context.CancelFunc
+		done     chan struct{}
+	}
+)
+
+// newPlatform starts the stand-ins with their workers, which report to the
+// tally.
+func newPlatform(t *tally) (*platform, error) {
+	p := &platform{
+		store:     emulator.NewStore(),
+		instances: emulator.NewPlatform(listLag, reboot, nil),
+		workers:   &emulator.Fleet{},
+	}
+	var err error
+	if p.storeURL, err = p.serve(p.store.Handler()); err != nil {
+		return nil, errors.Annotate(err, "key-value stand-in")
+	}
+	if p.listURL, err = p.serve(p.instances.Handler()); err != nil {
+		return nil, errors.Annotate(err, "instance list stand-in")
+	}
+	n := 0
+	for _, pool := range append(pools, poolSpec{"spare", spareWorkers}) {
+		for range pool.workers {
+			if err := p.addWorker(n, pool.name, t); err != nil {
+				return nil, errors.Annotate(err, "worker stand-in")
+			}
+			n++
+		}
+	}
+	return p, nil
+}
+
+// addWorker starts worker n in the pool. Zones take turns, so that each pool is
+// spread over all of them.
+func (p *platform) addWorker(n int, pool string, t *tally) error {
+	id := fmt.Sprintf("worker-%02d", n)
+	worker := emulator.NewWorker(id, slotsPerWorker, func(e emulator.Execution) { t.observe(pool, e) })
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	address := l.Addr().String()
+	p.workers.Add(address, worker)
+	p.serveOn(l, p.workers.Handler(address))
+	p.instances.Add(lister.Listing{
+		ID:      id,
+		Kind:    lister.WorkerKind,
+		Address: address,
+		Zone:    zones[n%len(zones)],
+		Rack:    fmt.Sprintf("rack-%s-%d", zones[n%len(zones)], n/(len(zones)*workersPerRack)),
+		Slots:   slotsPerWorker,
+		Pool:    pool,
+	})
+	return nil
+}
+
+func (p *platform) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	p.serveOn(l, h)
+	return "http://" + l.Addr().String(), nil
+}
+
+func (p *platform) serveOn(l net.Listener, h http.Handler) {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(l) }()
+	p.closers = append(p.closers, func() { _ = s.Close() })
+}
+
+func (p *platform) close() {
+	for _, closer := range p.closers {
+		closer()
+	}
+}
+
+// startEntry starts entry n over the platform's HTTP interfaces.
+func (p *platform) startEntry(n int, log *slog.Logger) (*entry, error) {
+	callers, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	peers, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	cfg := settings(n, callers.Addr().String(), peers.Addr().String(), log)
+	client := messenger.NewClient()
+	e, err := server.New(cfg, server.Platform{
+		Store:     keeper.NewClient(p.storeURL),
+		Instances: lister.NewClient(p.listURL),
+		Workers:   dispatcher.NewClient(),
+		Peers:     client,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.instances.Add(lister.Listing{ID: cfg.Instance, Kind: lister.EntryKind, Address: cfg.Peers, Zone: cfg.Zone})
+	ctx, kill := context.WithCancel(context.Background())
+	started := &entry{Entry: e, instance: cfg.Instance, base: "http://" + cfg.Callers, kill: kill, done: make(chan struct{})}
+	go started.run(ctx, callers, peers, client)
+	return started, nil
+}
+
+func settings(n int, callers, peers string, log *slog.Logger) server.Settings {
+	cfg := server.DefaultSettings()
+	cfg.Instance = fmt.Sprintf("entry-%d", n)
+	cfg.Zone = zones[n%len(zones)]
+	cfg.Callers = callers
+	cfg.Peers = peers
+	cfg.TaskLease = 4 * time.Second
+	cfg.Margin = time.Second
+	cfg.Heartbeat = 500 * time.Millisecond
+	cfg.ListLag = listLag
+	cfg.Balancer = 500 * time.Millisecond
+	cfg.Log = log
+	return cfg
+}
+
+// run serves until the entry is killed. Its connections break off, as those of
+// a lost instance do.
+func (e *entry) run(ctx context.Context, callers, peers net.Listener, client *messenger.Client) {
+	defer close(e.done)
+	s := &http.Server{Handler: e.Callers(), ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = s.Serve(callers) }()
+	peerCtx, stopPeers := context.WithCancel(context.Background())
+	peersDone := make(chan struct{})
+	go func() {
+		defer close(peersDone)
+		_ = messenger.NewServer(e.PeerHandler(), messenger.WithListener(peers), messenger.WithGrace(time.Millisecond)).Run(peerCtx)
+	}()
+	go func() {
+		<-ctx.Done()
+		_ = s.Close()
+		stopPeers()
+	}()
+	_ = e.Run(ctx)
+	<-peersDone
+	_ = client.Close()
+}
--- /dev/null
+++ b/granter/coordinator.go
@@ -0,0 +1,240 @@
+package granter
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+const (
+	// DefaultRound is the time between two rounds of the coordinator.
+	DefaultRound = 2 * time.Second
+	// DefaultTaskLease is the longest lease of a task on a worker.
+	DefaultTaskLease = 10 * time.Second
+	// DefaultClockMargin bounds the difference between two members' clocks.
+	DefaultClockMargin = 5 * time.Second
+	// maxRoundWrites bounds the accounts written in one round.
+	maxRoundWrites = 100
+)
+
+type (
+	// Ledger is the coordinator's view of the accounts, such as a Granter's.
+	Ledger interface {
+		Accounts() ([]Account, bool)
+	}
+
+	// Duty is the right to act as the coordinator.
+	Duty interface {
+		Held() bool
+	}
+
+	// Coordinator sets the limits and targets of all accounts and reclaims the
+	// grants of departed members. Several may run at once: each write is
+	// computed from the record that it replaces.
+	Coordinator struct {
+		store     keeper.Swapper
+		ledger    Ledger
+		duty      Duty
+		rules     func() *parser.Rules
+		view      func() registrar.View
+		loads     func() []messenger.Heartbeat
+		log       *slog.Logger
+		period    time.Duration
+		taskLease time.Duration
+		margin    time.Duration
+		missing   map[string]time.Time // unknown holders, by the time first missed
+		next      int                  // account that the next round begins with
+		weights   *Weights             // last written under this duty; nil for none
+	}
+
+	// CoordinatorOption changes a Coordinator.
+	CoordinatorOption func(*Coordinator)
+)
+
+// WithRound sets the time between two rounds.
+func WithRound(d time.Duration) CoordinatorOption {
+	return func(c *Coordinator) { c.period = d }
+}
+
+// WithReclaim sets the longest task lease and the clock margin that must both
+// pass after a member's departure before its grants are reclaimed.
+func WithReclaim(taskLease, margin time.Duration) CoordinatorOption {
+	return func(c *Coordinator) { c.taskLease, c.margin = taskLease, margin }
+}
+
+// WithCoordinatorLog sets the logger.
+func WithCoordinatorLog(log *slog.Logger) CoordinatorOption {
+	return func(c *Coordinator) { c.log = log }
+}
+
+// NewCoordinator returns a coordinator that acts while it holds duty. rules
+// returns nil while none are known; loads returns the last heartbeat of each
+// member, its own included.
+func NewCoordinator(store keeper.Swapper, ledger Ledger, duty Duty, rules func() *parser.Rules,
+	view func() registrar.View, loads func() []messenger.Heartbeat, opts ...CoordinatorOption) *Coordinator {
+	c := &Coordinator{
+		store:     store,
+		ledger:    ledger,
+		duty:      duty,
+		rules:     rules,
+		view:      view,
+		loads:     loads,
+		log:       slog.New(slog.DiscardHandler),
+		period:    DefaultRound,
+		taskLease: DefaultTaskLease,
+		margin:    DefaultClockMargin,
+		missing:   make(map[string]time.Time),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Run does a round every period until ctx ends, and returns the error of ctx.
+func (c *Coordinator) Run(ctx context.Context) error {
+	ticker := time.NewTicker(c.period)
+	defer ticker.Stop()
+	for {
+		if err := c.Round(ctx); err != nil && ctx.Err() == nil {
+			c.log.Warn("ledger round", "err", err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+// Round brings all accounts in line with rules, members and loads once. It
+// does nothing while the duty is not held or the ledger has not been read.
+func (c *Coordinator) Round(ctx context.Context) error {
+	return c.round(ctx, time.Now())
+}
+
+func (c *Coordinator) round(ctx context.Context, now time.Time) error {
+	if !c.duty.Held() {
+		clear(c.missing)
+		c.weights = nil
+		return nil
+	}
+	rules := c.rules()
+	accounts, listed := c.ledger.Accounts()
+	if rules == nil || !listed {
+		return nil
+	}
+	s := c.situation(now, rules, accounts)
+	if err := c.writeAccounts(ctx, s, plans(rules, accounts)); err != nil {
+		return errors.Trace(err)
+	}
+	return c.writeWeights(ctx, s)
+}
+
+// writeAccounts writes the accounts that differ from their plan, a bounded
+// number in one round, beginning where the last round ended.
+func (c *Coordinator) writeAccounts(ctx context.Context, s situation, accounts []Account) error {
+	writes := 0
+	for n := range accounts {
+		cur := accounts[(c.next+n)%len(accounts)]
+		if s.plan(cur).equal(cur) {
+			continue
+		}
+		if writes == maxRoundWrites {
+			c.next = (c.next + n) % len(accounts)
+			return nil
+		}
+		writes++
+		if err := c.write(ctx, s, cur.Team); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	c.next = 0
+	return nil
+}
+
+func (c *Coordinator) write(ctx context.Context, s situation, team string) error {
+	if !c.duty.Held() {
+		return errors.New("the duty was lost during the round")
+	}
+	change := func(cur Account, exists bool) (Account, bool, error) {
+		if !exists {
+			cur = Account{Team: team}
+		}
+		next := s.plan(cur)
+		return next, !next.equal(cur), nil
+	}
+	_, _, err := keeper.Update(ctx, c.store, keeper.LedgerPrefix+team, change)
+	return errors.Trace(err)
+}
+
+func (c *Coordinator) writeWeights(ctx context.Context, s situation) error {
+	next := Allot(s.rules, s.loads)
+	if c.weights != nil && next.near(*c.weights) || !c.duty.Held() {
+		return nil
+	}
+	change := func(cur Weights, _ bool) (Weights, bool, error) { return next, !next.near(cur), nil }
+	if _, _, err := keeper.Update(ctx, c.store, weightsKey, change); err != nil {
+		return errors.Trace(err)
+	}
+	c.weights = &next
+	return nil
+}
+
+// situation gathers what the accounts are planned from.
+func (c *Coordinator) situation(now time.Time, rules *parser.Rules, accounts []Account) situation {
+	view := c.view()
+	s := situation{
+		rules:    rules,
+		view:     view.Number,
+		teams:    make(map[string]parser.Team, len(rules.Teams)),
+		pools:    poolsByTeam(rules),
+		active:   make(map[string]bool),
+		known:    make(map[string]bool),
+		departed: make(map[string]bool),
+		loads:    activeLoads(view, c.loads()),
+	}
+	for _, t := range rules.Teams {
+		s.teams[t.Name] = t
+	}
+	for _, d := range view.Departed {
+		s.known[d.ID] = true
+		s.departed[d.ID] = now.After(d.Since.Add(c.taskLease + c.margin))
+	}
+	for _, m := range view.Members {
+		s.known[m.ID] = true
+		s.departed[m.ID] = false
+		s.active[m.ID] = m.State == registrar.Active
+	}
+	c.missUnknown(now, s, accounts)
+	return s
+}
+
+// missUnknown treats holders that the view no longer tells about as departed
+// when they have been missing for as long as a departed member's tasks can run.
+// A holder that is missing from a view older than its grant may only just have
+// joined, and is left alone.
+func (c *Coordinator) missUnknown(now time.Time, s situation, accounts []Account) {
+	unknown := make(map[string]time.Time)
+	for _, a := range accounts {
+		for _, g := range a.Grants {
+			if s.known[g.Member] || g.View > s.view {
+				continue
+			}
+			since, ok := c.missing[g.Member]
+			if !ok {
+				since = now
+			}
+			unknown[g.Member] = since
+			s.departed[g.Member] = now.After(since.Add(c.taskLease + c.margin))
+		}
+	}
+	c.missing = unknown
+}
--- /dev/null
+++ b/granter/plan.go
@@ -0,0 +1,130 @@
+package granter
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// situation is what the accounts are planned from. It does not change during a
+// round.
+type situation struct {
+	rules    *parser.Rules
+	view     uint64 // number of the membership view
+	teams    map[string]parser.Team
+	pools    map[string]map[string]bool // pools of each team's queues
+	active   map[string]bool            // members that take grants
+	known    map[string]bool            // members that the view tells about
+	departed map[string]bool            // true when nothing of them can run any more
+	loads    []messenger.Heartbeat      // of active members, sorted
+}
+
+// plans returns the accounts with an empty one for each team that has none,
+// sorted by team.
+func plans(rules *parser.Rules, accounts []Account) []Account {
+	all := slices.Clone(accounts)
+	for _, t := range rules.Teams {
+		has := slices.ContainsFunc(accounts, func(a Account) bool { return a.Team == t.Name })
+		if !has {
+			all = append(all, Account{Team: t.Name})
+		}
+	}
+	slices.SortFunc(all, func(a, b Account) int { return strings.Compare(a.Team, b.Team) })
+	return all
+}
+
+// plan returns the account as it should be now. It reclaims what departed
+// members held, never raises a grant and never lowers one of a member that may
+// still run its work. An account that was written with newer rules or a newer
+// view stays as it is.
+func (s situation) plan(cur Account) Account {
+	if s.isOutdated(cur) {
+		return cur
+	}
+	next := cur.clone()
+	if limit := s.teams[cur.Team].Limit; limit != cur.Limit {
+		next.Limit = limit
+		next.Rules = s.rules.Number
+	}
+	next.Grants = slices.DeleteFunc(next.Grants, func(g Grant) bool {
+		return s.departed[g.Member] || g.Held == 0 && !s.active[g.Member]
+	})
+	for i := range next.Grants {
+		if !s.active[next.Grants[i].Member] {
+			next.Grants[i].Target = 0
+		}
+	}
+	parts := s.parts(next)
+	for i, target := range Split(cur.Team, next.Limit, parts) {
+		next.setTarget(parts[i].Member, s.view, target)
+	}
+	return next.settle()
+}
+
+func (s situation) isOutdated(a Account) bool {
+	newerView := func(g Grant) bool { return g.View > s.view }
+	return a.Rules > s.rules.Number || slices.ContainsFunc(a.Grants, newerView)
+}
+
+// parts describes the active members to Split.
+func (s situation) parts(a Account) []Part {
+	parts := make([]Part, 0, len(s.loads))
+	for _, load := range s.loads {
+		mine, _ := a.Grant(load.From)
+		part := Part{Member: load.From, Target: mine.Target}
+		for _, p := range load.Pools {
+			if s.pools[a.Team][p.Pool] {
+				part.Slots += p.Slots
+			}
+		}
+		for _, t := range load.Teams {
+			if t.Team == a.Team {
+				part.Want += t.Running + t.Waiting
+			}
+		}
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+func (a *Account) setTarget(member string, view uint64, target int) {
+	i, ok := a.find(member)
+	if ok {
+		a.Grants[i].Target = target
+		return
+	}
+	a.Grants = slices.Insert(a.Grants, i, Grant{Member: member, View: view, Target: target})
+}
+
+// activeLoads returns one heartbeat for each active member of the view, an
+// empty one for those not heard from, sorted by member.
+func activeLoads(view registrar.View, heard []messenger.Heartbeat) []messenger.Heartbeat {
+	var loads []messenger.Heartbeat
+	for _, m := range view.Members {
+		if m.State != registrar.Active {
+			continue
+		}
+		i := slices.IndexFunc(heard, func(h messenger.Heartbeat) bool { return h.From == m.ID })
+		if i < 0 {
+			loads = append(loads, messenger.Heartbeat{From: m.ID})
+			continue
+		}
+		loads = append(loads, heard[i])
+	}
+	slices.SortFunc(loads, func(a, b messenger.Heartbeat) int { return strings.Compare(a.From, b.From) })
+	return loads
+}
+
+func poolsByTeam(rules *parser.Rules) map[string]map[string]bool {
+	pools := make(map[string]map[string]bool)
+	for _, q := range rules.Queues {
+		if pools[q.Team] == nil {
+			pools[q.Team] = make(map[string]bool)
+		}
+		pools[q.Team][q.Pool] = true
+	}
+	return pools
+}
--- a/granter/wallet.go
+++ b/granter/wallet.go
@@ -12,6 +12,7 @@
 	mu      sync.Mutex
 	used    map[string]int
 	ceiling map[string]int
+	short   map[string]bool // teams refused since the last call of takeShort
 	assert  Assert
 }
 
@@ -27,6 +28,7 @@
 	return &Wallet{
 		used:    make(map[string]int),
 		ceiling: make(map[string]int),
+		short:   make(map[string]bool),
 		assert:  assert,
 	}
 }
@@ -37,6 +39,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if n < 1 || w.used[team]+n > w.ceiling[team] {
+		w.short[team] = true
 		return false
 	}
 	w.used[team] += n
@@ -106,6 +109,21 @@
 	w.ceiling[team] = n
 }
 
+func (w *Wallet) usedBy(team string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.used[team]
+}
+
+// takeShort returns the teams that were refused since the last call.
+func (w *Wallet) takeShort() map[string]bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	short := w.short
+	w.short = make(map[string]bool)
+	return short
+}
+
 func panicUnless(ok bool, format string, args ...any) {
 	if !ok {
 		panic(fmt.Sprintf(format, args...))
--- /dev/null
+++ b/granter/weights.go
@@ -0,0 +1,213 @@
+package granter
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+)
+
+const (
+	allotRounds   = 24   // rounds of fitting weights to the shares
+	maxCorrection = 4.0  // largest factor of one round
+	fitTolerance  = 0.01 // relative error at which fitting ends
+	weightChange  = 0.1  // relative change below which weights stay
+)
+
+type (
+	// Weights are the weights of teams in contended pools, for each member's
+	// own scheduling. With them the members together come near the fleet-wide
+	// weighted max-min shares, though each sees its own tasks and slots only.
+	Weights struct {
+		Pools []PoolWeights `json:"pools"` // sorted by pool
+	}
+
+	// PoolWeights are the weights in one pool.
+	PoolWeights struct {
+		Pool  string       `json:"pool"`
+		Teams []TeamWeight `json:"teams"` // sorted by team
+	}
+
+	// TeamWeight is the weight of one team.
+	TeamWeight struct {
+		Team   string  `json:"team"`
+		Weight float64 `json:"weight"`
+	}
+)
+
+// Map returns the weights of the pool by team, nil when the pool has none.
+func (w Weights) Map(pool string) map[string]float64 {
+	i := slices.IndexFunc(w.Pools, func(p PoolWeights) bool { return p.Pool == pool })
+	if i < 0 {
+		return nil
+	}
+	weights := make(map[string]float64, len(w.Pools[i].Teams))
+	for _, t := range w.Pools[i].Teams {
+		weights[t.Team] = t.Weight
+	}
+	return weights
+}
+
+// near reports whether no weight of w differs from v's by more than
+// weightChange.
+func (w Weights) near(v Weights) bool {
+	return slices.EqualFunc(w.Pools, v.Pools, func(p, q PoolWeights) bool {
+		return p.Pool == q.Pool && slices.EqualFunc(p.Teams, q.Teams, TeamWeight.near)
+	})
+}
+
+func (t TeamWeight) near(u TeamWeight) bool {
+	return t.Team == u.Team && math.Abs(t.Weight-u.Weight) <= weightChange*u.Weight
+}
+
+// Allot computes the weights from the members' loads. Pools that serve all
+// that is asked of them get none.
+func Allot(rules *parser.Rules, loads []messenger.Heartbeat) Weights {
+	teams := make(map[string]parser.Team, len(rules.Teams))
+	for _, t := range rules.Teams {
+		teams[t.Name] = t
+	}
+	var all Weights
+	for _, p := range rules.Pools {
+		f := newFitting(p.Name, teams, loads)
+		if f.slots() > 0 && f.wanted() > f.slots() {
+			all.Pools = append(all.Pools, f.weights(p.Name))
+		}
+	}
+	slices.SortFunc(all.Pools, func(a, b PoolWeights) int { return cmp.Compare(a.Pool, b.Pool) })
+	return all
+}
+
+type (
+	// fitting looks for weights with which the members' own shares add up to
+	// the fleet-wide shares.
+	fitting struct {
+		members []fitMember
+		teams   []Demand // fleet-wide, sorted by team
+	}
+
+	// fitMember is what one member owns and what waits or runs there.
+	fitMember struct {
+		slots int
+		wants map[string]int // by team
+	}
+)
+
+func newFitting(pool string, teams map[string]parser.Team, loads []messenger.Heartbeat) fitting {
+	var f fitting
+	total := make(map[string]int)
+	for _, load := range loads {
+		m := fitMember{wants: make(map[string]int)}
+		for _, p := range load.Pools {
+			if p.Pool == pool {
+				m.slots += p.Slots
+			}
+		}
+		for _, t := range load.Teams {
+			if t.Pool == pool {
+				m.wants[t.Team] += t.Running + t.Waiting
+				total[t.Team] += t.Running + t.Waiting
+			}
+		}
+		f.members = append(f.members, m)
+	}
+	for _, name := range slices.Sorted(maps.Keys(total)) {
+		t := teams[name]
+		f.teams = append(f.teams, Demand{Team: name, Weight: t.Share, Limit: t.Limit, Demand: total[name]})
+	}
+	return f
+}
+
+func (f fitting) slots() int {
+	sum := 0
+	for _, m := range f.members {
+		sum += m.slots
+	}
+	return sum
+}
+
+func (f fitting) wanted() int {
+	sum := 0
+	for _, d := range f.teams {
+		sum += d.cap()
+	}
+	return sum
+}
+
+// weights fits the weights by raising those of teams that would get less than
+// their share and lowering the others.
+func (f fitting) weights(pool string) PoolWeights {
+	fair := FairShares(f.slots(), f.teams)
+	weights := make(map[string]float64, len(f.teams))
+	for _, d := range f.teams {
+		weights[d.Team] = float64(d.weight())
+	}
+	for range allotRounds {
+		if f.correct(weights, fair) < fitTolerance {
+			break
+		}
+	}
+	out := PoolWeights{Pool: pool}
+	for _, d := range f.teams {
+		rounded := math.Round(weights[d.Team]*100) / 100
+		out.Teams = append(out.Teams, TeamWeight{Team: d.Team, Weight: max(0.01, rounded)})
+	}
+	return out
+}
+
+// correct adjusts the weights once and returns the largest relative error.
+func (f fitting) correct(weights, fair map[string]float64) float64 {
+	got := make(map[string]float64, len(weights))
+	for _, m := range f.members {
+		m.fill(weights, got)
+	}
+	worst := 0.0
+	for _, d := range f.teams {
+		team := d.Team
+		if fair[team] <= 0 || got[team] <= 0 {
+			continue
+		}
+		factor := fair[team] / got[team]
+		worst = max(worst, math.Abs(1-factor))
+		factor = min(maxCorrection, max(1/maxCorrection, factor))
+		weights[team] = min(1e6, max(1e-2, weights[team]*factor))
+	}
+	return worst
+}
+
+// fill adds the member's weighted max-min shares of its own slots to got.
+func (m fitMember) fill(weights, got map[string]float64) {
+	teams := slices.Sorted(maps.Keys(m.wants))
+	level := func(team string) float64 { return float64(m.wants[team]) / weights[team] }
+	slices.SortStableFunc(teams, func(a, b string) int { return cmp.Compare(level(a), level(b)) })
+	left, weight := float64(m.slots), 0.0
+	for _, team := range teams {
+		weight += weights[team]
+	}
+	for _, team := range teams {
+		n := min(float64(m.wants[team]), left*weights[team]/weight)
+		got[team] += n
+		left -= n
+		weight -= weights[team]
+	}
+}
+
+// takeWeights passes on the weights unless newer ones have been.
+func (g *Granter) takeWeights(ev keeper.Event) {
+	weights, err := keeper.Decode[Weights](ev.Record)
+	if err != nil {
+		g.log.Error("weights unreadable", "err", err)
+		return
+	}
+	g.mu.Lock()
+	newer := ev.Revision > g.weightsAt
+	g.weightsAt = max(g.weightsAt, ev.Revision)
+	g.mu.Unlock()
+	if newer {
+		g.onWeights(weights)
+	}
+}
--- a/registrar/change.go
+++ b/registrar/change.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -21,8 +20,8 @@
 	}
 }
 
-// register returns v with m added under a new incarnation of its instance. It
-// removes older incarnations. It reports false when the process of m is
+// register returns v with m added. It removes older incarnations of m's
+// instance. It reports false when the process of m is
 // registered already.
 func (v View) register(m Member, now time.Time) (View, bool) {
 	for _, have := range v.Members {
@@ -31,7 +30,6 @@
 		}
 	}
 	w := v.next(now)
-	m.ID = m.Instance + "." + strconv.FormatUint(w.Number, 10)
 	m.Joined = w.Number
 	m.State = Active
 	for _, have := range v.Members {
--- a/registrar/follow.go
+++ b/registrar/follow.go
@@ -152,8 +152,10 @@
 	r.prune(old)
 	r.confirm(time.Now())
 	me, ok := v.Member(r.self.ID)
-	if !ok {
+	if !ok && r.self.Joined > 0 {
 		r.noteRemoval()
+	}
+	if !ok {
 		return old, true
 	}
 	r.self = me
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"strconv"
 	"sync"
 	"time"
 
@@ -157,9 +158,10 @@
 }
 
 // New returns a registrar for self, whose ID, Joined, State and Nonce it sets
-// itself.
+// itself. The ID is that of the process, whether it is registered yet or not.
 func New(store keeper.Swapper, peers Peers, list Lister, self Member, opts ...Option) *Registrar {
 	self.Nonce = uuid.NewString()
+	self.ID = self.Instance + "." + strconv.FormatInt(time.Now().UnixMicro(), 36)
 	r := &Registrar{
 		store:  store,
 		peers:  peers,
@@ -207,7 +209,7 @@
 	return r.view
 }
 
-// Self returns the member that the registrar keeps. Its ID is empty before
+// Self returns the member that the registrar keeps. Its Joined is 0 before
 // registration.
 func (r *Registrar) Self() Member {
 	r.mu.Lock()
--- a/registrar/view.go
+++ b/registrar/view.go
@@ -42,7 +42,7 @@
 
 	// Member is one process of an entry instance.
 	Member struct {
-		ID       string `json:"id"`       // identity: instance and incarnation, such as "entry-a1.3"
+		ID       string `json:"id"`       // identity: instance and start of the process, such as "entry-a1.mj2k3x9q1"
 		Instance string `json:"instance"` // instance of the platform's list
 		Zone     string `json:"zone"`
 		Address  string `json:"address"` // IP number and port for peers
--- /dev/null
+++ b/router/router.go
@@ -0,0 +1,353 @@
+// Package router finds the member that runs a task: it claims the names of
+// non-idempotent tasks, chooses between this member and its peers, forwards at
+// most once and remembers answers for repeats.
+package router
+
+import (
+	"context"
+	"crypto/sha256"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/coltsfootlever/coltsfootlever/claimer"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// Times of the router.
+const (
+	// DefaultPatience is the wait for a local start after which peers are
+	// weighed again.
+	DefaultPatience = 400 * time.Millisecond
+	// backoff is the pause after a peer refused a forwarded task.
+	backoff = 100 * time.Millisecond
+)
+
+type (
+	// Placer runs tasks on the workers of this member.
+	Placer interface {
+		Submit(ctx context.Context, task scheduler.Task, patience placer.Patience) (messenger.Answer, error)
+		Cancel(ctx context.Context, task string) bool
+	}
+
+	// Peers sends messages to other members by address.
+	Peers interface {
+		Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error)
+		Attach(ctx context.Context, address string, r messenger.AttachRequest) (messenger.Answer, error)
+		Cancel(ctx context.Context, address string, r messenger.CancelRequest) error
+	}
+
+	// Claimer grants the right to start the task of a name.
+	Claimer interface {
+		Claim(ctx context.Context, team, name string, digest [32]byte, task string) (claimer.Decision, error)
+		Settle(ctx context.Context, team, name, task string, v classifier.Verdict) error
+	}
+
+	// Members knows the membership and whether this member may rely on it.
+	Members interface {
+		View() registrar.View
+		Self() registrar.Member
+		Fresh() error
+	}
+
+	// Chooser picks the member for a task.
+	Chooser interface {
+		// Choose returns the identity of the best member, this one included.
+		// exclude names members that refused the task a moment ago.
+		Choose(task scheduler.Task, exclude map[string]bool) (member string, ok bool)
+		// Better says whether a peer would start the task at once.
+		Better(task scheduler.Task, exclude map[string]bool) bool
+		// Sent tells that a task has been forwarded to the member.
+		Sent(member, pool string)
+	}
+
+	// Router routes tasks. Use New.
+	Router struct {
+		log      *slog.Logger
+		members  Members
+		placer   Placer
+		peers    Peers
+		claimer  Claimer
+		chooser  Chooser
+		journal  func(recorder.Decision)
+		patience time.Duration
+		jobs     *table
+		wait     sync.WaitGroup
+	}
+
+	// Option changes a Router under construction.
+	Option func(*Router)
+)
+
+// WithLog sets the logger.
+func WithLog(log *slog.Logger) Option {
+	return func(r *Router) { r.log = log }
+}
+
+// WithJournal sets the function that takes decisions for explanation.
+func WithJournal(journal func(recorder.Decision)) Option {
+	return func(r *Router) { r.journal = journal }
+}
+
+// WithPatience sets the wait for a local start after which peers are weighed
+// again.
+func WithPatience(patience time.Duration) Option {
+	return func(r *Router) { r.patience = patience }
+}
+
+// WithJobBound sets the most jobs remembered and the most bytes of answers
+// kept for repeats.
+func WithJobBound(jobs, bytes int) Option {
+	return func(r *Router) { r.jobs = newTable(jobs, bytes) }
+}
+
+// New returns a router.
+func New(members Members, placer Placer, peers Peers, claims Claimer, chooser Chooser, opts ...Option) *Router {
+	r := &Router{
+		log:      slog.Default(),
+		members:  members,
+		placer:   placer,
+		peers:    peers,
+		claimer:  claims,
+		chooser:  chooser,
+		journal:  func(recorder.Decision) {},
+		patience: DefaultPatience,
+		jobs:     newTable(maxJobs, maxAnswerBytes),
+	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// NewTaskID returns an identity for a task accepted by this member. It names
+// the member, so that every entry can find the task.
+func (r *Router) NewTaskID() string {
+	return uuid.Must(uuid.NewV7()).String() + "@" + r.members.Self().ID
+}
+
+// Accept takes a task from a caller and returns its job. The job goes on when
+// ctx ends unless it has not started and has no name. A full table refuses with
+// NotRun.
+func (r *Router) Accept(ctx context.Context, task scheduler.Task) (*Job, error) {
+	job := newJob(task)
+	if err := r.jobs.add(job); err != nil {
+		return nil, err
+	}
+	if task.Name != "" {
+		ctx = context.WithoutCancel(ctx)
+	}
+	r.wait.Add(1)
+	go func() {
+		defer r.wait.Done()
+		answer, err := r.execute(ctx, task)
+		r.jobs.end(job, answer, classifier.As(err))
+	}()
+	return job, nil
+}
+
+// Wait returns when no accepted or forwarded task is under way, or when ctx
+// ends.
+func (r *Router) Wait(ctx context.Context) error {
+	idle := make(chan struct{})
+	go func() {
+		r.wait.Wait()
+		close(idle)
+	}()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// execute runs the task somewhere, once if it is not idempotent.
+func (r *Router) execute(ctx context.Context, task scheduler.Task) (messenger.Answer, error) {
+	if task.Idempotent {
+		return r.place(ctx, task)
+	}
+	digest := requestDigest(task)
+	decision, err := r.claimer.Claim(ctx, task.Team, task.Name, digest, task.ID)
+	if err != nil {
+		return messenger.Answer{}, err
+	}
+	if !decision.Granted {
+		return r.attach(ctx, task, decision)
+	}
+	answer, err := r.place(ctx, task)
+	verdict := classifier.Of(err)
+	if err := r.claimer.Settle(context.WithoutCancel(ctx), task.Team, task.Name, task.ID, verdict); err != nil {
+		r.log.Warn("name not settled: it stays held", "task", task.ID, "verdict", verdict.String(), "error", err)
+	}
+	return answer, err
+}
+
+// requestDigest identifies what the caller asked for, so that a name used for
+// another request is seen.
+func requestDigest(task scheduler.Task) [32]byte {
+	h := sha256.New()
+	h.Write([]byte(task.Queue))
+	h.Write([]byte{0})
+	h.Write(task.Body)
+	return [32]byte(h.Sum(nil))
+}
+
+// attach waits for the answer of the task that holds the name.
+func (r *Router) attach(ctx context.Context, task scheduler.Task, d claimer.Decision) (messenger.Answer, error) {
+	request := messenger.AttachRequest{Team: task.Team, Name: task.Name, Task: d.Task}
+	ctx, stop := context.WithDeadline(ctx, task.Deadline)
+	defer stop()
+	if d.Holder == r.members.Self().ID {
+		return r.HandleAttach(ctx, request)
+	}
+	holder, ok := r.members.View().Member(d.Holder)
+	if !ok {
+		return messenger.Answer{}, classifier.Doubt(classifier.Repeated, "the name %q was used by a member that is gone", task.Name)
+	}
+	answer, err := r.peers.Attach(ctx, holder.Address, request)
+	if err != nil {
+		return messenger.Answer{}, repeatedDoubt(task.Name, err)
+	}
+	return answer, checkWhole(d.Task, answer)
+}
+
+// repeatedDoubt keeps a verdict given by the holder and turns every failure to
+// reach it into a doubt: the named task is or was with the holder.
+func repeatedDoubt(name string, err error) error {
+	e := classifier.As(err)
+	if e.Code == classifier.PeerLost {
+		return classifier.Doubt(classifier.Repeated, "the name %q is in use and its holder did not answer", name).After(time.Second)
+	}
+	return e
+}
+
+// place chooses members until one takes the task or the deadline passes. After
+// an attempt of unknown end, an idempotent task goes on, and no later refusal
+// claims that it has not run.
+func (r *Router) place(ctx context.Context, task scheduler.Task) (messenger.Answer, error) {
+	refused := make(map[string]bool)
+	var doubt *classifier.Error
+	for {
+		if err := r.mayStart(ctx, task); err != nil {
+			return messenger.Answer{}, withDoubt(doubt, err)
+		}
+		member, ok := r.chooser.Choose(task, refused)
+		if !ok {
+			member = r.members.Self().ID
+		}
+		answer, err := r.placeAt(ctx, task, member, refused)
+		if retriesElsewhere(task, err) {
+			doubt = classifier.As(err)
+		} else if !movesOn(err) {
+			return answer, withDoubt(doubt, err)
+		}
+		if member == r.members.Self().ID {
+			clear(refused)
+			continue
+		}
+		refused[member] = true
+		pause(ctx, backoff)
+	}
+}
+
+// withDoubt turns a refusal into a doubt when an earlier attempt may have run.
+func withDoubt(doubt *classifier.Error, err error) error {
+	if doubt == nil || classifier.Of(err) != classifier.NotRun {
+		return err
+	}
+	return classifier.Doubt(doubt.Code, "%s; then: %s", doubt.Message, err)
+}
+
+// retriesElsewhere says whether an idempotent task whose answer from a peer was
+// lost may be tried again.
+func retriesElsewhere(task scheduler.Task, err error) bool {
+	if err == nil || !task.Idempotent {
+		return false
+	}
+	e := classifier.As(err)
+	return e.Code == classifier.PeerLost && e.Verdict == classifier.MayHaveRun
+}
+
+// mayStart refuses a task whose time is over or whose member may have missed a
+// change of rules.
+func (r *Router) mayStart(ctx context.Context, task scheduler.Task) error {
+	if ctx.Err() != nil {
+		return classifier.Refuse(classifier.Cancelled, "the caller went away before the start")
+	}
+	if !time.Now().Before(task.Deadline) {
+		return classifier.Refuse(classifier.DeadlineOver, "no slot became free before the deadline")
+	}
+	return r.members.Fresh()
+}
+
+// movesOn says whether a task may be tried at another member: it has not run,
+// and the refusal is about the place, not about the task.
+func movesOn(err error) bool {
+	if err == nil || classifier.Of(err) != classifier.NotRun {
+		return false
+	}
+	switch classifier.As(err).Code {
+	case classifier.NoCapacity, classifier.PeerLost, classifier.Leaving, classifier.Isolated, classifier.Unready:
+		return true
+	}
+	return false
+}
+
+// placeAt runs the task at one member.
+func (r *Router) placeAt(ctx context.Context, task scheduler.Task, member string, refused map[string]bool) (messenger.Answer, error) {
+	if member == r.members.Self().ID {
+		leave := func() bool { return r.chooser.Better(task, refused) }
+		return r.placer.Submit(ctx, task, placer.Patience{Every: r.patience, Leave: leave})
+	}
+	peer, ok := r.members.View().Member(member)
+	if !ok {
+		return messenger.Answer{}, classifier.Refuse(classifier.PeerLost, "member %q has left", member)
+	}
+	return r.forward(ctx, task, peer)
+}
+
+// forward spends the task's one hop.
+func (r *Router) forward(ctx context.Context, task scheduler.Task, peer registrar.Member) (messenger.Answer, error) {
+	r.chooser.Sent(peer.ID, task.Pool)
+	task.Forwarded = true
+	ctx, stop := context.WithDeadline(ctx, task.Deadline.Add(time.Second))
+	defer stop()
+	release := r.jobs.routed(task.ID, peer.ID)
+	defer release()
+	answer, err := r.peers.Forward(ctx, peer.Address, messenger.ForwardRequest{From: r.members.Self().ID, Task: task})
+	if err != nil {
+		return messenger.Answer{}, err
+	}
+	return answer, checkWhole(task.ID, answer)
+}
+
+// checkWhole compares an answer with the task it was asked for.
+func checkWhole(task string, a messenger.Answer) error {
+	if a.Err != nil {
+		return a.Err
+	}
+	if a.Task != task {
+		return classifier.Doubt(classifier.Crossed, "the answer belongs to task %q", a.Task)
+	}
+	if sha256.Sum256(a.Output) != a.Digest {
+		return classifier.Doubt(classifier.Truncated, "the answer does not match its digest")
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/router/table.go
@@ -0,0 +1,138 @@
+package router
+
+import (
+	"container/list"
+	"sync"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+)
+
+// Bounds of the table.
+const (
+	maxJobs        = 20_000   // jobs remembered, under way and ended
+	maxAnswerBytes = 16 << 20 // bytes of answers kept for repeats
+)
+
+type (
+	// Job is one task that this member accepted.
+	Job struct {
+		Task   scheduler.Task
+		done   chan struct{}
+		answer messenger.Answer
+		err    *classifier.Error
+	}
+
+	// table remembers jobs under way and the latest that ended. It is bounded
+	// in jobs and in bytes of answers; ended jobs are forgotten oldest first.
+	table struct {
+		mu       sync.Mutex
+		maxJobs  int
+		maxBytes int
+		bytes    int
+		jobs     map[string]*Job
+		ended    *list.List        // task identities, oldest first
+		routes   map[string]string // task to the peer that runs it
+	}
+)
+
+func newJob(task scheduler.Task) *Job {
+	return &Job{Task: task, done: make(chan struct{})}
+}
+
+// Done is closed when the job has ended.
+func (j *Job) Done() <-chan struct{} {
+	return j.done
+}
+
+// Result returns the answer of an ended job. It must not be called before Done
+// is closed.
+func (j *Job) Result() (messenger.Answer, *classifier.Error) {
+	return j.answer, j.err
+}
+
+func newTable(jobs, bytes int) *table {
+	return &table{
+		maxJobs:  jobs,
+		maxBytes: bytes,
+		jobs:     make(map[string]*Job),
+		ended:    list.New(),
+		routes:   make(map[string]string),
+	}
+}
+
+func (t *table) add(j *Job) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, taken := t.jobs[j.Task.ID]; taken {
+		return classifier.Refuse(classifier.Repeated, "task %q is already here", j.Task.ID)
+	}
+	t.forget(func() bool { return len(t.jobs) >= t.maxJobs })
+	if len(t.jobs) >= t.maxJobs {
+		return classifier.Refuse(classifier.QueueFull, "this entry has %d jobs under way: come back later", len(t.jobs))
+	}
+	t.jobs[j.Task.ID] = j
+	return nil
+}
+
+// end records the end of a job and wakes those who wait for it.
+func (t *table) end(j *Job, answer messenger.Answer, err *classifier.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j.answer = answer
+	j.err = err
+	j.Task.Body = nil
+	close(j.done)
+	t.bytes += len(answer.Output)
+	t.ended.PushBack(j.Task.ID)
+	t.forget(func() bool { return t.bytes > t.maxBytes })
+}
+
+// forget drops ended jobs, oldest first, while the table is too full.
+func (t *table) forget(tooFull func() bool) {
+	for tooFull() {
+		if !t.forgetOldest() {
+			return
+		}
+	}
+}
+
+// forgetOldest drops the job that ended first and says whether there was one.
+func (t *table) forgetOldest() bool {
+	first := t.ended.Front()
+	if first == nil {
+		return false
+	}
+	id := t.ended.Remove(first).(string)
+	t.bytes -= len(t.jobs[id].answer.Output)
+	delete(t.jobs, id)
+	return true
+}
+
+func (t *table) find(task string) (*Job, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	j, ok := t.jobs[task]
+	return j, ok
+}
+
+// routed remembers which peer runs a task until the returned function is
+// called.
+func (t *table) routed(task, member string) (release func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.routes[task] = member
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.routes, task)
+	}
+}
+
+func (t *table) route(task string) (string, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	member, ok := t.routes[task]
+	return member, ok
+}
--- /dev/null
+++ b/server/entry.go
@@ -0,0 +1,288 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
+	"github.com/coltsfootlever/coltsfootlever/claimer"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/granter"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/mover"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/router"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+// Names of the services in the kernel.
+const (
+	RegistrarService   = "registrar"
+	DistributorService = "distributor"
+	GranterService     = "granter"
+	GrantsDutyService  = "grants-duty"
+	LedgerService      = "ledger-coordinator"
+	MoverService       = "mover"
+	FleetService       = "fleet-coordinator"
+	ClaimerService     = "claimer"
+	PlacerService      = "placer"
+	RouterService      = "router"
+	AdmitterService    = "admitter"
+)
+
+const (
+	// dutyName is the control duty that coordinates grants and instances.
+	dutyName = "coordinator"
+	// listPoll is the time between reads of the instance list.
+	listPoll = time.Second
+)
+
+// Entry is one entry of the system. Use New.
+type Entry struct {
+	cfg      Settings
+	platform Platform
+	kernel   *supervisor.Kernel
+	metrics  *meters
+
+	members  *registrar.Registrar
+	rules    *distributor.Distributor
+	duty     *keeper.Duty
+	wallet   *granter.Wallet
+	grants   *granter.Granter
+	waiting  *scheduler.Waiting
+	fleet    *scheduler.Fleet
+	mover    *mover.Mover
+	budgets  *budgeter.Budgeter
+	orders   *mover.Orders
+	claims   *claimer.Claimer
+	placer   *placer.Placer
+	chooser  *router.LoadChooser
+	router   *router.Router
+	admitter *admitter.Admitter
+	loads    *loadTable
+	leaving  atomic.Bool
+}
+
+// New returns an entry that has not started. The error lists every fault of
+// the settings.
+func New(cfg Settings, platform Platform) (*Entry, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, errors.Annotate(err, "settings")
+	}
+	e := &Entry{cfg: cfg, platform: platform, kernel: supervisor.New(cfg.Log), metrics: newMeters()}
+	if e.cfg.Assert == nil {
+		e.cfg.Assert = e.reportBroken
+	}
+	e.buildMembership()
+	e.buildLimits()
+	e.buildFleet()
+	e.buildPath()
+	return e, e.register()
+}
+
+// reportBroken logs and counts a broken invariant.
+func (e *Entry) reportBroken(ok bool, format string, args ...any) {
+	if ok {
+		return
+	}
+	e.metrics.broken.Inc()
+	e.cfg.Log.Error("invariant broken", "what", fmt.Sprintf(format, args...))
+}
+
+// accepting refuses changes of rules until every other member knows this one.
+func (e *Entry) accepting() error {
+	if e.members.Announced() {
+		return nil
+	}
+	return classifier.Refuse(classifier.Unready, "this entry has not reached all others yet: try again or use another").After(time.Second)
+}
+
+// heldFunc says whether a duty is held.
+type heldFunc func() bool
+
+// Held implements the duty of other services.
+func (f heldFunc) Held() bool {
+	return f()
+}
+
+// self returns this entry's member record.
+func (e *Entry) self() registrar.Member {
+	return e.members.Self()
+}
+
+func (e *Entry) buildMembership() {
+	self := registrar.Member{
+		Instance: e.cfg.Instance,
+		Zone:     e.cfg.Zone,
+		Address:  e.cfg.Peers,
+		Callers:  e.cfg.Callers,
+	}
+	e.members = registrar.New(e.platform.Store, e.platform.Peers, e.platform.Instances, self,
+		registrar.WithLog(e.cfg.Log),
+		registrar.WithAssert(e.cfg.Assert),
+		registrar.WithHeartbeat(e.cfg.Heartbeat),
+		registrar.WithStaleness(e.cfg.Staleness),
+		registrar.WithList(listPoll, e.cfg.ListLag),
+		registrar.WithDuty(heldFunc(func() bool { return e.duty.Held() })),
+		registrar.WithHandOver(func(ctx context.Context, view uint64) error { return e.claims.HandedOver(ctx, view) }),
+		registrar.WithLoad(func() ([]messenger.PoolLoad, []messenger.TeamLoad) { return e.report() }),
+		registrar.WithRules(func() uint64 { return e.rules.Number() }),
+	)
+	e.rules = distributor.New(e.platform.Store, e.platform.Peers,
+		distributor.WithLog(e.cfg.Log),
+		distributor.WithAssert(e.cfg.Assert),
+		distributor.WithMembers(e.self().ID, e.members.View),
+		distributor.WithSeeds(func() []string { return e.cfg.Seeds }),
+		distributor.WithAccepting(e.accepting),
+	)
+	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
+	e.loads = newLoadTable(e.self().ID)
+}
+
+func (e *Entry) buildLimits() {
+	e.wallet = granter.NewWallet(e.cfg.Assert)
+	e.waiting = scheduler.NewWaiting()
+	e.grants = granter.New(e.platform.Store, e.self().ID, e.wallet,
+		granter.WithLog(e.cfg.Log),
+		granter.WithAssert(e.cfg.Assert),
+		granter.OnWeights(e.applyWeights),
+	)
+}
+
+func (e *Entry) buildFleet() {
+	e.fleet = scheduler.NewFleet(scheduler.WithAssert(e.cfg.Assert))
+	e.mover = mover.New(e.platform.Store, e.self().ID, e.fleet, e.platform.Instances,
+		mover.WithLog(e.cfg.Log),
+		mover.WithAssert(e.cfg.Assert),
+		mover.WithListPeriod(listPoll),
+	)
+	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
+	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.record)
+}
+
+func (e *Entry) buildPath() {
+	e.claims = claimer.New(e.members, e.platform.Peers,
+		claimer.WithLog(e.cfg.Log),
+		claimer.WithAssert(e.cfg.Assert),
+		claimer.WithStaleness(e.cfg.Staleness),
+		claimer.WithClockMargin(e.cfg.Margin),
+	)
+	e.placer = placer.New(e.self().ID, e.platform.Workers, e.wallet, e.fleet, e.waiting,
+		placer.WithLog(e.cfg.Log),
+		placer.WithLease(e.cfg.TaskLease),
+		placer.WithMargin(e.cfg.Margin),
+		placer.WithLeaving(e.mover.Refused),
+		placer.WithObserve(e.metrics.started),
+	)
+	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
+	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser, router.WithLog(e.cfg.Log))
+	keys := &authenticator.Authenticator{}
+	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
+		admitter.WithLog(e.cfg.Log),
+		admitter.WithEnded(e.metrics.ended),
+	)
+}
+
+// register gives the kernel its services in the order of their start.
+func (e *Entry) register() error {
+	evidence := e.cfg.TaskLease + placer.DefaultStartBy
+	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
+		granter.WithReclaim(evidence, e.cfg.Margin),
+		granter.WithCoordinatorLog(e.cfg.Log),
+	)
+	fleet := mover.NewCoordinator(e.mover, e.duty, e.members.View, e.rules.Rules, e.budgets,
+		mover.WithEvidence(evidence, e.cfg.Margin),
+		mover.WithListLag(e.cfg.ListLag),
+	)
+	services := []struct {
+		name    string
+		service any
+	}{
+		{RegistrarService, e.members},
+		{DistributorService, e.rules},
+		{GrantsDutyService, e.duty},
+		{GranterService, e.grants},
+		{LedgerService, ledger},
+		{MoverService, e.mover},
+		{FleetService, fleet},
+		{ClaimerService, e.claims},
+		{PlacerService, e.placer},
+		{RouterService, e.router},
+		{AdmitterService, e.admitter},
+	}
+	for _, s := range services {
+		if err := e.kernel.Register(s.name, s.service); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	e.connect()
+	e.addGauges()
+	return nil
+}
+
+// connect tells services of each other's news.
+func (e *Entry) connect() {
+	e.members.Subscribe(e.claims.OnView)
+	e.members.OnHeartbeat(e.heard)
+	e.rules.Subscribe(e.applyRules)
+}
+
+// Run runs the entry's services until ctx ends or one of them fails. It does
+// not wait for work under way; see Stop.
+func (e *Entry) Run(ctx context.Context) error {
+	return e.kernel.Run(ctx)
+}
+
+// Callers returns the callers' HTTP interface.
+func (e *Entry) Callers() http.Handler {
+	return e.admitter
+}
+
+// Ready says whether callers' work can be taken: rules are known, the entry is
+// a member that may rely on what it knows, and it is not leaving.
+func (e *Entry) Ready() error {
+	if e.leaving.Load() {
+		return errors.New("leaving")
+	}
+	if e.rules.Rules() == nil {
+		return errors.New("no rules known")
+	}
+	return e.members.Fresh()
+}
+
+// Stop ends the entry's service without cutting a request: it fails the
+// readiness check, waits for the balancer, refuses new work, waits for work
+// under way, hands over names and gives up grants and workers. ctx bounds the
+// whole. Run must still be running.
+func (e *Entry) Stop(ctx context.Context) error {
+	e.leaving.Store(true)
+	sleep(ctx, e.cfg.Balancer)
+	e.admitter.Close()
+	if err := e.router.Wait(ctx); err != nil {
+		return errors.Annotate(err, "waiting for work under way")
+	}
+	if err := e.members.Leave(ctx); err != nil {
+		return errors.Annotate(err, "leaving the membership")
+	}
+	return errors.Annotate(e.grants.Release(ctx), "releasing grants")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/server/load.go
@@ -0,0 +1,120 @@
+package server
+
+import (
+	"sync"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/granter"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/parser"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
+)
+
+// loadLife is the time for which a member's last report counts.
+const loadLife = 10 * time.Second
+
+type (
+	// loadTable keeps the last report of each member.
+	loadTable struct {
+		self string
+		mu   sync.Mutex
+		last map[string]heardLoad
+	}
+
+	heardLoad struct {
+		at time.Time
+		hb messenger.Heartbeat
+	}
+
+	// localLoads shows this member's loads and grants to the chooser.
+	localLoads struct{ e *Entry }
+)
+
+func newLoadTable(self string) *loadTable {
+	return &loadTable{self: self, last: make(map[string]heardLoad)}
+}
+
+func (t *loadTable) put(hb messenger.Heartbeat) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.last[hb.From] = heardLoad{at: time.Now(), hb: hb}
+}
+
+// all returns the reports that still count.
+func (t *loadTable) all() []messenger.Heartbeat {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var loads []messenger.Heartbeat
+	for member, l := range t.last {
+		if time.Since(l.at) > loadLife {
+			delete(t.last, member)
+			continue
+		}
+		loads = append(loads, l.hb)
+	}
+	return loads
+}
+
+// heard takes a peer's heartbeat.
+func (e *Entry) heard(hb messenger.Heartbeat) {
+	e.loads.put(hb)
+	e.chooser.Heard(hb)
+	e.rules.Heard(hb.From, hb.Rules)
+}
+
+// report returns this member's loads for the next heartbeat.
+func (e *Entry) report() ([]messenger.PoolLoad, []messenger.TeamLoad) {
+	loads := e.placer.Loads()
+	e.loads.put(messenger.Heartbeat{From: e.self().ID, Rules: e.rules.Number(), Pools: loads.Pools, Teams: loads.Teams})
+	return loads.Pools, loads.Teams
+}
+
+// applyRules passes bounds and shares of new rules on.
+func (e *Entry) applyRules(rules *parser.Rules) {
+	bounds := make(map[string]int, len(rules.Queues))
+	for _, q := range rules.Queues {
+		bounds[q.Name] = q.Bound
+	}
+	shares := make(map[string]float64, len(rules.Teams))
+	for _, t := range rules.Teams {
+		shares[t.Name] = float64(t.Share)
+	}
+	e.waiting.SetBounds(bounds)
+	e.waiting.SetShares(shares)
+	e.placer.Poke()
+}
+
+// applyWeights lets this member's teams share its slots so that the fleet as a
+// whole comes near the teams' shares.
+func (e *Entry) applyWeights(w granter.Weights) {
+	rules := e.rules.Rules()
+	if rules == nil {
+		return
+	}
+	for _, pool := range rules.Pools {
+		e.waiting.SetWeights(pool.Name, w.Map(pool.Name))
+	}
+	e.placer.Poke()
+}
+
+func (e *Entry) record(recorder.Decision) {}
+
+// PoolLoad implements router.Local.
+func (l localLoads) PoolLoad(pool string) messenger.PoolLoad {
+	for _, load := range l.e.placer.Loads().Pools {
+		if load.Pool == pool {
+			return load
+		}
+	}
+	return messenger.PoolLoad{Pool: pool}
+}
+
+// Room implements router.Local.
+func (l localLoads) Room(team string) int {
+	return l.e.wallet.Free(team)
+}
+
+// Holders implements router.Local.
+func (l localLoads) Holders(team string) []string {
+	return l.e.grants.HoldersOf(team)
+}
--- /dev/null
+++ b/server/meter.go
@@ -0,0 +1,73 @@
+package server
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/placer"
+)
+
+// meters are the entry's metrics.
+type meters struct {
+	set    *metrics.Set
+	broken *metrics.Counter // invariants broken
+}
+
+func newMeters() *meters {
+	set := metrics.NewSet()
+	return &meters{set: set, broken: set.NewCounter(`coltsfootlever_invariants_broken_total`)}
+}
+
+// started counts the wait of a task for its first start.
+func (m *meters) started(o placer.Observation) {
+	name := fmt.Sprintf(`coltsfootlever_start_wait_seconds{queue=%q,class=%q}`, o.Queue, o.Class)
+	m.set.GetOrCreateHistogram(name).Update(o.Waited.Seconds())
+}
+
+// ended counts the end of a request.
+func (m *meters) ended(e admitter.Ended) {
+	code := "ok"
+	verdict := "ran"
+	if e.Err != nil {
+		code = string(e.Err.Code)
+		verdict = e.Err.Verdict.String()
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`coltsfootlever_requests_total{queue=%q,code=%q,verdict=%q}`, e.Queue, code, verdict)).Inc()
+	name := fmt.Sprintf(`coltsfootlever_request_seconds{queue=%q,class=%q}`, e.Queue, e.Class)
+	m.set.GetOrCreateHistogram(name).Update(e.Took.Seconds())
+}
+
+// gauge adds a value that is read when the metrics are.
+func (m *meters) gauge(name string, read func() float64) {
+	m.set.GetOrCreateGauge(name, read)
+}
+
+// WriteMetrics writes the entry's metrics in the Prometheus text format,
+// followed by those of the process.
+func (e *Entry) WriteMetrics(w io.Writer) {
+	e.metrics.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// addGauges adds what the services know of themselves.
+func (e *Entry) addGauges() {
+	started := time.Now()
+	e.metrics.gauge(`coltsfootlever_up_seconds`, func() float64 { return time.Since(started).Seconds() })
+	e.metrics.gauge(`coltsfootlever_rules_number`, func() float64 { return float64(e.rules.Number()) })
+	e.metrics.gauge(`coltsfootlever_view_number`, func() float64 { return float64(e.members.View().Number) })
+	e.metrics.gauge(`coltsfootlever_fresh`, func() float64 { return flag(e.members.Fresh() == nil) })
+	e.metrics.gauge(`coltsfootlever_coordinator`, func() float64 { return flag(e.duty.Held()) })
+	e.metrics.gauge(`coltsfootlever_waiting_tasks`, func() float64 { return float64(e.waiting.Len()) })
+	e.metrics.gauge(`coltsfootlever_ring_full_total{ring="placer"}`, func() float64 { return float64(e.placer.Full()) })
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/server/operators.go
@@ -0,0 +1,102 @@
+package server
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/registrar"
+)
+
+// Operators returns the operators' HTTP interface.
+func (e *Entry) Operators() http.Handler {
+	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReady(e.members.Fresh)}
+	if e.cfg.OperatorHash != "" {
+		opts = append(opts, operator.WithBootstrap(e.cfg.OperatorHash))
+	}
+	h := operator.New(e.rules, opts...)
+	h.Register(
+		operator.RulesNoun(e.rules),
+		operator.KeysNoun(e.rules),
+		operator.TeamsNoun(e.rules, e.teamUse),
+		operator.StatusNoun(e.Status),
+	)
+	return h
+}
+
+// teamUse returns what the team may run now, and what it runs as far as the
+// members have told.
+func (e *Entry) teamUse(team string) operator.TeamUse {
+	use := operator.TeamUse{}
+	use.InForce, _ = e.grants.InForce(team)
+	for _, hb := range e.loads.all() {
+		for _, l := range hb.Teams {
+			if l.Team == team {
+				use.Running += l.Running
+			}
+		}
+	}
+	return use
+}
+
+// Status returns the state of this entry and of its peers as it sees them.
+func (e *Entry) Status() operator.Status {
+	view := e.members.View()
+	status := operator.Status{
+		Entry:    e.self().ID,
+		Zone:     e.cfg.Zone,
+		Standing: e.members.Standing().String(),
+		Store:    e.members.Standing() == registrar.Connected,
+		Rules:    e.rules.Number(),
+		View:     view.Number,
+	}
+	rules := make(map[string]uint64)
+	for _, hb := range e.loads.all() {
+		rules[hb.From] = hb.Rules
+	}
+	for _, m := range view.Members {
+		status.Members = append(status.Members, operator.MemberStatus{
+			ID:      m.ID,
+			Zone:    m.Zone,
+			Address: m.Address,
+			State:   string(m.State),
+			Rules:   rules[m.ID],
+		})
+	}
+	for _, l := range e.placer.Loads().Pools {
+		status.Pools = append(status.Pools, operator.PoolStatus{Pool: l.Pool, Slots: l.Slots, Running: l.Running, Waiting: l.Waiting})
+	}
+	return status
+}
+
+// ApplyRules makes text the rules in force everywhere; see
+// distributor.Distributor.Apply.
+func (e *Entry) ApplyRules(ctx context.Context, base uint64, text []byte, who string) (distributor.Applied, error) {
+	return e.rules.Apply(ctx, base, text, who)
+}
+
+// WithdrawKey removes a key from the rules.
+func (e *Entry) WithdrawKey(ctx context.Context, who, id string) (distributor.Applied, error) {
+	return e.rules.WithdrawKey(ctx, who, id)
+}
+
+// Members returns the registered members as this entry knows them.
+func (e *Entry) Members() []registrar.Member {
+	return e.members.View().Members
+}
+
+// OwnedSlots returns the slots of the workers that this entry owns and that
+// take work.
+func (e *Entry) OwnedSlots() int {
+	total := 0
+	for _, l := range e.fleet.Loads() {
+		total += l.Slots
+	}
+	return total
+}
+
+// GrantedSlots returns the slots that this entry may run for the team.
+func (e *Entry) GrantedSlots(team string) int {
+	return e.wallet.Ceiling(team)
+}
--- /dev/null
+++ b/server/peer.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"context"
+
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+)
+
+// peerHandler passes peers' messages to the services they are for.
+type peerHandler struct{ e *Entry }
+
+// PeerHandler returns the handler of peers' messages.
+func (e *Entry) PeerHandler() messenger.Handler {
+	return peerHandler{e}
+}
+
+// Heartbeat implements messenger.Handler.
+func (h peerHandler) Heartbeat(ctx context.Context, hb messenger.Heartbeat) (messenger.Heartbeat, error) {
+	return h.e.members.HandleHeartbeat(ctx, hb)
+}
+
+// Claim implements messenger.Handler.
+func (h peerHandler) Claim(ctx context.Context, r messenger.ClaimRequest) (messenger.ClaimReply, error) {
+	return h.e.claims.HandleClaim(ctx, r)
+}
+
+// Settle implements messenger.Handler.
+func (h peerHandler) Settle(ctx context.Context, r messenger.SettleRequest) error {
+	return h.e.claims.HandleSettle(ctx, r)
+}
+
+// HandOver implements messenger.Handler.
+func (h peerHandler) HandOver(ctx context.Context, r messenger.HandOverRequest) error {
+	return h.e.claims.HandleHandOver(ctx, r)
+}
+
+// Attach implements messenger.Handler.
+func (h peerHandler) Attach(ctx context.Context, r messenger.AttachRequest) (messenger.Answer, error) {
+	return h.e.router.HandleAttach(ctx, r)
+}
+
+// Forward implements messenger.Handler.
+func (h peerHandler) Forward(ctx context.Context, r messenger.ForwardRequest) (messenger.Answer, error) {
+	return h.e.router.HandleForward(ctx, r)
+}
+
+// Cancel implements messenger.Handler.
+func (h peerHandler) Cancel(ctx context.Context, r messenger.CancelRequest) error {
+	return h.e.router.HandleCancel(ctx, r)
+}
+
+// Changes implements messenger.Handler.
+func (h peerHandler) Changes(ctx context.Context, r messenger.ChangesRequest) (messenger.ChangesReply, error) {
+	return h.e.rules.HandleChanges(ctx, r)
+}
--- /dev/null
+++ b/server/settings.go
@@ -0,0 +1,140 @@
+// Package server assembles an entry: it gives the kernel its services, connects
+// them and offers the handlers for callers, operators and peers.
+package server
+
+import (
+	"context"
+	stderrors "errors"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/dispatcher"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/lister"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
+)
+
+// Defaults of the settings.
+const (
+	DefaultTaskLease  = 15 * time.Second
+	DefaultMargin     = 2 * time.Second
+	DefaultHeartbeat  = 2 * time.Second
+	DefaultStaleness  = 3 * time.Second
+	DefaultListLag    = 10 * time.Second
+	DefaultStopTime   = 2 * time.Minute
+	DefaultBalancer   = 3 * time.Second
+	DefaultAnswerKeep = 16 << 20 // bytes
+)
+
+type (
+	// Store is the platform's key-value service.
+	Store interface {
+		Get(ctx context.Context, key string) (keeper.Record, error)
+		List(ctx context.Context, prefix string) ([]keeper.Record, int64, error)
+		Swap(ctx context.Context, key string, value []byte, revision int64, lease keeper.LeaseID) (keeper.Record, error)
+		Delete(ctx context.Context, key string, revision int64) error
+		Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error
+		Grant(ctx context.Context, ttl time.Duration) (keeper.LeaseID, error)
+		KeepAlive(ctx context.Context, id keeper.LeaseID) error
+		Revoke(ctx context.Context, id keeper.LeaseID) error
+	}
+
+	// Instances is the platform's instance list and its power over instances.
+	Instances interface {
+		List(ctx context.Context) ([]lister.Listing, error)
+		Reboot(ctx context.Context, id string) error
+	}
+
+	// Workers is the platform's worker interface.
+	Workers interface {
+		Start(ctx context.Context, address string, s dispatcher.Start) (dispatcher.Finish, error)
+		Renew(ctx context.Context, address string, r dispatcher.Renewal) ([]string, error)
+		Stop(ctx context.Context, address, task string) error
+		Checkpoint(ctx context.Context, address, task string) error
+		Throttle(ctx context.Context, address, task string) error
+	}
+
+	// Peers sends messages to other entries.
+	Peers interface {
+		Heartbeat(ctx context.Context, address string, hb messenger.Heartbeat) (messenger.Heartbeat, error)
+		Claim(ctx context.Context, address string, r messenger.ClaimRequest) (messenger.ClaimReply, error)
+		Settle(ctx context.Context, address string, r messenger.SettleRequest) error
+		HandOver(ctx context.Context, address string, r messenger.HandOverRequest) error
+		Attach(ctx context.Context, address string, r messenger.AttachRequest) (messenger.Answer, error)
+		Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error)
+		Cancel(ctx context.Context, address string, r messenger.CancelRequest) error
+		Changes(ctx context.Context, address string, r messenger.ChangesRequest) (messenger.ChangesReply, error)
+	}
+
+	// Platform is all that an entry talks to.
+	Platform struct {
+		Store     Store
+		Instances Instances
+		Workers   Workers
+		Peers     Peers
+	}
+
+	// Settings are what an entry is told at its start.
+	Settings struct {
+		Instance  string // identity in the platform's instance list
+		Zone      string
+		Peers     string // IP number and port for peers
+		Callers   string // IP number and port for callers
+		TaskLease time.Duration
+		Margin    time.Duration // allowed distance between two clocks
+		Heartbeat time.Duration // time between two heartbeats to a peer
+		Staleness time.Duration // time without contact after which the entry may have missed a change
+		ListLag   time.Duration // longest lag of the instance list
+		Balancer  time.Duration // time the balancer takes to see a failed health check
+		StopTime  time.Duration // longest wait for work under way at a planned stop
+		Seeds     []string      // peers' addresses to learn the rules from when the store is down
+
+		// OperatorHash is the hash of an operator key that holds without rules.
+		OperatorHash string
+		Log          *slog.Logger
+		// Assert is told each invariant checked. Nil logs and counts broken ones.
+		Assert func(ok bool, format string, args ...any)
+	}
+)
+
+// DefaultSettings returns settings that lack only what names the entry.
+func DefaultSettings() Settings {
+	return Settings{
+		TaskLease: DefaultTaskLease,
+		Margin:    DefaultMargin,
+		Heartbeat: DefaultHeartbeat,
+		Staleness: DefaultStaleness,
+		ListLag:   DefaultListLag,
+		Balancer:  DefaultBalancer,
+		StopTime:  DefaultStopTime,
+		Log:       slog.Default(),
+	}
+}
+
+// Check returns every fault of the settings at once, nil when there is none.
+func (s Settings) Check() error {
+	var faults []error
+	need := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, errors.Errorf(format, args...))
+		}
+	}
+	need(s.Instance != "", "instance is empty: set the identity from the platform's instance list")
+	need(s.Zone != "", "zone is empty: set the availability zone")
+	need(isAddress(s.Peers), "peers is %q: set IP:PORT, such as 127.0.0.1:7100", s.Peers)
+	need(isAddress(s.Callers), "callers is %q: set IP:PORT, such as 127.0.0.1:7000", s.Callers)
+	need(s.TaskLease >= time.Second, "task-lease is %s: set at least 1s", s.TaskLease)
+	need(s.Margin > 0, "clock-margin is %s: set a positive duration", s.Margin)
+	need(s.Heartbeat >= 100*time.Millisecond, "heartbeat is %s: set at least 100ms", s.Heartbeat)
+	need(s.Staleness > s.Heartbeat, "staleness is %s: set more than the heartbeat of %s", s.Staleness, s.Heartbeat)
+	need(s.StopTime > 0, "stop-time is %s: set a positive duration", s.StopTime)
+	return stderrors.Join(faults...)
+}
+
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
