--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -3,7 +3,10 @@
 
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/commander/entry"
+	"github.com/coltsfootlever/coltsfootlever/commander/instance"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
+	"github.com/coltsfootlever/coltsfootlever/commander/pool"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
 	"github.com/coltsfootlever/coltsfootlever/commander/status"
 	"github.com/coltsfootlever/coltsfootlever/commander/team"
@@ -20,6 +23,9 @@
 			rules.New(f),
 			key.New(f),
 			team.New(f),
+			pool.New(f),
+			instance.New(f),
+			entry.New(f),
 			status.New(f),
 		},
 	}
