--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -4,6 +4,7 @@
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
 	"github.com/coltsfootlever/coltsfootlever/commander/entry"
+	"github.com/coltsfootlever/coltsfootlever/commander/explain"
 	"github.com/coltsfootlever/coltsfootlever/commander/instance"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
 	"github.com/coltsfootlever/coltsfootlever/commander/pool"
@@ -27,6 +28,7 @@
 			instance.New(f),
 			entry.New(f),
 			status.New(f),
+			explain.New(f),
 		},
 	}
 }
--- a/commander/root/root_test.go
+++ b/commander/root/root_test.go
@@ -12,12 +12,14 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/budgeter"
+	"github.com/coltsfootlever/coltsfootlever/collector"
 	"github.com/coltsfootlever/coltsfootlever/commander"
 	"github.com/coltsfootlever/coltsfootlever/commander/root"
 	"github.com/coltsfootlever/coltsfootlever/distributor"
@@ -25,6 +27,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 )
 
@@ -81,6 +84,27 @@
 	return registrar.View{Members: []registrar.Member{{ID: "entry-a1.1"}}}
 }
 
+// journal is an operator.Explainer that remembers one move.
+type journal struct{}
+
+func (journal) Explain(_ context.Context, kind recorder.Kind, subject string) (operator.Explanation, error) {
+	e := operator.Explanation{Kind: kind, Subject: subject}
+	e.Missing = []collector.Missing{{Entry: "entry-b1.2", Reason: "no connection to 10.0.0.2:9000"}}
+	if subject != "move-7f3a09c1" {
+		return e, nil
+	}
+	at := time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+	e.Decisions = []recorder.Decision{
+		{
+			Time: at, Entry: "entry-a1.1", Kind: kind, Subject: subject, Action: "ordered: move",
+			Facts:   []recorder.Fact{{Name: "pool", Value: "inquiries"}, {Name: "asked", Value: "night"}},
+			Weighed: []string{"undo: the rule of the pool says continue"},
+		},
+		{Time: at.Add(90 * time.Second), Entry: "entry-c1.3", Kind: kind, Subject: subject, Action: "moved to pool consent"},
+	}
+	return e, nil
+}
+
 // addInstances writes the records of three instances in one pool.
 func addInstances(t *testing.T, store *emulator.Store) {
 	for n := range 3 {
@@ -109,6 +133,7 @@
 		operator.PoolsNoun(rules, orders, budgets),
 		operator.InstancesNoun(orders),
 		operator.EntriesNoun(newMembership()),
+		operator.ExplainNoun(journal{}),
 		operator.StatusNoun(func() operator.Status {
 			return operator.Status{
 				Entry:    "entry-a1.1",
