--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -3,12 +3,16 @@
 
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/commander/demo"
 	"github.com/coltsfootlever/coltsfootlever/commander/entry"
 	"github.com/coltsfootlever/coltsfootlever/commander/explain"
 	"github.com/coltsfootlever/coltsfootlever/commander/instance"
+	"github.com/coltsfootlever/coltsfootlever/commander/job"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
 	"github.com/coltsfootlever/coltsfootlever/commander/pool"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
+	"github.com/coltsfootlever/coltsfootlever/commander/serve"
+	"github.com/coltsfootlever/coltsfootlever/commander/standin"
 	"github.com/coltsfootlever/coltsfootlever/commander/status"
 	"github.com/coltsfootlever/coltsfootlever/commander/team"
 )
@@ -29,6 +33,10 @@
 			entry.New(f),
 			status.New(f),
 			explain.New(f),
+			job.New(f),
+			serve.New(f),
+			demo.New(f),
+			standin.New(f),
 		},
 	}
 }
