--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -4,8 +4,12 @@
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
 	"github.com/coltsfootlever/coltsfootlever/commander/demo"
+	"github.com/coltsfootlever/coltsfootlever/commander/entry"
+	"github.com/coltsfootlever/coltsfootlever/commander/explain"
+	"github.com/coltsfootlever/coltsfootlever/commander/instance"
 	"github.com/coltsfootlever/coltsfootlever/commander/job"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
+	"github.com/coltsfootlever/coltsfootlever/commander/pool"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
 	"github.com/coltsfootlever/coltsfootlever/commander/serve"
 	"github.com/coltsfootlever/coltsfootlever/commander/standin"
@@ -24,7 +28,11 @@
 			rules.New(f),
 			key.New(f),
 			team.New(f),
+			pool.New(f),
+			instance.New(f),
+			entry.New(f),
 			status.New(f),
+			explain.New(f),
 			job.New(f),
 			serve.New(f),
 			demo.New(f),
--- a/server/entry.go
+++ b/server/entry.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootlever/coltsfootlever/budgeter"
 	"github.com/coltsfootlever/coltsfootlever/claimer"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/collector"
 	"github.com/coltsfootlever/coltsfootlever/distributor"
 	"github.com/coltsfootlever/coltsfootlever/granter"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
@@ -71,6 +72,7 @@
 	router   *router.Router
 	admitter *admitter.Admitter
 	loads    *loadTable
+	reports  *collector.Collector
 	leaving  atomic.Bool
 }
 
@@ -148,6 +150,7 @@
 	)
 	e.duty = keeper.NewDuty(e.platform.Store, dutyName, e.self().ID, keeper.WithDutyLog(e.cfg.Log))
 	e.loads = newLoadTable(e.self().ID)
+	e.reports = collector.New(e.members, e.platform.Peers)
 }
 
 func (e *Entry) buildLimits() {
--- a/server/operators.go
+++ b/server/operators.go
@@ -21,6 +21,9 @@
 		operator.KeysNoun(e.rules),
 		operator.TeamsNoun(e.rules, e.teamUse),
 		operator.StatusNoun(e.Status),
+		operator.PoolsNoun(e.rules, e.orders, e.budgets),
+		operator.InstancesNoun(e.orders),
+		operator.EntriesNoun(e.members),
 	)
 	return h
 }
--- a/server/peer.go
+++ b/server/peer.go
@@ -53,3 +53,8 @@
 func (h peerHandler) Changes(ctx context.Context, r messenger.ChangesRequest) (messenger.ChangesReply, error) {
 	return h.e.rules.HandleChanges(ctx, r)
 }
+
+// Report implements messenger.Handler.
+func (h peerHandler) Report(ctx context.Context, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	return h.e.reports.HandleReport(ctx, r)
+}
--- a/server/settings.go
+++ b/server/settings.go
@@ -67,6 +67,7 @@
 		Forward(ctx context.Context, address string, r messenger.ForwardRequest) (messenger.Answer, error)
 		Cancel(ctx context.Context, address string, r messenger.CancelRequest) error
 		Changes(ctx context.Context, address string, r messenger.ChangesRequest) (messenger.ChangesReply, error)
+		Report(ctx context.Context, address string, r messenger.ReportRequest) (messenger.ReportReply, error)
 	}
 
 	// Platform is all that an entry talks to.
