--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -9,6 +9,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander/instance"
 	"github.com/coltsfootlever/coltsfootlever/commander/job"
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
+	"github.com/coltsfootlever/coltsfootlever/commander/maintenance"
 	"github.com/coltsfootlever/coltsfootlever/commander/pool"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
 	"github.com/coltsfootlever/coltsfootlever/commander/serve"
@@ -30,6 +31,7 @@
 			team.New(f),
 			pool.New(f),
 			instance.New(f),
+			maintenance.New(f),
 			entry.New(f),
 			status.New(f),
 			explain.New(f),
--- a/server/operators.go
+++ b/server/operators.go
@@ -24,6 +24,7 @@
 		operator.PoolsNoun(e.rules, e.orders, e.budgets),
 		operator.InstancesNoun(e.orders),
 		operator.EntriesNoun(e.members),
+		operator.MaintenanceNoun(e.orders),
 	)
 	return h
 }
