--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -11,6 +11,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander/key"
 	"github.com/coltsfootlever/coltsfootlever/commander/maintenance"
 	"github.com/coltsfootlever/coltsfootlever/commander/pool"
+	"github.com/coltsfootlever/coltsfootlever/commander/report"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
 	"github.com/coltsfootlever/coltsfootlever/commander/serve"
 	"github.com/coltsfootlever/coltsfootlever/commander/standin"
@@ -35,6 +36,7 @@
 			entry.New(f),
 			status.New(f),
 			explain.New(f),
+			report.New(f),
 			job.New(f),
 			serve.New(f),
 			demo.New(f),
--- a/server/entry.go
+++ b/server/entry.go
@@ -200,6 +200,7 @@
 		claimer.WithClockMargin(e.cfg.Margin),
 		claimer.WithPatience(e.homePatience()),
 	)
+	retries := scheduler.NewRetries(scheduler.DefaultRetryRatio, scheduler.DefaultRetryFloor)
 	e.placer = placer.New(e.self().ID, e.platform.Workers, e.wallet, e.fleet, e.waiting,
 		placer.WithLog(e.cfg.Log),
 		placer.WithLease(e.cfg.TaskLease),
@@ -207,12 +208,15 @@
 		placer.WithLeaving(e.mover.Refused),
 		placer.WithObserve(e.metrics.started),
 		placer.WithJournal(e.decisions.Record),
+		placer.WithShares(e.localShares),
+		placer.WithRetries(retries),
 	)
 	e.chooser = router.NewLoadChooser(e.self().ID, localLoads{e})
 	e.router = router.New(e.members, e.placer, e.platform.Peers, e.claims, e.chooser,
 		router.WithLog(e.cfg.Log),
 		router.WithJournal(e.decisions.Record),
 		router.WithOpen(e.isOpen),
+		router.WithRetries(retries),
 	)
 	keys := &authenticator.Authenticator{}
 	e.admitter = admitter.New(e.rules.Rules, keys, e.members.Fresh, e.router,
@@ -247,6 +251,7 @@
 	ledger := granter.NewCoordinator(e.platform.Store, e.grants, e.duty, e.rules.Rules, e.members.View, e.loads.all,
 		granter.WithReclaim(evidence, e.cfg.Margin),
 		granter.WithCoordinatorLog(e.cfg.Log),
+		granter.WithCoordinatorJournal(e.decisions.Record),
 	)
 	fleet := mover.NewCoordinator(e.mover, e.duty, e.members.View, e.rules.Rules, e.budgets,
 		mover.WithEvidence(evidence, e.cfg.Margin),
--- a/server/operators.go
+++ b/server/operators.go
@@ -16,9 +16,10 @@
 		opts = append(opts, operator.WithBootstrap(e.cfg.OperatorHash))
 	}
 	h := operator.New(e.rules, opts...)
+	book := rulebook{e.rules, e.decisions.Record}
 	h.Register(
-		operator.RulesNoun(e.rules),
-		operator.KeysNoun(e.rules),
+		operator.RulesNoun(book),
+		operator.KeysNoun(book),
 		operator.TeamsNoun(e.rules, e.teamUse),
 		operator.StatusNoun(e.Status),
 		operator.PoolsNoun(e.rules, e.orders, e.budgets),
