--- a/commander/root/root_test.go
+++ b/commander/root/root_test.go
@@ -27,8 +27,11 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/parser"
 	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
+	"github.com/coltsfootlever/coltsfootlever/reporter"
+	"github.com/coltsfootlever/coltsfootlever/surveyor"
 )
 
 const operatorKey = "operator-key-for-tests-0123456789"
@@ -106,6 +109,55 @@
 	return e, nil
 }
 
+// figures are operator.Reports with fixed figures.
+type figures struct{}
+
+func coverage() operator.Coverage {
+	return operator.Coverage{
+		Entries: []string{"entry-a1.1"},
+		Missing: []collector.Missing{{Entry: "entry-b1.2", Reason: "no connection to 10.0.0.2:9000"}},
+	}
+}
+
+func (figures) Burn(context.Context) (operator.BurnReply, error) {
+	objectives := []parser.Objective{
+		{Queue: "inquiry", Within: 2200 * time.Millisecond, Target: 0.99},
+		{Queue: "cleanup", Within: time.Minute, Target: 0.9},
+	}
+	m := reporter.NewMeter()
+	m.SetObjectives(map[string]time.Duration{"inquiry": objectives[0].Within})
+	now := time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+	for n := range 100 {
+		m.Answered(now, "inquiry", time.Duration(n)*25*time.Millisecond, nil)
+	}
+	m.Answered(now, "cleanup", time.Second, nil)
+	return operator.BurnReply{
+		Coverage: coverage(),
+		Short:    reporter.ShortWindow,
+		Long:     reporter.LongWindow,
+		Queues:   reporter.BurnReport(objectives, m.Counts(now)),
+	}, nil
+}
+
+func (figures) Share(context.Context) (operator.ShareReply, error) {
+	return operator.ShareReply{Coverage: coverage(), Teams: []reporter.ShareRow{
+		{Team: "leads", Customer: "foundation", Pool: "inquiries", Share: 40, Limit: 120, Running: 30, Waiting: 20, Fair: 40, Distance: -0.25},
+	}}, nil
+}
+
+func (figures) Fleet(context.Context) (operator.FleetReply, error) {
+	since := time.Date(2026, 3, 2, 10, 0, 0, 0, time.UTC)
+	return operator.FleetReply{
+		Coverage: coverage(),
+		Watched:  "entry-a1.1",
+		Survey: surveyor.Survey{Since: since, Until: since.Add(90 * time.Minute), Pools: []surveyor.Pool{
+			{Name: "inquiries", Planned: 5400, Unplanned: 900, Left: 1},
+			{Name: "reserve", Spare: 10800, Arrived: 1},
+		}},
+		Rollout: operator.FiguresOf(mover.Rollout{ID: "wave-5b1e09c7", State: mover.RolloutRunning, Since: since, Total: 12}, since.Add(time.Hour)),
+	}, nil
+}
+
 // addInstances writes the records of three instances in one pool.
 func addInstances(t *testing.T, store *emulator.Store) {
 	for n := range 3 {
@@ -136,6 +188,7 @@
 		operator.EntriesNoun(newMembership()),
 		operator.MaintenanceNoun(orders),
 		operator.ExplainNoun(journal{}),
+		operator.ReportsNoun(figures{}),
 		operator.StatusNoun(func() operator.Status {
 			return operator.Status{
 				Entry:    "entry-a1.1",
