--- a/commander/root/pages_test.go
+++ b/commander/root/pages_test.go
@@ -55,3 +55,16 @@
 		require.Contains(t, out.String(), flag, "%s: %q", page, line)
 	}
 }
+
+// TestEveryCommandHasHelp finds options that cannot be read.
+func TestEveryCommandHasHelp(t *testing.T) {
+	var check func(cmd *commander.Command, words []string)
+	check = func(cmd *commander.Command, words []string) {
+		f := &commander.Factory{Out: &strings.Builder{}}
+		require.NoError(t, commander.Execute(t.Context(), f, root.New(f), append(words, "--help")), words)
+		for _, sub := range cmd.Commands {
+			check(sub, append(append([]string{}, words...), sub.Name))
+		}
+	}
+	check(root.New(&commander.Factory{}), nil)
+}
--- a/commander/serve/serve.go
+++ b/commander/serve/serve.go
@@ -41,7 +41,7 @@
 	KeyLess   bool          `arg:"--operators-by-rules-only,env:COLTSFOOTLEVER_OPERATORS_BY_RULES_ONLY" help:"take operators' calls although no operator key is set here; only keys of the rules hold then"`
 	LogLevel  slog.Level    `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
 
-	TLS TLS
+	TLS
 
 	factory *commander.Factory
 }
