Maintain waves and let pools follow their demand

Change: maintainer chooses which instances of a wave come next, sizer how many each pool should have, the orchestrator empties and orders them. A look at a silent worker extends nothing.

--- a/launcher/board.go
+++ b/launcher/board.go
@@ -113,7 +113,34 @@
 		}
 		b.manifest.Store(m)
 		b.log.Info("manifest in force", "version", m.Version, "revision", r.Revision, "queues", len(m.Queues), "customers", len(m.Customers))
+	case platform.IsWave(r.Key):
+		v, err := platform.ParseWave(r)
+		if err != nil {
+			b.log.Error("wave not read", "revision", r.Revision, "error", err)
+			return
+		}
+		b.addWave(v)
+	}
+}
+
+// addWave notes a wave, in place of what was known of the same number.
+func (b *board) addWave(v modeler.Wave) {
+	var waves []modeler.Wave
+	for _, known := range b.Waves() {
+		if known.Number != v.Number {
+			waves = append(waves, known)
+		}
+	}
+	waves = append(waves, v)
+	b.waves.Store(&waves)
+}
+
+// Waves returns the waves that the operator asks for.
+func (b *board) Waves() []modeler.Wave {
+	if waves := b.waves.Load(); waves != nil {
+		return *waves
 	}
+	return nil
 }
 
 // followLoad keeps the published load up to date until ctx ends.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -28,6 +28,7 @@
 	listRefresh    = 700 * time.Millisecond  // within half of the workers' heartbeat
 	storeChannels  = 8                       // idle connections to the store: watches and some calls
 	workerChannels = 3                       // idle connections to a worker: looks and orders
+	fleetChannels  = 4                       // idle connections for lists and orders of instances
 	balancerNotice = 2500 * time.Millisecond // two missed readiness checks a second apart, and their delay
 	finishTimeout  = time.Second             // for calls under way after that
 	headTimeout    = 3 * time.Second         // of the head of a callers' request
@@ -132,14 +133,15 @@
 func (l *Launcher) elector(s *platform.Settings, store *platform.Store) *elector.Elector {
 	workers := platform.NewWorkers(requester.NewClient(platform.NewTransport(workerChannels)))
 	directory := platform.NewDirectory(store, l.log)
-	var opts []orchestrator.Option
+	instances := platform.NewInstances(func() string { return l.settings.Load().FleetAddress }, s.Instance, requester.NewClient(platform.NewTransport(fleetChannels)))
+	opts := []orchestrator.Option{orchestrator.WithInstances(instances)}
 	if s.AdviceAddress != "" {
 		opts = append(opts, orchestrator.WithAdvisor(platform.NewAdvisor(
 			func() string { return l.settings.Load().AdviceAddress }, requester.NewClient(platform.NewTransport(1)))))
 	}
 	cfg := orchestrator.Config{
 		Lease: min(runLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, Early: 0, StopTime: s.Bounds.Stop,
-		Refresh: listRefresh, Status: s.Bounds.Status, Manifest: l.board.Manifest,
+		Refresh: listRefresh, Status: s.Bounds.Status, Manifest: l.board.Manifest, Waves: l.board.Waves, WaveStatus: platform.WaveStatus,
 	}
 	lead := func(ctx context.Context, t *elector.Term) {
 		orchestrator.New(cfg, store.With(platform.WithWatchGap(watchGap)), workers, directory, t, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
--- /dev/null
+++ b/maintainer/doc.go
@@ -0,0 +1,3 @@
+// Package maintainer decides which instances of a wave are prepared for their
+// maintenance next. Its functions are pure.
+package maintainer
--- a/modeler/fleet.go
+++ b/modeler/fleet.go
@@ -34,6 +34,7 @@
 		Pool     string
 		Address  string
 		Zone     string
+		Instance string // the machine it is a life of
 		Draining bool
 		Leaves   time.Duration // least time left while it drains
 		Capacity Resources
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -63,13 +63,15 @@
 		return
 	}
 	l := look{worker: w.Worker, seen: w.seen, wait: wait}
-	if w.known && e.term.MayExtend() {
+	switch {
+	case w.failures > 0:
+		// Leases of a silent worker have to run out, and another life of it may
+		// answer, whose ends have other numbers.
+		l.seen = 0
+	case w.known && e.term.MayExtend():
 		l.deadline = w.clock.ahead(now, e.cfg.Lease)
 		w.deadline = max(w.deadline, l.deadline)
 	}
-	if w.failures > 0 {
-		l.seen = 0 // another life of the worker may answer, whose ends have other numbers
-	}
 	w.looking = w.looks.Offer(l)
 	w.lookedAt = now
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,6 +53,9 @@
 		Refresh  time.Duration // between two readings of the workers' list
 		Status   time.Duration // ended jobs are known this long
 		Manifest func() *modeler.Manifest
+		Waves    func() []modeler.Wave // that the operator asks for
+		// WaveStatus returns the record that tells the operator how far a wave is.
+		WaveStatus func(number int64, completed bool) keeper.Put
 	}
 
 	// Option changes an Engine.
@@ -83,6 +87,8 @@
 		stale     bool // a placement pass is due
 		closing   bool
 		load      loadPublisher
+		estate    estate
+		hurried   atomic.Bool // the workers\' list is wanted soon
 	}
 )
 
@@ -108,6 +114,9 @@
 		dirty:    make(map[*job]bool),
 		began:    time.Now(),
 	}
+	e.estate.instances = make(map[string]*instance)
+	e.estate.waves = make(map[int64]*wave)
+	e.estate.pools = make(map[string]*poolHistory)
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -123,13 +132,13 @@
 		return
 	}
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer func() {
-		cancel()
-		e.calls.Wait()
-	}()
+	defer cancel()
 	e.callCtx = calls
 	e.spawn(func() { e.followJobs(ctx, revision) })
 	e.spawn(func() { e.followWorkers(ctx, calls) })
+	if e.estate.api != nil {
+		e.spawn(func() { e.followInstances(ctx) })
+	}
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
 	for ctx.Err() == nil {
@@ -143,6 +152,8 @@
 		timer.Reset(e.advance(calls, time.Now()))
 	}
 	e.close(calls)
+	cancel()
+	e.calls.Wait()
 }
 
 // drain handles the events that have come meanwhile, so that one pass serves
@@ -225,15 +236,26 @@
 		e.lookAgain(w, now)
 	}
 	e.publishLoad(ctx, now)
+	e.planWork(ctx, now)
 	e.changed()
 }
 
 // takeOver reads the jobs and returns the revision to watch from.
 func (e *Engine) takeOver(ctx context.Context) (int64, error) {
+	for e.cfg.Manifest() == nil {
+		if err := supervisor.Pause(ctx, reloadPause); err != nil {
+			return 0, errors.Trace(err)
+		}
+	}
 	for {
 		records, revision, err := e.store.List(ctx, JobPrefix)
+		var waves []keeper.Record
+		if err == nil {
+			waves, _, err = e.store.List(ctx, wavePrefix)
+		}
 		if err == nil {
 			e.restoreAll(records)
+			e.restoreWaves(waves)
 			e.log.Info("jobs read", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.began).String())
 			return revision, nil
 		}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -62,6 +62,7 @@
 	}
 	e.jobs[id] = j
 	e.log.Info("job known", "job", id, "queue", j.Queue, "customer", j.Customer, "revision", r.Revision, "state", j.state, "active", j.active)
+	e.arrive(j, time.Now())
 	e.settleJob(j)
 	e.changed()
 }
@@ -114,7 +115,17 @@
 		} else {
 			e.post(ctx, func() { e.takeList(calls, list) })
 		}
-		_ = supervisor.Pause(ctx, e.cfg.Refresh) // ends the loop with ctx
+		e.awaitList(ctx)
+	}
+}
+
+// awaitList waits until the workers' list is due, sooner when a new worker is
+// expected.
+func (e *Engine) awaitList(ctx context.Context) {
+	for waited := time.Duration(0); waited < e.cfg.Refresh; waited += tickInterval {
+		if e.hurried.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
+			return
+		}
 	}
 }
 
--- /dev/null
+++ b/orchestrator/size.go
@@ -0,0 +1,184 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/sizer"
+)
+
+const (
+	coreUnit   = 1000.0          // thousandths of a core
+	rateWindow = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
+)
+
+type (
+	// demand is what tasks take or want of a pool, in cores.
+	demand struct {
+		lasting, running, waiting, capacity float64
+	}
+
+	// poolHistory is what sizing a pool has to remember.
+	poolHistory struct {
+		arrived []arrival
+		calm    time.Time // since when the pool has had more than it wants
+	}
+
+	arrival struct {
+		at   time.Time
+		work float64 // core-seconds
+	}
+)
+
+// asked sums up demand and capacity by pool.
+func (e *Engine) asked() map[string]demand {
+	all := make(map[string]demand)
+	for _, w := range e.fleet {
+		if !w.listed || !w.reached || w.Draining {
+			continue
+		}
+		d := all[w.Pool]
+		d.capacity += float64(w.Capacity.CPU) / coreUnit
+		for _, t := range w.tasks {
+			cores := float64(t.step.Room().CPU) / coreUnit
+			if t.step.LongRunning {
+				d.lasting += cores
+			} else {
+				d.running += cores
+			}
+		}
+		all[w.Pool] = d
+	}
+	now, m := time.Now(), e.cfg.Manifest()
+	for _, j := range e.jobs {
+		q := m.Queue(j.Queue)
+		if q == nil || j.state.IsFinal() {
+			continue
+		}
+		d := all[q.Pool]
+		for _, o := range j.occurrences {
+			if j.Repeat > 0 && now.Before(o.due) {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.isReady() {
+					d.waiting += float64(s.waiting) * float64(s.Room().CPU) / coreUnit
+				}
+			}
+		}
+		all[q.Pool] = d
+	}
+	return all
+}
+
+// arrive notes the work that a new job brings to its pool.
+func (e *Engine) arrive(j *job, now time.Time) {
+	m := e.cfg.Manifest()
+	if m == nil || j.LongRunning() || now.Sub(j.Accepted) > rateWindow {
+		return
+	}
+	q := m.Queue(j.Queue)
+	if q == nil {
+		return
+	}
+	work := 0.0
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		work += float64(s.Count) * float64(s.Room().CPU) / coreUnit * s.Estimate.Seconds()
+	}
+	h := e.history(q.Pool)
+	h.arrived = append(h.arrived, arrival{now, work})
+}
+
+func (e *Engine) history(pool string) *poolHistory {
+	h := e.estate.pools[pool]
+	if h == nil {
+		h = &poolHistory{}
+		e.estate.pools[pool] = h
+	}
+	return h
+}
+
+// rate is the work that arrives a second, averaged over rateWindow.
+func (h *poolHistory) rate(now time.Time) float64 {
+	n := 0
+	for n < len(h.arrived) && now.Sub(h.arrived[n].at) > rateWindow {
+		n++
+	}
+	h.arrived = h.arrived[n:]
+	sum := 0.0
+	for _, a := range h.arrived {
+		sum += a.work
+	}
+	return sum / rateWindow.Seconds()
+}
+
+// planMoves lets the pools follow their demand.
+func (e *Engine) planMoves(now time.Time) {
+	pools := e.poolSizes(now)
+	for _, move := range sizer.Plan(pools) {
+		n := move.Count
+		for _, i := range e.estate.instances {
+			if n == 0 {
+				break
+			}
+			if i.Pool == move.From && e.isMovable(i) {
+				i.to = move.To
+				e.begin(i, movePlan, now)
+				n--
+			}
+		}
+	}
+}
+
+// isMovable says whether an instance runs nothing and is planned for nothing.
+func (e *Engine) isMovable(i *instance) bool {
+	if i.plan != noPlan || i.State != modeler.InstanceUp {
+		return false
+	}
+	w := e.workerOn(i)
+	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks) == 0
+}
+
+func (e *Engine) poolSizes(now time.Time) []sizer.Pool {
+	asked := e.asked()
+	index := make(map[string]int)
+	var pools []sizer.Pool
+	for _, p := range e.cfg.Manifest().Pools {
+		index[p.Name] = len(pools)
+		d := asked[p.Name]
+		pools = append(pools, sizer.Pool{
+			Name: p.Name, Spare: p.Spare, Lasting: d.lasting, Asked: d.running + d.waiting, Rate: e.history(p.Name).rate(now),
+		})
+	}
+	for _, i := range e.estate.instances {
+		pool := i.Pool
+		if i.plan == movePlan {
+			pool = i.to
+		}
+		n, ok := index[pool]
+		if !ok {
+			continue
+		}
+		p := &pools[n]
+		if i.State != modeler.InstanceDown {
+			p.Instances++
+		}
+		p.Cores = max(p.Cores, float64(i.Capacity.CPU)/coreUnit)
+		if i.plan == noPlan && e.isMovable(i) {
+			p.Movable++
+		}
+	}
+	for n := range pools {
+		p := &pools[n]
+		h := e.history(p.Name)
+		if p.Spare || sizer.Wanted(*p) >= p.Instances {
+			h.calm = now
+		}
+		if h.calm.IsZero() {
+			h.calm = now
+		}
+		p.Calm = now.Sub(h.calm)
+	}
+	return pools
+}
