--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -109,6 +109,7 @@
 	if !w.reached {
 		w.reached = true
 		e.log.Info("worker reached", "worker", w.ID, "pool", w.Pool, "failures", w.failures)
+		e.forgetSilence(w.ID)
 		e.changed()
 	}
 	first := !w.known
@@ -138,6 +139,7 @@
 		e.log.Warn("worker not reached", "worker", w.ID, "pool", w.Pool, "tasks", len(w.tasks), "error", err)
 	}
 	w.reached = false
+	e.noteSilence(w)
 }
 
 // reborn ends all that an earlier life of the worker had.
@@ -175,14 +177,24 @@
 		}
 		delete(e.fleet, w.ID)
 		e.log.Info("worker gone", "worker", w.ID, "pool", w.Pool)
+		e.forgetSilence(w.ID)
 	}
 }
 
-// lapse is the time at which all leases of a silent worker are over.
+// lapse is the time at which all leases of a silent worker are over. A worker
+// that has not answered in this term may have been extended by the predecessor
+// for some time after the term began, unless the predecessor has noted that it
+// did not answer any more.
 func (e *Engine) lapse(w *worker) time.Time {
 	if w.known {
 		return w.clock.reaches(w.deadline)
 	}
-	longest := time.Duration(float64(e.cfg.MaxLease)/clockDrift) + elector.ExtensionLimit() + lapseMargin
-	return e.began.Add(longest)
+	longest := time.Duration(float64(e.cfg.Lease)/clockDrift) + elector.ExtensionLimit() + lapseMargin
+	over := e.began.Add(longest)
+	if s, ok := e.silence.known[w.ID]; ok {
+		if noted := s.Until.Add(wallMargin); noted.Before(over) {
+			return noted
+		}
+	}
+	return over
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -47,7 +47,6 @@
 	// Config holds what a term needs to know.
 	Config struct {
 		Lease    time.Duration // of runs
-		MaxLease time.Duration // longest that a worker grants
 		Early    time.Duration // occurrences may start this long before they are due
 		StopTime time.Duration // longest time a stop takes
 		Refresh  time.Duration // between two readings of the workers' list
@@ -88,6 +87,7 @@
 		closing   bool
 		load      loadPublisher
 		estate    estate
+		silence   silenceRecord
 		hurried   atomic.Bool // the workers\' list is wanted soon
 	}
 )
@@ -237,6 +237,7 @@
 	}
 	e.publishLoad(ctx, now)
 	e.planWork(ctx, now)
+	e.storeSilence(ctx, now)
 	e.changed()
 }
 
@@ -249,13 +250,17 @@
 	}
 	for {
 		records, revision, err := e.store.List(ctx, JobPrefix)
-		var waves []keeper.Record
+		var waves, silence []keeper.Record
 		if err == nil {
 			waves, _, err = e.store.List(ctx, wavePrefix)
 		}
+		if err == nil {
+			silence, _, err = e.store.List(ctx, silenceKey)
+		}
 		if err == nil {
 			e.restoreAll(records)
 			e.restoreWaves(waves)
+			e.restoreSilence(silence)
 			e.log.Info("jobs read", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.began).String())
 			return revision, nil
 		}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -150,6 +150,7 @@
 		}
 		if w.looks == nil {
 			e.attend(ctx, w)
+			e.supersede(w)
 		}
 	}
 	for id, w := range e.fleet {
