--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -22,13 +22,7 @@
 // mayLeave says whether a lasting task may be stopped to run elsewhere: its
 // step keeps enough tasks at work, and there is room for it.
 func (e *Engine) mayLeave(t *task, now time.Time) bool {
-	missing := 0
-	for _, other := range t.step.tasks {
-		if other != t && (other.phase != running || !other.atWork) {
-			missing++
-		}
-	}
-	if missing >= max(1, t.step.MayMiss) {
+	if t.step.absent(t) >= max(1, t.step.MayMiss) {
 		return false
 	}
 	for _, w := range e.fleet {
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -140,17 +140,24 @@
 	return true
 }
 
-// absent counts tasks of the step that are not at work.
-func (s *step) absent() int {
+// absent counts the tasks of the step, except one, that are not known to be at
+// work.
+func (s *step) absent(except *task) int {
 	n := 0
 	for _, t := range s.tasks {
-		if t.phase != running || !t.atWork {
+		if t != except && !t.isAtWork() {
 			n++
 		}
 	}
 	return n
 }
 
+// isAtWork says whether the last word of the task's worker is that it works,
+// and the worker still answers.
+func (t *task) isAtWork() bool {
+	return t.phase == running && t.atWork && t.worker.reached && t.worker.failures == 0
+}
+
 // on counts the tasks of the step that a worker has.
 func (s *step) on(w *worker) int {
 	n := 0
