Store orders for instances before they are given

A leader that had lost its lease without knowing went on moving instances that ran its successor's tasks (AVAIL), and a successor did not count the instances that its predecessor had taken down (LIMIT).

Change: an order is given only after a conditional write has stored it, and while the lease is valid by the boot clock. A successor repeats stored orders until it knows their outcome and counts them as under way.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -113,6 +113,11 @@
 	return t.now()-time.Duration(t.renewed.Load()) < t.lease+outageAllowance
 }
 
+// IsValid says whether the lease of the leadership certainly holds.
+func (t *Term) IsValid() bool {
+	return t.now()-time.Duration(t.renewed.Load()) < t.lease
+}
+
 // ExtensionLimit is the longest time after the start of a term for which the
 // predecessor may have extended leases.
 func ExtensionLimit() time.Duration {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -250,17 +250,21 @@
 	}
 	for {
 		records, revision, err := e.store.List(ctx, JobPrefix)
-		var waves, silence []keeper.Record
+		var waves, silence, plans []keeper.Record
 		if err == nil {
 			waves, _, err = e.store.List(ctx, wavePrefix)
 		}
 		if err == nil {
 			silence, _, err = e.store.List(ctx, silenceKey)
 		}
+		if err == nil {
+			plans, _, err = e.store.List(ctx, plansKey)
+		}
 		if err == nil {
 			e.restoreAll(records)
 			e.restoreWaves(waves)
 			e.restoreSilence(silence)
+			e.restorePlans(plans)
 			e.log.Info("jobs read", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.began).String())
 			return revision, nil
 		}
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -104,9 +104,8 @@
 		e.confirmEnds()
 		return
 	case errors.Is(err, keeper.ErrConflict):
-		if !e.adopt(b, records) {
-			e.log.Warn("superseded in the store")
-			e.term.Depose()
+		if e.checkTerm(records, err) {
+			e.adopt(b, records)
 		}
 	default:
 		e.log.Warn("progress not stored", "jobs", len(b.jobs), "error", err)
@@ -133,23 +132,35 @@
 	e.log.Info("job ended", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "outcome", j.state, "reason", j.reason, "took", time.Since(j.Accepted).Round(time.Millisecond).String())
 }
 
+// checkTerm ends the term when a transaction has failed because another entry
+// leads, and says whether the term goes on.
+func (e *Engine) checkTerm(records []keeper.Record, err error) bool {
+	if !errors.Is(err, keeper.ErrConflict) {
+		return true
+	}
+	for _, r := range records {
+		if r.Key == elector.Key && r.Revision == e.term.Token {
+			return true
+		}
+	}
+	e.log.Warn("superseded in the store")
+	e.term.Depose()
+	return false
+}
+
 // adopt takes over the revisions that earlier transactions of this term, whose
-// answers were lost, have left. It reports false when the term is over.
-func (e *Engine) adopt(b *batch, records []keeper.Record) bool {
+// answers were lost, have left.
+func (e *Engine) adopt(b *batch, records []keeper.Record) {
 	found := make(map[string]int64, len(records))
 	for _, r := range records {
 		found[r.Key] = r.Revision
 	}
-	if found[elector.Key] != e.term.Token {
-		return false
-	}
 	for _, j := range b.jobs {
 		if r := found[ProgressKey(j.ID)]; r != j.revision {
 			e.log.Info("earlier write found", "job", j.ID, "revision", r, "expected", j.revision)
 			j.revision = r
 		}
 	}
-	return true
 }
 
 // startStored orders the placements that are stored.
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -162,5 +162,6 @@
 	for _, w := range e.fleet {
 		e.expire(w, now)
 	}
+	e.cordon()
 	e.changed()
 }
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -27,9 +27,10 @@
 
 // The phases of a plan.
 const (
-	emptying planPhase = iota // no new tasks, those there end or move
-	ordering                  // the order is on its way, or has to be repeated
-	away                      // the platform works on it
+	emptying  planPhase = iota // no new tasks, those there end or move
+	recording                  // the order is being stored
+	ordering                   // the order is on its way, or has to be repeated
+	away                       // the platform works on it
 )
 
 type (
@@ -49,7 +50,7 @@
 		plan  planKind
 		phase planPhase
 		to    string // pool of a move
-		wave  *wave  // of an upkeep
+		wave  int64  // of an upkeep
 		since time.Time
 		calls bool      // an order is on its way
 		after time.Time // no order before
@@ -61,6 +62,7 @@
 		api       Instances
 		instances map[string]*instance
 		waves     map[int64]*wave
+		plans     planStore
 		pools     map[string]*poolHistory
 		nextPlan  time.Time
 		busy      atomic.Bool // something is planned
@@ -104,6 +106,7 @@
 			s.instances[info.Name] = i
 		}
 		i.Instance = info
+		e.resume(i, asked)
 		if i.phase == away && i.plan != noPlan && asked.After(i.since) && info.State == modeler.InstanceUp {
 			e.finishPlan(i)
 		}
@@ -111,9 +114,7 @@
 	for name, i := range s.instances {
 		if !seen[name] {
 			e.log.Info("instance no longer listed", "instance", name, "pool", i.Pool)
-			if i.wave != nil {
-				i.wave.drop(name)
-			}
+			e.dropFromWave(i)
 			delete(s.instances, name)
 		}
 	}
@@ -122,7 +123,20 @@
 // finishPlan notes that the platform's work on an instance is over.
 func (e *Engine) finishPlan(i *instance) {
 	e.log.Info("instance back", "instance", i.Name, "pool", i.Pool, "worker", i.Worker, "away", time.Since(i.since).Round(time.Millisecond).String())
-	i.plan, i.wave = noPlan, nil
+	e.endPlan(i)
+}
+
+// endPlan forgets what was planned for an instance.
+func (e *Engine) endPlan(i *instance) {
+	i.plan, i.wave = noPlan, 0
+	e.estate.plans.changed = true
+}
+
+// dropFromWave takes an instance out of its wave that cannot be maintained.
+func (e *Engine) dropFromWave(i *instance) {
+	if v := e.estate.waves[i.wave]; v != nil {
+		v.drop(i.Name)
+	}
 }
 
 // workerOn returns the worker that is the present life of an instance, nil when
@@ -137,6 +151,9 @@
 // cordon keeps new tasks away from the workers of planned instances.
 func (e *Engine) cordon() {
 	planned := make(map[string]string)
+	for name := range e.estate.plans.restored {
+		planned[name] = "earlier plan"
+	}
 	for name, i := range e.estate.instances {
 		switch i.plan {
 		case movePlan:
@@ -173,6 +190,7 @@
 		e.advancePlan(ctx, i, now)
 	}
 	s.busy.Store(busy)
+	e.storePlans(ctx, now)
 	e.reportWaves(ctx)
 }
 
@@ -195,8 +213,8 @@
 			e.evacuate(w, now)
 			return
 		}
-		i.phase = ordering
-		e.orderInstance(ctx, i, now)
+		i.phase = recording
+		e.estate.plans.changed = true
 	case ordering:
 		e.orderInstance(ctx, i, now)
 	}
@@ -205,14 +223,14 @@
 // orderInstance sends the order, again and again while its outcome is unknown,
 // since it may be carried out late.
 func (e *Engine) orderInstance(ctx context.Context, i *instance, now time.Time) {
-	if i.calls || now.Before(i.after) || e.closing {
+	if i.calls || now.Before(i.after) || e.closing || !e.term.IsValid() {
 		return
 	}
 	i.calls = true
 	name, to, token := i.Name, i.to, e.term.Token
 	order := func() error { return e.estate.api.Move(ctx, name, to, token) }
 	if i.plan == upkeepPlan {
-		number := i.wave.Number
+		number := i.wave
 		order = func() error { return e.estate.api.Maintain(ctx, name, number, token) }
 	}
 	e.spawn(func() {
@@ -228,20 +246,19 @@
 	switch {
 	case err == nil:
 		e.log.Info("instance ordered", "instance", i.Name, "kind", i.plan.String(), "to", i.to)
-		i.phase, i.since, i.from = away, now, i.Pool
-		if i.wave != nil {
-			i.wave.begun(i.Name)
+		i.phase, i.since = away, now
+		if v := e.estate.waves[i.wave]; v != nil {
+			v.begun(i.Name)
 		}
-		return
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("superseded", "instance", i.Name)
 		e.term.Depose()
 	case errors.Is(err, modeler.ErrNotInWave), errors.Is(err, modeler.ErrRejected), errors.Is(err, modeler.ErrBusy) && i.plan == movePlan:
 		e.log.Warn("order for instance refused", "instance", i.Name, "kind", i.plan.String(), "error", err)
-		if i.wave != nil && !errors.Is(err, modeler.ErrBusy) {
-			i.wave.drop(i.Name)
+		if !errors.Is(err, modeler.ErrBusy) {
+			e.dropFromWave(i)
 		}
-		i.plan, i.wave = noPlan, nil
+		e.endPlan(i)
 	default:
 		e.log.Warn("order for instance repeated", "instance", i.Name, "kind", i.plan.String(), "error", err)
 	}
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -123,7 +123,7 @@
 				break
 			}
 			if i.Pool == move.From && e.isMovable(i) {
-				i.to = move.To
+				i.to, i.wave = move.To, 0
 				e.begin(i, movePlan, now)
 				n--
 			}
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -107,13 +107,13 @@
 			}
 		}
 		for _, i := range e.estate.instances {
-			if i.plan == upkeepPlan && i.wave == v {
+			if i.plan == upkeepPlan && i.wave == v.Number {
 				view.UnderWay++
 			}
 		}
 		for _, name := range maintainer.Next(view, pools) {
 			i := e.estate.instances[name]
-			i.wave, i.to = v, ""
+			i.wave, i.to = v.Number, ""
 			e.begin(i, upkeepPlan, now)
 		}
 	}
@@ -203,7 +203,7 @@
 // hasUpkeep says whether an instance is still away for the wave.
 func (e *Engine) hasUpkeep(v *wave) bool {
 	for _, i := range e.estate.instances {
-		if i.wave == v {
+		if i.wave == v.Number {
 			return true
 		}
 	}
