--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -17,6 +17,7 @@
 		Serving int  // running tasks with a latency target
 		Filling int  // running tasks that use what others leave
 		Held    int  // tasks that do not end by themselves
+		Due     bool // to be emptied soon
 	}
 
 	// Ask is a task that wants a worker.
@@ -62,6 +63,7 @@
 	costHarm  = 4.0  // for each task that the new one disturbs or that disturbs it
 	costApart = 0.25 // for each task of the same step, which one fault would end together
 	costFresh = 0.5  // a lasting task on a worker that could otherwise move
+	costDue   = 2.0  // a lasting task on a worker that it would have to leave soon
 )
 
 func (w *Worker) cost(a Ask, same int) float64 {
@@ -80,6 +82,9 @@
 		if w.Held == 0 {
 			cost += costFresh
 		}
+		if w.Due {
+			cost += costDue
+		}
 	}
 	return cost
 }
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -13,6 +13,7 @@
 
 const (
 	busyWait      = time.Second            // look of a worker with runs; a silent worker is noticed after this
+	startWait     = 250 * time.Millisecond // look of a worker with a lasting task that is not at work yet
 	idleWait      = 2 * time.Second        // look of a worker without runs, the longest that workers grant
 	storeWait     = 500 * time.Millisecond // ends that cannot be stored are listed again after this
 	lookRetry     = 150 * time.Millisecond // after a look without an answer
@@ -128,6 +129,11 @@
 	if len(w.tasks) > 0 {
 		wait = busyWait
 	}
+	for _, t := range w.tasks {
+		if t.step.LongRunning && !t.atWork {
+			wait = startWait
+		}
+	}
 	e.look(w, now, wait)
 }
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -215,7 +215,9 @@
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 	for _, w := range v.workers {
-		v.views = append(v.views, w.view())
+		view := w.view()
+		view.Due = p.e.isDue(w.Instance)
+		v.views = append(v.views, view)
 	}
 	p.pools[name] = v
 	return v
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -140,6 +140,17 @@
 	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks) == 0
 }
 
+// counts says whether an instance serves its pool, now or as soon as it has
+// moved. One that is to be maintained, or whose worker does not answer or
+// drains, does not.
+func (e *Engine) counts(i *instance) bool {
+	if i.State == modeler.InstanceDown || i.plan == upkeepPlan {
+		return false
+	}
+	w := e.workerOn(i)
+	return w == nil || i.plan == movePlan || !w.Draining && (!w.known || w.reached)
+}
+
 func (e *Engine) poolSizes(now time.Time) []sizer.Pool {
 	asked := e.asked()
 	index := make(map[string]int)
@@ -161,7 +172,7 @@
 			continue
 		}
 		p := &pools[n]
-		if i.State != modeler.InstanceDown {
+		if e.counts(i) {
 			p.Instances++
 		}
 		p.Cores = max(p.Cores, float64(i.Capacity.CPU)/coreUnit)
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -86,6 +86,16 @@
 	delete(v.pending, name)
 }
 
+// isDue says whether the upkeep of an instance has still to begin.
+func (e *Engine) isDue(name string) bool {
+	for _, v := range e.estate.waves {
+		if v.pending[name] {
+			return true
+		}
+	}
+	return false
+}
+
 // planWaves begins with the next instances of each wave.
 func (e *Engine) planWaves(now time.Time) {
 	if len(e.estate.waves) == 0 {
