--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -56,6 +56,21 @@
 	return best
 }
 
+// Reserve returns the worker that will soonest have room for a task that fits
+// nowhere now, -1 when none ever will. others is as in Choose.
+func Reserve(workers []*Worker, a Ask, others func(i int) int) int {
+	best := -1
+	for i, w := range workers {
+		if w.Closed || !a.Room.Fits(w.Total) || a.Label != "" && !slices.Contains(w.Labels, a.Label) || others(i) < 0 {
+			continue
+		}
+		if best < 0 || w.Free.CPU > workers[best].Free.CPU {
+			best = i
+		}
+	}
+	return best
+}
+
 // Weights of the parts of a choice, in shares of a worker. The order matters,
 // not the size: data first, then harm, then packing.
 const (
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -94,7 +94,7 @@
 		note := slog.New(slog.NewJSONHandler(w.sink, nil))
 		note.Warn("log lines dropped", "lines", dropped)
 	}
-	if len(lines) > 0 {
-		_, _ = w.sink.Write(lines) // there is nowhere to report a failed log
+	for line := range bytes.Lines(lines) {
+		_, _ = w.sink.Write(line) // there is nowhere to report a failed log
 	}
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -249,23 +250,10 @@
 		}
 	}
 	for {
-		records, revision, err := e.store.List(ctx, JobPrefix)
-		var waves, silence, plans []keeper.Record
+		records, revision, err := e.store.List(ctx, fleetPrefix)
 		if err == nil {
-			waves, _, err = e.store.List(ctx, wavePrefix)
-		}
-		if err == nil {
-			silence, _, err = e.store.List(ctx, silenceKey)
-		}
-		if err == nil {
-			plans, _, err = e.store.List(ctx, plansKey)
-		}
-		if err == nil {
-			e.restoreAll(records)
-			e.restoreWaves(waves)
-			e.restoreSilence(silence)
-			e.restorePlans(plans)
-			e.log.Info("jobs read", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.began).String())
+			e.restore(records)
+			e.log.Info("fleet read", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.began).String())
 			return revision, nil
 		}
 		e.log.Warn("jobs not read", "error", err)
@@ -274,3 +262,16 @@
 		}
 	}
 }
+
+// restore takes in the records of earlier terms.
+func (e *Engine) restore(records []keeper.Record) {
+	byKind := make(map[string][]keeper.Record)
+	for _, r := range records {
+		kind, _, _ := strings.Cut(strings.TrimPrefix(r.Key, fleetPrefix), "/")
+		byKind[fleetPrefix+kind] = append(byKind[fleetPrefix+kind], r)
+	}
+	e.restoreAll(byKind[strings.TrimSuffix(JobPrefix, "/")])
+	e.restoreWaves(byKind[strings.TrimSuffix(wavePrefix, "/")])
+	e.restoreSilence(byKind[silenceKey])
+	e.restorePlans(byKind[plansKey])
+}
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -35,7 +35,12 @@
 	j.state, j.reason = state, reason
 	e.change(j)
 	e.log.Info("job decided", "job", j.ID, "state", state, "reason", reason, "active", j.active)
-	j.tasks(func(t *task) { e.stop(t) })
+	j.tasks(func(t *task) {
+		if t.promised != nil {
+			t.promised.unpromise(t)
+		}
+		e.stop(t)
+	})
 	e.changed()
 }
 
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -70,7 +70,7 @@
 		atWork     bool      // the worker reported full progress
 		load       int       // see modeler.RunningTask.Load
 		pace       int       // percent of full speed
-		leaving    bool      // it is stopped to run elsewhere
+		promised   *worker   // keeps room for the next run
 	}
 )
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -9,6 +9,10 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
+// maxReserved is the part of a pool's workers that may wait for the room that a
+// lasting task needs. The others go on with what fits.
+const maxReserved = 0.25
+
 type (
 	// pass is one round of placing the waiting tasks.
 	pass struct {
@@ -20,9 +24,10 @@
 	}
 
 	poolView struct {
-		workers []*worker
-		views   []*assigner.Worker
-		full    []modeler.Resources // asks that found no worker, without further conditions
+		workers  []*worker
+		views    []*assigner.Worker
+		full     []modeler.Resources // asks that found no worker, without further conditions
+		reserved int                 // workers closed for a task that waits for room
 	}
 
 	claim struct {
@@ -121,9 +126,15 @@
 		if t.phase != waiting {
 			continue
 		}
-		if !p.placeTask(t, j, view) {
+		if !p.admits(t, j) {
 			break
 		}
+		if !p.placeTask(t, view) {
+			if !s.LongRunning || !p.reserve(s, view) {
+				break
+			}
+			continue
+		}
 		tasks = append(tasks, t)
 	}
 	if s.Gang && len(tasks) < s.Count {
@@ -137,42 +148,64 @@
 	}
 }
 
+// admits says whether the task is within its customer's limit.
+func (p *pass) admits(t *task, j *job) bool {
+	c := p.manifest.Customer(j.Customer)
+	return c == nil || c.Within(p.usage[j.Customer].Add(t.need()))
+}
+
 // placeTask finds a worker for a task and takes the room, in the pass only.
-func (p *pass) placeTask(t *task, j *job, view *poolView) bool {
+func (p *pass) placeTask(t *task, view *poolView) bool {
 	s := t.step
-	sum := p.usage[j.Customer].Add(t.need())
-	if c := p.manifest.Customer(j.Customer); c != nil && !c.Within(sum) {
-		return false
-	}
+	view.redeem(t)
 	plain := s.Label == "" && s.Spread == 0 && s.allowed == nil
 	if plain && view.isFull(s.Room()) {
 		return false
 	}
-	i := assigner.Choose(view.views, assigner.Ask{
-		Room: s.Room(), Label: s.Label, Rack: s.Rack, Fills: s.Fills, Serves: s.Target > 0, Lasting: s.LongRunning,
-	}, func(i int) int {
-		w := view.workers[i]
-		n := s.on(w)
-		if s.Spread > 0 && n >= s.Spread {
-			return -1
-		}
-		if s.allowed != nil && s.allowed[w.ID] == "" {
-			return -1
-		}
-		return n
-	})
+	i := assigner.Choose(view.views, s.ask(), func(i int) int { return s.others(view.workers[i]) })
 	if i < 0 {
 		if plain {
 			view.full = append(view.full, s.Room())
 		}
 		return false
 	}
-	p.usage[j.Customer] = sum
+	customer := s.occurrence.job.Customer
+	p.usage[customer] = p.usage[customer].Add(t.need())
 	t.attach(view.workers[i], placed)
 	view.take(i, s, 1)
 	return true
 }
 
+// reserve keeps less urgent tasks away from the worker that will soonest have
+// room for a task of the step. Without it smaller tasks would take each gap, and
+// a large one would never find room. It reports false when enough is reserved.
+func (p *pass) reserve(s *step, view *poolView) bool {
+	if view.reserved >= max(1, int(maxReserved*float64(len(view.workers)))) {
+		return false
+	}
+	i := assigner.Reserve(view.views, s.ask(), func(i int) int { return s.others(view.workers[i]) })
+	if i < 0 {
+		return false
+	}
+	view.views[i].Closed = true
+	view.reserved++
+	return true
+}
+
+func (s *step) ask() assigner.Ask {
+	return assigner.Ask{Room: s.Room(), Label: s.Label, Rack: s.Rack, Fills: s.Fills, Serves: s.Target > 0, Lasting: s.LongRunning}
+}
+
+// others counts the tasks of the step that a worker has, -1 when it must not
+// have another one.
+func (s *step) others(w *worker) int {
+	n := s.on(w)
+	if s.Spread > 0 && n >= s.Spread || s.allowed != nil && s.allowed[w.ID] == "" {
+		return -1
+	}
+	return n
+}
+
 // release takes a placement of the pass back.
 func (p *pass) release(t *task, j *job, view *poolView) {
 	i := slices.Index(view.workers, t.worker)
@@ -224,7 +257,7 @@
 }
 
 func (w *worker) view() *assigner.Worker {
-	v := &assigner.Worker{Free: w.free(), Total: w.Capacity, Labels: w.Labels, Rack: modeler.Rack(w.Labels)}
+	v := &assigner.Worker{Free: w.free().Sub(w.promises()), Total: w.Capacity, Labels: w.Labels, Rack: modeler.Rack(w.Labels)}
 	for _, t := range w.tasks {
 		v.Count(t.step.Step, 1)
 	}
@@ -242,3 +275,16 @@
 	view.Free = view.Free.Sub(s.Room().Times(n))
 	view.Count(s.Step, n)
 }
+
+// redeem gives a task the room that was promised to it, in the pass only.
+func (v *poolView) redeem(t *task) {
+	w := t.promised
+	if w == nil {
+		return
+	}
+	w.unpromise(t)
+	if i := slices.Index(v.workers, w); i >= 0 {
+		v.views[i].Free = v.views[i].Free.Add(t.step.Room())
+		v.full = nil
+	}
+}
--- a/orchestrator/plan.go
+++ b/orchestrator/plan.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	plansKey   = "plans"                // PlanRecord of orders for instances
+	plansKey   = fleetPrefix + "plans"  // PlanRecord of orders for instances
 	plansRetry = 200 * time.Millisecond // after a failed write
 )
 
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -13,9 +13,11 @@
 const (
 	// JobPrefix is followed by the job's id. The record is the job until it
 	// ends, and then its Outcome.
-	JobPrefix = "job/"
+	JobPrefix = fleetPrefix + "job/"
 	// LoadKey holds the Load that the leader publishes.
-	LoadKey = "load"
+	LoadKey = fleetPrefix + "load"
+
+	fleetPrefix = "fleet/" // all that a successor reads
 
 	cancelSuffix   = "/cancel"   // a caller wants the job to end
 	progressSuffix = "/progress" // Progress of the job
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	silenceKey   = "silence"              // Silences of the workers that do not answer
-	silentAfter  = 2                      // looks in a row without an answer; one may be an accident
-	wallMargin   = 3 * time.Second        // clocks of two entries differ by less, also when one has jumped by two seconds
-	silenceRetry = 500 * time.Millisecond // after a failed write
+	silenceKey   = fleetPrefix + "silence" // Silences of the workers that do not answer
+	silentAfter  = 2                       // looks in a row without an answer; one may be an accident
+	wallMargin   = 3 * time.Second         // clocks of two entries differ by less, also when one has jumped by two seconds
+	silenceRetry = 500 * time.Millisecond  // after a failed write
 )
 
 type (
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -137,7 +137,7 @@
 		return false
 	}
 	w := e.workerOn(i)
-	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks) == 0
+	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks)+len(w.promised) == 0
 }
 
 // counts says whether an instance serves its pool, now or as soon as it has
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -7,7 +7,7 @@
 	if t.phase == waiting {
 		t.step.waiting--
 	}
-	t.phase, t.worker, t.atWork, t.leaving = p, w, false, false
+	t.phase, t.worker, t.atWork = p, w, false
 	t.step.occurrence.job.active++
 	w.tasks[t.id] = t
 	w.used = w.used.Add(t.step.Room())
@@ -19,7 +19,7 @@
 	if w == nil {
 		return
 	}
-	t.worker, t.atWork, t.leaving = nil, false, false
+	t.worker, t.atWork = nil, false
 	t.step.occurrence.job.active--
 	delete(w.tasks, t.id)
 	w.used = w.used.Sub(t.step.Room())
@@ -34,6 +34,9 @@
 		t.step.waiting--
 	}
 	t.detach()
+	if t.promised != nil {
+		t.promised.unpromise(t)
+	}
 	t.phase = done
 	s := t.step
 	s.done++
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -13,7 +13,7 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
-const wavePrefix = "wave/" // followed by the number; the record is a WaveRecord
+const wavePrefix = fleetPrefix + "wave/" // followed by the number; the record is a WaveRecord
 
 type (
 	// wave is a wave that is not completed.
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -35,6 +35,7 @@
 		lookedAt time.Time                    // of the last look
 		failures int                          // looks in a row without an answer
 		cordoned string                       // why planned work keeps new tasks away, empty otherwise
+		promised []*task                      // tasks that room is kept for
 		strays   map[modeler.TaskID]time.Time // runs without a task that are being stopped
 
 		orders *supervisor.Ring[func(ctx context.Context)]
