Test a term against stand-ins in virtual time

Found by the tests: after an outage of nine seconds the leases of runs could lapse before the next term extended them.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -20,7 +20,7 @@
 
 	defaultLeaseTime = 1500 * time.Millisecond // a dead leader is replaced after this; above a slow store's answers
 	renewalsPerLease = 4                       // two renewals in a row may fail
-	outageAllowance  = 3 * time.Second         // a leader that cannot renew extends running work this long after its lease; with the leases of runs it bridges ten seconds without the service
+	outageAllowance  = 4 * time.Second         // a leader that cannot renew extends running work this long after its lease; with the leases of runs it bridges an outage of nine seconds
 	candidateJitter  = 20 * time.Millisecond   // some round trips, so that seldom two candidates collide
 	retryInterval    = 200 * time.Millisecond  // between attempts to take or to renew after a failure
 	releaseTimeout   = 500 * time.Millisecond  // of the last call of a term
--- /dev/null
+++ b/emulator/metastore.go
@@ -0,0 +1,313 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+const maxTxnEntries = 32 // keys that a transaction may name
+
+type (
+	// MetaStore stands in for a metadata store with transactions, leases and
+	// watches. Its exported fields switch faults on and off; set them through
+	// Do.
+	MetaStore struct {
+		mu       sync.Mutex
+		faults   StoreFaults
+		revision int64
+		records  map[string]storedRecord
+		events   []keeper.Event
+		oldest   int64 // revision of the oldest event kept
+		leases   map[keeper.LeaseID]time.Time
+		changed  chan struct{}
+		writes   int
+	}
+
+	// StoreFaults are what goes wrong in a MetaStore.
+	StoreFaults struct {
+		Delay time.Duration   // of each answer
+		Down  bool            // every call fails, nothing is done
+		Cut   map[string]bool // by client name, see For
+		// Lost says of a transaction whether its answer is lost, and how much
+		// later it is carried out.
+		Lost func(txn keeper.Txn) (lost bool, late time.Duration)
+	}
+
+	storedRecord struct {
+		keeper.Record
+		lease keeper.LeaseID
+	}
+
+	// StoreClient is one entry's access to a MetaStore.
+	StoreClient struct {
+		*MetaStore
+		name string
+	}
+)
+
+// NewMetaStore returns an empty store.
+func NewMetaStore() *MetaStore {
+	return &MetaStore{
+		records: make(map[string]storedRecord),
+		leases:  make(map[keeper.LeaseID]time.Time),
+		changed: make(chan struct{}),
+		faults:  StoreFaults{Cut: make(map[string]bool)},
+	}
+}
+
+// Do changes the faults.
+func (s *MetaStore) Do(change func(f *StoreFaults)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(&s.faults)
+}
+
+// For returns the access of a named entry, which StoreFaults.Cut can cut.
+func (s *MetaStore) For(name string) *StoreClient {
+	return &StoreClient{s, name}
+}
+
+// Compact forgets the events so far.
+func (s *MetaStore) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events, s.oldest = nil, s.revision+1
+	s.signal()
+}
+
+// Writes is the number of transactions so far.
+func (s *MetaStore) Writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
+func (s *MetaStore) signal() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// enter waits for the store's delay and fails when the client is cut off.
+func (c *StoreClient) enter(ctx context.Context) error {
+	c.mu.Lock()
+	delay, away := c.faults.Delay, c.faults.Down || c.faults.Cut[c.name]
+	c.mu.Unlock()
+	if delay > 0 {
+		if err := supervisor.Pause(ctx, delay); err != nil {
+			return err
+		}
+	}
+	if away {
+		return errors.Annotatef(keeper.ErrUnavailable, "client %q", c.name)
+	}
+	return nil
+}
+
+// Get reads a key.
+func (c *StoreClient) Get(ctx context.Context, key string) (keeper.Record, error) {
+	if err := c.enter(ctx); err != nil {
+		return keeper.Record{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	r := c.records[key].Record
+	r.Key = key
+	return r, nil
+}
+
+// List reads all keys below a prefix, in the order of keys.
+func (c *StoreClient) List(ctx context.Context, prefix string) ([]keeper.Record, int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return nil, 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	var records []keeper.Record
+	for key, r := range c.records {
+		if strings.HasPrefix(key, prefix) {
+			records = append(records, r.Record)
+		}
+	}
+	slices.SortFunc(records, func(a, b keeper.Record) int { return strings.Compare(a.Key, b.Key) })
+	return records, c.revision, nil
+}
+
+// Watch calls fn with changes below a prefix after a revision.
+func (c *StoreClient) Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error {
+	for {
+		if err := c.enter(ctx); err != nil {
+			return err
+		}
+		events, changed, err := c.since(prefix, &after)
+		if err != nil {
+			return err
+		}
+		for _, ev := range events {
+			fn(ev)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-changed:
+		case <-time.After(time.Second): // leases end without an event of their own
+		}
+	}
+}
+
+func (c *StoreClient) since(prefix string, after *int64) ([]keeper.Event, chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	if *after+1 < c.oldest {
+		return nil, nil, keeper.ErrCompacted
+	}
+	var events []keeper.Event
+	for _, ev := range c.events {
+		if ev.Revision > *after && strings.HasPrefix(ev.Key, prefix) {
+			events = append(events, ev)
+		}
+	}
+	*after = c.revision
+	return events, c.changed, nil
+}
+
+// Commit carries out a transaction.
+func (c *StoreClient) Commit(ctx context.Context, txn keeper.Txn) (int64, []keeper.Record, error) {
+	if n := len(txn.Expect) + len(txn.Put) + len(txn.Delete); n > maxTxnEntries {
+		return 0, nil, fmt.Errorf("transaction of %d entries, the limit is %d", n, maxTxnEntries)
+	}
+	if err := c.enter(ctx); err != nil {
+		return 0, nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writes++
+	if c.faults.Lost != nil {
+		if lost, late := c.faults.Lost(txn); lost {
+			time.AfterFunc(late, func() {
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				_, _, _ = c.commit(txn) // nobody hears of the outcome
+			})
+			return 0, nil, keeper.ErrUnknown
+		}
+	}
+	return c.commit(txn)
+}
+
+func (s *MetaStore) commit(txn keeper.Txn) (int64, []keeper.Record, error) {
+	s.expire()
+	var current []keeper.Record
+	failed := false
+	for _, e := range txn.Expect {
+		r := s.records[e.Key].Record
+		r.Key = e.Key
+		current = append(current, r)
+		failed = failed || r.Revision != e.Revision
+	}
+	if failed {
+		return 0, current, keeper.ErrConflict
+	}
+	for _, p := range txn.Put {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			return 0, nil, keeper.ErrLeaseLost
+		}
+	}
+	s.revision++
+	for _, p := range txn.Put {
+		r := keeper.Record{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.revision}
+		s.records[p.Key] = storedRecord{r, p.Lease}
+		s.events = append(s.events, keeper.Event{Record: r})
+	}
+	for _, key := range txn.Delete {
+		s.remove(key)
+	}
+	s.signal()
+	return s.revision, nil, nil
+}
+
+func (s *MetaStore) remove(key string) {
+	if _, ok := s.records[key]; !ok {
+		return
+	}
+	delete(s.records, key)
+	s.events = append(s.events, keeper.Event{Record: keeper.Record{Key: key, Revision: s.revision}, Deleted: true})
+}
+
+// Grant opens a lease.
+func (c *StoreClient) Grant(ctx context.Context, ttl time.Duration) (keeper.LeaseID, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	id := keeper.LeaseID(c.revision)
+	c.leases[id] = time.Now().Add(ttl)
+	return id, nil
+}
+
+// KeepAlive renews a lease by the time it was granted for, a second and a half
+// in these tests.
+func (c *StoreClient) KeepAlive(ctx context.Context, id keeper.LeaseID) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.expire()
+	if _, ok := c.leases[id]; !ok {
+		return keeper.ErrLeaseLost
+	}
+	c.leases[id] = time.Now().Add(renewal)
+	return nil
+}
+
+const renewal = 1500 * time.Millisecond // the lease time of leadership
+
+// Revoke ends a lease.
+func (c *StoreClient) Revoke(ctx context.Context, id keeper.LeaseID) error {
+	if err := c.enter(ctx); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.leases, id)
+	c.expire()
+	return nil
+}
+
+// expire removes the records of leases that have ended.
+func (s *MetaStore) expire() {
+	now := time.Now()
+	for id, until := range s.leases {
+		if !now.Before(until) {
+			delete(s.leases, id)
+		}
+	}
+	var gone []string
+	for key, r := range s.records {
+		if _, ok := s.leases[r.lease]; r.lease != 0 && !ok {
+			gone = append(gone, key)
+		}
+	}
+	if len(gone) == 0 {
+		return
+	}
+	s.revision++
+	for _, key := range gone {
+		s.remove(key)
+	}
+	s.signal()
+}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -152,7 +152,9 @@
 		}
 		timer.Reset(e.advance(calls, time.Now()))
 	}
-	e.close(calls)
+	if !errors.Is(context.Cause(ctx), elector.ErrDeposed) {
+		e.close(calls) // a deposed leader can store nothing
+	}
 	cancel()
 	e.calls.Wait()
 }
--- /dev/null
+++ b/orchestrator/engine_test.go
@@ -0,0 +1,276 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+func taskOf(job string, step, index int) modeler.TaskID {
+	return modeler.TaskID{Job: job, Step: step, Index: index}
+}
+
+func TestStepsRunInOrder(t *testing.T) {
+	run(t, 2, func(s *site) {
+		e := s.start("one")
+		need := modeler.Resources{CPU: 1000, Memory: 100}
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: need}, modeler.Step{Count: 3, Need: need, After: []int{0}}))
+		time.Sleep(900 * time.Millisecond)
+		require.Equal(t, modeler.Running, s.state("j1"))
+		require.Zero(t, s.fleet.Starts(taskOf("j1", 1, 0)))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 1, 2)))
+		e.stop()
+	})
+}
+
+func TestTaskFailsItsJobAfterItsAttempts(t *testing.T) {
+	run(t, 1, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Second, modeler.EndFailed }
+		e := s.start("one")
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, modeler.Failed, s.state("j1"))
+		require.Equal(t, 3, s.fleet.Starts(taskOf("j1", 0, 0)))
+		e.stop()
+	})
+}
+
+func TestLimitOfCustomerHoldsOverAllJobs(t *testing.T) {
+	run(t, 3, func(s *site) {
+		s.manifest.Customers[0].Limit = modeler.Resources{CPU: 5000}
+		e := s.start("one")
+		s.submit(shortJob("j1"))
+		s.submit(shortJob("j2"))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 5, s.fleet.Running("j1")+s.fleet.Running("j2"))
+		time.Sleep(4 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j2"))
+		e.stop()
+	})
+}
+
+func TestCancelledJobStopsRunning(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.start("one")
+		s.submit(lastingJob("j1", 3))
+		time.Sleep(time.Second)
+		require.Equal(t, 3, s.fleet.Running("j1"))
+		_, _, err := s.store.For("caller").Commit(t.Context(), keeper.Txn{Put: []keeper.Put{{Key: orchestrator.CancelKey("j1"), Value: []byte("{}")}}})
+		require.NoError(t, err)
+		require.Equal(t, modeler.Cancelled, s.state("j1"))
+		time.Sleep(time.Second)
+		require.Zero(t, s.fleet.Running("j1"))
+		require.Equal(t, modeler.Cancelled, s.state("j1"))
+		e.stop()
+	})
+}
+
+// A start that is carried out seconds later must not run beside the run that
+// took its place.
+func TestUnansweredStartRunsOnce(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Late = func(id modeler.TaskID, number int) time.Duration {
+			if id.Index == 0 && number == 1 {
+				return 3 * time.Second
+			}
+			return 0
+		}
+		e := s.start("one")
+		s.submit(shortJob("j1"))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 0, 0)))
+		e.stop()
+	})
+}
+
+func TestSuccessorLosesNothingAndRunsNothingTwice(t *testing.T) {
+	for name, end := range map[string]func(e *entry){"stopped": (*entry).stop, "killed": (*entry).kill} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 3, func(s *site) {
+				first := s.start("one")
+				time.Sleep(time.Second)
+				second := s.start("two")
+				s.submit(shortJob("j1", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}}, modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}, After: []int{0}}))
+				time.Sleep(500 * time.Millisecond)
+				end(first)
+				time.Sleep(6 * time.Second)
+				require.Equal(t, modeler.Completed, s.state("j1"))
+				for i := range 4 {
+					require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 0, i)))
+				}
+				second.stop()
+			})
+		})
+	}
+}
+
+// Looks at a silent worker must not extend its leases, or its tasks would never
+// be given up. See docs/operating/incidents/silent-worker.md.
+func TestTasksOfSilentWorkerRunAgainAfterTheirLease(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.start("one")
+		s.submit(lastingJob("j1", 2))
+		time.Sleep(2 * time.Second)
+		silent := s.instances.Worker("a")
+		if s.fleet.On(silent) == 0 {
+			silent = s.instances.Worker("b")
+		}
+		s.fleet.Silence(silent, true)
+		time.Sleep(testLease + 2*time.Second)
+		require.Equal(t, 2, s.fleet.Running("j1"))
+		require.Zero(t, s.fleet.On(silent))
+		e.stop()
+	})
+}
+
+// Each of several successors must not wait anew for a worker that none of them
+// reaches.
+func TestSuccessorsShareWhatIsKnownOfSilentWorkers(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.start("first")
+		s.submit(lastingJob("j1", 2))
+		time.Sleep(2 * time.Second)
+		silent := s.instances.Worker("a")
+		if s.fleet.On(silent) == 0 {
+			silent = s.instances.Worker("b")
+		}
+		s.fleet.Silence(silent, true)
+		began := time.Now()
+		for i := range 6 {
+			time.Sleep(3 * time.Second)
+			e.stop()
+			e = s.start(string(rune('0' + i)))
+		}
+		require.LessOrEqual(t, time.Since(began), 19*time.Second)
+		require.Equal(t, 2, s.fleet.Running("j1"))
+		e.stop()
+	})
+}
+
+// A worker of a new life proves that the old one has ended.
+func TestNewWorkerOnInstanceFreesTasksOfTheOldOne(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.start("one")
+		s.submit(lastingJob("j1", 6))
+		time.Sleep(time.Second)
+		old := s.instances.Worker("a")
+		s.fleet.Remove(old)
+		s.fleet.Add(modeler.Worker{ID: "w-new", Pool: "p", Address: "127.0.0.1:1", Instance: "a", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}})
+		time.Sleep(2500 * time.Millisecond)
+		require.Equal(t, 6, s.fleet.Running("j1"))
+		e.stop()
+	})
+}
+
+// A write that is carried out late must not undo a later one.
+func TestLateWriteChangesNothing(t *testing.T) {
+	run(t, 2, func(s *site) {
+		lost := 0
+		s.store.Do(func(f *emulator.StoreFaults) {
+			f.Lost = func(txn keeper.Txn) (bool, time.Duration) {
+				for _, p := range txn.Put {
+					if p.Key == orchestrator.ProgressKey("j1") && lost < 2 {
+						lost++
+						return true, 1500 * time.Millisecond
+					}
+				}
+				return false, 0
+			}
+		})
+		e := s.start("one")
+		s.submit(shortJob("j1"))
+		time.Sleep(8 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		require.Equal(t, 2, lost)
+		e.stop()
+	})
+}
+
+// Leases of running work outlast an outage of the store of some seconds.
+func TestOutageOfStoreEndsNoWork(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.start("one")
+		s.submit(lastingJob("j1", 4))
+		time.Sleep(2 * time.Second)
+		s.store.Do(func(f *emulator.StoreFaults) { f.Down = true })
+		time.Sleep(9 * time.Second)
+		s.store.Do(func(f *emulator.StoreFaults) { f.Down = false })
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 4, s.fleet.Running("j1"))
+		for i := range 4 {
+			require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 0, i)))
+		}
+		e.stop()
+	})
+}
+
+// A lasting task must find room although smaller tasks would fill each gap.
+func TestLastingTaskFindsRoomAmongSmallOnes(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+			if id.Job == "big" {
+				return -1, modeler.EndDone
+			}
+			return time.Second + time.Duration(id.Index)*70*time.Millisecond, modeler.EndDone
+		}
+		e := s.start("one")
+		for i := range 40 {
+			s.submit(shortJob("j"+string(rune('a'+i)), modeler.Step{Count: 8, Need: modeler.Resources{CPU: 900}}))
+		}
+		time.Sleep(2 * time.Second)
+		big := lastingJob("big", 1)
+		big.Steps[0].Need.CPU = 3900
+		s.submit(big)
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, s.fleet.Running("big"))
+		e.stop()
+	})
+}
+
+func TestDrainingWorkerGetsNothingNew(t *testing.T) {
+	run(t, 2, func(s *site) {
+		e := s.start("one")
+		time.Sleep(time.Second)
+		s.fleet.Drain(s.instances.Worker("a"))
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1"))
+		time.Sleep(500 * time.Millisecond)
+		require.Zero(t, s.fleet.On(s.instances.Worker("a")))
+		require.Equal(t, 4, s.fleet.Running("j1"))
+		e.stop()
+	})
+}
+
+func TestOccurrencesStartWhenDue(t *testing.T) {
+	run(t, 2, func(s *site) {
+		e := s.start("one")
+		j := shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}})
+		j.Repeat, j.First, j.Interval = 2, time.Now().Add(3*time.Second), 2*time.Second
+		s.submit(j)
+		second := modeler.TaskID{Job: "j1", Occurrence: 1}
+		time.Sleep(2900 * time.Millisecond)
+		require.Zero(t, s.fleet.Starts(taskOf("j1", 0, 0)))
+		time.Sleep(400 * time.Millisecond)
+		require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 0, 0)))
+		require.Zero(t, s.fleet.Starts(second))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, s.fleet.Starts(second))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		e.stop()
+	})
+}
--- /dev/null
+++ b/orchestrator/site_test.go
@@ -0,0 +1,150 @@
+package orchestrator_test
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+const testLease = 6 * time.Second
+
+// site is a small deployment: a store, workers and the entries that a test
+// starts.
+type site struct {
+	t         *testing.T
+	store     *emulator.MetaStore
+	fleet     *emulator.TaskFleet
+	instances *emulator.Yard
+	manifest  *modeler.Manifest
+	waves     []modeler.Wave
+	log       *slog.Logger
+}
+
+// entry is a running entry.
+type entry struct {
+	site   *site
+	name   string
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+func newSite(t *testing.T, workers int) *site {
+	s := &site{t: t, store: emulator.NewMetaStore(), log: slog.New(slog.DiscardHandler)}
+	if os.Getenv("COLTSFOOTLEVER_TEST_LOG") != "" {
+		s.log = slog.New(slog.NewJSONHandler(os.Stdout, nil))
+	}
+	s.fleet = emulator.NewTaskFleet(func(modeler.TaskID, int) (time.Duration, modeler.EndKind) {
+		return time.Second, modeler.EndDone
+	})
+	s.instances = emulator.NewYard(s.fleet, 1500*time.Millisecond, 2*time.Second)
+	s.manifest = &modeler.Manifest{
+		Version: 1,
+		Queues: []modeler.Queue{
+			{Name: "short", Pool: "p", Attempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond},
+			{Name: "lasting", Pool: "p", Attempts: 3, Stretch: 2.2, Public: true},
+		},
+		Pools:     []modeler.Pool{{Name: "p"}, {Name: "spare", Spare: true}},
+		Customers: []modeler.Customer{{Name: "c", Weight: 1}},
+	}
+	s.manifest.Index()
+	for i := range workers {
+		s.instances.Add(modeler.Instance{
+			Name: string(rune('a' + i)), Pool: "p", Zone: "z", Labels: []string{"k", "r1"},
+			Capacity: modeler.Resources{CPU: 4000, Memory: 8000},
+		}, true)
+	}
+	return s
+}
+
+// start starts an entry.
+func (s *site) start(name string) *entry {
+	client := s.store.For(name)
+	cfg := orchestrator.Config{
+		Lease: testLease, Early: 0, StopTime: 200 * time.Millisecond, Refresh: 500 * time.Millisecond,
+		Manifest: func() *modeler.Manifest { return s.manifest },
+		Waves:    func() []modeler.Wave { return s.waves },
+		WaveStatus: func(n int64, completed bool) keeper.Put {
+			value := "running"
+			if completed {
+				value = "completed"
+			}
+			return keeper.Put{Key: "status", Value: []byte(value)}
+		},
+	}
+	lead := func(ctx context.Context, term *elector.Term) {
+		orchestrator.New(cfg, client, s.fleet, s.fleet, term, orchestrator.WithLog(s.log),
+			orchestrator.WithInstances(s.instances.For(name))).Run(ctx)
+	}
+	ctx, cancel := context.WithCancel(s.t.Context())
+	e := &entry{site: s, name: name, cancel: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(e.done)
+		_ = elector.New(client, name, lead, s.log).Run(ctx)
+	}()
+	return e
+}
+
+// stop ends an entry that gives its leadership back.
+func (e *entry) stop() {
+	e.cancel()
+	<-e.done
+}
+
+// kill ends an entry that cannot give its leadership back.
+func (e *entry) kill() {
+	e.site.store.Do(func(f *emulator.StoreFaults) { f.Cut[e.name] = true })
+	e.stop()
+}
+
+// submit stores a job as an entry does for a caller.
+func (s *site) submit(j modeler.Job) {
+	j.Accepted = time.Now()
+	_, _, err := s.store.For("caller").Commit(s.t.Context(), keeper.Txn{
+		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
+		Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJob(&j)}},
+	})
+	require.NoError(s.t, err)
+}
+
+// state reads the state of a job as an entry does for a caller.
+func (s *site) state(id string) modeler.State {
+	records, _, err := s.store.For("caller").List(s.t.Context(), orchestrator.JobKey(id))
+	require.NoError(s.t, err)
+	v, err := orchestrator.ReadView(id, records)
+	require.NoError(s.t, err)
+	require.True(s.t, v.Known)
+	return v.State
+}
+
+// run runs a test in virtual time and checks what must always hold.
+func run(t *testing.T, workers int, fn func(s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, workers)
+		fn(s)
+		require.Empty(t, s.fleet.Violations())
+	})
+}
+
+func shortJob(id string, steps ...modeler.Step) modeler.Job {
+	if len(steps) == 0 {
+		steps = []modeler.Step{{Count: 4, Need: modeler.Resources{CPU: 1000, Memory: 100}, Estimate: time.Second}}
+	}
+	return modeler.Job{ID: id, Queue: "short", Customer: "c", Spec: "spec", Steps: steps}
+}
+
+func lastingJob(id string, count int) modeler.Job {
+	return modeler.Job{ID: id, Queue: "lasting", Spec: "spec", Steps: []modeler.Step{{
+		Count: count, Need: modeler.Resources{CPU: 1000, Memory: 100}, LongRunning: true, MayMiss: 1,
+	}}}
+}
