--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -175,27 +175,37 @@
 	})
 }
 
-// A write that is carried out late must not undo a later one.
+// A write that is carried out late must not undo a later one, or a successor
+// would look for a run where it was before.
 func TestLateWriteChangesNothing(t *testing.T) {
 	run(t, 2, func(s *site) {
-		lost := 0
+		s.fleet.Work = func(_ modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if number == 1 {
+				return time.Second, modeler.EndFailed
+			}
+			return -1, modeler.EndDone
+		}
+		lost := false
 		s.store.Do(func(f *emulator.StoreFaults) {
 			f.Lost = func(txn keeper.Txn) (bool, time.Duration) {
-				for _, p := range txn.Put {
-					if p.Key == orchestrator.ProgressKey("j1") && lost < 2 {
-						lost++
-						return true, 1500 * time.Millisecond
-					}
+				if lost || len(txn.Put) == 0 || txn.Put[0].Key != orchestrator.ProgressKey("j1") {
+					return false, 0
 				}
-				return false, 0
+				lost = true
+				return true, 3 * time.Second
 			}
 		})
-		e := s.start("one")
-		s.submit(shortJob("j1"))
-		time.Sleep(8 * time.Second)
-		require.Equal(t, modeler.Completed, s.state("j1"))
-		require.Equal(t, 2, lost)
-		e.stop()
+		first := s.start("one")
+		time.Sleep(time.Second)
+		s.submit(lastingJob("j1", 1))
+		time.Sleep(4 * time.Second)
+		first.kill()
+		second := s.start("two")
+		time.Sleep(5 * time.Second)
+		require.True(t, lost)
+		require.Equal(t, 1, s.fleet.Running("j1"))
+		require.Equal(t, 2, s.fleet.Starts(taskOf("j1", 0, 0)))
+		second.stop()
 	})
 }
 
