Move idle instances to pools that lack some without waiting

A queue's rise found 30 idle instances in the pool whose turn had ended, which kept them for 2 s; and a successor repeated moves that were over and kept those instances closed for 2 s, until the next list.

Change: only moves to the spare pool wait; a successor drops moves that the list shows to be over; the list is read every 250 ms from the moment that something is planned.

--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -241,6 +241,7 @@
 	e.publishLoad(ctx, now)
 	e.planWork(ctx, now)
 	e.storeSilence(ctx, now)
+	e.noteLoad(now)
 	e.changed()
 }
 
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -65,6 +65,7 @@
 		plans     planStore
 		pools     map[string]*poolHistory
 		nextPlan  time.Time
+		nextNote  time.Time
 		busy      atomic.Bool // something is planned
 		listed    bool
 	}
@@ -85,11 +86,16 @@
 		} else {
 			e.post(ctx, func() { e.takeInstances(list, asked) })
 		}
-		interval := idleListing
-		if e.estate.busy.Load() {
-			interval = busyListing
+		e.awaitInstances(ctx, asked)
+	}
+}
+
+// awaitInstances waits until the list of instances is due.
+func (e *Engine) awaitInstances(ctx context.Context, last time.Time) {
+	for supervisor.Pause(ctx, busyListing) == nil {
+		if e.estate.busy.Load() || time.Since(last) >= idleListing {
+			return
 		}
-		_ = supervisor.Pause(ctx, interval) // ends the loop with ctx
 	}
 }
 
@@ -197,6 +203,7 @@
 // begin plans work for an instance.
 func (e *Engine) begin(i *instance, kind planKind, now time.Time) {
 	i.plan, i.phase, i.since, i.after = kind, emptying, now, now
+	e.estate.busy.Store(true)
 	e.log.Info("instance planned", "instance", i.Name, "pool", i.Pool, "kind", kind.String(), "to", i.to)
 }
 
--- a/orchestrator/plan.go
+++ b/orchestrator/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
 const (
@@ -54,6 +55,10 @@
 		return
 	}
 	delete(s.restored, i.Name)
+	s.changed = true
+	if order.Pool != "" && order.Pool == i.Pool && i.State == modeler.InstanceUp {
+		return // the move is over, and repeating it would change nothing
+	}
 	i.to, i.wave = order.Pool, order.Wave
 	kind := movePlan
 	if order.Wave != 0 {
@@ -61,7 +66,6 @@
 	}
 	e.begin(i, kind, now)
 	i.phase = recording
-	s.changed = true
 }
 
 // storePlans writes the record when it has changed, and lets the orders follow
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	coreUnit   = 1000.0          // thousandths of a core
-	rateWindow = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
+	coreUnit     = 1000.0          // thousandths of a core
+	noteInterval = time.Second     // a line for each pool
+	rateWindow   = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
 )
 
 type (
@@ -71,6 +72,22 @@
 	return all
 }
 
+// noteLoad logs what each pool has to do, once a second.
+func (e *Engine) noteLoad(now time.Time) {
+	if now.Before(e.estate.nextNote) {
+		return
+	}
+	e.estate.nextNote = now.Add(noteInterval)
+	instances := make(map[string]int)
+	for _, i := range e.estate.instances {
+		instances[i.Pool]++
+	}
+	for pool, d := range e.asked() {
+		e.log.Info("pool load", "pool", pool, "instances", instances[pool], "capacity", d.capacity, "lasting", d.lasting, "running", d.running, "waiting", d.waiting,
+			"rate", e.history(pool).rate(now))
+	}
+}
+
 // arrive notes the work that a new job brings to its pool.
 func (e *Engine) arrive(j *job, now time.Time) {
 	m := e.cfg.Manifest()
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -13,7 +13,7 @@
 const (
 	targetFill  = 0.85            // part of a pool's processors that tasks of uneven size can fill
 	reserve     = 1               // instances beyond the demand, so that the first jobs of a rise find room
-	calmTime    = 2 * time.Second // a pool gives instances up after it had too many for this long, above the time that a move takes
+	calmTime    = 2 * time.Second // a pool gives instances to the spare one after it had too many for this long, above the time that a move takes
 	maxPerRound = 16              // moves ordered at once
 )
 
@@ -28,7 +28,7 @@
 		Lasting   float64       // cores of tasks that last
 		Asked     float64       // cores of the other tasks that run or could run at once
 		Rate      float64       // core-seconds of work that arrive a second
-		Calm      time.Duration // for how long the pool has had more than it wants
+		Calm      time.Duration // for how long the pool has had more instances than it wants
 	}
 
 	// Move takes Count instances from one pool to another.
@@ -48,11 +48,12 @@
 }
 
 // Plan returns the moves that bring the pools to their wanted sizes. Pools
-// that lack most come first; spare instances are taken before those of other
-// pools.
+// that lack most come first; spare instances are taken before those that other
+// pools have too many of. The spare pool gets only what has been too much for a
+// while.
 func Plan(pools []Pool) []Move {
 	var spare *Pool
-	lacks, extra := make(map[string]int), make(map[string]int)
+	lacks, extra, calm := make(map[string]int), make(map[string]int), make(map[string]bool)
 	for i, p := range pools {
 		if p.Spare {
 			spare = &pools[i]
@@ -61,8 +62,9 @@
 		switch n := Wanted(p) - p.Instances; {
 		case n > 0:
 			lacks[p.Name] = n
-		case n < 0 && p.Calm >= calmTime:
+		case n < 0:
 			extra[p.Name] = min(-n, p.Movable)
+			calm[p.Name] = p.Calm >= calmTime
 		}
 	}
 	if spare == nil {
@@ -70,7 +72,7 @@
 	}
 	moves, left := fill(lacks, spare, extra, maxPerRound)
 	for _, name := range sorted(extra) {
-		if n := min(extra[name], left); n > 0 {
+		if n := min(extra[name], left); n > 0 && calm[name] {
 			moves = append(moves, Move{name, spare.Name, n})
 			left -= n
 		}
