Defer jobs that cannot be in time together, and start without a slow store

At twice the load that a pool holds, jobs were started in the order of their deadlines, each when it was almost late; and for the four seconds that the store was away no step of any job began although workers were free.

Change: assigner.Defer goes through the jobs as Moore and Hodgson's rule does and puts off those that are worth least for their work. A start waits for the store for 100 ms at most. A term records that it began and what it handed over; the successor of a term that did not hand over starts nothing that it inherited until each worker of the pool has told what it runs.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -103,6 +103,9 @@
 	for _, r := range report.Running {
 		present[r.Task] = r.Run
 		t := w.tasks[r.Task]
+		if t == nil {
+			t = e.adopt(w, r)
+		}
 		if t == nil || t.run != r.Run {
 			e.stopStray(w, r, now)
 			continue
@@ -122,6 +125,28 @@
 	}
 }
 
+// adopt takes over a run that a predecessor has started without storing it. It
+// returns nil when the task must not go on there.
+func (e *Engine) adopt(w *worker, r modeler.RunningTask) *task {
+	j := e.jobs[r.Task.Job]
+	if j == nil || j.state.IsFinal() {
+		return nil
+	}
+	t := j.find(r.Task)
+	if t == nil || t.phase != waiting || r.Run <= t.run {
+		return nil
+	}
+	e.log.Info("run adopted", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
+	t.run = r.Run
+	t.attach(w, adopted)
+	j.begun = true
+	if j.state == modeler.Queued {
+		j.state = modeler.Running
+	}
+	e.change(j)
+	return t
+}
+
 // confirm notes that a run is there.
 func (e *Engine) confirm(t *task, r modeler.RunningTask, now time.Time) {
 	if r.Checkpoint != "" {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -87,8 +87,10 @@
 		stale     bool // a placement pass is due
 		closing   bool
 		load      loadPublisher
+		means     map[string]meanWork // by queue
 		estate    estate
 		silence   silenceRecord
+		handover  handover
 		hurried   atomic.Bool // the workers\' list is wanted soon
 	}
 )
@@ -113,6 +115,7 @@
 		fleet:    make(map[string]*worker),
 		outcomes: make(map[string]modeler.State),
 		dirty:    make(map[*job]bool),
+		means:    make(map[string]meanWork),
 		began:    time.Now(),
 	}
 	e.estate.instances = make(map[string]*instance)
@@ -135,6 +138,7 @@
 	calls, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e.callCtx = calls
+	e.recordTerm(calls)
 	e.spawn(func() { e.followJobs(ctx, revision) })
 	e.spawn(func() { e.followWorkers(ctx, calls) })
 	if e.estate.api != nil {
@@ -179,6 +183,7 @@
 		e.nextPass = now.Add(passInterval)
 		e.place(now)
 	}
+	e.startStored(ctx, now)
 	e.flush(ctx, now)
 	next := e.nextTick
 	if e.stale && e.nextPass.Before(next) {
@@ -187,6 +192,11 @@
 	if len(e.dirty) > 0 && e.writing < maxWriting && e.nextFlush.Before(next) {
 		next = e.nextFlush
 	}
+	if len(e.toStart) > 0 {
+		if due := e.toStart[0].since.Add(storePatience); due.After(now) && due.Before(next) {
+			next = due
+		}
+	}
 	return max(0, next.Sub(now))
 }
 
@@ -205,6 +215,7 @@
 			e.flush(ctx, time.Now())
 		}
 	}
+	e.handOver(ctx)
 }
 
 // spawn runs fn beside the loop.
@@ -277,4 +288,8 @@
 	e.restoreWaves(byKind[strings.TrimSuffix(wavePrefix, "/")])
 	e.restoreSilence(byKind[silenceKey])
 	e.restorePlans(byKind[plansKey])
+	e.restoreHandover(byKind[termKey], byKind[handoverKey])
+	for _, j := range e.jobs {
+		j.inherited = true
+	}
 }
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -100,12 +100,12 @@
 		for i, j := range b.jobs {
 			e.stored(j, b.version[i], revision, b.final[i])
 		}
-		e.startStored(ctx)
+		e.startStored(ctx, time.Now())
 		e.confirmEnds()
 		return
 	case errors.Is(err, keeper.ErrConflict):
 		if e.checkTerm(records, err) {
-			e.adopt(b, records)
+			e.adoptRevisions(b, records)
 		}
 	default:
 		e.log.Warn("progress not stored", "jobs", len(b.jobs), "error", err)
@@ -148,9 +148,9 @@
 	return false
 }
 
-// adopt takes over the revisions that earlier transactions of this term, whose
+// adoptRevisions takes over the revisions that earlier transactions of this term, whose
 // answers were lost, have left.
-func (e *Engine) adopt(b *batch, records []keeper.Record) {
+func (e *Engine) adoptRevisions(b *batch, records []keeper.Record) {
 	found := make(map[string]int64, len(records))
 	for _, r := range records {
 		found[r.Key] = r.Revision
@@ -163,16 +163,16 @@
 	}
 }
 
-// startStored orders the placements that are stored.
-func (e *Engine) startStored(ctx context.Context) {
+// startStored orders the placements that are stored, or that have waited for
+// the store too long.
+func (e *Engine) startStored(ctx context.Context, now time.Time) {
 	kept := e.toStart[:0]
 	for _, t := range e.toStart {
 		j := t.step.occurrence.job
 		switch {
 		case t.phase != placed:
-		case j.stored < t.version:
+		case e.closing || !e.mayStart(t, now):
 			kept = append(kept, t)
-		case e.closing:
 		case j.state.IsFinal() || !t.worker.reached:
 			e.again(t)
 			e.changed()
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -62,6 +62,7 @@
 	}
 	e.jobs[id] = j
 	e.log.Info("job known", "job", id, "queue", j.Queue, "customer", j.Customer, "revision", r.Revision, "state", j.state, "active", j.active)
+	e.countWork(j)
 	e.arrive(j, time.Now())
 	e.settleJob(j)
 	e.changed()
--- /dev/null
+++ b/orchestrator/handover.go
@@ -0,0 +1,119 @@
+package orchestrator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+const (
+	termKey     = fleetPrefix + "term"     // TermRecord of the last term that began
+	handoverKey = fleetPrefix + "handover" // TermRecord of the last term that stored all it knew
+
+	storePatience   = 100 * time.Millisecond // a write takes some ms; after this a start does not wait for it any more
+	handoverTimeout = 300 * time.Millisecond // for the last write of a term
+)
+
+type (
+	// TermRecord names a term by its token.
+	TermRecord struct {
+		Token int64 `json:"token"`
+	}
+
+	// handover is what a term knows of its predecessor and tells its successor.
+	//
+	// A leader may order a start that is not stored yet when the store is slow
+	// or away. It records its term before it ever does so. A successor of a term
+	// that has not handed over therefore starts nothing that the predecessor
+	// knew of until every worker of the pool has told what it runs, or has
+	// certainly nothing any more.
+	handover struct {
+		clean    bool // the predecessor stored all it knew
+		recorded bool // the successor can see that this term began
+	}
+)
+
+// restoreHandover takes in what earlier terms have recorded.
+func (e *Engine) restoreHandover(terms, handovers []keeper.Record) {
+	e.handover.clean = len(terms) == 0 || len(handovers) > 0 && readToken(terms[0]) == readToken(handovers[0])
+}
+
+// readToken returns the token of a record; one that cannot be read is like none
+// of another record.
+func readToken(r keeper.Record) int64 {
+	var t TermRecord
+	if err := json.Unmarshal(r.Value, &t); err != nil {
+		return -r.Revision
+	}
+	return t.Token
+}
+
+// recordTerm tells successors that the term has begun.
+func (e *Engine) recordTerm(ctx context.Context) {
+	txn := keeper.Txn{
+		Expect: []keeper.Expectation{e.condition()},
+		Put:    []keeper.Put{{Key: termKey, Value: encode(TermRecord{e.term.Token})}},
+	}
+	e.spawn(func() {
+		_, _, err := e.store.Commit(ctx, txn)
+		e.post(ctx, func() {
+			e.handover.recorded = err == nil
+			if err != nil {
+				e.log.Warn("term not recorded, starts wait for the store", "error", err)
+			}
+		})
+	})
+}
+
+// handOver tells the successor that all is stored.
+func (e *Engine) handOver(ctx context.Context) {
+	if len(e.dirty) > 0 || e.writing > 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
+	defer cancel()
+	_, _, err := e.store.Commit(ctx, keeper.Txn{
+		Expect: []keeper.Expectation{e.condition()},
+		Put:    []keeper.Put{{Key: handoverKey, Value: encode(TermRecord{e.term.Token})}},
+	})
+	e.log.Info("term handed over", "error", err)
+}
+
+// mayStart says whether a placement may be ordered: it is stored, or the store
+// has taken too long.
+func (e *Engine) mayStart(t *task, now time.Time) bool {
+	if t.step.occurrence.job.stored >= t.version {
+		return true
+	}
+	return e.handover.recorded && now.Sub(t.since) >= storePatience && e.term.MayExtend()
+}
+
+// isGuarded says whether the tasks of a pool that the predecessor knew of may
+// run on a worker that has not told yet.
+func (e *Engine) isGuarded(pool string, now time.Time) bool {
+	if e.handover.clean {
+		return false
+	}
+	for _, w := range e.fleet {
+		if _, silent := e.silence.known[w.ID]; w.known || silent || !now.Before(e.lapse(w)) {
+			continue
+		}
+		if w.Pool == pool && w.listed || w.Pool == "" && w.holdsOf(pool, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// holdsOf says whether a worker that is not listed has tasks of a pool.
+func (w *worker) holdsOf(pool string, e *Engine) bool {
+	m := e.cfg.Manifest()
+	for _, t := range w.tasks {
+		if q := m.Queue(t.step.occurrence.job.Queue); q != nil && q.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -34,6 +34,7 @@
 		revision    int64  // of its progress record, 0 while there is none
 		active      int    // tasks that have or may have a run
 		ended       bool   // the final record is stored
+		inherited   bool   // a predecessor knew of it
 	}
 
 	occurrence struct {
@@ -204,3 +205,28 @@
 	}
 	return left
 }
+
+// isBegun says whether a task of the occurrence is done or has a run.
+func (o *occurrence) isBegun() bool {
+	for _, s := range o.steps {
+		if s.waiting < s.Count {
+			return true
+		}
+	}
+	return false
+}
+
+// workLeft is the estimated work of all tasks that are not done, in
+// core-seconds.
+func (o *occurrence) workLeft() float64 {
+	work := 0.0
+	for _, s := range o.steps {
+		work += float64(s.Count-s.done) * s.work()
+	}
+	return work
+}
+
+// work is the estimated work of one task, in core-seconds.
+func (s *step) work() float64 {
+	return float64(s.Room().CPU) / coreUnit * s.Estimate.Seconds()
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -24,14 +25,15 @@
 	}
 
 	poolView struct {
-		workers  []*worker
-		views    []*assigner.Worker
-		full     []modeler.Resources // asks that found no worker, without further conditions
-		reserved int                 // workers closed for a task that waits for room
+		workers        []*worker
+		views          []*assigner.Worker
+		full           []modeler.Resources // asks that found no worker, without further conditions
+		reserved       int                 // workers closed for a task that waits for room
+		asked, guarded bool                // see pass.guarded
 	}
 
 	claim struct {
-		assigner.Claim
+		*assigner.Claim
 		step *step
 	}
 )
@@ -62,42 +64,70 @@
 // claims lists the steps with tasks that may start, the most urgent first.
 func (p *pass) claims() []claim {
 	var claims []claim
+	byPool := make(map[string][]*assigner.Claim)
 	for _, j := range p.e.jobs {
 		q := p.manifest.Queue(j.Queue)
 		if q == nil || j.state.IsFinal() {
 			continue
 		}
 		for _, o := range j.occurrences {
-			if p.now.Before(o.due.Add(-p.e.cfg.Early)) && j.Repeat > 0 {
+			if o.done == len(o.steps) || p.now.Before(o.due.Add(-p.e.cfg.Early)) && j.Repeat > 0 {
 				continue
 			}
-			claims = append(claims, o.claims(q, p.now)...)
+			c := p.claim(o, q)
+			byPool[q.Pool] = append(byPool[q.Pool], c)
+			for _, s := range o.steps {
+				if s.waiting > 0 && s.isReady() {
+					claims = append(claims, claim{c, s})
+				}
+			}
 		}
 	}
-	slices.SortFunc(claims, func(a, b claim) int { return assigner.Compare(&a.Claim, &b.Claim) })
+	for pool, list := range byPool {
+		assigner.Defer(list, p.cores(pool))
+	}
+	slices.SortStableFunc(claims, func(a, b claim) int {
+		return cmp.Or(assigner.Compare(a.Claim, b.Claim), cmp.Compare(a.step.number, b.step.number))
+	})
 	return claims
 }
 
-func (o *occurrence) claims(q *modeler.Queue, now time.Time) []claim {
-	var claims []claim
-	var chain time.Duration
-	for _, s := range o.steps {
-		if s.waiting == 0 || !s.isReady() {
+// claim describes an occurrence to the choice of the next one.
+func (p *pass) claim(o *occurrence, q *modeler.Queue) *assigner.Claim {
+	return &assigner.Claim{
+		ID:        o.job.ID,
+		Priority:  q.Priority,
+		Lasting:   o.job.LongRunning(),
+		Begun:     o.isBegun(),
+		Deadline:  o.due.Add(o.objective(q)).Sub(p.now),
+		Remaining: o.chain(p.now),
+		Work:      o.workLeft(),
+		Size:      p.e.relativeSize(o.job, q),
+		Accepted:  o.due,
+	}
+}
+
+// cores is what the pool has for tasks that end, with the instances that are on
+// their way to it.
+func (p *pass) cores(pool string) float64 {
+	cores := 0.0
+	for _, w := range p.e.fleet {
+		if w.Pool != pool || !w.isOpen(p.now) {
 			continue
 		}
-		if claims == nil {
-			chain = o.chain(now)
+		cores += float64(w.Capacity.CPU)
+		for _, t := range w.tasks {
+			if t.step.LongRunning {
+				cores -= float64(t.step.Room().CPU)
+			}
 		}
-		claims = append(claims, claim{step: s, Claim: assigner.Claim{
-			Priority:  q.Priority,
-			Lasting:   s.LongRunning,
-			Deadline:  o.due.Add(o.objective(q)).Sub(now),
-			Remaining: chain,
-			Accepted:  o.due,
-			ID:        o.job.ID,
-		}})
 	}
-	return claims
+	for _, i := range p.e.estate.instances {
+		if i.plan == movePlan && i.to == pool {
+			cores += float64(i.Capacity.CPU)
+		}
+	}
+	return cores / coreUnit
 }
 
 // objective is the time in which the occurrence should be done.
@@ -118,6 +148,9 @@
 	j := s.occurrence.job
 	q := p.manifest.Queue(j.Queue)
 	view := p.pool(q.Pool)
+	if j.inherited && p.guarded(q.Pool) {
+		return
+	}
 	if s.Gang && s.waiting < s.Count || q.Advice != nil && !p.e.advised(s, q, view.workers, p.now) {
 		return
 	}
@@ -148,6 +181,15 @@
 	}
 }
 
+// guarded is Engine.isGuarded, asked once in a pass.
+func (p *pass) guarded(pool string) bool {
+	v := p.pool(pool)
+	if !v.asked {
+		v.asked, v.guarded = true, p.e.isGuarded(pool, p.now)
+	}
+	return v.guarded
+}
+
 // admits says whether the task is within its customer's limit.
 func (p *pass) admits(t *task, j *job) bool {
 	c := p.manifest.Customer(j.Customer)
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -98,13 +98,36 @@
 	if q == nil {
 		return
 	}
+	h := e.history(q.Pool)
+	h.arrived = append(h.arrived, arrival{now, j.work()})
+}
+
+// work is the estimated work of one occurrence, in core-seconds.
+func (j *job) work() float64 {
 	work := 0.0
-	for i := range j.Steps {
-		s := &j.Steps[i]
-		work += float64(s.Count) * float64(s.Room().CPU) / coreUnit * s.Estimate.Seconds()
+	for _, s := range j.occurrences[0].steps {
+		work += float64(s.Count) * s.work()
 	}
-	h := e.history(q.Pool)
-	h.arrived = append(h.arrived, arrival{now, work})
+	return work
+}
+
+// relativeSize is the work of a job in units of the mean of its queue.
+func (e *Engine) relativeSize(j *job, q *modeler.Queue) float64 {
+	m := e.means[q.Name]
+	if m.count == 0 || m.sum == 0 {
+		return 1
+	}
+	return j.work() / (m.sum / m.count)
+}
+
+// meanWork averages the work of a queue's jobs over the term.
+type meanWork struct {
+	sum, count float64
+}
+
+func (e *Engine) countWork(j *job) {
+	m := e.means[j.Queue]
+	e.means[j.Queue] = meanWork{m.sum + j.work(), m.count + 1}
 }
 
 func (e *Engine) history(pool string) *poolHistory {
