Count what a successor finds running but cannot account for

A predecessor had started runs that were not stored; the successor told workers to stop some of them and used their room at once.

Change: a worker with runs that no task accounts for takes nothing new until they are gone; a run with a higher number than the stored one is taken over; restored orders empty the instance first. Instances whose tasks end within a move's time are given to pools that lack some.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -112,6 +112,11 @@
 		}
 		e.confirm(t, r, now)
 	}
+	for id := range w.strays {
+		if _, ok := present[id]; !ok {
+			delete(w.strays, id)
+		}
+	}
 	for id, t := range w.tasks {
 		if run, ok := present[id]; ok && run == t.run {
 			continue
@@ -133,9 +138,10 @@
 		return nil
 	}
 	t := j.find(r.Task)
-	if t == nil || t.phase != waiting || r.Run <= t.run {
+	if t == nil || t.phase != waiting && t.phase != adopted || r.Run <= t.run {
 		return nil
 	}
+	t.requeue() // from where an earlier run was
 	e.log.Info("run adopted", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
 	t.run = r.Run
 	t.attach(w, adopted)
--- a/orchestrator/plan.go
+++ b/orchestrator/plan.go
@@ -64,8 +64,7 @@
 	if order.Wave != 0 {
 		kind = upkeepPlan
 	}
-	e.begin(i, kind, now)
-	i.phase = recording
+	e.begin(i, kind, now) // tasks that have come meanwhile leave first
 }
 
 // storePlans writes the record when it has changed, and lets the orders follow
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -1,6 +1,9 @@
 package orchestrator
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -8,9 +11,11 @@
 )
 
 const (
-	coreUnit     = 1000.0          // thousandths of a core
-	noteInterval = time.Second     // a line for each pool
-	rateWindow   = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
+	coreUnit     = 1000.0                  // thousandths of a core
+	noteInterval = time.Second             // a line for each pool
+	soonTime     = 1500 * time.Millisecond // an instance with tasks is given to another pool if they end within this, about the time of a move
+	minTaskLeft  = 100 * time.Millisecond  // of a task that runs longer than estimated
+	rateWindow   = 1 * time.Second         // over which arriving work is averaged; shorter windows follow single jobs
 )
 
 type (
@@ -155,29 +160,57 @@
 
 // planMoves lets the pools follow their demand.
 func (e *Engine) planMoves(now time.Time) {
-	pools := e.poolSizes(now)
-	for _, move := range sizer.Plan(pools) {
-		n := move.Count
-		for _, i := range e.estate.instances {
-			if n == 0 {
-				break
-			}
-			if i.Pool == move.From && e.isMovable(i) {
-				i.to, i.wave = move.To, 0
-				e.begin(i, movePlan, now)
-				n--
-			}
+	for _, move := range sizer.Plan(e.poolSizes(now)) {
+		e.planMove(move, now)
+	}
+}
+
+// planMove chooses the instances of a move: those that run nothing first, then
+// those that are empty soonest.
+func (e *Engine) planMove(move sizer.Move, now time.Time) {
+	type candidate struct {
+		*instance
+		busy time.Duration
+	}
+	var candidates []candidate
+	for _, i := range e.estate.instances {
+		if i.Pool != move.From {
+			continue
 		}
+		if busy, ok := e.freeIn(i, now); ok {
+			candidates = append(candidates, candidate{i, busy})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.busy, b.busy), strings.Compare(a.Name, b.Name))
+	})
+	for _, c := range candidates[:min(move.Count, len(candidates))] {
+		c.to, c.wave = move.To, 0
+		e.begin(c.instance, movePlan, now)
 	}
 }
 
-// isMovable says whether an instance runs nothing and is planned for nothing.
-func (e *Engine) isMovable(i *instance) bool {
+// freeIn estimates how long an instance still has tasks. It reports false when
+// it cannot move within soonTime.
+func (e *Engine) freeIn(i *instance, now time.Time) (time.Duration, bool) {
 	if i.plan != noPlan || i.State != modeler.InstanceUp {
-		return false
+		return 0, false
 	}
 	w := e.workerOn(i)
-	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks)+len(w.promised) == 0
+	if w == nil {
+		return 0, e.isSpare(i.Pool)
+	}
+	if !w.known || w.Draining || len(w.promised) > 0 {
+		return 0, false
+	}
+	busy := time.Duration(0)
+	for _, t := range w.tasks {
+		if t.step.LongRunning || t.phase != running && t.phase != starting {
+			return 0, false
+		}
+		busy = max(busy, t.step.Estimate-now.Sub(t.since), minTaskLeft)
+	}
+	return busy, busy <= soonTime
 }
 
 // counts says whether an instance serves its pool, now or as soon as it has
@@ -216,8 +249,11 @@
 			p.Instances++
 		}
 		p.Cores = max(p.Cores, float64(i.Capacity.CPU)/coreUnit)
-		if i.plan == noPlan && e.isMovable(i) {
+		switch busy, ok := e.freeIn(i, now); {
+		case ok && busy == 0:
 			p.Movable++
+		case ok:
+			p.Soon++
 		}
 	}
 	for n := range pools {
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -82,9 +82,10 @@
 	return w.Capacity.Sub(w.used)
 }
 
-// isOpen says whether new tasks may be placed on the worker.
+// isOpen says whether new tasks may be placed on the worker. While it runs what
+// no task accounts for, the room that is left is not known.
 func (w *worker) isOpen(now time.Time) bool {
-	return w.listed && w.known && w.reached && !w.Draining && w.cordoned == "" && !now.Before(w.sound)
+	return w.listed && w.known && w.reached && !w.Draining && w.cordoned == "" && len(w.strays) == 0 && !now.Before(w.sound)
 }
 
 // suspect keeps new tasks away for a while.
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -24,6 +24,7 @@
 		Spare     bool
 		Instances int           // up, or on their way into the pool
 		Movable   int           // instances up that run nothing and are not planned for anything
+		Soon      int           // instances whose tasks end within the time of a move
 		Cores     float64       // of one instance
 		Lasting   float64       // cores of tasks that last
 		Asked     float64       // cores of the other tasks that run or could run at once
@@ -49,11 +50,11 @@
 
 // Plan returns the moves that bring the pools to their wanted sizes. Pools
 // that lack most come first; spare instances are taken before those that other
-// pools have too many of. The spare pool gets only what has been too much for a
-// while.
+// pools have too many of, also when these still have tasks that end soon. The
+// spare pool gets only what runs nothing and has been too much for a while.
 func Plan(pools []Pool) []Move {
 	var spare *Pool
-	lacks, extra, calm := make(map[string]int), make(map[string]int), make(map[string]bool)
+	lacks, extra, idle := make(map[string]int), make(map[string]int), make(map[string]int)
 	for i, p := range pools {
 		if p.Spare {
 			spare = &pools[i]
@@ -63,16 +64,18 @@
 		case n > 0:
 			lacks[p.Name] = n
 		case n < 0:
-			extra[p.Name] = min(-n, p.Movable)
-			calm[p.Name] = p.Calm >= calmTime
+			extra[p.Name] = min(-n, p.Movable+p.Soon)
+			if p.Calm >= calmTime {
+				idle[p.Name] = p.Movable
+			}
 		}
 	}
 	if spare == nil {
 		return nil
 	}
-	moves, left := fill(lacks, spare, extra, maxPerRound)
+	moves, left := fill(lacks, spare, extra, idle, maxPerRound)
 	for _, name := range sorted(extra) {
-		if n := min(extra[name], left); n > 0 && calm[name] {
+		if n := min(extra[name], idle[name], left); n > 0 {
 			moves = append(moves, Move{name, spare.Name, n})
 			left -= n
 		}
@@ -80,8 +83,9 @@
 	return moves
 }
 
-// fill gives instances to the pools that lack some, at most limit of them.
-func fill(lacks map[string]int, spare *Pool, extra map[string]int, limit int) ([]Move, int) {
+// fill gives instances to the pools that lack some, at most limit of them. It
+// takes what it gives from extra and idle.
+func fill(lacks map[string]int, spare *Pool, extra, idle map[string]int, limit int) ([]Move, int) {
 	var moves []Move
 	free := spare.Movable
 	for _, name := range sorted(lacks) {
@@ -96,6 +100,7 @@
 				moves = append(moves, Move{from, name, n})
 				lacks[name] -= n
 				extra[from] -= n
+				idle[from] -= n
 				limit -= n
 			}
 		}
