Defer jobs only when no instances can come, and calibrate estimates

Change: the cores that Defer reckons with include instances that run nothing elsewhere; arriving work is scaled by how long the queue's runs took against their estimates.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -41,6 +41,9 @@
 		e.log.Error("end of a run on another worker", "task", ended.Task.String(), "run", ended.Run, "worker", w.ID, "placed", t.worker.ID)
 	}
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.How, "took", since(t))
+	if ended.How == modeler.EndDone && t.phase == running && !t.since.IsZero() {
+		e.noteDuration(t, time.Since(t.since))
+	}
 	t.run = max(t.run, ended.Run)
 	if ended.Checkpoint != "" {
 		t.checkpoint = ended.Checkpoint
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -87,7 +87,8 @@
 		stale     bool // a placement pass is due
 		closing   bool
 		load      loadPublisher
-		means     map[string]meanWork // by queue
+		means     map[string]meanWork  // by queue
+		durations map[string]durations // by queue
 		estate    estate
 		silence   silenceRecord
 		handover  handover
@@ -110,13 +111,14 @@
 func New(cfg Config, store Store, workers Workers, dir Directory, term *elector.Term, opts ...Option) *Engine {
 	e := &Engine{
 		cfg: cfg, store: store, workers: workers, dir: dir, term: term, log: slog.New(slog.DiscardHandler),
-		events:   supervisor.NewRing[func()](eventRing),
-		jobs:     make(map[string]*job),
-		fleet:    make(map[string]*worker),
-		outcomes: make(map[string]modeler.State),
-		dirty:    make(map[*job]bool),
-		means:    make(map[string]meanWork),
-		began:    time.Now(),
+		events:    supervisor.NewRing[func()](eventRing),
+		jobs:      make(map[string]*job),
+		fleet:     make(map[string]*worker),
+		outcomes:  make(map[string]modeler.State),
+		dirty:     make(map[*job]bool),
+		means:     make(map[string]meanWork),
+		durations: make(map[string]durations),
+		began:     time.Now(),
 	}
 	e.estate.instances = make(map[string]*instance)
 	e.estate.waves = make(map[int64]*wave)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -107,8 +107,8 @@
 	}
 }
 
-// cores is what the pool has for tasks that end, with the instances that are on
-// their way to it.
+// cores is what the pool has or can get soon for tasks that end: its own
+// workers, instances on their way to it, and those that could move to it.
 func (p *pass) cores(pool string) float64 {
 	cores := 0.0
 	for _, w := range p.e.fleet {
@@ -123,7 +123,7 @@
 		}
 	}
 	for _, i := range p.e.estate.instances {
-		if i.plan == movePlan && i.to == pool {
+		if i.plan == movePlan && i.to == pool || i.Pool != pool && p.e.isMovable(i) {
 			cores += float64(i.Capacity.CPU)
 		}
 	}
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -1,9 +1,6 @@
 package orchestrator
 
 import (
-	"cmp"
-	"slices"
-	"strings"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -11,11 +8,11 @@
 )
 
 const (
-	coreUnit     = 1000.0                  // thousandths of a core
-	noteInterval = time.Second             // a line for each pool
-	soonTime     = 1500 * time.Millisecond // an instance with tasks is given to another pool if they end within this, about the time of a move
-	minTaskLeft  = 100 * time.Millisecond  // of a task that runs longer than estimated
-	rateWindow   = 1 * time.Second         // over which arriving work is averaged; shorter windows follow single jobs
+	coreUnit       = 1000.0          // thousandths of a core
+	noteInterval   = time.Second     // a line for each pool
+	priorSeconds   = 10.0            // weight of the assumption that estimates are right
+	maxCalibration = 3.0             // estimates that are further off are not believed to be so for all tasks
+	rateWindow     = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
 )
 
 type (
@@ -104,7 +101,7 @@
 		return
 	}
 	h := e.history(q.Pool)
-	h.arrived = append(h.arrived, arrival{now, j.work()})
+	h.arrived = append(h.arrived, arrival{now, j.work() * e.calibration(j.Queue)})
 }
 
 // work is the estimated work of one occurrence, in core-seconds.
@@ -116,6 +113,27 @@
 	return work
 }
 
+// noteDuration compares a task's run with its estimate.
+func (e *Engine) noteDuration(t *task, ran time.Duration) {
+	queue := t.step.occurrence.job.Queue
+	d := e.durations[queue]
+	if t.step.Estimate <= 0 {
+		return
+	}
+	e.durations[queue] = durations{d.ran + ran.Seconds(), d.estimated + t.step.Estimate.Seconds()}
+}
+
+// durations sums up the runs of a queue and their estimates, in seconds.
+type durations struct {
+	ran, estimated float64
+}
+
+// calibration is the factor from estimated to real durations of a queue.
+func (e *Engine) calibration(queue string) float64 {
+	d := e.durations[queue]
+	return min(maxCalibration, max(1/maxCalibration, (d.ran+priorSeconds)/(d.estimated+priorSeconds)))
+}
+
 // relativeSize is the work of a job in units of the mean of its queue.
 func (e *Engine) relativeSize(j *job, q *modeler.Queue) float64 {
 	m := e.means[q.Name]
@@ -165,52 +183,28 @@
 	}
 }
 
-// planMove chooses the instances of a move: those that run nothing first, then
-// those that are empty soonest.
+// planMove chooses the instances of a move.
 func (e *Engine) planMove(move sizer.Move, now time.Time) {
-	type candidate struct {
-		*instance
-		busy time.Duration
-	}
-	var candidates []candidate
+	n := move.Count
 	for _, i := range e.estate.instances {
-		if i.Pool != move.From {
-			continue
+		if n == 0 {
+			return
 		}
-		if busy, ok := e.freeIn(i, now); ok {
-			candidates = append(candidates, candidate{i, busy})
+		if i.Pool == move.From && e.isMovable(i) {
+			i.to, i.wave = move.To, 0
+			e.begin(i, movePlan, now)
+			n--
 		}
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.busy, b.busy), strings.Compare(a.Name, b.Name))
-	})
-	for _, c := range candidates[:min(move.Count, len(candidates))] {
-		c.to, c.wave = move.To, 0
-		e.begin(c.instance, movePlan, now)
-	}
 }
 
-// freeIn estimates how long an instance still has tasks. It reports false when
-// it cannot move within soonTime.
-func (e *Engine) freeIn(i *instance, now time.Time) (time.Duration, bool) {
+// isMovable says whether an instance runs nothing and is planned for nothing.
+func (e *Engine) isMovable(i *instance) bool {
 	if i.plan != noPlan || i.State != modeler.InstanceUp {
-		return 0, false
+		return false
 	}
 	w := e.workerOn(i)
-	if w == nil {
-		return 0, e.isSpare(i.Pool)
-	}
-	if !w.known || w.Draining || len(w.promised) > 0 {
-		return 0, false
-	}
-	busy := time.Duration(0)
-	for _, t := range w.tasks {
-		if t.step.LongRunning || t.phase != running && t.phase != starting {
-			return 0, false
-		}
-		busy = max(busy, t.step.Estimate-now.Sub(t.since), minTaskLeft)
-	}
-	return busy, busy <= soonTime
+	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks)+len(w.promised) == 0
 }
 
 // counts says whether an instance serves its pool, now or as soon as it has
@@ -249,11 +243,8 @@
 			p.Instances++
 		}
 		p.Cores = max(p.Cores, float64(i.Capacity.CPU)/coreUnit)
-		switch busy, ok := e.freeIn(i, now); {
-		case ok && busy == 0:
+		if e.isMovable(i) {
 			p.Movable++
-		case ok:
-			p.Soon++
 		}
 	}
 	for n := range pools {
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -24,7 +24,6 @@
 		Spare     bool
 		Instances int           // up, or on their way into the pool
 		Movable   int           // instances up that run nothing and are not planned for anything
-		Soon      int           // instances whose tasks end within the time of a move
 		Cores     float64       // of one instance
 		Lasting   float64       // cores of tasks that last
 		Asked     float64       // cores of the other tasks that run or could run at once
@@ -50,8 +49,8 @@
 
 // Plan returns the moves that bring the pools to their wanted sizes. Pools
 // that lack most come first; spare instances are taken before those that other
-// pools have too many of, also when these still have tasks that end soon. The
-// spare pool gets only what runs nothing and has been too much for a while.
+// pools have too many of. The spare pool gets only what has been too much for a
+// while.
 func Plan(pools []Pool) []Move {
 	var spare *Pool
 	lacks, extra, idle := make(map[string]int), make(map[string]int), make(map[string]int)
@@ -64,7 +63,7 @@
 		case n > 0:
 			lacks[p.Name] = n
 		case n < 0:
-			extra[p.Name] = min(-n, p.Movable+p.Soon)
+			extra[p.Name] = min(-n, p.Movable)
 			if p.Calm >= calmTime {
 				idle[p.Name] = p.Movable
 			}
