--- a/acceptor/answer.go
+++ b/acceptor/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 )
 
@@ -52,5 +53,9 @@
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error())
 	}
+	meter.Call(r.Method, out.status, took)
+	if err != nil {
+		meter.Refusal(string(classifier.As(err).Code))
+	}
 	a.log.Info("call answered", attrs...)
 }
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
@@ -32,6 +33,7 @@
 	})
 	switch {
 	case err == nil, errors.Is(err, keeper.ErrConflict):
+		meter.Accepted(r.queue.Name)
 		return answer{status: http.StatusOK}, nil
 	case errors.Is(err, keeper.ErrUnavailable):
 		return answer{}, storeFailure(err)
--- a/commander/run/run.go
+++ b/commander/run/run.go
@@ -14,6 +14,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander"
 	"github.com/coltsfootlever/coltsfootlever/launcher"
 	"github.com/coltsfootlever/coltsfootlever/logger"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 )
 
@@ -53,6 +54,7 @@
 	}
 	log, writer := logger.New(opts.factory.Out, opts.LogLevel)
 	defer writer.Close(logFlushTime)
+	meter.DroppedLines(writer.Dropped)
 	entry, err := launcher.New(path, launcher.WithLog(log))
 	if err != nil {
 		return errors.Annotate(err, "entry not started")
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
@@ -112,6 +113,7 @@
 			return
 		}
 		b.manifest.Store(m)
+		meter.Manifest(m.Version)
 		b.log.Info("manifest in force", "version", m.Version, "revision", r.Revision, "queues", len(m.Queues), "customers", len(m.Customers))
 	case platform.IsWave(r.Key):
 		v, err := platform.ParseWave(r)
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -14,6 +14,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/acceptor"
 	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/requester"
@@ -94,6 +95,10 @@
 	store := platform.NewStore(func() string { return l.settings.Load().StoreAddress }, requester.NewClient(&l.board.store))
 
 	kernel := supervisor.New(l.log)
+	counters, err := l.metrics(ctx, s)
+	if err != nil {
+		return err
+	}
 	front, err := l.callers(ctx, s, store)
 	if err != nil {
 		return err
@@ -106,6 +111,7 @@
 		name string
 		run  func(ctx context.Context) error
 	}{
+		{"metrics", counters},
 		{"readiness", readiness},
 		{"settings", l.watchSettings},
 		{"manifest", l.board.followOperator(store)},
@@ -166,6 +172,23 @@
 	}, nil
 }
 
+// metrics returns the service that shows counters and latencies.
+func (l *Launcher) metrics(ctx context.Context, s *platform.Settings) (func(ctx context.Context) error, error) {
+	if s.Metrics == "" {
+		return func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, nil
+	}
+	listener, err := platform.Listen(ctx, s.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET "+meter.Path, meter.Handler())
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout}
+	return func(ctx context.Context) error {
+		return serve(ctx, server, listener, 0)
+	}, nil
+}
+
 // readiness returns the service that tells the balancer whether to send
 // callers here.
 func (l *Launcher) readiness(ctx context.Context, s *platform.Settings) (func(ctx context.Context) error, error) {
--- /dev/null
+++ b/meter/doc.go
@@ -0,0 +1,3 @@
+// Package meter counts what an entry does and how long it takes, in the
+// Prometheus text format.
+package meter
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -95,6 +96,7 @@
 func (e *Engine) looked(w *worker, sent time.Time, report modeler.Report, err error) {
 	now := time.Now()
 	w.looking = false
+	meter.Look(orderOutcome(err), now.Sub(sent))
 	switch {
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("superseded", "worker", w.ID)
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -44,6 +45,7 @@
 	if ended.How == modeler.EndDone && t.phase == running && !t.since.IsZero() {
 		e.noteDuration(t, time.Since(t.since))
 	}
+	meter.RunEnded(string(ended.How))
 	t.run = max(t.run, ended.Run)
 	if ended.Checkpoint != "" {
 		t.checkpoint = ended.Checkpoint
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -132,6 +133,8 @@
 // Run leads until ctx ends. Orders under way are waited for a little, so that
 // the successor finds few in doubt.
 func (e *Engine) Run(ctx context.Context) {
+	meter.Leading(e.term.Token)
+	defer meter.Leading(0)
 	revision, err := e.takeOver(ctx)
 	if err != nil {
 		e.log.Warn("term ends before the jobs were read", "error", err)
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -59,6 +60,14 @@
 		return
 	}
 	pending := e.pending()
+	for queue, n := range pending {
+		meter.Waiting(queue, n)
+	}
+	for queue := range l.last {
+		if _, ok := pending[queue]; !ok {
+			meter.Waiting(queue, 0)
+		}
+	}
 	if since < loadRepeat && maps.Equal(pending, l.last) {
 		return
 	}
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -8,6 +8,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 )
 
 const (
@@ -42,12 +43,27 @@
 		e.nextFlush = now.Add(storeInterval)
 		e.writing++
 		e.spawn(func() {
+			began := time.Now()
 			revision, records, err := e.store.Commit(ctx, b.txn)
+			meter.Commit(outcomeOf(err), time.Since(began))
 			e.post(ctx, func() { e.committed(ctx, b, revision, records, err) })
 		})
 	}
 }
 
+// outcomeOf names the outcome of a call to the store.
+func outcomeOf(err error) meter.Outcome {
+	switch {
+	case err == nil:
+		return meter.OK
+	case errors.Is(err, keeper.ErrConflict):
+		return meter.Conflict
+	case errors.Is(err, keeper.ErrUnavailable):
+		return meter.Unavailable
+	}
+	return meter.Unknown
+}
+
 // condition lets a transaction fail once the term is over.
 func (e *Engine) condition() keeper.Expectation {
 	return keeper.Expectation{Key: elector.Key, Revision: e.term.Token}
@@ -129,6 +145,7 @@
 	j.ended = true
 	delete(e.jobs, j.ID)
 	e.outcomes[j.ID] = j.state
+	meter.Ended(j.Queue, string(j.state), time.Since(j.Accepted))
 	e.log.Info("job ended", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "outcome", j.state, "reason", j.reason, "took", time.Since(j.Accepted).Round(time.Millisecond).String())
 }
 
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -6,6 +6,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/requester"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
@@ -43,6 +44,7 @@
 		return // the worker's list was faster, or the worker is lost
 	}
 	now := time.Now()
+	meter.Start(orderOutcome(err), now.Sub(t.since))
 	switch {
 	case err == nil:
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock)
@@ -65,6 +67,17 @@
 	}
 }
 
+// orderOutcome names the outcome of a call to a worker.
+func orderOutcome(err error) meter.Outcome {
+	switch {
+	case err == nil:
+		return meter.OK
+	case hasNotRun(err):
+		return meter.Refused
+	}
+	return meter.Unknown
+}
+
 // hasNotRun says whether a failed order has certainly not been carried out.
 func hasNotRun(err error) bool {
 	var lost *requester.Error
