Slow filling tasks beside serving ones, and test work without the store

The tests also play a gang, a store that is away while steps follow each other, and a successor that does not reach a run which was never stored.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -17,11 +17,14 @@
 	// TaskFleet stands in for workers that run tasks under leases and fencing
 	// tokens. It notes in Violations what must never happen.
 	TaskFleet struct {
-		mu         sync.Mutex
-		workers    map[string]*taskWorker
-		done       map[modeler.TaskID]bool // a worker has listed the end and was told that it is noted
-		Work       func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
-		Late       func(id modeler.TaskID, run int) time.Duration // a start is carried out so much later, unanswered
+		mu      sync.Mutex
+		workers map[string]*taskWorker
+		done    map[modeler.TaskID]bool // a worker has listed the end and was told that it is noted
+		Work    func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
+		Late    func(id modeler.TaskID, run int) time.Duration // a start is carried out so much later, unanswered
+		// Load is what a running task reports as its load, given the paces of all
+		// tasks on its worker. Nil reports zero.
+		Load       func(id modeler.TaskID, pace map[modeler.TaskID]int) int
 		violations []string
 		starts     map[modeler.TaskID]int
 		ends       map[modeler.TaskID]int // ends done
@@ -45,6 +48,7 @@
 		need   modeler.Resources
 		stop   func()
 		began  time.Time
+		pace   int // percent
 	}
 )
 
@@ -54,6 +58,7 @@
 const (
 	silentTime   = 300 * time.Millisecond // until a call without an answer is given up
 	stopTime     = 100 * time.Millisecond
+	fullPace     = 100                    // percent
 	startupTime  = 500 * time.Millisecond // of a lasting task
 	clockStartMs = 1_000_000              // a worker's clock does not begin at zero
 )
@@ -234,7 +239,7 @@
 	f.check(w, o)
 	f.starts[o.Task]++
 	work, how := f.Work(o.Task, o.Run)
-	r := &taskRun{number: o.Run, began: time.Now(), stop: func() {}}
+	r := &taskRun{number: o.Run, began: time.Now(), stop: func() {}, pace: fullPace}
 	w.runs[o.Task] = r
 	if work >= 0 {
 		timer := time.AfterFunc(work, func() { f.end(w, o.Task, r, how) })
@@ -319,9 +324,32 @@
 }
 
 // Pace implements orders to workers.
-func (f *TaskFleet) Pace(ctx context.Context, info modeler.Worker, _ modeler.TaskID, _, _ int, _ int64) error {
-	_, err := f.reach(ctx, info.ID)
-	return err
+func (f *TaskFleet) Pace(ctx context.Context, info modeler.Worker, task modeler.TaskID, run, percent int, token int64) error {
+	w, err := f.reach(ctx, info.ID)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !w.raise(token) {
+		return modeler.ErrFenced
+	}
+	if r := w.runs[task]; r != nil && r.number == run {
+		r.pace = percent
+	}
+	return nil
+}
+
+// Pacing is the pace of a running task, 0 when it does not run.
+func (f *TaskFleet) Pacing(task modeler.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		if r := w.runs[task]; r != nil {
+			return r.pace
+		}
+	}
+	return 0
 }
 
 // Hold implements orders to workers.
@@ -356,7 +384,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return w.report(), nil
+	return f.report(w), nil
 }
 
 func (f *TaskFleet) hold(w *taskWorker, deadline, token, seen int64) error {
@@ -378,14 +406,22 @@
 	return nil
 }
 
-func (w *taskWorker) report() modeler.Report {
+func (f *TaskFleet) report(w *taskWorker) modeler.Report {
+	paces := make(map[modeler.TaskID]int, len(w.runs))
+	for id, run := range w.runs {
+		paces[id] = run.pace
+	}
 	r := modeler.Report{Born: w.Born, Clock: w.clock(), Ended: append([]modeler.EndedTask(nil), w.ended...)}
 	for id, run := range w.runs {
 		percent := 0
 		if time.Since(run.began) > startupTime {
 			percent = 100
 		}
-		r.Running = append(r.Running, modeler.RunningTask{Task: id, Run: run.number, Percent: percent})
+		load := 0
+		if f.Load != nil {
+			load = f.Load(id, paces)
+		}
+		r.Running = append(r.Running, modeler.RunningTask{Task: id, Run: run.number, Percent: percent, Load: load})
 	}
 	return r
 }
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -120,6 +120,7 @@
 	w.clock = clock{now, report.Clock}
 	e.noteEnds(w, report.Ended)
 	e.compare(w, sent, report, first)
+	e.paceWorker(w, now)
 	if w.confirmed() {
 		return // the next look confirms the ends once they are stored
 	}
@@ -131,10 +132,15 @@
 	if len(w.tasks) > 0 {
 		wait = busyWait
 	}
+	serves, fills := false, false
 	for _, t := range w.tasks {
 		if t.step.LongRunning && !t.atWork {
 			wait = startWait
 		}
+		serves, fills = serves || t.step.Target > 0, fills || t.step.Fills
+	}
+	if serves && fills {
+		wait = startWait
 	}
 	e.look(w, now, wait)
 }
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -284,3 +284,103 @@
 		e.stop()
 	})
 }
+
+// A filling task must not keep a serving one over its target.
+func TestFillingTaskIsSlowedBesideServingOne(t *testing.T) {
+	run(t, 1, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.fleet.Load = func(id modeler.TaskID, pace map[modeler.TaskID]int) int {
+			if id.Job != "serving" {
+				return 0
+			}
+			return 40 + pace[taskOf("filling", 0, 0)]
+		}
+		e := s.start("one")
+		serving := lastingJob("serving", 1)
+		serving.Steps[0].Target = 80 * time.Millisecond
+		s.submit(serving)
+		time.Sleep(2 * time.Second)
+		filling := lastingJob("filling", 1)
+		filling.Steps[0].Fills = true
+		s.submit(filling)
+		over := 0
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if s.fleet.Pacing(taskOf("filling", 0, 0)) > 40 {
+				over++
+			} else {
+				over = 0
+			}
+			require.Less(t, over, 30)
+		}
+		require.Equal(t, 1, s.fleet.Running("filling"))
+		e.stop()
+	})
+}
+
+func TestGangStartsTogetherOrNotAtAll(t *testing.T) {
+	run(t, 2, func(s *site) {
+		e := s.start("one")
+		s.submit(shortJob("j1", modeler.Step{Count: 6, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(100 * time.Millisecond)
+		s.submit(shortJob("gang", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}, Gang: true}))
+		time.Sleep(700 * time.Millisecond)
+		require.Zero(t, s.fleet.Running("gang"))
+		time.Sleep(700 * time.Millisecond)
+		require.Equal(t, 4, s.fleet.Running("gang"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("gang"))
+		e.stop()
+	})
+}
+
+// While the store is away the work of accepted jobs goes on, and its end is
+// noted once the store is back.
+func TestWorkGoesOnWithoutTheStore(t *testing.T) {
+	run(t, 2, func(s *site) {
+		e := s.start("one")
+		time.Sleep(time.Second)
+		need := modeler.Resources{CPU: 1000}
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: need}, modeler.Step{Count: 2, Need: need, After: []int{0}}))
+		time.Sleep(500 * time.Millisecond)
+		s.store.Do(func(f *emulator.StoreFaults) { f.Down = true })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 1, 0)))
+		s.store.Do(func(f *emulator.StoreFaults) { f.Down = false })
+		time.Sleep(4 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		e.stop()
+	})
+}
+
+// A leader whose writes get no answer starts what is not stored. Its successor,
+// which does not reach the worker, must not start the same.
+func TestSuccessorWaitsForRunsThatWereNotStored(t *testing.T) {
+	run(t, 3, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		first := s.start("one")
+		time.Sleep(time.Second)
+		s.store.Do(func(f *emulator.StoreFaults) {
+			f.Lost = func(txn keeper.Txn) (bool, time.Duration) {
+				return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+			}
+		})
+		s.submit(lastingJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 1, s.fleet.Running("j1"), "the first leader does not wait for the store")
+		for _, name := range []string{"a", "b", "c"} {
+			if w := s.instances.Worker(name); s.fleet.On(w) > 0 {
+				s.fleet.Silence(w, true)
+			}
+		}
+		s.store.Do(func(f *emulator.StoreFaults) { f.Lost = nil })
+		first.kill()
+		second := s.start("two")
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, s.fleet.Starts(taskOf("j1", 0, 0)))
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 1, s.fleet.Running("j1"))
+		require.Equal(t, 2, s.fleet.Starts(taskOf("j1", 0, 0)))
+		second.stop()
+	})
+}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -73,7 +73,7 @@
 func (e *Engine) workerOf(id string) *worker {
 	w := e.fleet[id]
 	if w == nil {
-		w = &worker{Worker: modeler.Worker{ID: id}, tasks: make(map[modeler.TaskID]*task), strays: make(map[modeler.TaskID]time.Time)}
+		w = &worker{Worker: modeler.Worker{ID: id}, pace: fullPace, tasks: make(map[modeler.TaskID]*task), strays: make(map[modeler.TaskID]time.Time)}
 		e.fleet[id] = w
 	}
 	return w
--- /dev/null
+++ b/orchestrator/pace.go
@@ -0,0 +1,59 @@
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/pacer"
+)
+
+// paceWorker lets the tasks that fill leave enough to those that serve.
+func (e *Engine) paceWorker(w *worker, now time.Time) {
+	var filling []*task
+	view := pacer.Worker{Pace: w.pace, Since: now.Sub(w.paced)}
+	for _, t := range w.tasks {
+		switch {
+		case t.step.Fills && t.phase == running:
+			filling = append(filling, t)
+		case t.step.Target > 0 && t.phase == running:
+			view.Serving = append(view.Serving, pacer.Serving{Tail: time.Duration(t.load) * time.Millisecond, Target: t.step.Target})
+		}
+	}
+	if len(filling) == 0 {
+		w.pace = fullPace
+		return
+	}
+	if pace := pacer.Next(view); pace != w.pace {
+		e.log.Info("pace changes", "worker", w.ID, "from", w.pace, "to", pace, "filling", len(filling), "serving", len(view.Serving))
+		w.pace, w.paced = pace, now
+	}
+	for _, t := range filling {
+		if t.pace != w.pace {
+			e.sendPace(w, t, w.pace)
+		}
+	}
+}
+
+// sendPace orders the pace of one task. A pace that did not arrive is ordered
+// again at the next look.
+func (e *Engine) sendPace(w *worker, t *task, percent int) {
+	info, id, run, token := w.Worker, t.id, t.run, e.term.Token
+	t.pace = percent
+	e.order(w, func(ctx context.Context) {
+		err := e.workers.Pace(ctx, info, id, run, percent, token)
+		if err == nil {
+			return
+		}
+		e.post(ctx, func() {
+			if errors.Is(err, modeler.ErrFenced) {
+				e.term.Depose()
+			}
+			if t.run == run && t.pace == percent {
+				t.pace = unknownPace
+			}
+		})
+	})
+}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -14,6 +14,7 @@
 	orderLanes    = 2                      // connections for orders to one worker, so that one lost answer delays few
 	orderRing     = 512                    // above the tasks that one worker holds
 	fullPace      = 100                    // percent
+	unknownPace   = -1                     // the order of a pace was not answered
 	suspicionTime = time.Second            // a worker that refused or was silent gets nothing new for this long
 )
 
@@ -36,6 +37,8 @@
 		failures int                          // looks in a row without an answer
 		cordoned string                       // why planned work keeps new tasks away, empty otherwise
 		promised []*task                      // tasks that room is kept for
+		pace     int                          // percent, of the tasks that fill
+		paced    time.Time                    // when it was changed
 		strays   map[modeler.TaskID]time.Time // runs without a task that are being stopped
 
 		orders *supervisor.Ring[func(ctx context.Context)]
