Count unstored failures, and look for tasks on every life of an instance

A successor dropped the failure of a run that another run had followed, when its predecessor could not store either (BUDGET). The list of instances may name an earlier worker; an instance was then taken for empty and maintained under the tasks of its present worker (AVAIL; both tests fail without the mends).

Change: failed runs are stored by number; all lives of an instance are looked at before an order; placements carry the worker's instance and birth.

--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -21,6 +21,7 @@
 		lives      int
 		maintained map[string]int
 		orders     map[string]int
+		stale      map[string]string
 		Late       func(holder, instance string) time.Duration // an order is carried out so much later, unanswered
 	}
 
@@ -41,7 +42,7 @@
 // NewYard returns a yard without instances. A move and an upkeep take the given
 // times.
 func NewYard(fleet *TaskFleet, move, upkeep time.Duration) *Yard {
-	return &Yard{fleet: fleet, move: move, upkeep: upkeep, instances: make(map[string]*yardInstance), maintained: make(map[string]int), orders: make(map[string]int)}
+	return &Yard{fleet: fleet, move: move, upkeep: upkeep, instances: make(map[string]*yardInstance), maintained: make(map[string]int), orders: make(map[string]int), stale: make(map[string]string)}
 }
 
 // For returns the access of a holder of the duty.
@@ -93,6 +94,13 @@
 	return y.orders[holder]
 }
 
+// Stale lets the list name another worker of an instance.
+func (y *Yard) Stale(name, worker string) {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	y.stale[name] = worker
+}
+
 // Worker is the worker of an instance.
 func (y *Yard) Worker(name string) string {
 	y.mu.Lock()
@@ -118,7 +126,11 @@
 	defer c.mu.Unlock()
 	var list []modeler.Instance
 	for _, i := range c.instances {
-		list = append(list, i.Instance)
+		info := i.Instance
+		if stale, ok := c.stale[info.Name]; ok {
+			info.Worker = stale
+		}
+		list = append(list, info)
 	}
 	return list, ctx.Err()
 }
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/meter"
@@ -35,7 +36,12 @@
 		return noted
 	}
 	t := j.find(ended.Task)
-	if t == nil || t.phase == done || ended.Run < t.run {
+	if t == nil || t.phase == done {
+		return noted
+	}
+	if ended.Run < t.run && t.hasRun() {
+		e.noteOldEnd(t, ended)
+		noted.job, noted.version = j, j.version
 		return noted
 	}
 	if t.worker != nil && t.worker != w {
@@ -50,7 +56,7 @@
 	if ended.Checkpoint != "" {
 		t.checkpoint = ended.Checkpoint
 	}
-	e.applyEnd(t, ended.How)
+	e.applyEnd(t, ended)
 	noted.job, noted.version = j, j.version
 	return noted
 }
@@ -62,8 +68,8 @@
 	return time.Since(t.since).Round(time.Millisecond).String()
 }
 
-func (e *Engine) applyEnd(t *task, how modeler.EndKind) {
-	j := t.step.occurrence.job
+func (e *Engine) applyEnd(t *task, ended modeler.EndedTask) {
+	j, how := t.step.occurrence.job, ended.How
 	e.change(j)
 	switch {
 	case how == modeler.EndDone && !t.step.LongRunning && t.step.Gang:
@@ -73,20 +79,38 @@
 	case how == modeler.EndDone && !t.step.LongRunning:
 		t.finish()
 	case how == modeler.EndFailed && !t.step.LongRunning:
-		t.failed++
 		t.requeue()
-		e.checkAttempts(t)
+		e.countFailure(t, ended.Run)
 	default:
 		t.requeue()
 	}
 	e.settleJob(j)
 }
 
+// noteOldEnd takes in the end of a run that another has followed already, as a
+// successor finds it when its predecessor could not store it.
+func (e *Engine) noteOldEnd(t *task, ended modeler.EndedTask) {
+	e.log.Info("earlier run ended", "task", t.id.String(), "run", ended.Run, "how", ended.How, "present", t.run)
+	if ended.How == modeler.EndFailed && !t.step.LongRunning {
+		e.countFailure(t, ended.Run)
+	}
+}
+
+// countFailure notes a failed run, each only once.
+func (e *Engine) countFailure(t *task, run int) {
+	if slices.Contains(t.failed, run) {
+		return
+	}
+	t.failed = append(t.failed, run)
+	e.change(t.step.occurrence.job)
+	e.checkAttempts(t)
+}
+
 // checkAttempts fails the job of a task that has failed too often.
 func (e *Engine) checkAttempts(t *task) {
 	j := t.step.occurrence.job
 	q := e.cfg.Manifest().Queue(j.Queue)
-	if q == nil || t.failed < q.Attempts || j.state.IsFinal() {
+	if q == nil || len(t.failed) < q.Attempts || j.state.IsFinal() {
 		return
 	}
 	e.finish(j, modeler.Failed, "task "+t.id.Within()+" failed too often")
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -384,3 +384,30 @@
 		second.stop()
 	})
 }
+
+// Failed runs that a predecessor saw but could not store count as attempts, in
+// whatever order their ends are found.
+func TestSuccessorCountsFailuresThatWereNotStored(t *testing.T) {
+	run(t, 3, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) {
+			return 700 * time.Millisecond, modeler.EndFailed
+		}
+		first := s.start("one")
+		time.Sleep(time.Second)
+		s.store.Do(func(f *emulator.StoreFaults) {
+			f.Lost = func(txn keeper.Txn) (bool, time.Duration) {
+				return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+			}
+		})
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(1500 * time.Millisecond)
+		require.Equal(t, 2, s.fleet.Starts(taskOf("j1", 0, 0)))
+		s.store.Do(func(f *emulator.StoreFaults) { f.Lost = nil })
+		first.kill()
+		second := s.start("two")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, modeler.Failed, s.state("j1"))
+		require.Equal(t, 3, s.fleet.Starts(taskOf("j1", 0, 0)))
+		second.stop()
+	})
+}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -52,7 +52,7 @@
 		var p Progress
 		err := json.Unmarshal(progress.Value, &p)
 		if err == nil {
-			err = j.restore(p, e.workerOf)
+			err = j.restore(p, e.placedOn)
 		}
 		if err != nil {
 			e.log.Error("job record left alone", "job", id, "revision", progress.Revision, "error", err)
@@ -68,6 +68,15 @@
 	e.changed()
 }
 
+// placedOn returns the worker of a stored placement.
+func (e *Engine) placedOn(tp TaskProgress) *worker {
+	w := e.workerOf(tp.Worker)
+	if w.Instance == "" {
+		w.Instance, w.Born = tp.Instance, tp.Born
+	}
+	return w
+}
+
 // workerOf returns the worker with an id. One that is not listed is assumed to
 // run on until its leases are over.
 func (e *Engine) workerOf(id string) *worker {
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -62,6 +62,7 @@
 		api       Instances
 		instances map[string]*instance
 		waves     map[int64]*wave
+		workers   map[string][]*worker // by instance, as of the last round of planned work
 		plans     planStore
 		pools     map[string]*poolHistory
 		nextPlan  time.Time
@@ -154,6 +155,20 @@
 	return e.fleet[i.Worker]
 }
 
+// indexWorkers notes which workers are lives of which instance.
+func (e *Engine) indexWorkers() {
+	e.estate.workers = make(map[string][]*worker, len(e.fleet))
+	for _, w := range e.fleet {
+		e.estate.workers[w.Instance] = append(e.estate.workers[w.Instance], w)
+	}
+}
+
+// workersOn returns all workers that are known as lives of an instance. The list
+// of instances lags behind that of workers and may name an earlier one.
+func (e *Engine) workersOn(i *instance) []*worker {
+	return e.estate.workers[i.Name]
+}
+
 // cordon keeps new tasks away from the workers of planned instances.
 func (e *Engine) cordon() {
 	planned := make(map[string]string)
@@ -180,6 +195,7 @@
 		return
 	}
 	s.nextPlan = now.Add(planInterval)
+	e.indexWorkers()
 	e.takeWaves(now)
 	e.planWaves(now)
 	e.planMoves(now)
@@ -215,9 +231,14 @@
 func (e *Engine) advancePlan(ctx context.Context, i *instance, now time.Time) {
 	switch i.phase {
 	case emptying:
-		w := e.workerOn(i)
-		if w != nil && len(w.tasks) > 0 {
-			e.evacuate(w, now)
+		empty := true
+		for _, w := range e.workersOn(i) {
+			if len(w.tasks) > 0 {
+				e.evacuate(w, now)
+				empty = false
+			}
+		}
+		if !empty {
 			return
 		}
 		i.phase = recording
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -61,8 +61,8 @@
 		step       *step
 		id         modeler.TaskID
 		phase      phase
-		run        int // number of the last run, 0 before the first
-		failed     int // runs that ended by a failure
+		run        int   // number of the last run, 0 before the first
+		failed     []int // numbers of the runs that ended by a failure
 		checkpoint string
 		worker     *worker   // of the run, nil while waiting or done
 		ticket     string    // permission of the advice service
--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -146,3 +146,24 @@
 		e.stop()
 	})
 }
+
+// The list of instances may still name an earlier worker. Tasks of the present
+// one must not be ended by an order that takes the instance for empty.
+func TestStaleListOfInstancesEndsNoTask(t *testing.T) {
+	run(t, 2, func(s *site) {
+		s.fleet.Work = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.manifest.Pools = s.manifest.Pools[:1]
+		s.manifest.Index()
+		s.instances.Stale("a", "w-earlier")
+		s.instances.Stale("b", "w-older")
+		e := s.start("one")
+		s.submit(lastingJob("j1", 8))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 8, s.fleet.Running("j1"))
+		s.wave(1, "a")
+		time.Sleep(5 * time.Second)
+		require.Zero(t, s.instances.Maintained("a"), "its tasks have no other place")
+		require.Equal(t, 8, s.fleet.Running("j1"))
+		e.stop()
+	})
+}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -50,8 +50,10 @@
 	TaskProgress struct {
 		Index      int    `json:"index,omitempty"`
 		Run        int    `json:"run,omitempty"`
-		Failed     int    `json:"failed,omitempty"`
-		Worker     string `json:"worker,omitempty"` // that has or may have the run
+		Failed     []int  `json:"failed,omitempty"`   // runs that ended by a failure
+		Worker     string `json:"worker,omitempty"`   // that has or may have the run
+		Instance   string `json:"instance,omitempty"` // of the worker
+		Born       int64  `json:"born,omitempty"`     // life of the worker
 		Checkpoint string `json:"checkpoint,omitempty"`
 	}
 
@@ -108,12 +110,12 @@
 			sp.Done = append(sp.Done, t.id.Index)
 			continue
 		}
-		if t.run == 0 && t.failed == 0 {
+		if t.run == 0 && len(t.failed) == 0 {
 			continue
 		}
 		tp := TaskProgress{Index: t.id.Index, Run: t.run, Failed: t.failed, Checkpoint: t.checkpoint}
 		if t.worker != nil {
-			tp.Worker = t.worker.ID
+			tp.Worker, tp.Instance, tp.Born = t.worker.ID, t.worker.Instance, t.worker.Born
 		}
 		sp.Tasks = append(sp.Tasks, tp)
 	}
@@ -122,7 +124,7 @@
 
 // restore applies a stored progress to a new job. workerOf returns the worker
 // that a placement names.
-func (j *job) restore(p Progress, workerOf func(id string) *worker) error {
+func (j *job) restore(p Progress, workerOf func(tp TaskProgress) *worker) error {
 	j.state, j.begun = p.State, p.Begun
 	for _, sp := range p.Steps {
 		if sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.occurrences[sp.Occurrence].steps) {
@@ -135,7 +137,7 @@
 	return nil
 }
 
-func (s *step) restore(sp StepProgress, workerOf func(id string) *worker) error {
+func (s *step) restore(sp StepProgress, workerOf func(tp TaskProgress) *worker) error {
 	for _, n := range sp.Done {
 		if n >= len(s.tasks) {
 			return errors.NotValidf("task %d of step %d of job %q", n, s.number, s.occurrence.job.ID)
@@ -149,7 +151,7 @@
 		t := s.tasks[tp.Index]
 		t.run, t.failed, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
 		if tp.Worker != "" {
-			t.attach(workerOf(tp.Worker), adopted)
+			t.attach(workerOf(tp), adopted)
 		}
 	}
 	return nil
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -45,11 +45,6 @@
 			e.log.Error("record of silent workers left alone", "revision", r.Revision, "error", err)
 		}
 	}
-	for id, s := range e.silence.known {
-		if w := e.fleet[id]; w != nil && w.Instance == "" {
-			w.Instance, w.Born = s.Instance, s.Born
-		}
-	}
 }
 
 // noteSilence records that a worker with tasks does not answer.
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -203,8 +203,13 @@
 	if i.plan != noPlan || i.State != modeler.InstanceUp {
 		return false
 	}
+	for _, w := range e.workersOn(i) {
+		if len(w.tasks)+len(w.promised) > 0 {
+			return false
+		}
+	}
 	w := e.workerOn(i)
-	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining && len(w.tasks)+len(w.promised) == 0
+	return w == nil && e.isSpare(i.Pool) || w != nil && w.known && !w.Draining
 }
 
 // counts says whether an instance serves its pool, now or as soon as it has
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -132,7 +132,7 @@
 // candidate describes an instance to the choice of the next ones.
 func (e *Engine) candidate(i *instance) maintainer.Instance {
 	c := maintainer.Instance{Name: i.Name, Pool: i.Pool, Spare: e.isSpare(i.Pool), Up: i.State == modeler.InstanceUp}
-	if w := e.workerOn(i); w != nil {
+	for _, w := range e.workersOn(i) {
 		for _, t := range w.tasks {
 			if t.step.LongRunning {
 				c.Lasting++
