Find room for lasting tasks that have to move or be spread

An instance of the wave waited 12 s for its last lasting task: no worker had room at the queue's rise, or the step had to be spread over more workers than the pool had. For the same reason a lasting task waited for 13 s beside free cores.

Change: a task that has to move keeps room where it will soonest be free; a lasting task that finds no worker lets its pool grow by one instance at a time.

--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -16,37 +16,62 @@
 		}
 		to := e.refuge(t, now)
 		if to == nil {
+			e.history(w.Pool).stuck = now
 			continue
 		}
+		if to != t.promised {
+			to.promise(t)
+		}
+		if !to.keptFor(t) {
+			continue // smaller tasks end there and no new ones come
+		}
 		e.log.Info("task moves", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", w.cordoned)
-		to.promise(t)
 		e.stop(t)
 		e.changed()
 	}
 }
 
-// refuge finds a worker with room for a task that has to leave its own, nil
-// when there is none now.
+// refuge finds the worker that a task goes to that has to leave its own: the one
+// that keeps room for it already, or one with room now, or the one that will
+// soonest have room. It is nil when there is none.
 func (e *Engine) refuge(t *task, now time.Time) *worker {
+	if w := t.promised; w != nil && w.isOpen(now) && t.step.others(w) >= 0 {
+		return w
+	}
 	var best *worker
 	for _, w := range e.fleet {
-		if w == t.worker || w.Pool != t.worker.Pool || !w.isOpen(now) || !w.takes(t.step) {
+		if w == t.worker || w.Pool != t.worker.Pool || !w.isOpen(now) || t.step.others(w) < 0 {
 			continue
 		}
-		if best == nil || e.refugeOrder(w, best) {
+		if !t.step.Room().Fits(w.Capacity) || t.step.Label != "" && !slices.Contains(w.Labels, t.step.Label) {
+			continue
+		}
+		if best == nil || e.isBetterRefuge(w, best, t.step.Room()) {
 			best = w
 		}
 	}
 	return best
 }
 
-// refugeOrder says whether a is the better refuge: not due for upkeep itself,
-// and with less room left.
-func (e *Engine) refugeOrder(a, b *worker) bool {
+// isBetterRefuge says whether a is the better refuge than b: not due for upkeep
+// itself, with room now, and among those with room the fuller one.
+func (e *Engine) isBetterRefuge(a, b *worker, room modeler.Resources) bool {
 	if dueA, dueB := e.isDue(a.Instance), e.isDue(b.Instance); dueA != dueB {
 		return dueB
 	}
-	return a.free().CPU < b.free().CPU
+	freeA, freeB := a.free().Sub(a.promises()), b.free().Sub(b.promises())
+	if fitsA, fitsB := room.Fits(freeA), room.Fits(freeB); fitsA != fitsB {
+		return fitsA
+	} else if fitsA {
+		return freeA.CPU < freeB.CPU
+	}
+	return freeA.CPU > freeB.CPU
+}
+
+// keptFor says whether the worker has room now for a task that it keeps room
+// for.
+func (w *worker) keptFor(t *task) bool {
+	return t.step.Room().Fits(w.free().Sub(w.promises()).Add(t.step.Room()))
 }
 
 // promise keeps room for a task that is about to come.
@@ -72,11 +97,3 @@
 	}
 	return sum
 }
-
-// takes says whether a task of the step fits on the worker now.
-func (w *worker) takes(s *step) bool {
-	if !s.Room().Fits(w.free().Sub(w.promises())) || s.Spread > 0 && s.on(w) >= s.Spread {
-		return false
-	}
-	return s.Label == "" || slices.Contains(w.Labels, s.Label)
-}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -163,7 +163,11 @@
 			break
 		}
 		if !p.placeTask(t, view) {
-			if !s.LongRunning || !p.reserve(s, view) {
+			if !s.LongRunning {
+				break
+			}
+			p.e.history(q.Pool).stuck = p.now
+			if !p.reserve(s, view) {
 				break
 			}
 			continue
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -8,11 +8,12 @@
 )
 
 const (
-	coreUnit       = 1000.0          // thousandths of a core
-	noteInterval   = time.Second     // a line for each pool
-	priorSeconds   = 10.0            // weight of the assumption that estimates are right
-	maxCalibration = 3.0             // estimates that are further off are not believed to be so for all tasks
-	rateWindow     = 1 * time.Second // over which arriving work is averaged; shorter windows follow single jobs
+	coreUnit       = 1000.0                 // thousandths of a core
+	noteInterval   = time.Second            // a line for each pool
+	priorSeconds   = 10.0                   // weight of the assumption that estimates are right
+	maxCalibration = 3.0                    // estimates that are further off are not believed to be so for all tasks
+	stuckTime      = 400 * time.Millisecond // two rounds of planned work
+	rateWindow     = 1 * time.Second        // over which arriving work is averaged; shorter windows follow single jobs
 )
 
 type (
@@ -25,6 +26,7 @@
 	poolHistory struct {
 		arrived []arrival
 		calm    time.Time // since when the pool has had more than it wants
+		stuck   time.Time // when a lasting task last found no worker
 	}
 
 	arrival struct {
@@ -225,7 +227,7 @@
 
 func (e *Engine) poolSizes(now time.Time) []sizer.Pool {
 	asked := e.asked()
-	index := make(map[string]int)
+	index, arrives := make(map[string]int), make(map[string]bool)
 	var pools []sizer.Pool
 	for _, p := range e.cfg.Manifest().Pools {
 		index[p.Name] = len(pools)
@@ -235,15 +237,15 @@
 		})
 	}
 	for _, i := range e.estate.instances {
-		pool := i.Pool
+		n, ok := index[i.Pool]
 		if i.plan == movePlan {
-			pool = i.to
+			n, ok = index[i.to]
 		}
-		n, ok := index[pool]
 		if !ok {
 			continue
 		}
 		p := &pools[n]
+		arrives[p.Name] = arrives[p.Name] || i.plan == movePlan
 		if e.counts(i) {
 			p.Instances++
 		}
@@ -255,6 +257,7 @@
 	for n := range pools {
 		p := &pools[n]
 		h := e.history(p.Name)
+		p.Stuck = now.Sub(h.stuck) < stuckTime && !arrives[p.Name]
 		if p.Spare || sizer.Wanted(*p) >= p.Instances {
 			h.calm = now
 		}
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -29,6 +29,7 @@
 		Asked     float64       // cores of the other tasks that run or could run at once
 		Rate      float64       // core-seconds of work that arrive a second
 		Calm      time.Duration // for how long the pool has had more instances than it wants
+		Stuck     bool          // a lasting task finds no worker, for lack of room or because its step must be spread
 	}
 
 	// Move takes Count instances from one pool to another.
@@ -44,7 +45,11 @@
 		return p.Instances
 	}
 	cores := (p.Lasting + max(p.Asked, p.Rate)) / targetFill
-	return int(math.Ceil(cores/p.Cores)) + reserve
+	n := int(math.Ceil(cores/p.Cores)) + reserve
+	if p.Stuck {
+		n = max(n, p.Instances+1)
+	}
+	return n
 }
 
 // Plan returns the moves that bring the pools to their wanted sizes. Pools
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -51,3 +51,12 @@
 	})
 	require.Equal(t, []sizer.Move{{From: "spare", To: "b", Count: 2}, {From: "a", To: "b", Count: 1}}, moves)
 }
+
+// A step that must be spread over workers needs instances, whatever their room.
+func TestPoolGrowsForLastingTaskThatFindsNoWorker(t *testing.T) {
+	moves := sizer.Plan([]sizer.Pool{
+		{Name: "p", Instances: 3, Cores: 64, Lasting: 52, Stuck: true},
+		{Name: "spare", Spare: true, Movable: 5},
+	})
+	require.Equal(t, []sizer.Move{{From: "spare", To: "p", Count: 1}}, moves)
+}
