Give pools a worker for each task that must be spread, and let strong entries lead

Its lasting steps have 24 tasks that must be on as many workers, and idle pools were sized by cores alone: they grew by one instance every two seconds while lasting tasks waited for 30 s. The leader may also have been one of the entries with a fifth of a core.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -52,7 +52,7 @@
 		self  string
 		lead  func(ctx context.Context, t *Term)
 		lease time.Duration
-		delay time.Duration
+		delay func(ctx context.Context) time.Duration
 		now   func() time.Duration
 		log   *slog.Logger
 		free  chan struct{} // holds a token while no leader is seen
@@ -70,10 +70,10 @@
 	return func(e *Elector) { e.lease = d }
 }
 
-// WithDelay sets how long this entry waits before it becomes a candidate, so
-// that better equipped ones come first.
-func WithDelay(d time.Duration) Option {
-	return func(e *Elector) { e.delay = d }
+// WithDelay sets what tells how long this entry waits before it becomes a
+// candidate, so that better equipped ones come first.
+func WithDelay(delay func(ctx context.Context) time.Duration) Option {
+	return func(e *Elector) { e.delay = delay }
 }
 
 // WithClock sets the clock that leases are measured with. It has to go on
@@ -93,6 +93,7 @@
 		lease: defaultLeaseTime,
 		now:   func() time.Duration { return time.Since(start) },
 		log:   log,
+		delay: func(context.Context) time.Duration { return 0 },
 		free:  make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
@@ -140,7 +141,7 @@
 			return ctx.Err()
 		case <-e.free:
 		}
-		if supervisor.Pause(ctx, e.delay+rand.N(candidateJitter)) != nil {
+		if supervisor.Pause(ctx, e.delay(ctx)+rand.N(candidateJitter)) != nil {
 			return ctx.Err()
 		}
 		if err := e.serveTerm(ctx); err != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -35,8 +35,7 @@
 	headTimeout    = 3 * time.Second         // of the head of a callers' request
 	idleTimeout    = 15 * time.Second        // of a callers' connection
 	maxHeaderBytes = 16 << 10
-	slowEntryDelay = 100 * time.Millisecond // an entry without any processor share becomes a candidate this much later
-	watchGap       = 15 * time.Millisecond  // some events come in one answer, and a job waits this long at most
+	watchGap       = 15 * time.Millisecond // some events come in one answer, and a job waits this long at most
 )
 
 type (
@@ -152,8 +151,7 @@
 	lead := func(ctx context.Context, t *elector.Term) {
 		orchestrator.New(cfg, store.With(platform.WithWatchGap(watchGap)), workers, directory, t, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
 	}
-	delay := time.Duration((1 - min(1, s.ProcessorShare)) * float64(slowEntryDelay))
-	return elector.New(store, s.Instance, lead, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(delay))
+	return elector.New(store, s.Instance, lead, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(l.standing(s, store)))
 }
 
 // callers returns the service that answers callers.
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	busyWait      = time.Second            // look of a worker with runs; a silent worker is noticed after this
+	busyWait      = 500 * time.Millisecond // look of a worker with runs; a channel that has fallen silent is noticed after this
 	startWait     = 250 * time.Millisecond // look of a worker with a lasting task that is not at work yet
 	idleWait      = 2 * time.Second        // look of a worker without runs, the longest that workers grant
 	storeWait     = 500 * time.Millisecond // ends that cannot be stored are listed again after this
--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -25,7 +25,8 @@
 		if !to.keptFor(t) {
 			continue // smaller tasks end there and no new ones come
 		}
-		e.log.Info("task moves", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", w.cordoned)
+		e.log.Info("task moves", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", w.cordoned,
+			"absent", t.step.absent(t), "may-miss", t.step.MayMiss)
 		e.stop(t)
 		e.changed()
 	}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -156,7 +156,7 @@
 		}
 		if !w.listed {
 			w.listed = true
-			e.log.Info("worker listed", "worker", info.ID, "pool", info.Pool, "born", info.Born)
+			e.log.Info("worker listed", "worker", info.ID, "instance", info.Instance, "pool", info.Pool, "born", info.Born)
 		}
 		if w.looks == nil {
 			e.attend(ctx, w)
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -20,6 +20,7 @@
 	// demand is what tasks take or want of a pool, in cores.
 	demand struct {
 		lasting, running, waiting, capacity float64
+		least                               int // workers over which some lasting step has to be spread
 	}
 
 	// poolHistory is what sizing a pool has to remember.
@@ -66,6 +67,9 @@
 				continue
 			}
 			for _, s := range o.steps {
+				if s.LongRunning && s.Spread > 0 {
+					d.least = max(d.least, (s.Count+s.Spread-1)/s.Spread)
+				}
 				if s.waiting > 0 && s.isReady() {
 					d.waiting += float64(s.waiting) * float64(s.Room().CPU) / coreUnit
 				}
@@ -233,7 +237,7 @@
 		index[p.Name] = len(pools)
 		d := asked[p.Name]
 		pools = append(pools, sizer.Pool{
-			Name: p.Name, Spare: p.Spare, Lasting: d.lasting, Asked: d.running + d.waiting, Rate: e.history(p.Name).rate(now),
+			Name: p.Name, Spare: p.Spare, Lasting: d.lasting, Asked: d.running + d.waiting, Rate: e.history(p.Name).rate(now), Least: d.least,
 		})
 	}
 	for _, i := range e.estate.instances {
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -30,6 +30,7 @@
 		Rate      float64       // core-seconds of work that arrive a second
 		Calm      time.Duration // for how long the pool has had more instances than it wants
 		Stuck     bool          // a lasting task finds no worker, for lack of room or because its step must be spread
+		Least     int           // workers over which some lasting step has to be spread
 	}
 
 	// Move takes Count instances from one pool to another.
@@ -45,7 +46,7 @@
 		return p.Instances
 	}
 	cores := (p.Lasting + max(p.Asked, p.Rate)) / targetFill
-	n := int(math.Ceil(cores/p.Cores)) + reserve
+	n := max(int(math.Ceil(cores/p.Cores)), p.Least) + reserve
 	if p.Stuck {
 		n = max(n, p.Instances+1)
 	}
--- a/sizer/sizer_test.go
+++ b/sizer/sizer_test.go
@@ -60,3 +60,10 @@
 	})
 	require.Equal(t, []sizer.Move{{From: "spare", To: "p", Count: 1}}, moves)
 }
+
+func TestPoolHasAWorkerForEachTaskThatMustBeSpread(t *testing.T) {
+	p := sizer.Pool{Name: "p", Instances: 3, Cores: 32, Lasting: 20, Least: 24}
+	require.Equal(t, 25, sizer.Wanted(p))
+	p.Asked = 2000
+	require.Equal(t, 76, sizer.Wanted(p))
+}
