--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -45,7 +45,6 @@
 
 	taskRun struct {
 		number int
-		need   modeler.Resources
 		stop   func()
 		began  time.Time
 		pace   int // percent
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -54,7 +54,6 @@
 		since time.Time
 		calls bool      // an order is on its way
 		after time.Time // no order before
-		from  string    // pool before a move
 	}
 
 	// estate is the leader's part for planned work.
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -40,20 +40,11 @@
 func (e *Engine) asked() map[string]demand {
 	all := make(map[string]demand)
 	for _, w := range e.fleet {
-		if !w.listed || !w.reached || w.Draining {
-			continue
-		}
-		d := all[w.Pool]
-		d.capacity += float64(w.Capacity.CPU) / coreUnit
-		for _, t := range w.tasks {
-			cores := float64(t.step.Room().CPU) / coreUnit
-			if t.step.LongRunning {
-				d.lasting += cores
-			} else {
-				d.running += cores
-			}
+		if w.listed && w.reached && !w.Draining {
+			d := all[w.Pool]
+			d.addWorker(w)
+			all[w.Pool] = d
 		}
-		all[w.Pool] = d
 	}
 	now, m := time.Now(), e.cfg.Manifest()
 	for _, j := range e.jobs {
@@ -63,16 +54,8 @@
 		}
 		d := all[q.Pool]
 		for _, o := range j.occurrences {
-			if j.Repeat > 0 && now.Before(o.due) {
-				continue
-			}
-			for _, s := range o.steps {
-				if s.LongRunning && s.Spread > 0 {
-					d.least = max(d.least, (s.Count+s.Spread-1)/s.Spread)
-				}
-				if s.waiting > 0 && s.isReady() {
-					d.waiting += float64(s.waiting) * float64(s.Room().CPU) / coreUnit
-				}
+			if j.Repeat == 0 || !now.Before(o.due) {
+				d.addWaiting(o)
 			}
 		}
 		all[q.Pool] = d
@@ -80,6 +63,31 @@
 	return all
 }
 
+// addWorker adds a worker with what it runs.
+func (d *demand) addWorker(w *worker) {
+	d.capacity += float64(w.Capacity.CPU) / coreUnit
+	for _, t := range w.tasks {
+		cores := float64(t.step.Room().CPU) / coreUnit
+		if t.step.LongRunning {
+			d.lasting += cores
+		} else {
+			d.running += cores
+		}
+	}
+}
+
+// addWaiting adds the tasks of an occurrence that could run.
+func (d *demand) addWaiting(o *occurrence) {
+	for _, s := range o.steps {
+		if s.LongRunning && s.Spread > 0 {
+			d.least = max(d.least, (s.Count+s.Spread-1)/s.Spread)
+		}
+		if s.waiting > 0 && s.isReady() {
+			d.waiting += float64(s.waiting) * float64(s.Room().CPU) / coreUnit
+		}
+	}
+}
+
 // noteLoad logs what each pool has to do, once a second.
 func (e *Engine) noteLoad(now time.Time) {
 	if now.Before(e.estate.nextNote) {
