Let a leader that does not get on give way, and share full pools by weight

When a pool is full, customers below their weighted max-min share come first (granter.Shares), as the product promises.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -22,6 +22,8 @@
 	renewalsPerLease = 4                       // two renewals in a row may fail
 	outageAllowance  = 4 * time.Second         // a leader that cannot renew extends running work this long after its lease; with the leases of runs it bridges an outage of nine seconds
 	candidateJitter  = 20 * time.Millisecond   // some round trips, so that seldom two candidates collide
+	stallLimit       = 3 * time.Second         // a leader reads all jobs in less, and decides ten times a second
+	stallPause       = 2 * time.Second         // after a term that stalled, above the time that others take to lead
 	retryInterval    = 200 * time.Millisecond  // between attempts to take or to renew after a failure
 	releaseTimeout   = 500 * time.Millisecond  // of the last call of a term
 )
@@ -41,6 +43,7 @@
 	Term struct {
 		Token   int64 // revision at which leadership was taken; grows from term to term
 		renewed atomic.Int64
+		beat    atomic.Int64
 		lease   time.Duration
 		now     func() time.Duration
 		end     context.CancelCauseFunc
@@ -62,6 +65,9 @@
 	Option func(*Elector)
 )
 
+// ErrStalled is the cause of a term's end when its leader does not get on.
+const ErrStalled = errors.ConstError("the leader does not get on")
+
 // ErrDeposed is the cause of a term's end when another entry leads.
 const ErrDeposed = errors.ConstError("another entry leads")
 
@@ -107,6 +113,12 @@
 	t.end(ErrDeposed)
 }
 
+// Beat tells that the leader gets on. Without it the term ends, so that an entry
+// that is too slow to lead gives way.
+func (t *Term) Beat() {
+	t.beat.Store(int64(t.now()))
+}
+
 // MayExtend says whether the leader may still extend the leases of running
 // work. It may so for some time after its own lease, because an outage of the
 // service must not end running work; a successor counts on that time.
@@ -200,16 +212,21 @@
 	defer end(nil)
 	t := &Term{Token: token, lease: e.lease, now: e.now, end: end}
 	t.renewed.Store(int64(began))
+	t.Beat()
 	e.log.Info("leadership taken", "token", token)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		e.lead(termCtx, t)
+		end(ErrStalled) // without effect on a term that has ended for another reason
 	}()
 	e.renew(termCtx, t, id)
 	<-done
 	e.log.Info("leadership ended", "token", token, "cause", context.Cause(termCtx).Error())
 	e.release(ctx, id)
+	if errors.Is(context.Cause(termCtx), ErrStalled) {
+		_ = supervisor.Pause(ctx, stallPause) // others come first
+	}
 	return nil
 }
 
@@ -241,6 +258,11 @@
 			return
 		}
 		sent := e.now()
+		if sent-time.Duration(t.beat.Load()) > stallLimit {
+			e.log.Warn("leader does not get on", "token", t.Token)
+			t.end(ErrStalled)
+			return
+		}
 		err := e.store.KeepAlive(ctx, id)
 		switch {
 		case err == nil:
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -136,3 +136,40 @@
 		<-done
 	})
 }
+
+// An entry that is too slow to lead must give way, although it can renew its
+// lease.
+func TestStalledLeaderGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewMetaStore()
+		s := &seat{leaders: make(map[string]int64)}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		start := func(name string, lead func(context.Context, *elector.Term)) {
+			running.Go(func() {
+				_ = elector.New(store.For(name), name, lead, slog.New(slog.DiscardHandler)).Run(ctx)
+			})
+		}
+		start("slow", s.lead("slow"))
+		time.Sleep(time.Second)
+		require.Equal(t, []string{"slow"}, s.names())
+		start("fast", func(ctx context.Context, term *elector.Term) {
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				for ctx.Err() == nil {
+					term.Beat()
+					time.Sleep(100 * time.Millisecond)
+				}
+			}()
+			s.lead("fast")(ctx, term)
+			<-done
+		})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, []string{"fast"}, s.names())
+		time.Sleep(20 * time.Second)
+		require.Equal(t, []string{"fast"}, s.names())
+		cancel()
+		running.Wait()
+	})
+}
--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -130,6 +131,21 @@
 	return n
 }
 
+// RunningOf counts the runs of the jobs whose id begins with a prefix.
+func (f *TaskFleet) RunningOf(prefix string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, w := range f.workers {
+		for id := range w.runs {
+			if strings.HasPrefix(id.Job, prefix) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // On counts the runs of a worker.
 func (f *TaskFleet) On(worker string) int {
 	f.mu.Lock()
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -411,3 +412,29 @@
 		second.stop()
 	})
 }
+
+// When all is full, customers get room by their weights.
+func TestFullPoolIsSharedByWeight(t *testing.T) {
+	run(t, 4, func(s *site) {
+		s.manifest.Customers = []modeler.Customer{{Name: "large", Weight: 3}, {Name: "small", Weight: 1}}
+		s.manifest.Pools = s.manifest.Pools[:1]
+		s.manifest.Index()
+		e := s.start("one")
+		time.Sleep(time.Second)
+		var large, small int
+		for i := range 300 {
+			for _, customer := range []string{"small", "large"} {
+				j := shortJob(fmt.Sprintf("%s-%d", customer, i), modeler.Step{Count: 1, Need: modeler.Resources{CPU: 500}, Estimate: time.Second})
+				j.Customer = customer
+				s.submit(j)
+			}
+			time.Sleep(20 * time.Millisecond)
+			if i > 150 {
+				large += s.fleet.RunningOf("large-")
+				small += s.fleet.RunningOf("small-")
+			}
+		}
+		require.InDelta(t, 3, float64(large)/float64(small), 0.6)
+		e.stop()
+	})
+}
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -97,7 +97,7 @@
 		return false
 	}
 	for _, w := range e.fleet {
-		if _, silent := e.silence.known[w.ID]; w.known || silent || !now.Before(e.lapse(w)) {
+		if w.known || e.silence.before[w.ID] || !now.Before(e.lapse(w)) {
 			continue
 		}
 		if w.Pool == pool && w.listed || w.Pool == "" && w.holdsOf(pool, e) {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -86,6 +86,7 @@
 	for pool, list := range byPool {
 		assigner.Defer(list, p.cores(pool))
 	}
+	p.markShares(claims)
 	slices.SortStableFunc(claims, func(a, b claim) int {
 		return cmp.Or(assigner.Compare(a.Claim, b.Claim), cmp.Compare(a.step.number, b.step.number))
 	})
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -31,6 +31,7 @@
 	// silenceRecord is the engine's copy of the record.
 	silenceRecord struct {
 		known   Silences
+		before  map[string]bool // workers that a predecessor had noted; it started nothing there afterwards
 		changed bool
 		writing bool
 		after   time.Time
@@ -39,17 +40,20 @@
 
 // restoreSilence takes in the record of an earlier term.
 func (e *Engine) restoreSilence(records []keeper.Record) {
-	e.silence.known = make(Silences)
+	e.silence.known, e.silence.before = make(Silences), make(map[string]bool)
 	for _, r := range records {
 		if err := json.Unmarshal(r.Value, &e.silence.known); err != nil {
 			e.log.Error("record of silent workers left alone", "revision", r.Revision, "error", err)
 		}
 	}
+	for id := range e.silence.known {
+		e.silence.before[id] = true
+	}
 }
 
-// noteSilence records that a worker with tasks does not answer.
+// noteSilence records that a worker does not answer.
 func (e *Engine) noteSilence(w *worker) {
-	if w.failures != silentAfter || len(w.tasks) == 0 {
+	if w.failures != silentAfter {
 		return
 	}
 	if _, ok := e.silence.known[w.ID]; ok && !w.known {
