--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -50,7 +50,6 @@
 	Config struct {
 		Lease    time.Duration // of runs
 		Early    time.Duration // occurrences may start this long before they are due
-		StopTime time.Duration // longest time a stop takes
 		Refresh  time.Duration // between two readings of the workers' list
 		Status   time.Duration // ended jobs are known this long
 		Manifest func() *modeler.Manifest
@@ -75,25 +74,26 @@
 		calls   sync.WaitGroup
 		callCtx context.Context // of calls; outlives the term by the time that calls under way may take
 
-		jobs      map[string]*job
-		fleet     map[string]*worker
-		outcomes  map[string]modeler.State // of jobs that have ended
-		began     time.Time
-		dirty     map[*job]bool
-		toStart   []*task // placed, to be ordered once the placement is stored
-		writing   int     // transactions under way
-		nextPass  time.Time
-		nextFlush time.Time
-		nextTick  time.Time
-		stale     bool // a placement pass is due
-		closing   bool
-		load      loadPublisher
-		means     map[string]meanWork  // by queue
-		durations map[string]durations // by queue
-		estate    estate
-		silence   silenceRecord
-		handover  handover
-		hurried   atomic.Bool // the workers\' list is wanted soon
+		jobs       map[string]*job
+		fleet      map[string]*worker
+		outcomes   map[string]outcome // of jobs that have ended
+		nextRetire time.Time
+		began      time.Time
+		dirty      map[*job]bool
+		toStart    []*task // placed, to be ordered once the placement is stored
+		writing    int     // transactions under way
+		nextPass   time.Time
+		nextFlush  time.Time
+		nextTick   time.Time
+		stale      bool // a placement pass is due
+		closing    bool
+		load       loadPublisher
+		means      map[string]meanWork  // by queue
+		durations  map[string]durations // by queue
+		estate     estate
+		silence    silenceRecord
+		handover   handover
+		hurried    atomic.Bool // the workers\' list is wanted soon
 	}
 )
 
@@ -115,7 +115,7 @@
 		events:    supervisor.NewRing[func()](eventRing),
 		jobs:      make(map[string]*job),
 		fleet:     make(map[string]*worker),
-		outcomes:  make(map[string]modeler.State),
+		outcomes:  make(map[string]outcome),
 		dirty:     make(map[*job]bool),
 		means:     make(map[string]meanWork),
 		durations: make(map[string]durations),
@@ -259,6 +259,7 @@
 	e.planWork(ctx, now)
 	e.storeSilence(ctx, now)
 	e.noteLoad(now)
+	e.retire(ctx, now)
 	e.changed()
 }
 
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -438,3 +438,17 @@
 		e.stop()
 	})
 }
+
+func TestEndedJobsAreRemovedInTheEnd(t *testing.T) {
+	run(t, 1, func(s *site) {
+		e := s.start("one")
+		s.submit(shortJob("j1"))
+		time.Sleep(35 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("j1"))
+		time.Sleep(10 * time.Second)
+		records, _, err := s.store.For("x").List(t.Context(), orchestrator.JobPrefix)
+		require.NoError(t, err)
+		require.Empty(t, records)
+		e.stop()
+	})
+}
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -144,7 +144,7 @@
 	}
 	j.ended = true
 	delete(e.jobs, j.ID)
-	e.outcomes[j.ID] = j.state
+	e.outcomes[j.ID] = outcome{j.state, time.Now()}
 	meter.Ended(j.Queue, string(j.state), time.Since(j.Accepted))
 	e.log.Info("job ended", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "outcome", j.state, "reason", j.reason, "took", time.Since(j.Accepted).Round(time.Millisecond).String())
 }
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -35,7 +35,7 @@
 
 // takeJob takes in the record of a job that is not known yet.
 func (e *Engine) takeJob(id string, r, progress keeper.Record) {
-	if e.jobs[id] != nil || e.outcomes[id] != "" {
+	if e.jobs[id] != nil || e.outcomes[id].state != "" {
 		return
 	}
 	var rec JobRecord
@@ -44,7 +44,7 @@
 		return
 	}
 	if rec.Outcome != "" {
-		e.outcomes[id] = rec.Outcome
+		e.outcomes[id] = outcome{rec.Outcome, time.Now()}
 		return
 	}
 	j := newJob(*rec.Job)
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -71,7 +71,7 @@
 func (s *site) start(name string) *entry {
 	client := s.store.For(name)
 	cfg := orchestrator.Config{
-		Lease: testLease, Early: 0, StopTime: 200 * time.Millisecond, Refresh: 500 * time.Millisecond,
+		Lease: testLease, Early: 0, Refresh: 500 * time.Millisecond, Status: 20 * time.Second,
 		Manifest: func() *modeler.Manifest { return s.manifest },
 		Waves:    func() []modeler.Wave { return s.waves },
 		WaveStatus: func(n int64, completed bool) keeper.Put {
