--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -165,35 +165,41 @@
 	if s.Gang && s.waiting < s.Count || q.Advice != nil && !p.e.advised(s, q, view.workers, p.now) {
 		return
 	}
+	tasks := p.placeTasks(s, j, view, fair)
+	if s.Gang && len(tasks) < s.Count {
+		for _, t := range tasks {
+			p.release(t, j, view)
+		}
+		return
+	}
+	for _, t := range tasks {
+		p.commit(t)
+	}
+}
+
+// placeTasks places waiting tasks of a step until one finds no place.
+func (p *pass) placeTasks(s *step, j *job, view *poolView, fair bool) []*task {
 	var tasks []*task
 	for _, t := range s.tasks {
 		if t.phase != waiting {
 			continue
 		}
-		if !p.admits(t, j) || fair && p.exceeded(s, q.Pool) {
+		if !p.admits(t, j) || fair && p.exceeded(s, view.name) {
 			break
 		}
-		if !p.placeTask(t, view) {
-			if !s.LongRunning {
-				break
-			}
-			p.e.history(q.Pool).stuck = p.now
-			if !p.reserve(s, view) {
-				break
-			}
+		if p.placeTask(t, view) {
+			tasks = append(tasks, t)
 			continue
 		}
-		tasks = append(tasks, t)
-	}
-	if s.Gang && len(tasks) < s.Count {
-		for _, t := range tasks {
-			p.release(t, j, view)
+		if !s.LongRunning {
+			break
+		}
+		p.e.history(view.name).stuck = p.now
+		if !p.reserve(s, view) {
+			break
 		}
-		return
-	}
-	for _, t := range tasks {
-		p.commit(t)
 	}
+	return tasks
 }
 
 // guarded is Engine.isGuarded, asked once in a pass.
