Keep what a new life of a worker runs, and never confirm its ends by old numbers

Cause: found while reading. The workers' list could tell of a new life before a look did; the engine then took over its birth, did not forget the numbers of the earlier life's ends, and could confirm ends of the new life that it had not seen. A test with a worker that starts again under its id failed in some of its runs: a start that had reached the new life was taken for lost and given a second time.

Change: only a look's own word begins a new life; runs that its lists show go on, orders on their way are settled by their answers.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -417,6 +417,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.workers[w.ID] != w {
+		return modeler.Report{}, errors.Annotatef(errSilent, "worker %s", info.ID)
+	}
 	return f.report(w), nil
 }
 
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -145,7 +145,7 @@
 			func() string { return l.settings.Load().AdviceAddress }, requester.NewClient(platform.NewTransport(1)))))
 	}
 	cfg := orchestrator.Config{
-		Lease: min(runLease, s.Bounds.MaxLease), Early: 0,
+		Lease: min(runLease, s.Bounds.MaxLease), MaxLease: s.Bounds.MaxLease, Early: 0,
 		Refresh: listRefresh, Status: s.Bounds.Status, Manifest: l.board.Manifest, Waves: l.board.Waves, WaveStatus: platform.WaveStatus,
 	}
 	lead := func(ctx context.Context, t *elector.Term) {
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -106,9 +106,10 @@
 		e.missed(w, now, err)
 		return
 	}
-	if report.Born != w.Born && w.known || report.Born > w.Born {
-		e.reborn(w, report.Born)
+	if report.Born != w.Born && w.known {
+		e.reborn(w, report)
 	}
+	w.Born = report.Born
 	if !w.reached {
 		w.reached = true
 		e.log.Info("worker reached", "worker", w.ID, "pool", w.Pool, "failures", w.failures)
@@ -156,27 +157,43 @@
 	e.noteSilence(w)
 }
 
-// reborn ends all that an earlier life of the worker had.
-func (e *Engine) reborn(w *worker, born int64) {
-	if len(w.tasks) > 0 || w.known {
-		e.log.Info("worker has started anew", "worker", w.ID, "born", born, "before", w.Born, "tasks", len(w.tasks))
+// reborn ends what an earlier life of the worker had. Orders that are on their
+// way may have reached the new life; their answers or its lists tell.
+func (e *Engine) reborn(w *worker, report modeler.Report) {
+	e.log.Info("worker has started anew", "worker", w.ID, "born", report.Born, "before", w.Born, "tasks", len(w.tasks))
+	w.seen, w.ends = 0, nil
+	w.deadline = report.Clock + e.cfg.MaxLease.Milliseconds() // of orders that were meant for the earlier life
+	listed := make(map[modeler.TaskID]int)
+	for _, r := range report.Running {
+		listed[r.Task] = r.Run
+	}
+	for _, r := range report.Ended {
+		listed[r.Task] = r.Run
+	}
+	for id, t := range w.tasks {
+		ordered := t.phase == running || t.phase == stopping || t.phase == adopted
+		if ordered && listed[id] != t.run {
+			e.loseTask(w, t, "reborn")
+		}
 	}
-	w.Born = born
-	w.seen, w.ends, w.deadline = 0, nil, 0
-	e.lose(w, "reborn")
+	e.changed()
 }
 
 // lose lets all tasks of a worker run elsewhere, because they have certainly
 // ended there.
 func (e *Engine) lose(w *worker, reason string) {
 	for _, t := range w.tasks {
-		e.log.Info("run lost", "task", t.id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String(), "reason", reason)
-		e.again(t)
+		e.loseTask(w, t, reason)
 	}
 	clear(w.strays)
 	e.changed()
 }
 
+func (e *Engine) loseTask(w *worker, t *task, reason string) {
+	e.log.Info("run lost", "task", t.id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String(), "reason", reason)
+	e.again(t)
+}
+
 // expire gives up the tasks of a worker whose leases are certainly over.
 func (e *Engine) expire(w *worker, now time.Time) {
 	if w.reached || now.Before(e.lapse(w)) {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -49,6 +49,7 @@
 	// Config holds what a term needs to know.
 	Config struct {
 		Lease    time.Duration // of runs
+		MaxLease time.Duration // longest that a worker grants
 		Early    time.Duration // occurrences may start this long before they are due
 		Refresh  time.Duration // between two readings of the workers' list
 		Status   time.Duration // ended jobs are known this long
@@ -93,7 +94,7 @@
 		estate     estate
 		silence    silenceRecord
 		handover   handover
-		hurried    atomic.Bool // the workers\' list is wanted soon
+		hurried    atomic.Bool // the workers' list is wanted soon
 	}
 )
 
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -123,10 +123,7 @@
 		e := s.start("one")
 		s.submit(lastingJob("j1", 2))
 		time.Sleep(2 * time.Second)
-		silent := s.instances.Worker("a")
-		if s.fleet.On(silent) == 0 {
-			silent = s.instances.Worker("b")
-		}
+		silent := s.instances.Worker(s.busy("a", "b")[0])
 		s.fleet.Silence(silent, true)
 		time.Sleep(testLease + 2*time.Second)
 		require.Equal(t, 2, s.fleet.Running("j1"))
@@ -143,10 +140,7 @@
 		e := s.start("first")
 		s.submit(lastingJob("j1", 2))
 		time.Sleep(2 * time.Second)
-		silent := s.instances.Worker("a")
-		if s.fleet.On(silent) == 0 {
-			silent = s.instances.Worker("b")
-		}
+		silent := s.instances.Worker(s.busy("a", "b")[0])
 		s.fleet.Silence(silent, true)
 		began := time.Now()
 		for i := range 6 {
@@ -369,10 +363,8 @@
 		s.submit(lastingJob("j1", 1))
 		time.Sleep(500 * time.Millisecond)
 		require.Equal(t, 1, s.fleet.Running("j1"), "the first leader does not wait for the store")
-		for _, name := range []string{"a", "b", "c"} {
-			if w := s.instances.Worker(name); s.fleet.On(w) > 0 {
-				s.fleet.Silence(w, true)
-			}
+		for _, name := range s.busy("a", "b", "c") {
+			s.fleet.Silence(s.instances.Worker(name), true)
 		}
 		s.store.Do(func(f *emulator.StoreFaults) { f.Lost = nil })
 		first.kill()
@@ -452,3 +444,24 @@
 		e.stop()
 	})
 }
+
+// A worker that starts again under its id counts its ends anew. None of them may
+// be confirmed by a number of its earlier life.
+func TestEndsOfANewLifeAreNotLost(t *testing.T) {
+	run(t, 1, func(s *site) {
+		e := s.start("one")
+		s.submit(shortJob("before"))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("before"))
+		id := s.instances.Worker("a")
+		s.fleet.Remove(id)
+		s.fleet.Add(modeler.Worker{ID: id, Pool: "p", Address: "127.0.0.1:1", Instance: "a", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}})
+		s.submit(shortJob("after"))
+		time.Sleep(6 * time.Second)
+		require.Equal(t, modeler.Completed, s.state("after"))
+		for i := range 4 {
+			require.Equal(t, 1, s.fleet.Starts(taskOf("after", 0, i)))
+		}
+		e.stop()
+	})
+}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -151,8 +151,11 @@
 		}
 		born := w.Born
 		w.Worker = info
-		if born > info.Born {
-			w.Born = born // the list lags behind the worker's own word
+		if w.known {
+			w.Born = born // the worker's own word counts, the next look brings it
+			if info.Born > born {
+				w.seen, w.ends = 0, nil // another life counts its ends anew
+			}
 		}
 		if !w.listed {
 			w.listed = true
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -100,7 +100,7 @@
 	stopped := false
 	for ctx.Err() == nil {
 		report, err := e.workers.Hold(ctx, info, 0, e.term.Token, 0, 0)
-		if err == nil && report.Born == info.Born {
+		if err == nil {
 			there := isRunning(report, o)
 			if there || stopped {
 				e.post(ctx, func() { e.settled(w, t, o, there && !stopped, report) })
--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -52,12 +52,7 @@
 		j.Steps[0].Spread = 1
 		s.submit(j)
 		time.Sleep(4 * time.Second)
-		var busy []string
-		for _, name := range []string{"a", "b", "c", "d"} {
-			if s.fleet.On(s.instances.Worker(name)) > 0 {
-				busy = append(busy, name)
-			}
-		}
+		busy := s.busy("a", "b", "c", "d")
 		require.Len(t, busy, 3)
 		s.fleet.Silence(s.instances.Worker(busy[0]), true)
 		time.Sleep(2 * time.Second)
@@ -181,12 +176,7 @@
 		j.Steps[0].Spread = 1
 		s.submit(j)
 		time.Sleep(4 * time.Second)
-		var busy []string
-		for _, name := range []string{"a", "b", "c", "d", "e"} {
-			if s.fleet.On(s.instances.Worker(name)) > 0 {
-				busy = append(busy, name)
-			}
-		}
+		busy := s.busy("a", "b", "c", "d", "e")
 		s.wave(1, busy[0])
 		for s.fleet.Stopping() == 0 {
 			time.Sleep(5 * time.Millisecond)
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -71,7 +71,7 @@
 func (s *site) start(name string) *entry {
 	client := s.store.For(name)
 	cfg := orchestrator.Config{
-		Lease: testLease, Early: 0, Refresh: 500 * time.Millisecond, Status: 20 * time.Second,
+		Lease: testLease, MaxLease: 10 * time.Second, Early: 0, Refresh: 500 * time.Millisecond, Status: 20 * time.Second,
 		Manifest: func() *modeler.Manifest { return s.manifest },
 		Waves:    func() []modeler.Wave { return s.waves },
 		WaveStatus: func(n int64, completed bool) keeper.Put {
@@ -127,6 +127,17 @@
 	return v.State
 }
 
+// busy returns those of the instances that run something.
+func (s *site) busy(names ...string) []string {
+	var busy []string
+	for _, name := range names {
+		if s.fleet.On(s.instances.Worker(name)) > 0 {
+			busy = append(busy, name)
+		}
+	}
+	return busy
+}
+
 // run runs a test in virtual time and checks what must always hold.
 func run(t *testing.T, workers int, fn func(s *site)) {
 	synctest.Test(t, func(t *testing.T) {
