Keep the tests of waves and of log lines free of races

The race detector found that tests wrote the waves and read the log's lines beside the goroutines under test; the engine itself was not at fault.

--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -51,9 +51,9 @@
 		log.Info("two", "n", 2)
 		log.Debug("three")
 		time.Sleep(time.Second)
-		require.Len(t, s.lines, 2)
-		require.Contains(t, s.lines[1], `"msg":"two","n":2`)
 		w.Close(time.Second)
+		require.Equal(t, 2, s.count(`"msg"`))
+		require.Equal(t, 1, s.count(`"msg":"two","n":2`))
 	})
 }
 
--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -11,7 +11,7 @@
 )
 
 func (s *site) wave(atOnce int, names ...string) {
-	s.waves = []modeler.Wave{{Number: 1, Instances: names, Within: 30 * time.Second, AtOnce: atOnce}}
+	s.ask(modeler.Wave{Number: 1, Instances: names, Within: 30 * time.Second, AtOnce: atOnce})
 }
 
 func (s *site) status() string {
@@ -182,7 +182,7 @@
 			time.Sleep(5 * time.Millisecond)
 		}
 		first.stop()
-		s.waves = []modeler.Wave{{Number: 2, Instances: busy[1:2], Within: 30 * time.Second, AtOnce: 1}}
+		s.ask(modeler.Wave{Number: 2, Instances: busy[1:2], Within: 30 * time.Second, AtOnce: 1})
 		second := s.start("two")
 		for range 400 {
 			time.Sleep(5 * time.Millisecond)
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,10 +28,22 @@
 	fleet     *emulator.TaskFleet
 	instances *emulator.Yard
 	manifest  *modeler.Manifest
-	waves     []modeler.Wave
+	waves     atomic.Pointer[[]modeler.Wave]
 	log       *slog.Logger
 }
 
+// ask replaces the waves that the operator asks for.
+func (s *site) ask(waves ...modeler.Wave) {
+	s.waves.Store(&waves)
+}
+
+func (s *site) asked() []modeler.Wave {
+	if waves := s.waves.Load(); waves != nil {
+		return *waves
+	}
+	return nil
+}
+
 // entry is a running entry.
 type entry struct {
 	site   *site
@@ -73,7 +86,7 @@
 	cfg := orchestrator.Config{
 		Lease: testLease, MaxLease: 10 * time.Second, Early: 0, Refresh: 500 * time.Millisecond, Status: 20 * time.Second,
 		Manifest: func() *modeler.Manifest { return s.manifest },
-		Waves:    func() []modeler.Wave { return s.waves },
+		Waves:    s.asked,
 		WaveStatus: func(n int64, completed bool) keeper.Put {
 			value := "running"
 			if completed {
