--- a/commander/run/run.go
+++ b/commander/run/run.go
@@ -22,7 +22,7 @@
 
 // Options holds the options of the command.
 type Options struct {
-	Settings string     `arg:"--settings,env:COLTSFOOTLEVER_SETTINGS_FILE" placeholder:"FILE" help:"settings file [default: the one that the platform names]"`
+	Settings string     `arg:"--settings,env:COLTSFOOTLEVER_NODE_SETTINGS" placeholder:"FILE" help:"settings file [default: the one that the platform names]"`
 	LogLevel slog.Level `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
 
 	factory *commander.Factory
