--- /dev/null
+++ b/acceptor/job.go
@@ -0,0 +1,121 @@
+package acceptor
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/platform"
+)
+
+const cancelAttempts = 3 // a job's record changes at most once while a cancellation is stored
+
+// submit stores a job. Storing it again changes nothing, so that a repeated
+// call is one job.
+func (a *Acceptor) submit(w http.ResponseWriter, r *request) (answer, error) {
+	job, err := a.read(w, r)
+	if err != nil {
+		return answer{}, err
+	}
+	if a.board.StoreIsAway() {
+		return answer{}, storeFailure(keeper.ErrUnavailable)
+	}
+	job.Accepted = a.now()
+	_, _, err = a.store.Commit(r.Context(), keeper.Txn{
+		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(r.job)}},
+		Put:    []keeper.Put{{Key: orchestrator.JobKey(r.job), Value: orchestrator.EncodeJob(job)}},
+	})
+	switch {
+	case err == nil, errors.Is(err, keeper.ErrConflict):
+		return answer{status: http.StatusOK}, nil
+	case errors.Is(err, keeper.ErrUnavailable):
+		return answer{}, storeFailure(err)
+	}
+	return a.readBack(r, err)
+}
+
+// readBack resolves a submission whose write was not answered. While the job is
+// not found the write may still come, so the answer cannot be a refusal.
+func (a *Acceptor) readBack(r *request, cause error) (answer, error) {
+	v, err := a.look(r)
+	if err == nil && v.Known {
+		return answer{status: http.StatusOK}, nil
+	}
+	return answer{}, classifier.Doubt(classifier.DeadlineOver, "the key-value service has not confirmed the job, send it again: %v", errors.Cause(cause))
+}
+
+// read decodes the body of a submission.
+func (a *Acceptor) read(w http.ResponseWriter, r *request) (*modeler.Job, error) {
+	limit := r.manifest.MaxBody
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, classifier.Refuse(classifier.BadRequest, "body: %v", err)
+	}
+	job, err := platform.ParseJob(raw)
+	if err != nil {
+		return nil, classifier.Refuse(classifier.BadRequest, "%v", err)
+	}
+	job.ID, job.Queue, job.Customer = r.job, r.queue.Name, r.customer
+	return &job, nil
+}
+
+// state answers a question for a job's state.
+func (a *Acceptor) state(r *request) (answer, error) {
+	if s := a.outcomes.find(r.job); s != "" {
+		return answer{http.StatusOK, platform.StateBody(s)}, nil
+	}
+	v, err := a.look(r)
+	if err != nil {
+		return answer{}, storeFailure(err)
+	}
+	if !v.Known {
+		return answer{status: http.StatusGone}, nil
+	}
+	return answer{http.StatusOK, platform.StateBody(v.State)}, nil
+}
+
+// cancel asks for the end of a job.
+func (a *Acceptor) cancel(r *request) (answer, error) {
+	var err error
+	for range cancelAttempts {
+		var v orchestrator.View
+		if v, err = a.look(r); err != nil {
+			return answer{}, storeFailure(err)
+		}
+		switch {
+		case !v.Known, v.State == modeler.Completed, v.State == modeler.Failed:
+			return answer{status: http.StatusGone}, nil
+		case v.Cancelled:
+			return answer{status: http.StatusOK}, nil
+		}
+		_, _, err = a.store.Commit(r.Context(), keeper.Txn{
+			Expect: []keeper.Expectation{{Key: orchestrator.JobKey(r.job), Revision: v.Revision}},
+			Put:    []keeper.Put{{Key: orchestrator.CancelKey(r.job), Value: []byte("{}")}},
+		})
+		if err == nil {
+			return answer{status: http.StatusOK}, nil
+		}
+	}
+	return answer{}, classifier.Doubt(classifier.StoreDown, "the cancellation is not confirmed, send it again: %v", errors.Cause(err))
+}
+
+// look reads what the service holds of the job.
+func (a *Acceptor) look(r *request) (orchestrator.View, error) {
+	records, _, err := a.store.List(r.Context(), orchestrator.JobKey(r.job))
+	if err != nil {
+		return orchestrator.View{}, err
+	}
+	v, err := orchestrator.ReadView(r.job, records)
+	if err == nil && v.Known && v.State.IsFinal() {
+		a.outcomes.add(r.job, v.State)
+	}
+	return v, err
+}
--- /dev/null
+++ b/assigner/assigner.go
@@ -0,0 +1,106 @@
+package assigner
+
+import (
+	"slices"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+type (
+	// Worker is what a choice needs to know of a worker.
+	Worker struct {
+		Free    modeler.Resources
+		Total   modeler.Resources
+		Labels  []string
+		Rack    string
+		Closed  bool // takes nothing new on
+		Serving int  // running tasks with a latency target
+		Filling int  // running tasks that use what others leave
+		Held    int  // tasks that do not end by themselves
+	}
+
+	// Ask is a task that wants a worker.
+	Ask struct {
+		Room    modeler.Resources
+		Label   string // the worker must have it
+		Rack    string // the worker should be there
+		Fills   bool   // disturbs serving tasks
+		Serves  bool   // is disturbed by filling tasks
+		Lasting bool   // does not end by itself
+	}
+)
+
+// Choose returns the worker for a task, -1 when none can take it. others tells
+// how many tasks of the same step a worker has already; a negative number
+// rules it out.
+//
+// Tasks that end are packed tightly, so that workers fall empty and large tasks
+// find room. Tasks that last go where such tasks are already, so that the
+// other instances can move between pools.
+func Choose(workers []*Worker, a Ask, others func(i int) int) int {
+	best, bestCost := -1, 0.0
+	for i, w := range workers {
+		if w.Closed || !a.Room.Fits(w.Free) || a.Label != "" && !slices.Contains(w.Labels, a.Label) {
+			continue
+		}
+		same := others(i)
+		if same < 0 {
+			continue
+		}
+		cost := w.cost(a, same)
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// Weights of the parts of a choice, in shares of a worker. The order matters,
+// not the size: data first, then harm, then packing.
+const (
+	costFar   = 8.0  // away from its data a task takes a multiple of its time
+	costHarm  = 4.0  // for each task that the new one disturbs or that disturbs it
+	costApart = 0.25 // for each task of the same step, which one fault would end together
+	costFresh = 0.5  // a lasting task on a worker that could otherwise move
+)
+
+func (w *Worker) cost(a Ask, same int) float64 {
+	cost := share(w.Free, w.Total)
+	if a.Rack != "" && a.Rack != w.Rack {
+		cost += costFar
+	}
+	if a.Fills {
+		cost += costHarm * float64(w.Serving)
+	}
+	if a.Serves {
+		cost += costHarm * float64(w.Filling)
+	}
+	if a.Lasting {
+		cost += costApart * float64(same)
+		if w.Held == 0 {
+			cost += costFresh
+		}
+	}
+	return cost
+}
+
+// share is the part of a worker's processor that is free.
+func share(free, total modeler.Resources) float64 {
+	if total.CPU <= 0 {
+		return 0
+	}
+	return float64(free.CPU) / float64(total.CPU)
+}
+
+// Count books n tasks of a step by what they do to others.
+func (w *Worker) Count(s *modeler.Step, n int) {
+	if s.Target > 0 {
+		w.Serving += n
+	}
+	if s.Fills {
+		w.Filling += n
+	}
+	if s.LongRunning {
+		w.Held += n
+	}
+}
--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander/pool"
 	"github.com/coltsfootlever/coltsfootlever/commander/report"
 	"github.com/coltsfootlever/coltsfootlever/commander/rules"
+	"github.com/coltsfootlever/coltsfootlever/commander/run"
 	"github.com/coltsfootlever/coltsfootlever/commander/serve"
 	"github.com/coltsfootlever/coltsfootlever/commander/standin"
 	"github.com/coltsfootlever/coltsfootlever/commander/status"
@@ -39,6 +40,7 @@
 			report.New(f),
 			job.New(f),
 			serve.New(f),
+			run.New(f),
 			demo.New(f),
 			standin.New(f),
 		},
--- /dev/null
+++ b/commander/run/run.go
@@ -0,0 +1,70 @@
+// Package run holds the command run, an entry on the users' platform.
+package run
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/launcher"
+	"github.com/coltsfootlever/coltsfootlever/logger"
+	"github.com/coltsfootlever/coltsfootlever/platform"
+)
+
+const logFlushTime = 200 * time.Millisecond // for the last lines at the end
+
+// Options holds the options of the command.
+type Options struct {
+	Settings string     `arg:"--settings,env:COLTSFOOTLEVER_SETTINGS_FILE" placeholder:"FILE" help:"settings file [default: the one that the platform names]"`
+	LogLevel slog.Level `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
+
+	factory *commander.Factory
+}
+
+// New returns the command run.
+func New(f *commander.Factory) *commander.Command {
+	opts := &Options{factory: f}
+	return &commander.Command{
+		Name:  "run",
+		Short: "run an entry on the platform",
+		Long: `Runs an entry from the settings file that the platform provides, until it is told to stop by SIGTERM or an
+interrupt. It then fails its readiness check, gives up leadership and finishes the calls under way. SIGHUP makes it
+read the settings file again. Logs are JSON lines on the output stream.`,
+		Example: `$ coltsfootlever run
+$ coltsfootlever run --settings node.yaml --log-level WARN`,
+		Options: opts,
+		Run:     func(ctx context.Context) error { return run(ctx, opts) },
+	}
+}
+
+func run(ctx context.Context, opts *Options) error {
+	path := opts.Settings
+	if path == "" {
+		var err error
+		if path, err = platform.SettingsPath(); err != nil {
+			return err
+		}
+	}
+	log, writer := logger.New(opts.factory.Out, opts.LogLevel)
+	defer writer.Close(logFlushTime)
+	entry, err := launcher.New(path, launcher.WithLog(log))
+	if err != nil {
+		return errors.Annotate(err, "entry not started")
+	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	go func() {
+		for range hangups {
+			entry.Reload()
+		}
+	}()
+	err = entry.Run(ctx)
+	return errors.Trace(err)
+}
--- /dev/null
+++ b/elector/elector.go
@@ -0,0 +1,262 @@
+package elector
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+const (
+	// Key is the record of the leader.
+	Key = "leader"
+
+	defaultLeaseTime = 1500 * time.Millisecond // a dead leader is replaced after this; above a slow store's answers
+	renewalsPerLease = 4                       // two renewals in a row may fail
+	outageAllowance  = 8 * time.Second         // a leader that cannot renew extends running work this long after its lease
+	candidateJitter  = 20 * time.Millisecond   // some round trips, so that seldom two candidates collide
+	retryInterval    = 200 * time.Millisecond  // between attempts to take or to renew after a failure
+	releaseTimeout   = 500 * time.Millisecond  // of the last call of a term
+)
+
+type (
+	// Store is the part of the key-value service that leadership needs.
+	Store interface {
+		keeper.Watcher
+		Get(ctx context.Context, key string) (keeper.Record, error)
+		Commit(ctx context.Context, txn keeper.Txn) (int64, []keeper.Record, error)
+		Grant(ctx context.Context, ttl time.Duration) (keeper.LeaseID, error)
+		KeepAlive(ctx context.Context, id keeper.LeaseID) error
+		Revoke(ctx context.Context, id keeper.LeaseID) error
+	}
+
+	// Term is one leadership.
+	Term struct {
+		Token   int64 // revision at which leadership was taken; grows from term to term
+		renewed atomic.Int64
+		lease   time.Duration
+		now     func() time.Duration
+		end     context.CancelCauseFunc
+	}
+
+	// Elector takes part in the election.
+	Elector struct {
+		store Store
+		self  string
+		lead  func(ctx context.Context, t *Term)
+		lease time.Duration
+		delay time.Duration
+		now   func() time.Duration
+		log   *slog.Logger
+		free  chan struct{} // holds a token while no leader is seen
+	}
+
+	// Option changes an Elector.
+	Option func(*Elector)
+)
+
+// ErrDeposed is the cause of a term's end when another entry leads.
+const ErrDeposed = errors.ConstError("another entry leads")
+
+// WithLeaseTime sets the time after which a silent leader is replaced.
+func WithLeaseTime(d time.Duration) Option {
+	return func(e *Elector) { e.lease = d }
+}
+
+// WithDelay sets how long this entry waits before it becomes a candidate, so
+// that better equipped ones come first.
+func WithDelay(d time.Duration) Option {
+	return func(e *Elector) { e.delay = d }
+}
+
+// WithClock sets the clock that leases are measured with. It has to go on
+// while the machine is suspended.
+func WithClock(now func() time.Duration) Option {
+	return func(e *Elector) { e.now = now }
+}
+
+// New returns an elector of an entry. lead is called in a goroutine of its own
+// for each term and has to return soon after its context ends.
+func New(store Store, self string, lead func(ctx context.Context, t *Term), log *slog.Logger, opts ...Option) *Elector {
+	start := time.Now()
+	e := &Elector{
+		store: store,
+		self:  self,
+		lead:  lead,
+		lease: defaultLeaseTime,
+		now:   func() time.Duration { return time.Since(start) },
+		log:   log,
+		free:  make(chan struct{}, 1),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Depose ends the term because another entry leads.
+func (t *Term) Depose() {
+	t.end(ErrDeposed)
+}
+
+// MayExtend says whether the leader may still extend the leases of running
+// work. It may so for some time after its own lease, because an outage of the
+// service must not end running work; a successor counts on that time.
+func (t *Term) MayExtend() bool {
+	return t.now()-time.Duration(t.renewed.Load()) < t.lease+outageAllowance
+}
+
+// ExtensionLimit is the longest time after the start of a term for which the
+// predecessor may have extended leases.
+func ExtensionLimit() time.Duration {
+	return outageAllowance
+}
+
+// Run takes part until ctx ends. A term that is held then is given back after
+// lead has returned.
+func (e *Elector) Run(ctx context.Context) error {
+	follower := keeper.NewFollower(e.store, Key, keeper.OnReset(e.reset), keeper.OnEvent(e.observe), keeper.WithFollowerLog(e.log))
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		_ = follower.Run(ctx) // returns only the end of ctx
+	}()
+	defer func() { <-watched }()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-e.free:
+		}
+		if supervisor.Pause(ctx, e.delay+rand.N(candidateJitter)) != nil {
+			return ctx.Err()
+		}
+		if err := e.serveTerm(ctx); err != nil {
+			e.log.Warn("leadership not taken", "error", err)
+			if !errors.Is(err, keeper.ErrConflict) {
+				_ = supervisor.Pause(ctx, retryInterval)
+				e.recheck(ctx)
+			}
+		}
+	}
+}
+
+func (e *Elector) reset(records []keeper.Record) {
+	for _, r := range records {
+		if r.Key == Key {
+			return
+		}
+	}
+	e.offer()
+}
+
+func (e *Elector) observe(ev keeper.Event) {
+	if ev.Key == Key && ev.Deleted {
+		e.offer()
+	}
+}
+
+func (e *Elector) offer() {
+	select {
+	case e.free <- struct{}{}:
+	default:
+	}
+}
+
+// recheck looks whether there is a leader now, because no event may come.
+func (e *Elector) recheck(ctx context.Context) {
+	r, err := e.store.Get(ctx, Key)
+	if err != nil || r.Revision == 0 {
+		e.offer()
+	}
+}
+
+// serveTerm takes leadership and returns after the term.
+func (e *Elector) serveTerm(ctx context.Context) error {
+	began := e.now()
+	id, err := e.store.Grant(ctx, e.lease)
+	if err != nil {
+		return errors.Annotate(err, "granting a lease")
+	}
+	token, err := e.take(ctx, id)
+	if err != nil {
+		e.release(ctx, id)
+		return errors.Annotate(err, "taking leadership")
+	}
+	termCtx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	t := &Term{Token: token, lease: e.lease, now: e.now, end: end}
+	t.renewed.Store(int64(began))
+	e.log.Info("leadership taken", "token", token)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.lead(termCtx, t)
+	}()
+	e.renew(termCtx, t, id)
+	<-done
+	e.log.Info("leadership ended", "token", token, "cause", context.Cause(termCtx).Error())
+	e.release(ctx, id)
+	return nil
+}
+
+// take creates the leader's record. After an unknown outcome it looks for its
+// own identity in it.
+func (e *Elector) take(ctx context.Context, id keeper.LeaseID) (int64, error) {
+	identity := e.self + "/" + uuid.NewString()
+	revision, _, err := e.store.Commit(ctx, keeper.Txn{
+		Expect: []keeper.Expectation{{Key: Key}},
+		Put:    []keeper.Put{{Key: Key, Value: []byte(identity), Lease: id}},
+	})
+	if !errors.Is(err, keeper.ErrUnknown) {
+		return revision, err
+	}
+	r, readErr := e.store.Get(ctx, Key)
+	if readErr != nil {
+		return 0, errors.Annotate(err, readErr.Error())
+	}
+	if string(r.Value) != identity {
+		return 0, err
+	}
+	return r.Revision, nil
+}
+
+// renew keeps the lease alive until the term ends.
+func (e *Elector) renew(ctx context.Context, t *Term, id keeper.LeaseID) {
+	for {
+		if supervisor.Pause(ctx, e.lease/renewalsPerLease) != nil {
+			return
+		}
+		sent := e.now()
+		err := e.store.KeepAlive(ctx, id)
+		switch {
+		case err == nil:
+			t.renewed.Store(int64(sent))
+		case errors.Is(err, keeper.ErrLeaseLost):
+			e.log.Warn("lease of the leadership lost", "token", t.Token)
+			t.Depose()
+		case ctx.Err() != nil:
+		case !t.MayExtend():
+			e.log.Warn("leadership not renewed for too long", "token", t.Token, "error", err)
+			t.Depose()
+		default:
+			e.log.Warn("leadership not renewed", "token", t.Token, "error", err)
+		}
+	}
+}
+
+// release gives a lease back, so that a successor need not wait for its end.
+func (e *Elector) release(ctx context.Context, id keeper.LeaseID) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	defer cancel()
+	if err := e.store.Revoke(ctx, id); err != nil {
+		e.log.Warn("lease not given back, it will run out", "error", err)
+	}
+}
--- a/keeper/record.go
+++ b/keeper/record.go
@@ -56,3 +56,26 @@
 
 // LeaseID names a lease of the service. 0 means none.
 type LeaseID int64
+
+type (
+	// Txn changes several keys at once, or none of them.
+	Txn struct {
+		Expect []Expectation
+		Put    []Put
+		Delete []string
+	}
+
+	// Expectation is a condition of a Txn: the revision that a key has, 0 for
+	// an absent key.
+	Expectation struct {
+		Key      string
+		Revision int64
+	}
+
+	// Put writes a key, bound to a lease unless it is 0.
+	Put struct {
+		Key   string
+		Value []byte
+		Lease LeaseID
+	}
+)
--- /dev/null
+++ b/orchestrator/attend.go
@@ -0,0 +1,186 @@
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+const (
+	busyWait      = time.Second            // look of a worker with runs; a silent worker is noticed after this
+	idleWait      = 2 * time.Second        // look of a worker without runs, the longest that workers grant
+	storeWait     = 500 * time.Millisecond // ends that cannot be stored are listed again after this
+	lookRetry     = 150 * time.Millisecond // after a look without an answer
+	lookRetryMost = time.Second            // the same for a worker that stays silent
+)
+
+// attend starts the goroutines that call a worker.
+func (e *Engine) attend(ctx context.Context, w *worker) {
+	ctx, w.cancel = context.WithCancel(ctx)
+	w.orders = supervisor.NewRing[func(context.Context)](orderRing)
+	w.looks = supervisor.NewRing[look](1)
+	for range orderLanes {
+		e.spawn(func() { runOrders(ctx, w.orders) })
+	}
+	looks := w.looks
+	e.spawn(func() { e.runLooks(ctx, w, looks) })
+	e.look(w, time.Now(), 0)
+}
+
+func runOrders(ctx context.Context, orders *supervisor.Ring[func(context.Context)]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-orders.C():
+			fn(ctx)
+		}
+	}
+}
+
+func (e *Engine) runLooks(ctx context.Context, w *worker, looks *supervisor.Ring[look]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case l := <-looks.C():
+			info := l.worker
+			sent := time.Now()
+			report, err := e.workers.Hold(ctx, info, l.deadline, e.term.Token, l.seen, l.wait)
+			e.post(ctx, func() { e.looked(w, sent, report, err) })
+		}
+	}
+}
+
+// look asks for a worker's lists and extends the leases of its runs.
+func (e *Engine) look(w *worker, now time.Time, wait time.Duration) {
+	if w.looking || w.looks == nil {
+		return
+	}
+	l := look{worker: w.Worker, seen: w.seen, wait: wait}
+	if w.known && e.term.MayExtend() {
+		l.deadline = w.clock.ahead(now, e.cfg.Lease)
+		w.deadline = max(w.deadline, l.deadline)
+	}
+	if w.failures > 0 {
+		l.seen = 0 // another life of the worker may answer, whose ends have other numbers
+	}
+	w.looking = w.looks.Offer(l)
+	w.lookedAt = now
+}
+
+// lookAgain repeats a look that was held back.
+func (e *Engine) lookAgain(w *worker, now time.Time) {
+	if w.looking || w.looks == nil {
+		return
+	}
+	pause := storeWait
+	if w.failures > 0 {
+		pause = min(lookRetry<<min(w.failures-1, 4), lookRetryMost)
+	}
+	if now.Sub(w.lookedAt) >= pause {
+		e.look(w, now, 0)
+	}
+}
+
+// looked takes in the answer to a look.
+func (e *Engine) looked(w *worker, sent time.Time, report modeler.Report, err error) {
+	now := time.Now()
+	w.looking = false
+	switch {
+	case errors.Is(err, modeler.ErrFenced):
+		e.log.Warn("superseded", "worker", w.ID)
+		e.term.Depose()
+		return
+	case err != nil:
+		e.missed(w, now, err)
+		return
+	}
+	if report.Born != w.Born && w.known || report.Born > w.Born {
+		e.reborn(w, report.Born)
+	}
+	if !w.reached {
+		w.reached = true
+		e.log.Info("worker reached", "worker", w.ID, "pool", w.Pool, "failures", w.failures)
+		e.changed()
+	}
+	first := !w.known
+	w.known, w.failures = true, 0
+	w.clock = clock{now, report.Clock}
+	e.noteEnds(w, report.Ended)
+	e.compare(w, sent, report, first)
+	if w.confirmed() {
+		return // the next look confirms the ends once they are stored
+	}
+	e.lookNext(w, now)
+}
+
+func (e *Engine) lookNext(w *worker, now time.Time) {
+	wait := idleWait
+	if len(w.tasks) > 0 {
+		wait = busyWait
+	}
+	e.look(w, now, wait)
+}
+
+// missed notes a look without an answer.
+func (e *Engine) missed(w *worker, now time.Time, err error) {
+	w.failures++
+	w.suspect(now)
+	if w.reached || w.failures == 1 {
+		e.log.Warn("worker not reached", "worker", w.ID, "pool", w.Pool, "tasks", len(w.tasks), "error", err)
+	}
+	w.reached = false
+}
+
+// reborn ends all that an earlier life of the worker had.
+func (e *Engine) reborn(w *worker, born int64) {
+	if len(w.tasks) > 0 || w.known {
+		e.log.Info("worker has started anew", "worker", w.ID, "born", born, "before", w.Born, "tasks", len(w.tasks))
+	}
+	w.Born = born
+	w.seen, w.ends, w.deadline = 0, nil, 0
+	e.lose(w, "reborn")
+}
+
+// lose lets all tasks of a worker run elsewhere, because they have certainly
+// ended there.
+func (e *Engine) lose(w *worker, reason string) {
+	for _, t := range w.tasks {
+		e.log.Info("run lost", "task", t.id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String(), "reason", reason)
+		e.again(t)
+	}
+	clear(w.strays)
+	e.changed()
+}
+
+// expire gives up the tasks of a worker whose leases are certainly over.
+func (e *Engine) expire(w *worker, now time.Time) {
+	if w.reached || now.Before(e.lapse(w)) {
+		return
+	}
+	if len(w.tasks) > 0 {
+		e.lose(w, "lease over")
+	}
+	if !w.listed {
+		if w.cancel != nil {
+			w.cancel()
+		}
+		delete(e.fleet, w.ID)
+		e.log.Info("worker gone", "worker", w.ID, "pool", w.Pool)
+	}
+}
+
+// lapse is the time at which all leases of a silent worker are over.
+func (e *Engine) lapse(w *worker) time.Time {
+	if w.known {
+		return w.clock.reaches(w.deadline)
+	}
+	longest := time.Duration(float64(e.cfg.MaxLease)/clockDrift) + elector.ExtensionLimit() + lapseMargin
+	return e.began.Add(longest)
+}
--- /dev/null
+++ b/orchestrator/flush.go
@@ -0,0 +1,184 @@
+package orchestrator
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+)
+
+const (
+	maxEntries  = 32 // keys that a transaction of the store may name, from the platform's pages
+	maxWriting  = 4  // transactions under way; a slow store then still takes 60 jobs a call's time
+	keysOfJob   = 2  // condition and progress
+	keysOfEnded = 4  // condition, outcome, and the two records that go
+
+	storeRetry = 100 * time.Millisecond // after a failed transaction
+)
+
+// batch is a transaction with the jobs that it stores.
+type batch struct {
+	txn     keeper.Txn
+	jobs    []*job
+	version []int64
+	final   []bool
+}
+
+// flush stores changed jobs, several in a transaction. Each is conditional on
+// this term and on the job's last known record, so that a transaction that is
+// carried out late changes nothing.
+func (e *Engine) flush(ctx context.Context, now time.Time) {
+	if now.Before(e.nextFlush) {
+		return
+	}
+	for e.writing < maxWriting {
+		b := e.batch()
+		if len(b.jobs) == 0 {
+			return
+		}
+		e.nextFlush = now.Add(storeInterval)
+		e.writing++
+		e.spawn(func() {
+			revision, records, err := e.store.Commit(ctx, b.txn)
+			e.post(ctx, func() { e.committed(ctx, b, revision, records, err) })
+		})
+	}
+}
+
+// condition lets a transaction fail once the term is over.
+func (e *Engine) condition() keeper.Expectation {
+	return keeper.Expectation{Key: elector.Key, Revision: e.term.Token}
+}
+
+func (e *Engine) batch() *batch {
+	b := &batch{txn: keeper.Txn{Expect: []keeper.Expectation{e.condition()}}}
+	room := maxEntries - 1
+	for j := range e.dirty {
+		if j.writing {
+			continue
+		}
+		final := j.state.IsFinal() && j.active == 0
+		size := keysOfJob
+		if final {
+			size = keysOfEnded
+		}
+		if size > room {
+			break
+		}
+		room -= size
+		b.add(j, final)
+		delete(e.dirty, j)
+	}
+	return b
+}
+
+func (b *batch) add(j *job, final bool) {
+	j.writing = true
+	b.jobs = append(b.jobs, j)
+	b.version = append(b.version, j.version)
+	b.final = append(b.final, final)
+	b.txn.Expect = append(b.txn.Expect, keeper.Expectation{Key: ProgressKey(j.ID), Revision: j.revision})
+	if final {
+		b.txn.Put = append(b.txn.Put, keeper.Put{Key: JobKey(j.ID), Value: encode(JobRecord{Outcome: j.state})})
+		b.txn.Delete = append(b.txn.Delete, ProgressKey(j.ID), CancelKey(j.ID))
+		return
+	}
+	b.txn.Put = append(b.txn.Put, keeper.Put{Key: ProgressKey(j.ID), Value: encode(j.progress())})
+}
+
+// committed takes in the outcome of a transaction.
+func (e *Engine) committed(ctx context.Context, b *batch, revision int64, records []keeper.Record, err error) {
+	e.writing--
+	for _, j := range b.jobs {
+		j.writing = false
+	}
+	switch {
+	case err == nil:
+		for i, j := range b.jobs {
+			e.stored(j, b.version[i], revision, b.final[i])
+		}
+		e.startStored(ctx)
+		e.confirmEnds()
+		return
+	case errors.Is(err, keeper.ErrConflict):
+		if !e.adopt(b, records) {
+			e.log.Warn("superseded in the store")
+			e.term.Depose()
+		}
+	default:
+		e.log.Warn("progress not stored", "jobs", len(b.jobs), "error", err)
+		e.nextFlush = time.Now().Add(storeRetry)
+	}
+	for _, j := range b.jobs {
+		e.dirty[j] = true
+	}
+}
+
+// stored notes that a version of a job is in the store.
+func (e *Engine) stored(j *job, version, revision int64, final bool) {
+	j.stored = version
+	j.revision = revision
+	if !final {
+		if j.version > version {
+			e.dirty[j] = true
+		}
+		return
+	}
+	j.ended = true
+	delete(e.jobs, j.ID)
+	e.outcomes[j.ID] = j.state
+	e.log.Info("job ended", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "outcome", j.state, "reason", j.reason, "took", time.Since(j.Accepted).Round(time.Millisecond).String())
+}
+
+// adopt takes over the revisions that earlier transactions of this term, whose
+// answers were lost, have left. It reports false when the term is over.
+func (e *Engine) adopt(b *batch, records []keeper.Record) bool {
+	found := make(map[string]int64, len(records))
+	for _, r := range records {
+		found[r.Key] = r.Revision
+	}
+	if found[elector.Key] != e.term.Token {
+		return false
+	}
+	for _, j := range b.jobs {
+		if r := found[ProgressKey(j.ID)]; r != j.revision {
+			e.log.Info("earlier write found", "job", j.ID, "revision", r, "expected", j.revision)
+			j.revision = r
+		}
+	}
+	return true
+}
+
+// startStored orders the placements that are stored.
+func (e *Engine) startStored(ctx context.Context) {
+	kept := e.toStart[:0]
+	for _, t := range e.toStart {
+		j := t.step.occurrence.job
+		switch {
+		case t.phase != placed:
+		case j.stored < t.version:
+			kept = append(kept, t)
+		case e.closing:
+		case j.state.IsFinal() || !t.worker.reached:
+			e.again(t)
+			e.changed()
+		default:
+			e.start(ctx, t)
+		}
+	}
+	clear(e.toStart[len(kept):])
+	e.toStart = kept
+}
+
+// confirmEnds lets workers forget the ends that are stored.
+func (e *Engine) confirmEnds() {
+	now := time.Now()
+	for _, w := range e.fleet {
+		if len(w.ends) > 0 && !w.confirmed() && w.failures == 0 {
+			e.lookNext(w, now)
+		}
+	}
+}
--- /dev/null
+++ b/orchestrator/follow.go
@@ -0,0 +1,154 @@
+package orchestrator
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
+)
+
+// restoreAll takes in the records of all jobs. Records that are known already
+// change nothing, so that a second reading is safe.
+func (e *Engine) restoreAll(records []keeper.Record) {
+	progress := make(map[string]keeper.Record)
+	var cancels []string
+	for _, r := range records {
+		switch id, suffix := splitKey(r.Key); suffix {
+		case progressSuffix:
+			progress[id] = r
+		case cancelSuffix:
+			cancels = append(cancels, id)
+		}
+	}
+	for _, r := range records {
+		if id, suffix := splitKey(r.Key); suffix == "" {
+			e.takeJob(id, r, progress[id])
+		}
+	}
+	for _, id := range cancels {
+		e.cancelJob(id)
+	}
+}
+
+// takeJob takes in the record of a job that is not known yet.
+func (e *Engine) takeJob(id string, r, progress keeper.Record) {
+	if e.jobs[id] != nil || e.outcomes[id] != "" {
+		return
+	}
+	var rec JobRecord
+	if err := json.Unmarshal(r.Value, &rec); err != nil || rec.Job == nil && rec.Outcome == "" {
+		e.log.Error("job record left alone", "job", id, "revision", r.Revision, "error", err)
+		return
+	}
+	if rec.Outcome != "" {
+		e.outcomes[id] = rec.Outcome
+		return
+	}
+	j := newJob(*rec.Job)
+	if progress.Revision != 0 {
+		var p Progress
+		err := json.Unmarshal(progress.Value, &p)
+		if err == nil {
+			err = j.restore(p, e.workerOf)
+		}
+		if err != nil {
+			e.log.Error("job record left alone", "job", id, "revision", progress.Revision, "error", err)
+			return
+		}
+		j.revision = progress.Revision
+	}
+	e.jobs[id] = j
+	e.log.Info("job known", "job", id, "queue", j.Queue, "customer", j.Customer, "revision", r.Revision, "state", j.state, "active", j.active)
+	e.settleJob(j)
+	e.changed()
+}
+
+// workerOf returns the worker with an id. One that is not listed is assumed to
+// run on until its leases are over.
+func (e *Engine) workerOf(id string) *worker {
+	w := e.fleet[id]
+	if w == nil {
+		w = &worker{Worker: modeler.Worker{ID: id}, tasks: make(map[modeler.TaskID]*task), strays: make(map[modeler.TaskID]time.Time)}
+		e.fleet[id] = w
+	}
+	return w
+}
+
+// followJobs posts changes of jobs until ctx ends.
+func (e *Engine) followJobs(ctx context.Context, revision int64) {
+	err := e.store.Watch(ctx, JobPrefix, revision, func(ev keeper.Event) { e.observeJob(ctx, ev) })
+	if ctx.Err() != nil {
+		return
+	}
+	e.log.Warn("watch of jobs broken", "error", err)
+	follower := keeper.NewFollower(e.store, JobPrefix,
+		keeper.OnReset(func(records []keeper.Record) { e.post(ctx, func() { e.restoreAll(records) }) }),
+		keeper.OnEvent(func(ev keeper.Event) { e.observeJob(ctx, ev) }),
+		keeper.WithFollowerLog(e.log))
+	_ = follower.Run(ctx) // returns only the end of ctx
+}
+
+func (e *Engine) observeJob(ctx context.Context, ev keeper.Event) {
+	id, suffix := splitKey(ev.Key)
+	if ev.Deleted || suffix == progressSuffix {
+		return
+	}
+	e.post(ctx, func() {
+		if suffix == cancelSuffix {
+			e.cancelJob(id)
+			return
+		}
+		e.takeJob(id, ev.Record, keeper.Record{})
+	})
+}
+
+// followWorkers reads the workers' list at intervals until ctx ends.
+func (e *Engine) followWorkers(ctx, calls context.Context) {
+	for ctx.Err() == nil {
+		list, err := e.dir.Workers(ctx)
+		if err != nil {
+			e.log.Warn("workers not listed", "error", err)
+		} else {
+			e.post(ctx, func() { e.takeList(calls, list) })
+		}
+		_ = supervisor.Pause(ctx, e.cfg.Refresh) // ends the loop with ctx
+	}
+}
+
+// takeList takes in the workers' list.
+func (e *Engine) takeList(ctx context.Context, list []modeler.Worker) {
+	now := time.Now()
+	listed := make(map[string]bool, len(list))
+	for _, info := range list {
+		listed[info.ID] = true
+		w := e.workerOf(info.ID)
+		if info.Draining && !w.Draining {
+			e.log.Info("worker drains", "worker", info.ID, "pool", info.Pool, "tasks", len(w.tasks))
+		}
+		born := w.Born
+		w.Worker = info
+		if born > info.Born {
+			w.Born = born // the list lags behind the worker's own word
+		}
+		if !w.listed {
+			w.listed = true
+			e.log.Info("worker listed", "worker", info.ID, "pool", info.Pool, "born", info.Born)
+		}
+		if w.looks == nil {
+			e.attend(ctx, w)
+		}
+	}
+	for id, w := range e.fleet {
+		if w.listed && !listed[id] {
+			w.listed = false
+			e.log.Info("worker no longer listed", "worker", id, "pool", w.Pool, "tasks", len(w.tasks))
+		}
+	}
+	for _, w := range e.fleet {
+		e.expire(w, now)
+	}
+	e.changed()
+}
--- /dev/null
+++ b/orchestrator/job.go
@@ -0,0 +1,199 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+// The phases of a task.
+const (
+	waiting  phase = iota
+	placed         // the placement is being stored, the worker has no order yet
+	starting       // the order is on its way
+	doubtful       // the order was not answered, it may still be carried out
+	adopted        // an earlier term placed it, the worker has not been asked yet
+	running        // the worker has confirmed it
+	stopping       // the worker has been told to stop it
+	done
+)
+
+type (
+	phase int
+
+	// job is an accepted job that has not ended.
+	job struct {
+		modeler.Job
+		occurrences []*occurrence
+		state       modeler.State
+		reason      string // why the state is final
+		begun       bool   // a task has started
+		version     int64  // counts changes that have to be stored
+		stored      int64  // last version in the service
+		writing     bool   // a transaction with the job is on its way
+		revision    int64  // of its progress record, 0 while there is none
+		active      int    // tasks that have or may have a run
+		ended       bool   // the final record is stored
+	}
+
+	occurrence struct {
+		job    *job
+		number int
+		due    time.Time
+		steps  []*step
+		done   int // finished steps
+	}
+
+	step struct {
+		*modeler.Step
+		occurrence *occurrence
+		number     int
+		tasks      []*task
+		waiting    int               // tasks in phase waiting
+		done       int               // finished tasks
+		allowed    map[string]string // tickets by worker, nil when unknown
+		allowedTo  time.Time
+		asking     bool
+	}
+
+	task struct {
+		step       *step
+		id         modeler.TaskID
+		phase      phase
+		run        int // number of the last run, 0 before the first
+		failed     int // runs that ended by a failure
+		checkpoint string
+		worker     *worker   // of the run, nil while waiting or done
+		ticket     string    // permission of the advice service
+		version    int64     // job version that holds the placement
+		since      time.Time // beginning of the phase
+		atWork     bool      // the worker reported full progress
+		load       int       // see modeler.RunningTask.Load
+		pace       int       // percent of full speed
+		leaving    bool      // it is stopped to run elsewhere
+	}
+)
+
+func (p phase) String() string {
+	return [...]string{"waiting", "placed", "starting", "doubtful", "adopted", "running", "stopping", "done"}[p]
+}
+
+// newJob returns a job none of whose tasks has run.
+func newJob(def modeler.Job) *job {
+	j := &job{Job: def, state: modeler.Queued}
+	for k := range def.Occurrences() {
+		o := &occurrence{job: j, number: k, due: def.Due(k)}
+		for i := range def.Steps {
+			s := &step{Step: &j.Steps[i], occurrence: o, number: i, waiting: def.Steps[i].Count}
+			for n := range s.Count {
+				s.tasks = append(s.tasks, &task{
+					step: s, id: modeler.TaskID{Job: def.ID, Occurrence: k, Step: i, Index: n}, pace: fullPace,
+				})
+			}
+			o.steps = append(o.steps, s)
+		}
+		j.occurrences = append(j.occurrences, o)
+	}
+	return j
+}
+
+// find returns a task of the job, nil when it has no such task.
+func (j *job) find(id modeler.TaskID) *task {
+	if id.Occurrence >= len(j.occurrences) {
+		return nil
+	}
+	o := j.occurrences[id.Occurrence]
+	if id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
+		return nil
+	}
+	return o.steps[id.Step].tasks[id.Index]
+}
+
+// tasks calls fn with every task of the job.
+func (j *job) tasks(fn func(t *task)) {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				fn(t)
+			}
+		}
+	}
+}
+
+// isComplete says whether all tasks are done.
+func (j *job) isComplete() bool {
+	for _, o := range j.occurrences {
+		if o.done < len(o.steps) {
+			return false
+		}
+	}
+	return true
+}
+
+// isReady says whether the tasks of the step may start.
+func (s *step) isReady() bool {
+	for _, n := range s.After {
+		if earlier := s.occurrence.steps[n]; earlier.done < earlier.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// absent counts tasks of the step that are not at work.
+func (s *step) absent() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.phase != running || !t.atWork {
+			n++
+		}
+	}
+	return n
+}
+
+// on counts the tasks of the step that a worker has.
+func (s *step) on(w *worker) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.worker == w {
+			n++
+		}
+	}
+	return n
+}
+
+// hasRun says whether a run of the task exists or may exist.
+func (t *task) hasRun() bool {
+	return t.phase != waiting && t.phase != done
+}
+
+// chain is the longest chain of estimated work that is left.
+func (o *occurrence) chain(now time.Time) time.Duration {
+	ends := make([]time.Duration, len(o.steps))
+	longest := time.Duration(0)
+	for i, s := range o.steps {
+		if s.done == s.Count {
+			continue
+		}
+		ends[i] = s.left(now)
+		for _, n := range s.After {
+			ends[i] = max(ends[i], ends[n]+s.left(now))
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// left is the estimated time that the step still needs with enough workers.
+func (s *step) left(now time.Time) time.Duration {
+	if s.waiting > 0 {
+		return s.Estimate
+	}
+	left := time.Duration(0)
+	for _, t := range s.tasks {
+		if t.hasRun() {
+			left = max(left, s.Estimate-now.Sub(t.since))
+		}
+	}
+	return left
+}
--- /dev/null
+++ b/orchestrator/place.go
@@ -0,0 +1,242 @@
+package orchestrator
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/assigner"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+type (
+	// pass is one round of placing the waiting tasks.
+	pass struct {
+		e        *Engine
+		now      time.Time
+		manifest *modeler.Manifest
+		usage    map[string]modeler.Resources // by customer
+		pools    map[string]*poolView
+	}
+
+	poolView struct {
+		workers []*worker
+		views   []*assigner.Worker
+		full    []modeler.Resources // asks that found no worker, without further conditions
+	}
+
+	claim struct {
+		assigner.Claim
+		step *step
+	}
+)
+
+// place gives waiting tasks to workers with room.
+func (e *Engine) place(now time.Time) {
+	if e.closing {
+		return
+	}
+	p := &pass{e: e, now: now, manifest: e.cfg.Manifest(), usage: e.usage(), pools: make(map[string]*poolView)}
+	for _, c := range p.claims() {
+		p.placeStep(c.step)
+	}
+}
+
+// usage sums up what each customer has or may have running.
+func (e *Engine) usage() map[string]modeler.Resources {
+	usage := make(map[string]modeler.Resources)
+	for _, w := range e.fleet {
+		for _, t := range w.tasks {
+			customer := t.step.occurrence.job.Customer
+			usage[customer] = usage[customer].Add(t.need())
+		}
+	}
+	return usage
+}
+
+// claims lists the steps with tasks that may start, the most urgent first.
+func (p *pass) claims() []claim {
+	var claims []claim
+	for _, j := range p.e.jobs {
+		q := p.manifest.Queue(j.Queue)
+		if q == nil || j.state.IsFinal() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if p.now.Before(o.due.Add(-p.e.cfg.Early)) && j.Repeat > 0 {
+				continue
+			}
+			claims = append(claims, o.claims(q, p.now)...)
+		}
+	}
+	slices.SortFunc(claims, func(a, b claim) int { return assigner.Compare(&a.Claim, &b.Claim) })
+	return claims
+}
+
+func (o *occurrence) claims(q *modeler.Queue, now time.Time) []claim {
+	var claims []claim
+	var chain time.Duration
+	for _, s := range o.steps {
+		if s.waiting == 0 || !s.isReady() {
+			continue
+		}
+		if claims == nil {
+			chain = o.chain(now)
+		}
+		claims = append(claims, claim{step: s, Claim: assigner.Claim{
+			Priority:  q.Priority,
+			Lasting:   s.LongRunning,
+			Deadline:  o.due.Add(o.objective(q)).Sub(now),
+			Remaining: chain,
+			Accepted:  o.due,
+			ID:        o.job.ID,
+		}})
+	}
+	return claims
+}
+
+// objective is the time in which the occurrence should be done.
+func (o *occurrence) objective(q *modeler.Queue) time.Duration {
+	ends := make([]time.Duration, len(o.steps))
+	longest := time.Duration(0)
+	for i, s := range o.steps {
+		ends[i] = s.Estimate
+		for _, n := range s.After {
+			ends[i] = max(ends[i], ends[n]+s.Estimate)
+		}
+		longest = max(longest, ends[i])
+	}
+	return time.Duration(q.Stretch*float64(longest)) + q.Target
+}
+
+func (p *pass) placeStep(s *step) {
+	j := s.occurrence.job
+	q := p.manifest.Queue(j.Queue)
+	view := p.pool(q.Pool)
+	if s.Gang && s.waiting < s.Count || q.Advice != nil && !p.e.advised(s, q, view.workers, p.now) {
+		return
+	}
+	var tasks []*task
+	for _, t := range s.tasks {
+		if t.phase != waiting {
+			continue
+		}
+		if !p.placeTask(t, j, view) {
+			break
+		}
+		tasks = append(tasks, t)
+	}
+	if s.Gang && len(tasks) < s.Count {
+		for _, t := range tasks {
+			p.release(t, j, view)
+		}
+		return
+	}
+	for _, t := range tasks {
+		p.commit(t)
+	}
+}
+
+// placeTask finds a worker for a task and takes the room, in the pass only.
+func (p *pass) placeTask(t *task, j *job, view *poolView) bool {
+	s := t.step
+	sum := p.usage[j.Customer].Add(t.need())
+	if c := p.manifest.Customer(j.Customer); c != nil && !c.Within(sum) {
+		return false
+	}
+	plain := s.Label == "" && s.Spread == 0 && s.allowed == nil
+	if plain && view.isFull(s.Room()) {
+		return false
+	}
+	i := assigner.Choose(view.views, assigner.Ask{
+		Room: s.Room(), Label: s.Label, Rack: s.Rack, Fills: s.Fills, Serves: s.Target > 0, Lasting: s.LongRunning,
+	}, func(i int) int {
+		w := view.workers[i]
+		n := s.on(w)
+		if s.Spread > 0 && n >= s.Spread {
+			return -1
+		}
+		if s.allowed != nil && s.allowed[w.ID] == "" {
+			return -1
+		}
+		return n
+	})
+	if i < 0 {
+		if plain {
+			view.full = append(view.full, s.Room())
+		}
+		return false
+	}
+	p.usage[j.Customer] = sum
+	t.attach(view.workers[i], placed)
+	view.take(i, s, 1)
+	return true
+}
+
+// release takes a placement of the pass back.
+func (p *pass) release(t *task, j *job, view *poolView) {
+	i := slices.Index(view.workers, t.worker)
+	p.usage[j.Customer] = p.usage[j.Customer].Sub(t.need())
+	view.take(i, t.step, -1)
+	t.requeue()
+}
+
+// commit numbers the run and has the placement stored; the order follows.
+func (p *pass) commit(t *task) {
+	e, j := p.e, t.step.occurrence.job
+	t.run++
+	t.since = p.now
+	if t.step.Gang {
+		for _, member := range t.step.tasks {
+			t.run = max(t.run, member.run)
+		}
+	}
+	if !j.begun {
+		j.begun = true
+		j.state = modeler.Running
+	}
+	e.change(j)
+	t.version = j.version
+	t.ticket = t.step.allowed[t.worker.ID]
+	e.toStart = append(e.toStart, t)
+	e.log.Info("task placed", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.now.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
+		"free-cpu", t.worker.free().CPU, "manifest", p.manifest.Version)
+}
+
+func (p *pass) pool(name string) *poolView {
+	if v := p.pools[name]; v != nil {
+		return v
+	}
+	v := &poolView{}
+	for _, w := range p.e.fleet {
+		if w.Pool == name && w.isOpen(p.now) {
+			v.workers = append(v.workers, w)
+		}
+	}
+	slices.SortFunc(v.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	for _, w := range v.workers {
+		v.views = append(v.views, w.view())
+	}
+	p.pools[name] = v
+	return v
+}
+
+func (w *worker) view() *assigner.Worker {
+	v := &assigner.Worker{Free: w.free(), Total: w.Capacity, Labels: w.Labels, Rack: modeler.Rack(w.Labels)}
+	for _, t := range w.tasks {
+		v.Count(t.step.Step, 1)
+	}
+	return v
+}
+
+// isFull says whether an ask as small as one that failed already is asked.
+func (v *poolView) isFull(room modeler.Resources) bool {
+	return slices.ContainsFunc(v.full, func(failed modeler.Resources) bool { return failed.Fits(room) })
+}
+
+// take books n tasks of a step at a worker of the pass.
+func (v *poolView) take(i int, s *step, n int) {
+	view := v.views[i]
+	view.Free = view.Free.Sub(s.Room().Times(n))
+	view.Count(s.Step, n)
+}
--- /dev/null
+++ b/orchestrator/view.go
@@ -0,0 +1,54 @@
+package orchestrator
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+// View is what the service holds of a job.
+type View struct {
+	Known     bool
+	State     modeler.State
+	Revision  int64 // of the job's record
+	Cancelled bool  // its end has been asked for
+}
+
+// EncodeJob returns the record of a job that has not ended.
+func EncodeJob(j *modeler.Job) []byte {
+	return encode(JobRecord{Job: j})
+}
+
+// ReadView reads a job's records, those below JobKey(id).
+func ReadView(id string, records []keeper.Record) (View, error) {
+	v := View{State: modeler.Queued}
+	var outcome modeler.State
+	for _, r := range records {
+		switch r.Key {
+		case JobKey(id):
+			var rec JobRecord
+			if err := json.Unmarshal(r.Value, &rec); err != nil {
+				return v, errors.Annotatef(err, "record %q", r.Key)
+			}
+			v.Known, v.Revision, outcome = true, r.Revision, rec.Outcome
+		case ProgressKey(id):
+			var p Progress
+			if err := json.Unmarshal(r.Value, &p); err != nil {
+				return v, errors.Annotatef(err, "record %q", r.Key)
+			}
+			v.State = p.State
+		case CancelKey(id):
+			v.Cancelled = true
+		}
+	}
+	switch {
+	case outcome != "":
+		v.State = outcome
+	case v.Cancelled && !v.State.IsFinal():
+		v.State = modeler.Cancelled
+	}
+	return v, nil
+}
