Log which record lets a new leader go on without a worker's report

The logs could not tell a stale record of unresponsive workers from other reasons to start inherited tasks early, nor name the worker that a pool waited for last. New: a line for each worker that inherited tasks do not wait for, a line when the record of unresponsive workers is stored, and in the term's first line whether the predecessor handed over. No change of logic; tests of orchestrator and launcher pass.

--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -296,7 +296,8 @@
 		records, revision, err := e.store.List(ctx, fleetPrefix)
 		if err == nil {
 			e.restoreState(records)
-			e.log.Info("fleet state read from the store", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision, "took", time.Since(e.termStart).String())
+			e.log.Info("fleet state read from the store", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision,
+				"handed-over", e.handover.predecessorStoredAll, "recorded-unresponsive", len(e.unresponsive.workers), "took", time.Since(e.termStart).String())
 			return revision, nil
 		}
 		e.log.Warn("jobs not read from the store, trying again", "error", err)
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -106,7 +106,7 @@
 	if previousID, ok := e.handover.blockingWorkers[pool]; id != previousID {
 		e.handover.blockingWorkers[pool] = id
 		if id == "" {
-			e.log.Info("inherited tasks of the pool may start", "pool", pool)
+			e.log.Info("inherited tasks of the pool may start", "pool", pool, "last-worker", previousID)
 		} else if !ok || previousID == "" {
 			e.log.Info("inherited tasks of the pool wait until a worker has reported its runs", "pool", pool, "worker", id, "until", e.leaseExpiry(w))
 		}
@@ -123,6 +123,7 @@
 	}
 	for _, w := range e.workersByID {
 		if w.polled || w.registeredInTerm || e.unresponsive.fromEarlierTerm[w.ID] || !now.Before(e.leaseExpiry(w)) {
+			e.logWorkerNotAwaited(w)
 			continue
 		}
 		if w.Pool == pool && w.listed || w.Pool == "" && w.hasTasksOfPool(pool, e) {
@@ -132,6 +133,17 @@
 	return nil
 }
 
+// logWorkerNotAwaited logs, once for each worker, why inherited tasks don't wait
+// for a worker that has not reported its runs.
+func (e *Engine) logWorkerNotAwaited(w *worker) {
+	if w.polled || w.notAwaitedLogged {
+		return
+	}
+	w.notAwaitedLogged = true
+	e.log.Info("inherited tasks do not wait for a worker that has not reported", "worker", w.ID, "pool", w.Pool,
+		"registered-in-term", w.registeredInTerm, "recorded-unresponsive", e.unresponsive.fromEarlierTerm[w.ID], "leases-until", e.leaseExpiry(w))
+}
+
 // hasTasksOfPool reports whether any task assigned to the worker belongs to a
 // pool. It is used for unlisted workers, whose pool is unknown.
 func (w *worker) hasTasksOfPool(pool string, e *Engine) bool {
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
@@ -80,18 +82,21 @@
 		return
 	}
 	r.commitInFlight, r.changed = true, false
+	ids := slices.Sorted(maps.Keys(r.workers))
 	txn := keeper.Txn{
 		Expect: []keeper.Expectation{e.termCondition()},
 		Put:    []keeper.Put{{Key: unresponsiveKey, Value: encodeJSON(r.workers)}},
 	}
 	e.runInBackground(func() {
-		_, _, err := e.store.Commit(ctx, txn)
+		revision, _, err := e.store.Commit(ctx, txn)
 		e.runInEventLoop(ctx, func() {
 			r.commitInFlight = false
 			if err != nil {
 				e.log.Warn("record of silent workers not stored, trying again", "error", err)
 				r.changed, r.retryAfter = true, time.Now().Add(unresponsiveRetryInterval)
+				return
 			}
+			e.log.Info("record of silent workers stored", "workers", ids, "revision", revision)
 		})
 	})
 }
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -27,6 +27,7 @@
 		polled             bool      // polled successfully in this term
 		replaced           bool      // a newer worker runs on its instance
 		registeredInTerm   bool      // started after the previous leader's lease expired, see startedAfterFirstListRequest
+		notAwaitedLogged   bool      // see logWorkerNotAwaited
 		suspectUntil       time.Time // gets no new tasks before this time
 		hasUnknownStart    bool      // a start got no response, and no poll has succeeded since
 		used               modeler.Resources
