--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -591,3 +591,41 @@
 		second.stopGracefully()
 	})
 }
+
+// The store names the worker with the earlier run, because the restart of the task could not be stored.
+func TestNewLeaderKeepsANewerRunOnItsRecordedWorker(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.StopTime = time.Second
+		s.taskFleet.StartDelay = func(_ modeler.TaskID, number int) time.Duration {
+			if number == 1 {
+				return 3 * time.Second
+			}
+			return 0
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		stored := false
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+				if len(txn.Put) == 0 || txn.Put[0].Key != orchestrator.ProgressKey("j1") {
+					return false, 0
+				}
+				lost := stored
+				stored = true
+				return lost, time.Hour
+			}
+		})
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+		first.crash()
+		s.instances.Add(modeler.Instance{Name: "other", Pool: "p", Zone: "z", Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+		second := s.startEntry("two")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		second.stopGracefully()
+	})
+}
