Show three more ways in which a run that does not match the record runs twice

They are separate faults of one class (a run is identified by its number alone, or a worker's list is dropped because it does not match the record), so each gets its own fix.

--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -629,3 +631,103 @@
 		second.stopGracefully()
 	})
 }
+
+// Leaders of two terms may give the same number to runs on different workers.
+func TestTaskIsNotPlacedBesideAnOrphanedRunThatIsStopping(t *testing.T) {
+	for name, gang := range map[string]bool{"single": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+				s.taskFleet.StopTime = time.Second
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: gang}))
+				time.Sleep(500 * time.Millisecond)
+				first.crash()
+				used := s.instancesWithTasks("a", "b", "c")
+				free := s.instances.WorkerOf(slices.DeleteFunc([]string{"a", "b", "c"}, func(name string) bool { return slices.Contains(used, name) })[0])
+				for _, name := range used {
+					s.instances.RestartWorker(name)
+				}
+				leader, err := s.store.ClientFor("x").Get(t.Context(), elector.Key)
+				require.NoError(t, err)
+				_, err = s.taskFleet.Start(t.Context(), modeler.Worker{ID: free}, modeler.StartOrder{Task: taskID("j1", 0, 0), Run: 1, DeadlineMs: 1 << 40, FencingToken: leader.Revision})
+				require.NoError(t, err)
+				second := s.startEntry("two")
+				for s.taskFleet.StoppingRunCount() == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, 1, s.taskFleet.StoppingRunCount())
+				require.Equal(t, gang, s.taskFleet.StartedRuns(taskID("j1", 0, 1)) == 1, "only a gang waits as a whole")
+				time.Sleep(time.Second)
+				require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 1)))
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestEndOnAnotherWorkerDoesNotRequeueARunningTask(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+				return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+			}
+		})
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+		first.crash()
+		second := s.startEntry("two")
+		time.Sleep(15 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		s.taskFleet.SetUnresponsive(silent, false) // its run has lapsed and has the number of the present run
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		second.stopGracefully()
+	})
+}
+
+func TestRunStopsAndKeepsItsRoomUntilItsEndWhenAnEarlierRunIsDone(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.StopTime = time.Second
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if id.Job == "j1" && number == 1 {
+				return 2 * time.Second, modeler.EndDone
+			}
+			return time.Minute, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		present := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		require.NotEqual(t, silent, present)
+		s.taskFleet.SetDraining(silent)
+		s.submit(shortJob("j2", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(time.Second)
+		s.taskFleet.SetUnresponsive(silent, false)
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			require.LessOrEqual(t, s.taskFleet.RunCountOnWorker(present), 1)
+		}
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j2"))
+		e.stopGracefully()
+	})
+}
