Adopt a newer run also on the worker that the record names

Callers saw a task run twice after a change of leader, with the limit of a worker and the anti-affinity of its step broken beside it.

Cause: a leader that is cut off from the store starts a task again on the worker on which the store has its earlier run. Its successor looked for a run to adopt only if no task was assigned to the worker under that name. Here the earlier run was, so the newer one was stopped as orphaned, and the task requeued in the same poll because the earlier run was not listed.

Now a listed run that is not the one the task is placed as, by worker and number, is offered for adoption, whatever worker the record names. The numbers of runs that can't be adopted are kept as well, so that the next run gets a higher one: a worker refuses the number of a run that has ended there.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -31,14 +31,11 @@
 func (e *Engine) handleReportedEnd(w *worker, ended modeler.EndedTask) reportedEnd {
 	delete(w.orphanedRuns, ended.Task)
 	result := reportedEnd{number: ended.Number}
-	j := e.jobs[ended.Task.Job]
-	if j == nil {
-		return result
-	}
-	t := j.findTask(ended.Task)
+	t := e.findTask(ended.Task)
 	if t == nil || t.phase == done {
 		return result
 	}
+	j := t.step.occurrence.job
 	if ended.Run < t.run && t.mayHaveRun() {
 		e.handleEndOfEarlierRun(t, ended)
 		result.job, result.jobVersion = j, j.version
@@ -139,11 +136,8 @@
 	listedRuns := make(map[modeler.TaskID]int, len(report.Running))
 	for _, r := range report.Running {
 		listedRuns[r.Task] = r.Run
-		t := w.tasks[r.Task]
-		if t == nil {
-			t = e.adoptRun(w, r)
-		}
-		if t == nil || t.run != r.Run {
+		t := e.findTask(r.Task)
+		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
 			e.stopOrphanedRun(w, r, now)
 			continue
 		}
@@ -168,26 +162,24 @@
 }
 
 // adoptRun takes over a run that the previous leader started without storing
-// it. It returns nil if the run must not continue.
-func (e *Engine) adoptRun(w *worker, r modeler.RunningTask) *task {
-	j := e.jobs[r.Task.Job]
-	if j == nil || j.state.IsFinal() {
-		return nil
-	}
-	t := j.findTask(r.Task)
-	if t == nil || t.phase != waiting && t.phase != adopted || r.Run <= t.run {
-		return nil
+// it. The record may name any worker, also this one, with an earlier run. It
+// returns false if the run must not continue.
+func (e *Engine) adoptRun(w *worker, t *task, run int) bool {
+	t.highestRun = max(t.highestRun, run)
+	j := t.step.occurrence.job
+	if j.state.IsFinal() || t.phase != waiting && t.phase != adopted || run <= t.run {
+		return false
 	}
 	t.requeue() // release the worker of an earlier run
-	e.log.Info("run adopted: an earlier leader started it without storing it", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
-	t.run = r.Run
+	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
+	t.run = run
 	t.assignTo(w, adopted)
 	j.hasStarted = true
 	if j.state == modeler.Queued {
 		j.state = modeler.Running
 	}
 	e.markUnstored(j)
-	return t
+	return true
 }
 
 // confirmRun records that a worker lists the run of a task.
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -68,6 +68,7 @@
 		id               modeler.TaskID
 		phase            phase
 		run              int   // number of the last run, 0 before the first
+		highestRun       int   // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []int // numbers of the failed runs
 		checkpoint       string
 		worker           *worker   // assigned worker, nil while waiting or done
@@ -117,6 +118,16 @@
 	return o.steps[id.Step].tasks[id.Index]
 }
 
+// findTask returns a task of a job that has not ended, or nil if there is no such
+// task.
+func (e *Engine) findTask(id modeler.TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.findTask(id)
+}
+
 // forEachTask calls fn for every task of the job.
 func (j *job) forEachTask(fn func(t *task)) {
 	for _, o := range j.occurrences {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -319,7 +319,7 @@
 // placement to be stored. The start is sent afterwards.
 func (p *placementPass) commitPlacement(t *task) {
 	e, j := p.engine, t.step.occurrence.job
-	t.run++
+	t.run = max(t.run, t.highestRun) + 1
 	t.phaseSince = p.now
 	if t.step.Gang {
 		for _, member := range t.step.tasks {
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -26,6 +26,13 @@
 	w.used = w.used.Sub(t.step.ReservedResources())
 }
 
+// isPlacedAs reports whether the task is placed on a worker as the run with this
+// number. The number alone does not identify a run, because leaders of two terms
+// may use the same one on different workers.
+func (t *task) isPlacedAs(w *worker, run int) bool {
+	return t.worker == w && t.run == run
+}
+
 // markDone marks the task as done.
 func (t *task) markDone() {
 	if t.phase == done {
