Place no task while a worker may still run an orphaned run of it

Callers saw two runs of a task at the same time after a change of leader.

Cause: a run that belongs to no assigned task was told to stop, which takes up to the platform's stop timeout, but its task waited for nothing and was placed on another worker at once. Only the worker was kept from new tasks. Orphaned runs were also known by their task alone, so that the end of another run of the task on that worker counted as theirs.

Now a placement pass and the sending of starts leave out the tasks with an orphaned run on any known worker, and a gang with such a member as a whole. The set is derived from the workers' lists of orphaned runs, so it can't outlast a worker that is removed. A run leaves its worker's list when its end is listed, when it is no longer listed, also after a restart, and when the worker is replaced or its leases have expired; the last two cleared the list only if the worker had assigned tasks as well. An instance that is to be moved or maintained waits for orphaned runs too, since their ends would otherwise be certain only after the lease; no test shows this last point.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -193,9 +193,12 @@
 	e.requestPlacement()
 }
 
-// requeueTasksOf requeues all tasks of a worker on which they have certainly
-// ended.
+// requeueTasksOf requeues all tasks of a worker on which all runs have certainly
+// ended, including orphaned ones.
 func (e *Engine) requeueTasksOf(w *worker, reason string) {
+	if len(w.tasks)+len(w.orphanedRuns) == 0 {
+		return
+	}
 	for _, t := range w.tasks {
 		e.requeueLostTask(w, t, reason)
 	}
@@ -217,9 +220,7 @@
 	if w.reachable || now.Before(e.leaseExpiry(w)) {
 		return
 	}
-	if len(w.tasks) > 0 {
-		e.requeueTasksOf(w, "lease over")
-	}
+	e.requeueTasksOf(w, "lease over")
 	if !w.listed {
 		if w.cancel != nil {
 			w.cancel()
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -29,7 +29,7 @@
 // handleReportedEnd processes one ended run. It returns the job version that
 // must be stored before the worker may drop the ended run from its list.
 func (e *Engine) handleReportedEnd(w *worker, ended modeler.EndedTask) reportedEnd {
-	delete(w.orphanedRuns, ended.Task)
+	delete(w.orphanedRuns, runID{ended.Task, ended.Run})
 	result := reportedEnd{number: ended.Number}
 	t := e.findTask(ended.Task)
 	if t == nil || t.phase == done {
@@ -133,9 +133,9 @@
 // tasks whose run is missing.
 func (e *Engine) reconcileRuns(w *worker, sentAt time.Time, report modeler.Report, firstPoll bool) {
 	now := time.Now()
-	listedRuns := make(map[modeler.TaskID]int, len(report.Running))
+	listedRuns := make(map[runID]bool, len(report.Running))
 	for _, r := range report.Running {
-		listedRuns[r.Task] = r.Run
+		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
 			e.stopOrphanedRun(w, r, now)
@@ -144,12 +144,12 @@
 		e.confirmRun(t, r, now)
 	}
 	for id := range w.orphanedRuns {
-		if _, ok := listedRuns[id]; !ok {
+		if !listedRuns[id] {
 			delete(w.orphanedRuns, id)
 		}
 	}
 	for id, t := range w.tasks {
-		if run, ok := listedRuns[id]; ok && run == t.run {
+		if listedRuns[runID{id, t.run}] {
 			continue
 		}
 		switch {
@@ -201,10 +201,23 @@
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
 // because its job has ended.
 func (e *Engine) stopOrphanedRun(w *worker, r modeler.RunningTask, now time.Time) {
-	if last, ok := w.orphanedRuns[r.Task]; ok && now.Sub(last) < orphanStopRetryInterval {
+	id := runID{r.Task, r.Run}
+	if last, ok := w.orphanedRuns[id]; ok && now.Sub(last) < orphanStopRetryInterval {
 		return
 	}
-	w.orphanedRuns[r.Task] = now
+	w.orphanedRuns[id] = now
 	e.log.Info("orphaned run without an assigned task is stopped", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
 	e.queueStop(w, r.Task, r.Run)
 }
+
+// tasksWithOrphanedRuns returns the tasks of which some worker may still run an
+// orphaned run.
+func (e *Engine) tasksWithOrphanedRuns() map[modeler.TaskID]bool {
+	tasks := make(map[modeler.TaskID]bool)
+	for _, w := range e.workersByID {
+		for id := range w.orphanedRuns {
+			tasks[id.task] = true
+		}
+	}
+	return tasks
+}
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -2,13 +2,11 @@
 
 import (
 	"fmt"
-	"slices"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -639,24 +637,7 @@
 			runScenario(t, 3, func(s *deployment) {
 				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
 				s.taskFleet.StopTime = time.Second
-				first := s.startEntry("one")
-				time.Sleep(time.Second)
-				s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: gang}))
-				time.Sleep(500 * time.Millisecond)
-				first.crash()
-				used := s.instancesWithTasks("a", "b", "c")
-				free := s.instances.WorkerOf(slices.DeleteFunc([]string{"a", "b", "c"}, func(name string) bool { return slices.Contains(used, name) })[0])
-				for _, name := range used {
-					s.instances.RestartWorker(name)
-				}
-				leader, err := s.store.ClientFor("x").Get(t.Context(), elector.Key)
-				require.NoError(t, err)
-				_, err = s.taskFleet.Start(t.Context(), modeler.Worker{ID: free}, modeler.StartOrder{Task: taskID("j1", 0, 0), Run: 1, DeadlineMs: 1 << 40, FencingToken: leader.Revision})
-				require.NoError(t, err)
-				second := s.startEntry("two")
-				for s.taskFleet.StoppingRunCount() == 0 {
-					time.Sleep(10 * time.Millisecond)
-				}
+				second, _ := s.startEntryAfterOrphanedRun(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: gang}))
 				time.Sleep(500 * time.Millisecond)
 				require.Equal(t, 1, s.taskFleet.StoppingRunCount())
 				require.Equal(t, gang, s.taskFleet.StartedRuns(taskID("j1", 0, 1)) == 1, "only a gang waits as a whole")
@@ -670,6 +651,33 @@
 	}
 }
 
+func TestEndOfOrphanedRunIsCertainWithoutAReport(t *testing.T) {
+	for name, lose := range map[string]func(s *deployment, instance string){
+		"unresponsive": func(s *deployment, instance string) {
+			s.taskFleet.SetUnresponsive(s.instances.WorkerOf(instance), true)
+			time.Sleep(testLease / 2)
+			require.Equal(s.t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)), "its lease has not expired")
+			time.Sleep(testLease/2 + time.Second)
+		},
+		"replaced": func(s *deployment, instance string) {
+			s.instances.RestartWorker(instance)
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+				s.taskFleet.StopTime = time.Hour
+				second, instance := s.startEntryAfterOrphanedRun(longRunningJob("j1", 1))
+				lose(s, instance)
+				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
 func TestEndOnAnotherWorkerDoesNotRequeueARunningTask(t *testing.T) {
 	runScenario(t, 2, func(s *deployment) {
 		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -223,6 +223,10 @@
 // sendReadyStarts sends the start of each placed task whose placement is stored
 // or has waited for the store too long.
 func (e *Engine) sendReadyStarts(ctx context.Context, now time.Time) {
+	if len(e.awaitingStart) == 0 {
+		return
+	}
+	orphaned := e.tasksWithOrphanedRuns()
 	remaining := e.awaitingStart[:0]
 	for _, t := range e.awaitingStart {
 		j := t.step.occurrence.job
@@ -230,7 +234,7 @@
 		case t.phase != placed:
 		case e.shuttingDown || !e.maySendStart(t, now):
 			remaining = append(remaining, t)
-		case j.state.IsFinal() || !t.worker.reachable:
+		case j.state.IsFinal() || !t.worker.reachable || orphaned[t.id] || t.step.Gang && t.step.hasTaskIn(orphaned):
 			e.requeueTask(t)
 			e.requestPlacement()
 		default:
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -242,7 +242,7 @@
 	case evacuating:
 		empty := true
 		for _, w := range e.allWorkersOn(i) {
-			if len(w.tasks) > 0 {
+			if len(w.tasks)+len(w.orphanedRuns) > 0 {
 				e.evacuateWorker(w, now)
 				empty = false
 			}
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -160,6 +161,11 @@
 	return true
 }
 
+// hasTaskIn reports whether any task of the step is in a set.
+func (s *step) hasTaskIn(set map[modeler.TaskID]bool) bool {
+	return len(set) > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return set[t.id] })
+}
+
 // countUnavailable returns the number of unavailable tasks of the step, not
 // counting the task except.
 func (s *step) countUnavailable(except *task) int {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -24,6 +24,7 @@
 		customerUsage  map[string]modeler.Resources // resources in use, by customer
 		pools          map[string]*poolView
 		customerShares map[string]customerShares // fair shares of customers, by pool
+		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
 	}
 
 	// poolView is the state of one pool in a placement pass: its workers that
@@ -50,7 +51,7 @@
 	if e.shuttingDown {
 		return
 	}
-	p := &placementPass{engine: e, now: now, manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView)}
+	p := &placementPass{engine: e, now: now, manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
 	candidates := p.listCandidates()
 	p.customerShares = p.customerSharesByPool(candidates)
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
@@ -171,7 +172,7 @@
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q.Pool) {
 		return
 	}
-	if s.Gang && s.waitingTasks < s.Count || q.Advice != nil && !p.engine.hasCurrentTickets(s, q, view.workers, p.now) {
+	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned)) || q.Advice != nil && !p.engine.hasCurrentTickets(s, q, view.workers, p.now) {
 		return
 	}
 	s.choosePreferredRack(view)
@@ -191,7 +192,7 @@
 func (p *placementPass) placeTasks(s *step, j *job, view *poolView, fair bool) []*task {
 	var tasks []*task
 	for _, t := range s.tasks {
-		if t.phase != waiting {
+		if t.phase != waiting || p.orphaned[t.id] {
 			continue
 		}
 		if !p.isWithinCustomerLimit(t, j) || fair && p.exceedsFairShare(s, view.name) {
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -112,9 +112,7 @@
 		if w.Instance == "" || w.StartTimeMs >= newest[w.Instance] {
 			continue
 		}
-		if len(w.tasks) > 0 {
-			e.requeueTasksOf(w, "instance has another worker")
-		}
+		e.requeueTasksOf(w, "instance has another worker")
 		w.reachable, w.replaced, w.leaseDeadline = false, true, 0
 	}
 }
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -146,6 +146,37 @@
 	e.stopGracefully()
 }
 
+// startEntryAfterOrphanedRun starts an entry node that finds a job of which the
+// workers have been replaced and whose first task runs on another instance under
+// the number of the stored run. It returns when the run has been told to stop.
+func (d *deployment) startEntryAfterOrphanedRun(j modeler.Job) (e *entryNode, instance string) {
+	first := d.startEntry("one")
+	time.Sleep(time.Second)
+	d.submit(j)
+	time.Sleep(500 * time.Millisecond)
+	first.crash()
+	for _, name := range []string{"a", "b", "c"} {
+		if d.taskFleet.RunCountOnWorker(d.instances.WorkerOf(name)) > 0 {
+			d.instances.RestartWorker(name)
+		} else {
+			instance = name
+		}
+	}
+	leader, err := d.store.ClientFor("x").Get(d.t.Context(), elector.Key)
+	require.NoError(d.t, err)
+	o := modeler.StartOrder{Task: taskID(j.ID, 0, 0), Run: 1, FencingToken: leader.Revision}
+	o.DeadlineMs, err = d.taskFleet.Start(d.t.Context(), modeler.Worker{ID: d.instances.WorkerOf(instance)}, o) // refused, tells the worker's clock
+	require.ErrorIs(d.t, err, modeler.ErrLeaseExpired)
+	o.DeadlineMs += testLease.Milliseconds()
+	_, err = d.taskFleet.Start(d.t.Context(), modeler.Worker{ID: d.instances.WorkerOf(instance)}, o)
+	require.NoError(d.t, err)
+	e = d.startEntry("two")
+	for d.taskFleet.StoppingRunCount() == 0 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return e, instance
+}
+
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
 	j.Accepted = time.Now()
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -33,23 +33,30 @@
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
-		leaseDeadline      int64                        // latest lease expiry sent, on the worker's clock
-		acknowledgedEnd    int64                        // number of the last ended run that the worker need not list again
-		pendingEnds        []reportedEnd                // ended runs reported by the worker and not acknowledged yet
-		polling            bool                         // a poll is queued or in flight
-		lastPollAt         time.Time                    // when the last poll was queued
-		failedPolls        int                          // failed polls in a row
-		cordonReason       string                       // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task                      // tasks that have resources reserved here
-		idleCPUPacePercent int                          // speed of the tasks that use idle CPU, in percent of full speed
-		paceChangedAt      time.Time                    // when idleCPUPacePercent last changed
-		orphanedRuns       map[modeler.TaskID]time.Time // runs without an assigned task, with the time at which a stop was last sent
+		leaseDeadline      int64               // latest lease expiry sent, on the worker's clock
+		acknowledgedEnd    int64               // number of the last ended run that the worker need not list again
+		pendingEnds        []reportedEnd       // ended runs reported by the worker and not acknowledged yet
+		polling            bool                // a poll is queued or in flight
+		lastPollAt         time.Time           // when the last poll was queued
+		failedPolls        int                 // failed polls in a row
+		cordonReason       string              // kind of plan that excludes the worker from new tasks; empty if there is none
+		reservedFor        []*task             // tasks that have resources reserved here
+		idleCPUPacePercent int                 // speed of the tasks that use idle CPU, in percent of full speed
+		paceChangedAt      time.Time           // when idleCPUPacePercent last changed
+		orphanedRuns       map[runID]time.Time // runs without an assigned task that have not certainly ended, with the time at which a stop was last sent
 
 		pendingCalls *supervisor.Ring[func(ctx context.Context)]
 		pollRequests *supervisor.Ring[pollRequest]
 		cancel       context.CancelFunc
 	}
 
+	// runID identifies a run on one worker. Leaders of two terms may give the same
+	// number to runs on different workers.
+	runID struct {
+		task   modeler.TaskID
+		number int
+	}
+
 	// reportedEnd is an ended run reported by a worker and the job version that
 	// records it.
 	reportedEnd struct {
