Let an end change a task's placement only if its run is the placed one

Callers saw a third run of a task beside the second, and tasks on a worker without room for them or beside a task that they must not share it with.

Cause: a worker's end of a run was taken for the end of the present run if its number was not lower, although leaders of two terms can give one number to runs on different workers. A line of level ERROR was the only consequence: the task was requeued and its room freed while its run went on elsewhere. An end of a run with a lower number was dropped also if the run was done, so the task ran on and was done a second time.

Now only the end of the run that the task is placed as, by worker and number, or of a higher one on the same worker, requeues the task. Any other end raises the number for the next run; done completes the task, failed counts as an attempt. The line for it is the one for earlier runs; the ERROR line is gone, because the case is a normal one: a worker that was silent until its leases had expired still reports its ends.

The test of the earlier run that is done gets further than before and still fails: the present run keeps no room while it stops.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -36,14 +36,11 @@
 		return result
 	}
 	j := t.step.occurrence.job
-	if ended.Run < t.run && t.mayHaveRun() {
-		e.handleEndOfEarlierRun(t, ended)
+	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
+		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
 		return result
 	}
-	if t.worker != nil && t.worker != w {
-		e.log.Error("worker reported the end of a run whose task is placed on another worker", "task", ended.Task.String(), "run", ended.Run, "worker", w.ID, "placed", t.worker.ID)
-	}
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
@@ -90,10 +87,17 @@
 
 // handleEndOfEarlierRun processes the end of a run after which the task has
 // already been started again. This happens after a change of leader if the
-// previous leader could not store the end.
-func (e *Engine) handleEndOfEarlierRun(t *task, ended modeler.EndedTask) {
-	e.log.Info("earlier run ended after its task was started again", "task", t.id.String(), "run", ended.Run, "how", ended.EndKind, "present", t.run)
-	if ended.EndKind == modeler.EndFailed && !t.step.LongRunning {
+// previous leader could not store the end, and when a worker responds again
+// after its leases have expired. The run may have the number of the present one
+// or a higher one if it ran on another worker.
+func (e *Engine) handleEndOfEarlierRun(w *worker, t *task, ended modeler.EndedTask) {
+	e.log.Info("earlier run ended after its task was started again", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "present", t.run, "placed", t.worker.ID)
+	t.highestRun = max(t.highestRun, ended.Run)
+	switch {
+	case t.step.LongRunning:
+	case ended.EndKind == modeler.EndDone:
+		e.updateTaskAfterEnd(t, ended)
+	case ended.EndKind == modeler.EndFailed:
 		e.recordFailedRun(t, ended.Run)
 	}
 }
