Keep the room of a run that is stopped because an earlier run is done

Callers could see a worker above its capacity after a worker that had been silent reported that it had done a task which was running again elsewhere.

Cause: the task was marked done, which frees the room of its present run, while that run went on until the next poll listed it as orphaned and it had stopped.

Now the present run, in a gang the run of each member, is told to stop at once and counts as orphaned, which keeps new tasks off its worker until its end is certain. The stop also prevents a start that is still under way. A report from before the stop proves nothing about such a start, so it does not clear the run.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -96,12 +96,30 @@
 	switch {
 	case t.step.LongRunning:
 	case ended.EndKind == modeler.EndDone:
+		e.stopRunsOfDoneTask(t)
 		e.updateTaskAfterEnd(t, ended)
 	case ended.EndKind == modeler.EndFailed:
 		e.recordFailedRun(t, ended.Run)
 	}
 }
 
+// stopRunsOfDoneTask stops the run of a task, and of the other members of its
+// gang, of which an earlier run is done. The runs count as orphaned, so that no
+// task takes their room before they have ended.
+func (e *Engine) stopRunsOfDoneTask(t *task) {
+	tasks := []*task{t}
+	if t.step.Gang {
+		tasks = t.step.tasks
+	}
+	now := time.Now()
+	for _, t := range tasks {
+		switch t.phase {
+		case starting, outcomeUnknown, running, stopping:
+			e.stopOrphanedRun(t.worker, runID{t.id, t.run}, now)
+		}
+	}
+}
+
 // recordFailedRun records that a run failed. Each run counts only once.
 func (e *Engine) recordFailedRun(t *task, run int) {
 	if slices.Contains(t.failedRuns, run) {
@@ -142,13 +160,13 @@
 		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
-			e.stopOrphanedRun(w, r, now)
+			e.stopOrphanedRun(w, runID{r.Task, r.Run}, now)
 			continue
 		}
 		e.confirmRun(t, r, now)
 	}
-	for id := range w.orphanedRuns {
-		if !listedRuns[id] {
+	for id, stoppedAt := range w.orphanedRuns {
+		if !listedRuns[id] && !sentAt.Before(stoppedAt) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
 		}
 	}
@@ -204,14 +222,13 @@
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
 // because its job has ended.
-func (e *Engine) stopOrphanedRun(w *worker, r modeler.RunningTask, now time.Time) {
-	id := runID{r.Task, r.Run}
+func (e *Engine) stopOrphanedRun(w *worker, id runID, now time.Time) {
 	if last, ok := w.orphanedRuns[id]; ok && now.Sub(last) < orphanStopRetryInterval {
 		return
 	}
 	w.orphanedRuns[id] = now
-	e.log.Info("orphaned run without an assigned task is stopped", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
-	e.queueStop(w, r.Task, r.Run)
+	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
+	e.queueStop(w, id.task, id.number)
 }
 
 // tasksWithOrphanedRuns returns the tasks of which some worker may still run an
