--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -739,3 +739,31 @@
 		e.stopGracefully()
 	})
 }
+
+func TestGangMembersShareARunNumberAfterARunThatWasNotStored(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		var numbers [2]int // of the last runs
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			numbers[id.Index] = number
+			if number == 5 {
+				return 3 * time.Second, modeler.EndAlone
+			}
+			return -1, modeler.EndDone
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: true}))
+		time.Sleep(500 * time.Millisecond)
+		first.crash()
+		for _, name := range []string{"a", "b", "c"} {
+			s.instances.RestartWorker(name)
+		}
+		_, err := s.taskFleet.Start(t.Context(), modeler.Worker{ID: s.instances.WorkerOf("a")}, modeler.StartOrder{Task: taskID("j1", 0, 1), Run: 5, DeadlineMs: 1 << 40})
+		require.NoError(t, err)
+		second := s.startEntry("two")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, [2]int{6, 6}, numbers)
+		second.stopGracefully()
+	})
+}
