Start all members of a gang under the same run number

Callers would see gangs whose members wait for each other alone until the platform gives them up.

Cause: each member's number was raised by one and then to the highest of the others, in turn. If one member has had a higher number, because a run of it was adopted or listed, the first gets that number and that member the next one.

Now all members take the highest known number before each is raised by one.

--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -183,11 +183,26 @@
 		}
 		return
 	}
+	if s.Gang {
+		s.alignRunNumbers()
+	}
 	for _, t := range tasks {
 		p.commitPlacement(t)
 	}
 }
 
+// alignRunNumbers sets the run number of all tasks of a gang to the highest one,
+// because the members must start under the same number.
+func (s *step) alignRunNumbers() {
+	highest := 0
+	for _, t := range s.tasks {
+		highest = max(highest, t.run, t.highestRun)
+	}
+	for _, t := range s.tasks {
+		t.run = highest
+	}
+}
+
 // placeTasks places waiting tasks of a step until one can't be placed.
 func (p *placementPass) placeTasks(s *step, j *job, view *poolView, fair bool) []*task {
 	var tasks []*task
@@ -322,11 +337,6 @@
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
 	t.phaseSince = p.now
-	if t.step.Gang {
-		for _, member := range t.step.tasks {
-			t.run = max(t.run, member.run)
-		}
-	}
 	if !j.hasStarted {
 		j.hasStarted = true
 		j.state = modeler.Running
