--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -29,24 +29,18 @@
 // handleReportedEnd processes one ended run. It returns the job version that
 // must be stored before the worker may drop the ended run from its list.
 func (e *Engine) handleReportedEnd(w *worker, ended modeler.EndedTask) reportedEnd {
-	delete(w.orphanedRuns, ended.Task)
+	delete(w.orphanedRuns, runID{ended.Task, ended.Run})
 	result := reportedEnd{number: ended.Number}
-	j := e.jobs[ended.Task.Job]
-	if j == nil {
-		return result
-	}
-	t := j.findTask(ended.Task)
+	t := e.findTask(ended.Task)
 	if t == nil || t.phase == done {
 		return result
 	}
-	if ended.Run < t.run && t.mayHaveRun() {
-		e.handleEndOfEarlierRun(t, ended)
+	j := t.step.occurrence.job
+	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
+		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
 		return result
 	}
-	if t.worker != nil && t.worker != w {
-		e.log.Error("worker reported the end of a run whose task is placed on another worker", "task", ended.Task.String(), "run", ended.Run, "worker", w.ID, "placed", t.worker.ID)
-	}
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
@@ -93,14 +87,39 @@
 
 // handleEndOfEarlierRun processes the end of a run after which the task has
 // already been started again. This happens after a change of leader if the
-// previous leader could not store the end.
-func (e *Engine) handleEndOfEarlierRun(t *task, ended modeler.EndedTask) {
-	e.log.Info("earlier run ended after its task was started again", "task", t.id.String(), "run", ended.Run, "how", ended.EndKind, "present", t.run)
-	if ended.EndKind == modeler.EndFailed && !t.step.LongRunning {
+// previous leader could not store the end, and when a worker responds again
+// after its leases have expired. The run may have the number of the present one
+// or a higher one if it ran on another worker.
+func (e *Engine) handleEndOfEarlierRun(w *worker, t *task, ended modeler.EndedTask) {
+	e.log.Info("earlier run ended after its task was started again", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "present", t.run, "placed", t.worker.ID)
+	t.highestRun = max(t.highestRun, ended.Run)
+	switch {
+	case t.step.LongRunning:
+	case ended.EndKind == modeler.EndDone:
+		e.stopRunsOfDoneTask(t)
+		e.updateTaskAfterEnd(t, ended)
+	case ended.EndKind == modeler.EndFailed:
 		e.recordFailedRun(t, ended.Run)
 	}
 }
 
+// stopRunsOfDoneTask stops the run of a task, and of the other members of its
+// gang, of which an earlier run is done. The runs count as orphaned, so that no
+// task takes their room before they have ended.
+func (e *Engine) stopRunsOfDoneTask(t *task) {
+	tasks := []*task{t}
+	if t.step.Gang {
+		tasks = t.step.tasks
+	}
+	now := time.Now()
+	for _, t := range tasks {
+		switch t.phase {
+		case starting, outcomeUnknown, running, stopping:
+			e.stopOrphanedRun(t.worker, runID{t.id, t.run}, now)
+		}
+	}
+}
+
 // recordFailedRun records that a run failed. Each run counts only once.
 func (e *Engine) recordFailedRun(t *task, run int) {
 	if slices.Contains(t.failedRuns, run) {
@@ -136,26 +155,23 @@
 // tasks whose run is missing.
 func (e *Engine) reconcileRuns(w *worker, sentAt time.Time, report modeler.Report, firstPoll bool) {
 	now := time.Now()
-	listedRuns := make(map[modeler.TaskID]int, len(report.Running))
+	listedRuns := make(map[runID]bool, len(report.Running))
 	for _, r := range report.Running {
-		listedRuns[r.Task] = r.Run
-		t := w.tasks[r.Task]
-		if t == nil {
-			t = e.adoptRun(w, r)
-		}
-		if t == nil || t.run != r.Run {
-			e.stopOrphanedRun(w, r, now)
+		listedRuns[runID{r.Task, r.Run}] = true
+		t := e.findTask(r.Task)
+		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
+			e.stopOrphanedRun(w, runID{r.Task, r.Run}, now)
 			continue
 		}
 		e.confirmRun(t, r, now)
 	}
-	for id := range w.orphanedRuns {
-		if _, ok := listedRuns[id]; !ok {
+	for id, stoppedAt := range w.orphanedRuns {
+		if !listedRuns[id] && !sentAt.Before(stoppedAt) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
 		}
 	}
 	for id, t := range w.tasks {
-		if run, ok := listedRuns[id]; ok && run == t.run {
+		if listedRuns[runID{id, t.run}] {
 			continue
 		}
 		switch {
@@ -168,26 +184,24 @@
 }
 
 // adoptRun takes over a run that the previous leader started without storing
-// it. It returns nil if the run must not continue.
-func (e *Engine) adoptRun(w *worker, r modeler.RunningTask) *task {
-	j := e.jobs[r.Task.Job]
-	if j == nil || j.state.IsFinal() {
-		return nil
-	}
-	t := j.findTask(r.Task)
-	if t == nil || t.phase != waiting && t.phase != adopted || r.Run <= t.run {
-		return nil
+// it. The record may name any worker, also this one, with an earlier run. It
+// returns false if the run must not continue.
+func (e *Engine) adoptRun(w *worker, t *task, run int) bool {
+	t.highestRun = max(t.highestRun, run)
+	j := t.step.occurrence.job
+	if j.state.IsFinal() || t.phase != waiting && t.phase != adopted || run <= t.run {
+		return false
 	}
 	t.requeue() // release the worker of an earlier run
-	e.log.Info("run adopted: an earlier leader started it without storing it", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
-	t.run = r.Run
+	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
+	t.run = run
 	t.assignTo(w, adopted)
 	j.hasStarted = true
 	if j.state == modeler.Queued {
 		j.state = modeler.Running
 	}
 	e.markUnstored(j)
-	return t
+	return true
 }
 
 // confirmRun records that a worker lists the run of a task.
@@ -208,11 +222,23 @@
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
 // because its job has ended.
-func (e *Engine) stopOrphanedRun(w *worker, r modeler.RunningTask, now time.Time) {
-	if last, ok := w.orphanedRuns[r.Task]; ok && now.Sub(last) < orphanStopRetryInterval {
+func (e *Engine) stopOrphanedRun(w *worker, id runID, now time.Time) {
+	if last, ok := w.orphanedRuns[id]; ok && now.Sub(last) < orphanStopRetryInterval {
 		return
 	}
-	w.orphanedRuns[r.Task] = now
-	e.log.Info("orphaned run without an assigned task is stopped", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
-	e.queueStop(w, r.Task, r.Run)
+	w.orphanedRuns[id] = now
+	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
+	e.queueStop(w, id.task, id.number)
+}
+
+// tasksWithOrphanedRuns returns the tasks of which some worker may still run an
+// orphaned run.
+func (e *Engine) tasksWithOrphanedRuns() map[modeler.TaskID]bool {
+	tasks := make(map[modeler.TaskID]bool)
+	for _, w := range e.workersByID {
+		for id := range w.orphanedRuns {
+			tasks[id.task] = true
+		}
+	}
+	return tasks
 }
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -591,3 +591,179 @@
 		second.stopGracefully()
 	})
 }
+
+// The store names the worker with the earlier run, because the restart of the task could not be stored.
+func TestNewLeaderKeepsANewerRunOnItsRecordedWorker(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.StopTime = time.Second
+		s.taskFleet.StartDelay = func(_ modeler.TaskID, number int) time.Duration {
+			if number == 1 {
+				return 3 * time.Second
+			}
+			return 0
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		stored := false
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+				if len(txn.Put) == 0 || txn.Put[0].Key != orchestrator.ProgressKey("j1") {
+					return false, 0
+				}
+				lost := stored
+				stored = true
+				return lost, time.Hour
+			}
+		})
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+		first.crash()
+		s.instances.Add(modeler.Instance{Name: "other", Pool: "p", Zone: "z", Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+		second := s.startEntry("two")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		second.stopGracefully()
+	})
+}
+
+// Leaders of two terms may give the same number to runs on different workers.
+func TestTaskIsNotPlacedBesideAnOrphanedRunThatIsStopping(t *testing.T) {
+	for name, gang := range map[string]bool{"single": false, "gang": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+				s.taskFleet.StopTime = time.Second
+				second, _ := s.startEntryAfterOrphanedRun(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: gang}))
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, 1, s.taskFleet.StoppingRunCount())
+				require.Equal(t, gang, s.taskFleet.StartedRuns(taskID("j1", 0, 1)) == 1, "only a gang waits as a whole")
+				time.Sleep(time.Second)
+				require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 1)))
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestEndOfOrphanedRunIsCertainWithoutAReport(t *testing.T) {
+	for name, lose := range map[string]func(s *deployment, instance string){
+		"unresponsive": func(s *deployment, instance string) {
+			s.taskFleet.SetUnresponsive(s.instances.WorkerOf(instance), true)
+			time.Sleep(testLease / 2)
+			require.Equal(s.t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)), "its lease has not expired")
+			time.Sleep(testLease/2 + time.Second)
+		},
+		"replaced": func(s *deployment, instance string) {
+			s.instances.RestartWorker(instance)
+			time.Sleep(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+				s.taskFleet.StopTime = time.Hour
+				second, instance := s.startEntryAfterOrphanedRun(longRunningJob("j1", 1))
+				lose(s, instance)
+				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestEndOnAnotherWorkerDoesNotRequeueARunningTask(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+				return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+			}
+		})
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+		first.crash()
+		second := s.startEntry("two")
+		time.Sleep(15 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		s.taskFleet.SetUnresponsive(silent, false) // its run has lapsed and has the number of the present run
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		second.stopGracefully()
+	})
+}
+
+func TestRunStopsAndKeepsItsRoomUntilItsEndWhenAnEarlierRunIsDone(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.StopTime = time.Second
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if id.Job == "j1" && number == 1 {
+				return 2 * time.Second, modeler.EndDone
+			}
+			return time.Minute, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		present := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		require.NotEqual(t, silent, present)
+		s.taskFleet.SetDraining(silent)
+		s.submit(shortJob("j2", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(time.Second)
+		s.taskFleet.SetUnresponsive(silent, false)
+		for range 400 {
+			time.Sleep(10 * time.Millisecond)
+			require.LessOrEqual(t, s.taskFleet.RunCountOnWorker(present), 1)
+		}
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j2"))
+		e.stopGracefully()
+	})
+}
+
+func TestGangMembersShareARunNumberAfterARunThatWasNotStored(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		var numbers [2]int // of the last runs
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			numbers[id.Index] = number
+			if number == 5 {
+				return 3 * time.Second, modeler.EndAlone
+			}
+			return -1, modeler.EndDone
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Gang: true}))
+		time.Sleep(500 * time.Millisecond)
+		first.crash()
+		for _, name := range []string{"a", "b", "c"} {
+			s.instances.RestartWorker(name)
+		}
+		_, err := s.taskFleet.Start(t.Context(), modeler.Worker{ID: s.instances.WorkerOf("a")}, modeler.StartOrder{Task: taskID("j1", 0, 1), Run: 5, DeadlineMs: 1 << 40})
+		require.NoError(t, err)
+		second := s.startEntry("two")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, [2]int{6, 6}, numbers)
+		second.stopGracefully()
+	})
+}
