Show that a leader whose lease has expired starts jobs accepted later

The first leader's calls to the store fail while its watch goes on (MetaStoreFaults.WatchOnlyClients). It learns of a job that is accepted in the next term and starts it after 100 ms without storing it; its successor places the job at once, since jobs accepted in its own term don't wait for workers.

--- a/emulator/metastore.go
+++ b/emulator/metastore.go
@@ -37,6 +37,7 @@
 		Delay               time.Duration   // time that each call waits before it takes effect
 		Down                bool            // every call fails and changes nothing
 		DisconnectedClients map[string]bool // clients whose calls fail, by the name passed to ClientFor
+		WatchOnlyClients    map[string]bool // clients whose calls fail while their open watches continue
 		// LoseCommitResponse decides whether the response to a transaction is lost
 		// and, if so, after which delay the transaction is applied.
 		LoseCommitResponse func(txn keeper.Txn) (lost bool, delay time.Duration)
@@ -60,7 +61,7 @@
 		records: make(map[string]storedRecord),
 		leases:  make(map[keeper.LeaseID]time.Time),
 		changed: make(chan struct{}),
-		faults:  MetaStoreFaults{DisconnectedClients: make(map[string]bool)},
+		faults:  MetaStoreFaults{DisconnectedClients: make(map[string]bool), WatchOnlyClients: make(map[string]bool)},
 	}
 }
 
@@ -109,8 +110,20 @@
 }
 
 // applyFaults waits for the configured delay and fails when the store is
-// down or the client is disconnected.
+// down, the client is disconnected or only its open watches work.
 func (c *MetaStoreClient) applyFaults(ctx context.Context) error {
+	c.mu.Lock()
+	watchOnly := c.faults.WatchOnlyClients[c.name]
+	c.mu.Unlock()
+	if watchOnly {
+		return errors.Annotatef(keeper.ErrUnavailable, "client %q", c.name)
+	}
+	return c.applyFaultsToWatch(ctx)
+}
+
+// applyFaultsToWatch waits for the configured delay and fails when the store is
+// down or the client is disconnected.
+func (c *MetaStoreClient) applyFaultsToWatch(ctx context.Context) error {
 	c.mu.Lock()
 	delay, unreachable := c.faults.Delay, c.faults.Down || c.faults.DisconnectedClients[c.name]
 	c.mu.Unlock()
@@ -159,8 +172,11 @@
 
 // Watch calls fn for each change after a revision of a key with the prefix.
 func (c *MetaStoreClient) Watch(ctx context.Context, prefix string, after int64, fn func(keeper.Event)) error {
+	if err := c.applyFaults(ctx); err != nil {
+		return err
+	}
 	for {
-		if err := c.applyFaults(ctx); err != nil {
+		if err := c.applyFaultsToWatch(ctx); err != nil {
 			return err
 		}
 		events, changed, err := c.eventsAfter(prefix, &after)
--- /dev/null
+++ b/orchestrator/expired_lease_test.go
@@ -0,0 +1,49 @@
+package orchestrator_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+// replaceWhileWatching lets the calls of the entry node to the store fail, while
+// its open watches continue, until another one leads and has read the jobs.
+func (e *entryNode) replaceWhileWatching() {
+	e.deployment.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.WatchOnlyClients[e.name] = true })
+	for e.deployment.leads(e.name) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+// leads reports whether the leader record names the entry node or is missing.
+func (d *deployment) leads(name string) bool {
+	r, err := d.store.ClientFor("operator").Get(d.t.Context(), elector.Key)
+	require.NoError(d.t, err)
+	return r.Revision == 0 || strings.HasPrefix(string(r.Value), name+"/")
+}
+
+func TestLeaderWithExpiredLeaseDoesNotStartJobsAcceptedLater(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.manifest.Pools = s.manifest.Pools[:1] // without a spare pool no instance moves
+		s.manifest.Index()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		second := s.startEntry("two")
+		second.unreachableWorkers.Store(s.instances.WorkerOf("a"), true)
+		first.unreachableWorkers.Store(s.instances.WorkerOf("b"), true)
+		first.replaceWhileWatching()
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(5 * time.Second)
+		first.stopGracefully()
+		second.stopGracefully()
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"os"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -49,13 +50,14 @@
 // workerLink is an entry node's connection to the workers.
 type workerLink struct {
 	*emulator.TaskFleet
-	disconnected *atomic.Bool
-	pollDelay    *atomic.Int64
+	disconnected       *atomic.Bool
+	pollDelay          *atomic.Int64
+	unreachableWorkers *sync.Map
 }
 
 // RenewAndPoll implements orchestrator.Workers.
 func (l workerLink) RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error) {
-	if l.disconnected.Load() {
+	if _, unreachable := l.unreachableWorkers.Load(w.ID); unreachable || l.disconnected.Load() {
 		time.Sleep(300 * time.Millisecond)
 		return modeler.Report{}, context.DeadlineExceeded
 	}
@@ -65,12 +67,13 @@
 
 // entryNode is a running entry node.
 type entryNode struct {
-	deployment   *deployment
-	name         string
-	cancel       context.CancelFunc
-	done         chan struct{}
-	disconnected atomic.Bool  // from the workers
-	pollDelay    atomic.Int64 // delay of each poll of a worker, in ns
+	deployment         *deployment
+	name               string
+	cancel             context.CancelFunc
+	done               chan struct{}
+	disconnected       atomic.Bool  // from the workers
+	pollDelay          atomic.Int64 // delay of each poll of a worker, in ns
+	unreachableWorkers sync.Map     // IDs of workers whose polls get no response
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
@@ -121,7 +124,7 @@
 	}
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay}, d.taskFleet, term, orchestrator.WithLog(d.log),
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay, &e.unreachableWorkers}, d.taskFleet, term, orchestrator.WithLog(d.log),
 			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
