Show that a leader whose lease has expired uses workers restarted later

The successor has polled the worker, so it starts the inherited task elsewhere. The worker then restarts under the same ID and has seen no fencing token; the deposed leader polls the new process first and starts the task there without storing it.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -120,6 +120,16 @@
 	})
 }
 
+// RestartUnderSameID ends a worker and its runs and starts it again with the same
+// ID. It then knows nothing of before.
+func (f *TaskFleet) RestartUnderSameID(id string) {
+	f.mu.Lock()
+	w := f.workers[id].Worker
+	f.mu.Unlock()
+	f.Remove(id)
+	f.Add(w)
+}
+
 // SetUnresponsive sets whether calls to a worker get no response; its runs
 // continue. It has no effect on a worker that is no longer in the list.
 func (f *TaskFleet) SetUnresponsive(id string, unresponsive bool) {
--- a/orchestrator/expired_lease_test.go
+++ b/orchestrator/expired_lease_test.go
@@ -12,6 +12,12 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
+// keepInstances removes the spare pool, so that no instance moves.
+func (d *deployment) keepInstances() {
+	d.manifest.Pools = d.manifest.Pools[:1]
+	d.manifest.Index()
+}
+
 // replaceWhileWatching lets the calls of the entry node to the store fail, while
 // its open watches continue, until another one leads and has read the jobs.
 func (e *entryNode) replaceWhileWatching() {
@@ -31,8 +37,7 @@
 
 func TestLeaderWithExpiredLeaseDoesNotStartJobsAcceptedLater(t *testing.T) {
 	runScenario(t, 2, func(s *deployment) {
-		s.manifest.Pools = s.manifest.Pools[:1] // without a spare pool no instance moves
-		s.manifest.Index()
+		s.keepInstances()
 		first := s.startEntry("one")
 		time.Sleep(time.Second)
 		second := s.startEntry("two")
@@ -47,3 +52,32 @@
 		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestLeaderWithExpiredLeaseDoesNotUseWorkersRestartedLater(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		second := s.startEntry("two")
+		first.unreachableWorkers.Store(s.instances.WorkerOf("a"), true)
+		first.unreachableWorkers.Store(s.instances.WorkerOf("b"), true)
+		time.Sleep(2500 * time.Millisecond)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		first.replaceWhileWatching()
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"), "the second leader has polled both workers")
+		idle := s.instances.WorkerOf("a")
+		if s.taskFleet.RunCountOnWorker(idle) > 0 {
+			idle = s.instances.WorkerOf("b")
+		}
+		second.unreachableWorkers.Store(idle, true)
+		s.taskFleet.RestartUnderSameID(idle)
+		first.unreachableWorkers.Delete(idle)
+		time.Sleep(5 * time.Second)
+		first.stopGracefully()
+		second.stopGracefully()
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
