Show that a deposed leader starts tasks whose placement is stored

The response to the placement arrives 15 s late, as in a process that was stopped; the successor can't reach the worker and has requeued the task after its leases had certainly expired.

--- a/emulator/metastore.go
+++ b/emulator/metastore.go
@@ -41,6 +41,9 @@
 		// LoseCommitResponse decides whether the response to a transaction is lost
 		// and, if so, after which delay the transaction is applied.
 		LoseCommitResponse func(txn keeper.Txn) (lost bool, delay time.Duration)
+		// DelayCommitResponse decides for how long the response to an applied
+		// transaction is delayed.
+		DelayCommitResponse func(txn keeper.Txn) time.Duration
 	}
 
 	storedRecord struct {
@@ -222,6 +225,16 @@
 	if err := c.applyFaults(ctx); err != nil {
 		return 0, nil, err
 	}
+	revision, current, delay, err := c.commitWithFaults(txn)
+	if delay > 0 {
+		time.Sleep(delay) // also after the end of ctx, as in a process that is stopped
+	}
+	return revision, current, err
+}
+
+// commitWithFaults applies a transaction, unless its response is to be lost, and
+// returns the delay of the response.
+func (c *MetaStoreClient) commitWithFaults(txn keeper.Txn) (revision int64, current []keeper.Record, delay time.Duration, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commits++
@@ -232,10 +245,14 @@
 				defer c.mu.Unlock()
 				_, _, _ = c.commit(txn) // the caller has already received ErrUnknown, so the result is dropped
 			})
-			return 0, nil, keeper.ErrUnknown
+			return 0, nil, 0, keeper.ErrUnknown
 		}
 	}
-	return c.commit(txn)
+	if c.faults.DelayCommitResponse != nil {
+		delay = c.faults.DelayCommitResponse(txn)
+	}
+	revision, current, err = c.commit(txn)
+	return revision, current, delay, err
 }
 
 // commit applies a transaction if all expected revisions match; otherwise it
--- a/orchestrator/expired_lease_test.go
+++ b/orchestrator/expired_lease_test.go
@@ -9,9 +9,13 @@
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
+const termKey = "fleet/term" // key of the term record
+
 // keepInstances removes the spare pool, so that no instance moves.
 func (d *deployment) keepInstances() {
 	d.manifest.Pools = d.manifest.Pools[:1]
@@ -81,3 +85,33 @@
 		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestDeposedLeaderDoesNotStartTasksWhosePlacementIsStored(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		delayed := make(map[string]bool)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.DelayCommitResponse = func(txn keeper.Txn) time.Duration {
+				if len(txn.Put) == 0 || delayed[txn.Put[0].Key] || txn.Put[0].Key != termKey && txn.Put[0].Key != orchestrator.ProgressKey("j1") {
+					return 0
+				}
+				delayed[txn.Put[0].Key] = true
+				return 15 * time.Second
+			}
+		})
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		second := s.startEntry("two")
+		first.unreachableWorkers.Store(s.instances.WorkerOf("b"), true)
+		second.unreachableWorkers.Store(s.instances.WorkerOf("a"), true)
+		time.Sleep(2500 * time.Millisecond)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		first.replaceWhileWatching()
+		time.Sleep(20 * time.Second)
+		first.stopGracefully()
+		second.stopGracefully()
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
