Show that a new leader forgets workers whose registration expires

The first leader starts a task that it can't store. Its successor lists the worker but doesn't reach it; when the worker's registration expires a moment later, the inherited task starts elsewhere while the worker still runs it.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -41,6 +41,7 @@
 		modeler.Worker
 		startTime          time.Time
 		unresponsive       bool
+		unregistered       bool // not in the list of workers, because the registration has expired
 		highestToken       int64
 		leaseDeadline      int64
 		runs               map[modeler.TaskID]*taskRun
@@ -140,6 +141,14 @@
 	}
 }
 
+// SetRegistered sets whether a worker is in the list of workers. One that is cut
+// off from the store is not, while its runs continue.
+func (f *TaskFleet) SetRegistered(id string, registered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].unregistered = !registered
+}
+
 // SetDraining makes a worker report that it is about to leave.
 func (f *TaskFleet) SetDraining(id string) {
 	f.mu.Lock()
@@ -251,7 +260,9 @@
 	defer f.mu.Unlock()
 	var list []modeler.Worker
 	for _, w := range f.workers {
-		list = append(list, w.Worker)
+		if !w.unregistered {
+			list = append(list, w.Worker)
+		}
 	}
 	return list, ctx.Err()
 }
--- /dev/null
+++ b/orchestrator/unlisted_test.go
@@ -0,0 +1,51 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+// startUnstored lets the leader start a task of job j1 that the store doesn't
+// record, and returns the worker that runs it.
+func (d *deployment) startUnstored(workers ...string) string {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+		}
+	})
+	d.submit(longRunningJob("j1", 1))
+	time.Sleep(500 * time.Millisecond)
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+	busy := d.instancesWithTasks(workers...)
+	require.Len(d.t, busy, 1)
+	return d.instances.WorkerOf(busy[0])
+}
+
+func TestInheritedTasksWaitForAWorkerWhoseRegistrationExpires(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		worker := s.startUnstored("a", "b")
+		first.crash()
+		second := s.startEntry("two")
+		second.unreachableWorkers.Store(worker, true)
+		for s.leads("one") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.taskFleet.SetRegistered(worker, false)
+		time.Sleep(15 * time.Second)
+		second.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
