Show that a new leader does not know workers without registration

The first leader starts a task that it can't store on a worker whose registration has expired; its successor doesn't list the worker and starts the inherited task elsewhere.

--- a/orchestrator/unlisted_test.go
+++ b/orchestrator/unlisted_test.go
@@ -49,3 +49,20 @@
 		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestInheritedTasksWaitForAWorkerWhoseRegistrationHasExpired(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		worker := s.startUnstored("a", "b")
+		s.taskFleet.SetRegistered(worker, false)
+		first.crash()
+		second := s.startEntry("two")
+		time.Sleep(15 * time.Second)
+		second.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
