Show that a new leader forgets the earlier pool of a queue

The first leader starts a task that it can't store. Its successor has a newer manifest, which sends the queue to another pool, and waits only for the workers of that pool.

--- /dev/null
+++ b/orchestrator/reroute_test.go
@@ -0,0 +1,49 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+// addPool adds a pool with one instance.
+func (d *deployment) addPool(pool, instance string) {
+	d.manifest.Pools = append(d.manifest.Pools, modeler.Pool{Name: pool})
+	d.manifest.Index()
+	d.instances.Add(modeler.Instance{Name: instance, Pool: pool, Zone: "z", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+}
+
+// rerouted returns the next version of the manifest, in which all queues use the
+// given pool.
+func (d *deployment) rerouted(pool string) *modeler.Manifest {
+	m := *d.manifest
+	m.Version++
+	m.Queues = append([]modeler.Queue(nil), m.Queues...)
+	for i := range m.Queues {
+		m.Queues[i].Pool = pool
+	}
+	m.Index()
+	return &m
+}
+
+func TestInheritedTasksWaitForWorkersOfTheEarlierPoolOfTheirQueue(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		s.addPool("other", "x")
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		worker := s.startUnstored("a", "x")
+		first.crash()
+		s.manifest = s.rerouted("other")
+		second := s.startEntry("two")
+		second.unreachableWorkers.Store(worker, true)
+		time.Sleep(15 * time.Second)
+		second.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"os"
@@ -71,9 +72,10 @@
 	name               string
 	cancel             context.CancelFunc
 	done               chan struct{}
-	disconnected       atomic.Bool  // from the workers
-	pollDelay          atomic.Int64 // delay of each poll of a worker, in ns
-	unreachableWorkers sync.Map     // IDs of workers whose polls get no response
+	disconnected       atomic.Bool                      // from the workers
+	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
+	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
+	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
@@ -109,10 +111,11 @@
 // startEntry starts an entry node.
 func (d *deployment) startEntry(name string) *entryNode {
 	client := d.store.ClientFor(name)
+	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	cfg := orchestrator.Config{
 		RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
-		Manifest:       func() *modeler.Manifest { return d.manifest },
+		Manifest:       func() *modeler.Manifest { return cmp.Or(e.manifest.Load(), d.manifest) },
 		RequestedWaves: d.requestedWaves,
 		WaveStatus: func(n int64, completed bool) keeper.Put {
 			value := "running"
@@ -122,7 +125,6 @@
 			return keeper.Put{Key: "status", Value: []byte(value)}
 		},
 	}
-	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	lead := func(ctx context.Context, term *elector.Term) {
 		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay, &e.unreachableWorkers}, d.taskFleet, term, orchestrator.WithLog(d.log),
 			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
