Show that a leader whose lease has expired follows a changed manifest

The deposed leader receives a manifest that sends the queue to another pool, and starts the task there without storing it. Its successor has the older manifest and waits for the workers of the older pool.

--- a/orchestrator/reroute_test.go
+++ b/orchestrator/reroute_test.go
@@ -47,3 +47,26 @@
 		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestLeaderWithExpiredLeaseDoesNotFollowAChangedManifest(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		s.addPool("other", "x")
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		second := s.startEntry("two")
+		first.unreachableWorkers.Store(s.instances.WorkerOf("a"), true)
+		second.unreachableWorkers.Store(s.instances.WorkerOf("x"), true)
+		time.Sleep(2500 * time.Millisecond)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		first.replaceWhileWatching()
+		first.manifest.Store(s.rerouted("other"))
+		time.Sleep(15 * time.Second)
+		first.stopGracefully()
+		second.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
