Show that a worker with a fast clock is taken for a new one

The worker's clock is 2.9 s ahead (less than maxClockDifference). The first leader starts a task on it that it can't store; its registration expires and comes back in the next term. The new leader takes it for a worker that started in its own term and doesn't wait for it.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -27,6 +27,7 @@
 		RunOutcome      func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
 		StartDelay      func(id modeler.TaskID, run int) time.Duration // delay of a start, whose response is then lost; 0 for a normal start
 		StopTime        time.Duration                                  // time from a stop request to the end of the run
+		ClockOffset     time.Duration                                  // by how much the wall clocks of workers that start from now on are ahead
 		RemovedListTime time.Duration                                  // time for which a removed worker stays in the list of workers
 		// ReportedLoad returns the load that a running task reports, given the
 		// paces of all tasks on its worker. Nil reports zero.
@@ -85,7 +86,7 @@
 func (f *TaskFleet) Add(w modeler.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.StartTimeMs = time.Now().UnixMilli()
+	w.StartTimeMs = time.Now().Add(f.ClockOffset).UnixMilli()
 	f.workers[w.ID] = &taskWorker{
 		Worker: w, startTime: time.Now(), runs: make(map[modeler.TaskID]*taskRun), highestFinishedRun: make(map[modeler.TaskID]int),
 		changed: make(chan struct{}),
