--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -69,6 +70,7 @@
 		id               modeler.TaskID
 		phase            phase
 		run              int   // number of the last run, 0 before the first
+		highestRun       int   // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []int // numbers of the failed runs
 		checkpoint       string
 		worker           *worker   // assigned worker, nil while waiting or done
@@ -118,6 +120,16 @@
 	return o.steps[id.Step].tasks[id.Index]
 }
 
+// findTask returns a task of a job that has not ended, or nil if there is no such
+// task.
+func (e *Engine) findTask(id modeler.TaskID) *task {
+	j := e.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.findTask(id)
+}
+
 // forEachTask calls fn for every task of the job.
 func (j *job) forEachTask(fn func(t *task)) {
 	for _, o := range j.occurrences {
@@ -150,6 +162,11 @@
 	return true
 }
 
+// hasTaskIn reports whether any task of the step is in a set.
+func (s *step) hasTaskIn(set map[modeler.TaskID]bool) bool {
+	return len(set) > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return set[t.id] })
+}
+
 // countUnavailable returns the number of unavailable tasks of the step, not
 // counting the task except.
 func (s *step) countUnavailable(except *task) int {
