Test that a leader which waits for a worker does not hand over

A leader starts a task that it cannot store, its worker stops responding and the leader is lost. The second leader waits for that worker and is stopped before it has heard from it.

--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -591,3 +591,30 @@
 		second.stopGracefully()
 	})
 }
+
+func TestLeaderStoppedWhileItWaitsForAWorkerDoesNotHandOver(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.loseWritesOf(orchestrator.ProgressKey("j1"))
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b", "c")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.loseNoWrites()
+		first.crash()
+		second := s.startEntry("two")
+		s.waitForLeader("two")
+		time.Sleep(400 * time.Millisecond)
+		second.stopGracefully()
+		third := s.startEntry("three")
+		s.waitForLeader("three")
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		third.stopGracefully()
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"os"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -146,6 +148,32 @@
 	e.stopGracefully()
 }
 
+// waitForLeader waits until the named entry node leads.
+func (d *deployment) waitForLeader(name string) {
+	for {
+		r, err := d.store.ClientFor("observer").Get(d.t.Context(), elector.Key)
+		require.NoError(d.t, err)
+		if strings.HasPrefix(string(r.Value), name+"/") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// loseWritesOf makes the store drop all writes of a key without a response.
+func (d *deployment) loseWritesOf(key string) {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return p.Key == key }), time.Hour
+		}
+	})
+}
+
+// loseNoWrites reverts loseWritesOf.
+func (d *deployment) loseNoWrites() {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+}
+
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
 	j.Accepted = time.Now()
