Test that a new leader waits for an unresponsive worker with unstored runs

fleet/silence names a worker that does not respond, and the next leader does not wait for the workers named there. In the first case the leader that names the worker could not store what it started on it. In the second case the leader that names it has never reached it, so it does not know what its predecessor started there.

--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -20,7 +20,10 @@
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
-const testLease = 6 * time.Second
+const (
+	testLease       = 6 * time.Second
+	unresponsiveKey = "fleet/silence" // key of the orchestrator.UnresponsiveWorkers
+)
 
 // deployment is a small simulated deployment: a store, workers and the entry
 // nodes that a test starts.
@@ -160,16 +163,31 @@
 	}
 }
 
-// loseWritesOf makes the store drop all writes of a key without a response.
-func (d *deployment) loseWritesOf(key string) {
+// loseWritesOf makes the store drop all writes of the keys without a response.
+func (d *deployment) loseWritesOf(keys ...string) {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return slices.Contains(keys, p.Key) }), time.Hour
+		}
+	})
+}
+
+// delayNextWriteOf makes the store carry out the next write of the key after the
+// delay, without a response.
+func (d *deployment) delayNextWriteOf(key string, delay time.Duration) {
+	lost := false
 	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
 		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
-			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return p.Key == key }), time.Hour
+			if lost || !slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return p.Key == key }) {
+				return false, 0
+			}
+			lost = true
+			return true, delay
 		}
 	})
 }
 
-// loseNoWrites reverts loseWritesOf.
+// loseNoWrites reverts loseWritesOf and delayNextWriteOf.
 func (d *deployment) loseNoWrites() {
 	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
 }
