Test that a late record of unresponsive workers replaces no later one

The store carries out the write that names a worker five seconds late, after the worker has responded again and the record without it was stored. The leader starts a task on the worker that it cannot store and is lost; the next leader reads the old record, does not wait for the worker and starts the task elsewhere.

--- a/orchestrator/silence_test.go
+++ b/orchestrator/silence_test.go
@@ -18,6 +18,44 @@
 	d.manifest.Index()
 }
 
+// addInstance adds a running instance like those of newDeployment.
+func (d *deployment) addInstance(name string) {
+	d.instances.Add(modeler.Instance{
+		Name: name, Pool: "p", Zone: "z", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000},
+	}, true)
+}
+
+func TestDelayedRecordOfUnresponsiveWorkersDoesNotReplaceALaterOne(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.keepInstancesInPool()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.delayNextWriteOf(unresponsiveKey, 5*time.Second)
+		silent := s.instances.WorkerOf("a")
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(4 * time.Second)
+		s.taskFleet.SetUnresponsive(silent, false)
+		time.Sleep(5 * time.Second)
+		s.loseWritesOf(orchestrator.ProgressKey("j1"))
+		s.taskFleet.SetDraining(s.instances.WorkerOf("b"))
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 1, s.taskFleet.RunCountOnWorker(silent))
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.loseNoWrites()
+		first.crash()
+		s.addInstance("c")
+		second := s.startEntry("two")
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		second.stopGracefully()
+	})
+}
+
 func TestNewLeaderWaitsForAnUnresponsiveWorkerWithUnstoredRuns(t *testing.T) {
 	for name, leadAgain := range map[string]bool{"recorded by the leader that started them": false, "recorded by a leader that never reached the worker": true} {
 		t.Run(name, func(t *testing.T) {
