Test that a worker is not used while the store names it as unresponsive

A worker that fleet/silence names responds again, and the leader uses it at once although the record without it is not stored, or the write that names it is still in flight. The leader is then lost. The next leader reads that all leases of the worker have expired and that nothing was started there, and starts a task that the worker still runs.

--- a/orchestrator/silence_test.go
+++ b/orchestrator/silence_test.go
@@ -56,6 +56,87 @@
 	})
 }
 
+func TestNoStartOnAWorkerThatTheStoreNamesAsUnresponsive(t *testing.T) {
+	for name, delayed := range map[string]bool{"named": false, "named by a write that is still in flight": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.taskFleet.RunOutcome = neverEnds
+				s.keepInstancesInPool()
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				if delayed {
+					s.delayWritesOf(5*time.Second, unresponsiveKey)
+				}
+				silent := s.instances.WorkerOf("a")
+				s.taskFleet.SetUnresponsive(silent, true)
+				time.Sleep(4 * time.Second)
+				if !delayed {
+					s.loseWritesOf(unresponsiveKey, orchestrator.ProgressKey("j1"))
+				}
+				s.taskFleet.SetUnresponsive(silent, false)
+				s.taskFleet.SetDraining(s.instances.WorkerOf("b"))
+				time.Sleep(2 * time.Second)
+				s.submit(longRunningJob("j1", 1))
+				time.Sleep(500 * time.Millisecond)
+				s.taskFleet.SetUnresponsive(silent, true)
+				s.loseNoWrites()
+				first.crash()
+				s.addInstance("c")
+				second := s.startEntry("two")
+				time.Sleep(5 * time.Second)
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestNoLeaseExtensionOnAWorkerThatTheStoreNamesAsUnresponsive(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.keepInstancesInPool()
+		first := s.startEntry("one")
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(2 * time.Second)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(2 * time.Second)
+		s.loseWritesOf(unresponsiveKey)
+		s.taskFleet.SetUnresponsive(silent, false)
+		time.Sleep(9 * time.Second)
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.loseNoWrites()
+		first.crash()
+		second := s.startEntry("two")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		second.stopGracefully()
+	})
+}
+
+func TestRunOutlastsAShortSilenceOfItsWorker(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.keepInstancesInPool()
+		e := s.startEntry("one")
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(4 * time.Second)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		for range 3 {
+			s.taskFleet.SetUnresponsive(silent, true)
+			time.Sleep(3500 * time.Millisecond)
+			s.taskFleet.SetUnresponsive(silent, false)
+			time.Sleep(2000 * time.Millisecond)
+		}
+		time.Sleep(testLease)
+		require.Equal(t, 1, s.taskFleet.RunCountOnWorker(silent))
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
+
 func TestNewLeaderWaitsForAnUnresponsiveWorkerWithUnstoredRuns(t *testing.T) {
 	for name, leadAgain := range map[string]bool{"recorded by the leader that started them": false, "recorded by a leader that never reached the worker": true} {
 		t.Run(name, func(t *testing.T) {
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -165,9 +165,15 @@
 
 // loseWritesOf makes the store drop all writes of the keys without a response.
 func (d *deployment) loseWritesOf(keys ...string) {
+	d.delayWritesOf(time.Hour, keys...)
+}
+
+// delayWritesOf makes the store carry out all writes of the keys after the
+// delay, without a response.
+func (d *deployment) delayWritesOf(delay time.Duration, keys ...string) {
 	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
 		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
-			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return slices.Contains(keys, p.Key) }), time.Hour
+			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return slices.Contains(keys, p.Key) }), delay
 		}
 	})
 }
@@ -187,7 +193,7 @@
 	})
 }
 
-// loseNoWrites reverts loseWritesOf and delayNextWriteOf.
+// loseNoWrites reverts loseWritesOf, delayWritesOf and delayNextWriteOf.
 func (d *deployment) loseNoWrites() {
 	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
 }
