Count the leases of earlier leaders after the first poll of a worker

Cause: once a worker has been polled, the leader takes its leases to end at the latest deadline that it has sent itself. So far it always sent one right after the first poll, which covered what earlier leaders had sent.

The first poll now sets the deadline to the longest lease that an earlier leader can have given, by the worker's clock. No earlier leader can extend it after that poll, since the worker refuses lower tokens.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -126,6 +126,9 @@
 	firstPoll := !w.polled
 	w.polled, w.replaced, w.hasUnknownStart, w.failedPolls = true, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
+	if firstPoll {
+		w.leaseDeadline = max(w.leaseDeadline, report.ClockMs+e.cfg.RunLease.Milliseconds()) // an earlier leader may have extended the leases this far
+	}
 	e.handleReportedEnds(w, report.Ended)
 	e.reconcileRuns(w, sentAt, report, firstPoll)
 	e.adjustFillerPace(w, now)
--- a/orchestrator/silence_test.go
+++ b/orchestrator/silence_test.go
@@ -137,6 +137,31 @@
 	})
 }
 
+func TestLeasesOfAnEarlierLeaderHoldAfterTheFirstPoll(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.keepInstancesInPool()
+		first := s.startEntry("one")
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(4 * time.Second)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(1200 * time.Millisecond)
+		s.loseWritesOf(unresponsiveKey)
+		first.crash()
+		second := s.startEntry("two")
+		s.taskFleet.SetUnresponsive(silent, false)
+		s.waitForLeader("two")
+		time.Sleep(300 * time.Millisecond)
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		second.stopGracefully()
+	})
+}
+
 func TestNewLeaderWaitsForAnUnresponsiveWorkerWithUnstoredRuns(t *testing.T) {
 	for name, leadAgain := range map[string]bool{"recorded by the leader that started them": false, "recorded by a leader that never reached the worker": true} {
 		t.Run(name, func(t *testing.T) {
