Test that a late write does not undo the completion of a wave

The store carries out the first write of a wave's progress ten seconds late, after the wave has been reported as completed.

--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -224,3 +224,18 @@
 		e.stopGracefully()
 	})
 }
+
+func TestDelayedWriteOfWaveProgressDoesNotUndoItsCompletion(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.keepInstancesInPool()
+		e := s.startEntry("one")
+		time.Sleep(2 * time.Second)
+		s.delayNextWriteOf("fleet/wave/1", 10*time.Second)
+		s.requestWave(1, "a")
+		time.Sleep(8 * time.Second)
+		require.Equal(t, "completed", s.waveStatus())
+		time.Sleep(4 * time.Second)
+		require.Equal(t, "completed", s.waveStatus())
+		e.stopGracefully()
+	})
+}
