Store the progress of a wave only over its last known record

The operator could see a completed maintenance wave return to running and stay there, that is, accepted work that never ends (LOST).

Cause: the record of a wave and its status are written together, conditional on the leader record only. A write whose response was lost is repeated, and the store may carry out the first one seconds later, over the completion. The leader has finished with the wave by then and does not write again; a new leader reads a record that is not done and may also miss the instances that were maintained since.

Evidence: found by reading; shown by the test alone. It is the class of fault of the record of unresponsive workers.

Each write now requires the last known revision of the wave's record, which guards the status in the same transaction. On a conflict the leader takes over the revision and writes again, or ends its term if another one leads.

--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/maintainer"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -22,8 +24,9 @@
 		firstSeen      time.Time       // when the wave was first seen in any term
 		pending        map[string]bool // instances whose maintenance has not started
 		record         WaveRecord
-		changed        bool // the record must be stored
-		reported       bool // the operator has been told that the wave is running
+		revision       int64 // last known revision of the stored record
+		changed        bool  // the record must be stored
+		reported       bool  // the operator has been told that the wave is running
 		commitInFlight bool
 		completed      bool // the operator has been told that the wave is completed
 	}
@@ -48,7 +51,7 @@
 			e.log.Error("wave record cannot be read, left alone", "key", r.Key, "error", err)
 			continue
 		}
-		e.planner.waves[number] = &waveState{firstSeen: rec.First, record: rec, reported: true, completed: rec.Done}
+		e.planner.waves[number] = &waveState{firstSeen: rec.First, record: rec, revision: r.Revision, reported: true, completed: rec.Done}
 	}
 }
 
@@ -183,7 +186,8 @@
 }
 
 // storeWaveProgress stores the progress of the waves and reports it to the
-// operator.
+// operator. Each transaction requires the last known revision of the wave's
+// record, so that one that the store executes late changes nothing.
 func (e *Engine) storeWaveProgress(ctx context.Context) {
 	for number, v := range e.planner.waves {
 		if v.pending == nil || v.commitInFlight || v.completed {
@@ -195,26 +199,34 @@
 		}
 		v.commitInFlight, v.changed = true, false
 		v.record.Done = completed
+		key := wavePrefix + strconv.FormatInt(number, 10)
 		txn := keeper.Txn{
-			Expect: []keeper.Expectation{e.termCondition()},
+			Expect: []keeper.Expectation{e.termCondition(), {Key: key, Revision: v.revision}},
 			Put: []keeper.Put{
-				{Key: wavePrefix + strconv.FormatInt(number, 10), Value: encodeJSON(v.record)},
+				{Key: key, Value: encodeJSON(v.record)},
 				e.cfg.WaveStatus(number, completed),
 			},
 		}
 		e.runInBackground(func() {
-			_, _, err := e.store.Commit(ctx, txn)
-			e.runInEventLoop(ctx, func() { e.handleWaveProgressStored(v, completed, err) })
+			revision, records, err := e.store.Commit(ctx, txn)
+			if errors.Is(err, keeper.ErrConflict) {
+				revision = revisionOf(key, records) // an earlier write whose response was lost
+			}
+			e.runInEventLoop(ctx, func() { e.handleWaveProgressStored(v, completed, revision, records, err) })
 		})
 	}
 }
 
 // handleWaveProgressStored processes the result of storing the progress of a
 // wave.
-func (e *Engine) handleWaveProgressStored(v *waveState, completed bool, err error) {
+func (e *Engine) handleWaveProgressStored(v *waveState, completed bool, revision int64, records []keeper.Record, err error) {
 	v.commitInFlight = false
+	if err == nil || errors.Is(err, keeper.ErrConflict) {
+		v.revision = revision
+	}
 	if err != nil {
 		v.changed = true
+		e.checkStillLeader(records, err)
 		e.log.Warn("progress of a maintenance wave not stored, trying again", "wave", v.Number, "error", err)
 		return
 	}
