Test that a late write hides no later order for an instance

The store carries out the write of a wave's first order five seconds late, over the one of the second order, which the platform carries out late as well. The next leader does not know of the second order, and the tasks that it places on that instance are killed.

--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -239,3 +240,38 @@
 		e.stopGracefully()
 	})
 }
+
+func TestDelayedWriteOfInstanceOrdersDoesNotHideALaterOrder(t *testing.T) {
+	runScenario(t, 4, func(s *deployment) {
+		s.keepInstancesInPool()
+		ordered := make(map[string]bool)
+		s.instances.OrderDelay = func(holder, instance string) time.Duration {
+			ordered[instance] = true
+			if holder == "one" && len(ordered) > 1 {
+				return 6 * time.Second
+			}
+			return 0
+		}
+		first := s.startEntry("one")
+		time.Sleep(2 * time.Second)
+		s.delayNextWriteOf("fleet/plans", 5*time.Second)
+		s.requestWave(1, "a", "b", "c", "d")
+		time.Sleep(6 * time.Second)
+		require.Len(t, ordered, 2)
+		first.crash()
+		second := s.startEntry("two")
+		s.waitForLeader("two")
+		for i := range 16 {
+			s.submit(shortJob(fmt.Sprintf("j%d", i), modeler.Step{Count: 6, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+			time.Sleep(500 * time.Millisecond)
+		}
+		time.Sleep(20 * time.Second)
+		require.Equal(t, "completed", s.waveStatus())
+		for i := range 16 {
+			for n := range 6 {
+				require.Equal(t, 1, s.taskFleet.StartedRuns(taskID(fmt.Sprintf("j%d", i), 0, n)))
+			}
+		}
+		second.stopGracefully()
+	})
+}
