Store the instance orders only over their last known record

Callers could see tasks lose their runs to a maintenance or a move that the leader did not know of.

Cause: the record of the orders that may be in flight was written conditional on the leader record only. A write whose response was lost is repeated, and the store may carry out the first one seconds later, over newer orders. The next leader then repeats an order that is done and does not know of one that the platform has yet to carry out. It places tasks on that instance, and the order ends them.

Evidence: found by reading; shown by the test alone.

Each write now requires the last known revision of the record. On a conflict the leader takes over the revision and writes again; an order is sent only after a confirmed write, as before, and a confirmed write now rules out all earlier ones.

--- a/orchestrator/plan.go
+++ b/orchestrator/plan.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
@@ -30,6 +32,7 @@
 	// instanceOrdersState tracks the stored instance orders.
 	instanceOrdersState struct {
 		fromEarlierTerm InstanceOrders // orders of an earlier term for instances that have not been listed yet
+		revision        int64          // last known revision of the record
 		changed         bool
 		commitInFlight  bool
 		retryAfter      time.Time
@@ -41,6 +44,7 @@
 	orders := &e.planner.orders
 	orders.fromEarlierTerm = make(InstanceOrders)
 	for _, r := range records {
+		orders.revision = r.Revision
 		if err := json.Unmarshal(r.Value, &orders.fromEarlierTerm); err != nil {
 			e.log.Error("record of plans for instances cannot be read, left alone", "revision", r.Revision, "error", err)
 		}
@@ -69,7 +73,9 @@
 }
 
 // storeInstanceOrders stores the instance orders if they have changed, and
-// sends the new orders once they are stored.
+// sends the new orders once they are stored. The transaction requires the last
+// known revision of the record, so that the store does not replace a later
+// record if it executes the transaction late.
 func (e *Engine) storeInstanceOrders(ctx context.Context, now time.Time) {
 	orders := &e.planner.orders
 	if !orders.changed || orders.commitInFlight || now.Before(orders.retryAfter) {
@@ -88,21 +94,27 @@
 	}
 	orders.commitInFlight, orders.changed = true, false
 	txn := keeper.Txn{
-		Expect: []keeper.Expectation{e.termCondition()},
+		Expect: []keeper.Expectation{e.termCondition(), {Key: instanceOrdersKey, Revision: orders.revision}},
 		Put:    []keeper.Put{{Key: instanceOrdersKey, Value: encodeJSON(record)}},
 	}
 	e.runInBackground(func() {
-		_, records, err := e.store.Commit(ctx, txn)
-		e.runInEventLoop(ctx, func() { e.handleInstanceOrdersStored(ctx, newOrders, records, err) })
+		revision, records, err := e.store.Commit(ctx, txn)
+		if errors.Is(err, keeper.ErrConflict) {
+			revision = revisionOf(instanceOrdersKey, records) // an earlier write whose response was lost
+		}
+		e.runInEventLoop(ctx, func() { e.handleInstanceOrdersStored(ctx, newOrders, revision, records, err) })
 	})
 }
 
 // handleInstanceOrdersStored processes the result of storing the instance
 // orders and sends the new ones.
-func (e *Engine) handleInstanceOrdersStored(ctx context.Context, newOrders []*instance, records []keeper.Record, err error) {
+func (e *Engine) handleInstanceOrdersStored(ctx context.Context, newOrders []*instance, revision int64, records []keeper.Record, err error) {
 	orders := &e.planner.orders
 	orders.commitInFlight = false
 	now := time.Now()
+	if err == nil || errors.Is(err, keeper.ErrConflict) {
+		orders.revision = revision
+	}
 	if err != nil {
 		e.log.Warn("record of plans for instances not stored, trying again", "error", err)
 		orders.changed, orders.retryAfter = true, now.Add(instanceOrdersRetryInterval)
