--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -76,7 +76,7 @@
 		// The worker may also have restarted by now, and its ended runs are then
 		// numbered from the beginning.
 		l.acknowledgedEnd = 0
-	case w.polled && e.term.MayExtend():
+	case w.polled && !w.recorded && e.term.MayExtend():
 		l.leaseDeadline = w.clockSample.workerTimeAfter(now, e.cfg.RunLease)
 		w.leaseDeadline = max(w.leaseDeadline, l.leaseDeadline)
 	}
@@ -85,7 +85,7 @@
 }
 
 // retryPoll polls a worker again if the last poll failed or no poll is queued
-// because ended runs are not stored yet.
+// because a write to the store is awaited.
 func (e *Engine) retryPoll(w *worker, now time.Time) {
 	if w.polling || w.pollRequests == nil {
 		return
@@ -128,11 +128,14 @@
 	firstPoll := !w.polled
 	w.polled, w.replaced, w.hasUnknownStart, w.failedPolls = true, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
+	if firstPoll {
+		w.leaseDeadline = max(w.leaseDeadline, report.ClockMs+e.cfg.RunLease.Milliseconds()) // an earlier leader may have extended the leases this far
+	}
 	e.handleReportedEnds(w, report.Ended)
 	e.reconcileRuns(w, sentAt, report, firstPoll)
 	e.adjustFillerPace(w, now)
-	if w.acknowledgeStoredEnds() {
-		return // the next poll acknowledges the ended runs once they are stored
+	if w.acknowledgeStoredEnds() || w.recorded {
+		return // the next poll acknowledges the ended runs once they are stored, or extends the leases once the store no longer names the worker
 	}
 	e.requestNextPoll(w, now)
 }
@@ -168,7 +171,7 @@
 		e.log.Warn("worker not reached: poll failed, trying again", "worker", w.ID, "pool", w.Pool, "tasks", len(w.tasks), "error", err)
 	}
 	w.reachable = false
-	e.recordUnresponsiveWorker(w)
+	e.recordUnresponsiveWorker(w, now)
 }
 
 // handleWorkerRestart requeues the tasks that were running on the worker before
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -201,6 +201,7 @@
 		j.state = modeler.Running
 	}
 	e.markUnstored(j)
+	t.placementVersion = j.version
 	return true
 }
 
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -13,7 +13,7 @@
 
 const (
 	termKey     = fleetPrefix + "term"     // stores the TermRecord of the last term that began
-	handoverKey = fleetPrefix + "handover" // stores the TermRecord of the last term that ended with all state stored
+	handoverKey = fleetPrefix + "handover" // stores the TermRecord of the last term that ended with all runs known and all state stored
 
 	instancesNotListed = "unknown: the instances are not listed yet" // logged instead of a worker ID
 
@@ -40,7 +40,7 @@
 	// starts no inherited task in a pool until each worker of the pool has reported
 	// its runs or all its leases have certainly expired.
 	handoverState struct {
-		predecessorStoredAll bool                // the previous leader stored all its state
+		predecessorStoredAll bool                // the previous leader knew all runs and stored all its state
 		inheritedPools       map[string][]string // TermRecord.Pools of the previous leader, if it did not store all its state
 		recordedPools        map[string][]string // TermRecord.Pools of this term's record; nil until it is stored and the next leader can see that this term began
 		termRecordInFlight   bool
@@ -52,7 +52,7 @@
 )
 
 // restoreHandover determines from the records of earlier terms whether the
-// previous leader stored all its state.
+// previous leader knew all runs and stored all its state.
 func (e *Engine) restoreHandover(terms, handovers []keeper.Record) {
 	e.handover.predecessorStoredAll = len(terms) == 0 || len(handovers) > 0 && parseTermRecord(terms[0]).Token == parseTermRecord(handovers[0]).Token
 	if !e.handover.predecessorStoredAll {
@@ -130,11 +130,16 @@
 }
 
 // storeHandoverRecord stores the handover record, which tells the next leader
-// that all state is stored.
+// that all state is stored. It stores none if a worker may be running tasks that
+// this leader does not know of.
 func (e *Engine) storeHandoverRecord(ctx context.Context) {
 	if len(e.unstoredJobs) > 0 || e.commitsInFlight > 0 {
 		return
 	}
+	if !e.knowsAllRuns(time.Now()) {
+		e.log.Info("handover record of the term not stored: some workers have not reported their runs")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	_, _, err := e.store.Commit(ctx, keeper.Txn{
@@ -191,7 +196,7 @@
 		return nil
 	}
 	for _, w := range e.workersByID {
-		if w.polled || e.isNewInTerm(w) || e.unresponsive.fromEarlierTerm[w.ID] || !now.Before(e.leaseExpiry(w)) {
+		if !e.mayHaveUnstoredRuns(w, now) {
 			e.logWorkerNotAwaited(w)
 			continue
 		}
@@ -214,7 +219,7 @@
 			continue
 		}
 		e.handover.workersAtStart[i.Worker] = true
-		if i.State == modeler.InstanceUp && !e.unresponsive.fromEarlierTerm[i.Worker] {
+		if i.State == modeler.InstanceUp && !e.unresponsive.restored[i.Worker].AllStored {
 			e.handover.unlistedWorkers[i.Worker] = i.Name
 		}
 	}
@@ -254,6 +259,17 @@
 	return ""
 }
 
+// hasUnlistedWorker reports whether findUnlistedWorker finds a worker in any
+// pool.
+func (e *Engine) hasUnlistedWorker() bool {
+	for _, i := range e.planner.instances {
+		if e.findUnlistedWorker(i.Pool) != "" {
+			return true
+		}
+	}
+	return e.findUnlistedWorker("") != ""
+}
+
 // hasListedWorker reports whether a worker of an instance is listed. The
 // instance list may still name an earlier one.
 func (e *Engine) hasListedWorker(instance string) bool {
@@ -265,6 +281,29 @@
 	return false
 }
 
+// mayHaveUnstoredRuns reports whether the worker may be running tasks whose
+// placement the previous leader did not store.
+func (e *Engine) mayHaveUnstoredRuns(w *worker, now time.Time) bool {
+	return !e.handover.predecessorStoredAll && !w.polled && !e.isNewInTerm(w) && !e.unresponsive.restored[w.ID].AllStored && now.Before(e.leaseExpiry(w))
+}
+
+// knowsAllRuns reports whether this leader knows all runs on the workers. Before
+// the first worker list it does not know which workers to ask.
+func (e *Engine) knowsAllRuns(now time.Time) bool {
+	if e.handover.predecessorStoredAll {
+		return true
+	}
+	if e.firstListAt.IsZero() || now.Before(e.inheritedLeaseExpiry()) && e.hasUnlistedWorker() {
+		return false
+	}
+	for _, w := range e.workersByID {
+		if e.mayHaveUnstoredRuns(w, now) {
+			return false
+		}
+	}
+	return true
+}
+
 // logWorkerNotAwaited logs, once for each worker, why inherited tasks don't wait
 // for a worker that has not reported its runs.
 func (e *Engine) logWorkerNotAwaited(w *worker) {
@@ -273,7 +312,7 @@
 	}
 	w.notAwaitedLogged = true
 	e.log.Info("inherited tasks do not wait for a worker that has not reported", "worker", w.ID, "pool", w.Pool,
-		"registered-in-term", e.isNewInTerm(w), "recorded-unresponsive", e.unresponsive.fromEarlierTerm[w.ID], "leases-until", e.leaseExpiry(w))
+		"registered-in-term", e.isNewInTerm(w), "recorded-unresponsive", e.unresponsive.restored[w.ID].AllStored, "leases-until", e.leaseExpiry(w))
 }
 
 // hasTasksOfPool reports whether any task assigned to the worker belongs to a
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"log/slog"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -20,7 +22,10 @@
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
-const testLease = 6 * time.Second
+const (
+	testLease       = 6 * time.Second
+	unresponsiveKey = "fleet/silence" // key of the orchestrator.UnresponsiveWorkers
+)
 
 // deployment is a small simulated deployment: a store, workers and the entry
 // nodes that a test starts.
@@ -182,6 +187,53 @@
 	return e, instance
 }
 
+// waitForLeader waits until the named entry node leads.
+func (d *deployment) waitForLeader(name string) {
+	for {
+		r, err := d.store.ClientFor("observer").Get(d.t.Context(), elector.Key)
+		require.NoError(d.t, err)
+		if strings.HasPrefix(string(r.Value), name+"/") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// loseWritesOf makes the store drop all writes of the keys without a response.
+func (d *deployment) loseWritesOf(keys ...string) {
+	d.delayWritesOf(time.Hour, keys...)
+}
+
+// delayWritesOf makes the store carry out all writes of the keys after the
+// delay, without a response.
+func (d *deployment) delayWritesOf(delay time.Duration, keys ...string) {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return slices.Contains(keys, p.Key) }), delay
+		}
+	})
+}
+
+// delayNextWriteOf makes the store carry out the next write of the key after the
+// delay, without a response.
+func (d *deployment) delayNextWriteOf(key string, delay time.Duration) {
+	lost := false
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			if lost || !slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return p.Key == key }) {
+				return false, 0
+			}
+			lost = true
+			return true, delay
+		}
+	})
+}
+
+// loseNoWrites reverts loseWritesOf, delayWritesOf and delayNextWriteOf.
+func (d *deployment) loseNoWrites() {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+}
+
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
 	j.Accepted = time.Now()
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -31,6 +31,7 @@
 		notAwaitedLogged   bool          // see logWorkerNotAwaited
 		suspectUntil       time.Time     // gets no new tasks before this time
 		hasUnknownStart    bool          // a start got no response, and no poll has succeeded since
+		recorded           bool          // the store may name it as unresponsive, see unresponsiveState
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
@@ -102,7 +103,12 @@
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.listed && w.polled && w.reachable && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+	return w.listed && w.polled && w.mayBeUsed() && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+}
+
+// mayBeUsed reports whether tasks may be started on the worker.
+func (w *worker) mayBeUsed() bool {
+	return w.reachable && !w.recorded
 }
 
 // markSuspect excludes the worker from new tasks for suspectTime.
