--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -27,6 +27,7 @@
 		RunOutcome      func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
 		StartDelay      func(id modeler.TaskID, run int) time.Duration // delay of a start, whose response is then lost; 0 for a normal start
 		StopTime        time.Duration                                  // time from a stop request to the end of the run
+		ClockOffset     time.Duration                                  // by how much the wall clocks of workers that start from now on are ahead
 		RemovedListTime time.Duration                                  // time for which a removed worker stays in the list of workers
 		// ReportedLoad returns the load that a running task reports, given the
 		// paces of all tasks on its worker. Nil reports zero.
@@ -41,6 +42,7 @@
 		modeler.Worker
 		startTime          time.Time
 		unresponsive       bool
+		unregistered       bool // not in the list of workers, because the registration has expired
 		highestToken       int64
 		leaseDeadline      int64
 		runs               map[modeler.TaskID]*taskRun
@@ -84,7 +86,7 @@
 func (f *TaskFleet) Add(w modeler.Worker) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	w.StartTimeMs = time.Now().UnixMilli()
+	w.StartTimeMs = time.Now().Add(f.ClockOffset).UnixMilli()
 	f.workers[w.ID] = &taskWorker{
 		Worker: w, startTime: time.Now(), runs: make(map[modeler.TaskID]*taskRun), highestFinishedRun: make(map[modeler.TaskID]int),
 		changed: make(chan struct{}),
@@ -120,6 +122,16 @@
 	})
 }
 
+// RestartUnderSameID ends a worker and its runs and starts it again with the same
+// ID. It then knows nothing of before.
+func (f *TaskFleet) RestartUnderSameID(id string) {
+	f.mu.Lock()
+	w := f.workers[id].Worker
+	f.mu.Unlock()
+	f.Remove(id)
+	f.Add(w)
+}
+
 // SetUnresponsive sets whether calls to a worker get no response; its runs
 // continue. It has no effect on a worker that is no longer in the list.
 func (f *TaskFleet) SetUnresponsive(id string, unresponsive bool) {
@@ -130,6 +142,14 @@
 	}
 }
 
+// SetRegistered sets whether a worker is in the list of workers. One that is cut
+// off from the store is not, while its runs continue.
+func (f *TaskFleet) SetRegistered(id string, registered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].unregistered = !registered
+}
+
 // SetDraining makes a worker report that it is about to leave.
 func (f *TaskFleet) SetDraining(id string) {
 	f.mu.Lock()
@@ -241,7 +261,9 @@
 	defer f.mu.Unlock()
 	var list []modeler.Worker
 	for _, w := range f.workers {
-		list = append(list, w.Worker)
+		if !w.unregistered {
+			list = append(list, w.Worker)
+		}
 	}
 	return list, ctx.Err()
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -137,6 +137,8 @@
 		termStart:    time.Now(),
 	}
 	e.handover.blockingWorkers = make(map[string]string)
+	e.handover.workersAtStart = make(map[string]bool)
+	e.handover.unlistedWorkers = make(map[string]string)
 	e.planner.instances = make(map[string]*instance)
 	e.planner.waves = make(map[int64]*waveState)
 	e.planner.poolHistories = make(map[string]*poolHistory)
@@ -159,7 +161,7 @@
 	callCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	e.callCtx = callCtx
-	e.storeTermRecord(callCtx)
+	e.storeTermRecord(callCtx, time.Now())
 	e.runInBackground(func() { e.watchJobs(ctx, revision) })
 	e.runInBackground(func() { e.pollWorkerList(ctx, callCtx) })
 	if e.planner.api != nil {
@@ -207,6 +209,9 @@
 	}
 	e.sendReadyStarts(ctx, now)
 	e.flush(ctx, now)
+	if e.unresponsive.removalDue() {
+		e.storeUnresponsiveWorkers(ctx, now)
+	}
 	next := e.nextTick
 	if e.placementDue && e.nextPlacement.Before(next) {
 		next = e.nextPlacement
@@ -214,6 +219,9 @@
 	if len(e.unstoredJobs) > 0 && e.commitsInFlight < e.maxCommitsInFlight() && e.nextFlush.Before(next) {
 		next = e.nextFlush
 	}
+	if r := &e.unresponsive; r.removalDue() && r.retryAfter.Before(next) {
+		next = r.retryAfter
+	}
 	if len(e.awaitingStart) > 0 {
 		if due := e.awaitingStart[0].phaseSince.Add(maxStoreWaitBeforeStart); due.After(now) && due.Before(next) {
 			next = due
@@ -278,6 +286,7 @@
 	e.publishLoad(ctx, now)
 	e.runPlanRound(ctx, now)
 	e.storeUnresponsiveWorkers(ctx, now)
+	e.storeTermRecord(ctx, now)
 	e.logPoolLoads(now)
 	e.resignIfMostUnreachable(now)
 	e.removeOldOutcomes(ctx, now)
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -48,6 +48,7 @@
 		return
 	}
 	j := newJob(*rec.Job)
+	j.loadedAt = e.term.Now()
 	if progress.Revision != 0 {
 		var p Progress
 		err := json.Unmarshal(progress.Value, &p)
@@ -84,6 +85,7 @@
 	w := e.workersByID[id]
 	if w == nil {
 		w = &worker{Worker: modeler.Worker{ID: id}, idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]time.Time)}
+		w.recorded = e.unresponsive.mayBeStored[id]
 		e.workersByID[id] = w
 	}
 	return w
@@ -171,6 +173,9 @@
 			e.log.Info("worker is draining", "worker", info.ID, "pool", info.Pool, "tasks", len(w.tasks))
 		}
 		born := w.StartTimeMs
+		if !w.polled && info.StartTimeMs != born {
+			w.bootLearnedAt = e.term.Now()
+		}
 		w.Worker = info
 		if w.polled {
 			w.StartTimeMs = born // the worker's own report counts; the next poll updates it
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 )
 
@@ -25,47 +27,106 @@
 
 	// UnresponsiveWorker describes a worker that does not respond.
 	UnresponsiveWorker struct {
-		Instance string    `json:"instance"`
-		Born     int64     `json:"born"`
-		Until    time.Time `json:"until"` // all its leases have expired by this time, by the clock of the entry node that wrote the record
+		Instance  string    `json:"instance"`
+		Born      int64     `json:"born"`
+		Until     time.Time `json:"until"`               // all its leases have expired by this time, by the clock of the entry node that wrote the record
+		AllStored bool      `json:"allStored,omitempty"` // the placements of all its runs are stored, so inherited tasks need not wait for it
 	}
 
 	// unresponsiveState tracks the stored record of unresponsive workers.
+	//
+	// The next leader takes a recorded worker's leases to expire as recorded and,
+	// if all its runs are stored, expects no other runs there. As long as the store
+	// may name a worker, the leader therefore starts nothing on it and extends no
+	// leases there.
 	unresponsiveState struct {
-		workers         UnresponsiveWorkers
-		fromEarlierTerm map[string]bool // workers recorded by an earlier leader, which started nothing on them after that
-		changed         bool
-		commitInFlight  bool
-		retryAfter      time.Time
+		workers        UnresponsiveWorkers
+		mayBeStored    map[string]bool     // workers named in the stored record or in a later write that may still take effect
+		restored       UnresponsiveWorkers // record of an earlier term
+		revision       int64               // last known revision of the record
+		changed        bool
+		commitInFlight bool
+		retryAfter     time.Time
 	}
 )
 
 // restoreUnresponsiveWorkers restores the record of an earlier term.
 func (e *Engine) restoreUnresponsiveWorkers(records []keeper.Record) {
-	e.unresponsive.workers, e.unresponsive.fromEarlierTerm = make(UnresponsiveWorkers), make(map[string]bool)
+	e.unresponsive.workers = make(UnresponsiveWorkers)
 	for _, r := range records {
+		e.unresponsive.revision = r.Revision
 		if err := json.Unmarshal(r.Value, &e.unresponsive.workers); err != nil {
 			e.log.Error("record of silent workers cannot be read, left alone", "revision", r.Revision, "error", err)
 		}
 	}
-	for id := range e.unresponsive.workers {
-		e.unresponsive.fromEarlierTerm[id] = true
+	e.unresponsive.restored = maps.Clone(e.unresponsive.workers)
+	e.unresponsive.mayBeStored = make(map[string]bool)
+	e.addMayBeStored(e.unresponsive.workers)
+}
+
+// addMayBeStored records that the store may name the workers from now on.
+func (e *Engine) addMayBeStored(workers UnresponsiveWorkers) {
+	for id := range workers {
+		e.unresponsive.mayBeStored[id] = true
+		if w := e.workersByID[id]; w != nil {
+			w.recorded = true
+		}
+	}
+}
+
+// setStored records that the store names exactly the given workers, and polls
+// those that are no longer named, which extends their leases again.
+func (e *Engine) setStored(workers UnresponsiveWorkers, now time.Time) {
+	clear(e.unresponsive.mayBeStored)
+	for id := range workers {
+		e.unresponsive.mayBeStored[id] = true
+	}
+	for id, w := range e.workersByID {
+		if !w.recorded || e.unresponsive.mayBeStored[id] {
+			continue
+		}
+		w.recorded = false
+		if w.reachable {
+			e.requestNextPoll(w, now)
+			e.requestPlacement()
+		}
 	}
 }
 
 // recordUnresponsiveWorker records a worker after
-// failedPollsUntilUnresponsive failed polls.
-func (e *Engine) recordUnresponsiveWorker(w *worker) {
-	if w.failedPolls != failedPollsUntilUnresponsive {
-		return
+// failedPollsUntilUnresponsive failed polls. Further failed polls complete the
+// record once the placements of all its runs are stored.
+func (e *Engine) recordUnresponsiveWorker(w *worker, now time.Time) {
+	if w.failedPolls < failedPollsUntilUnresponsive || !e.term.IsValid() {
+		return // without a valid lease the store may be out of reach, and the record could not be withdrawn
 	}
-	if _, ok := e.unresponsive.workers[w.ID]; ok && !w.polled {
-		return // recorded in an earlier term
+	allStored := e.allRunsStored(w, now)
+	recorded, ok := e.unresponsive.workers[w.ID]
+	switch {
+	case !ok:
+		recorded = UnresponsiveWorker{Instance: w.Instance, Born: w.StartTimeMs, Until: e.leaseExpiry(w)}
+	case recorded.AllStored || !allStored:
+		return
 	}
-	e.unresponsive.workers[w.ID] = UnresponsiveWorker{Instance: w.Instance, Born: w.StartTimeMs, Until: e.leaseExpiry(w)}
+	recorded.AllStored = allStored
+	e.unresponsive.workers[w.ID] = recorded
 	e.unresponsive.changed = true
 }
 
+// allRunsStored reports whether this leader knows all runs on an unresponsive
+// worker and their placements are stored.
+func (e *Engine) allRunsStored(w *worker, now time.Time) bool {
+	if !w.polled {
+		return !e.mayHaveUnstoredRuns(w, now)
+	}
+	for _, t := range w.tasks {
+		if t.step.occurrence.job.storedVersion < t.placementVersion {
+			return false
+		}
+	}
+	return len(w.orphanedRuns) == 0
+}
+
 // clearUnresponsiveWorker removes a worker that responds again or has left
 // the fleet.
 func (e *Engine) clearUnresponsiveWorker(id string) {
@@ -75,32 +136,64 @@
 	}
 }
 
-// storeUnresponsiveWorkers stores the record if it has changed.
+// removalDue reports whether a worker that responds again must be removed from
+// the stored record. It is not used until then.
+func (r *unresponsiveState) removalDue() bool {
+	if !r.changed || r.commitInFlight {
+		return false
+	}
+	for id := range r.mayBeStored {
+		if _, ok := r.workers[id]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// storeUnresponsiveWorkers stores the record if it has changed. The transaction
+// requires the last known revision of the record, so that the store does not
+// replace a later record if it executes the transaction late.
 func (e *Engine) storeUnresponsiveWorkers(ctx context.Context, now time.Time) {
 	r := &e.unresponsive
 	if !r.changed || r.commitInFlight || now.Before(r.retryAfter) {
 		return
 	}
 	r.commitInFlight, r.changed = true, false
-	ids := slices.Sorted(maps.Keys(r.workers))
+	r.retryAfter = now.Add(flushInterval)
+	workers := maps.Clone(r.workers)
+	e.addMayBeStored(workers)
 	txn := keeper.Txn{
-		Expect: []keeper.Expectation{e.termCondition()},
-		Put:    []keeper.Put{{Key: unresponsiveKey, Value: encodeJSON(r.workers)}},
+		Expect: []keeper.Expectation{e.termCondition(), {Key: unresponsiveKey, Revision: r.revision}},
+		Put:    []keeper.Put{{Key: unresponsiveKey, Value: encodeJSON(workers)}},
 	}
 	e.runInBackground(func() {
-		revision, _, err := e.store.Commit(ctx, txn)
-		e.runInEventLoop(ctx, func() {
-			r.commitInFlight = false
-			if err != nil {
-				e.log.Warn("record of silent workers not stored, trying again", "error", err)
-				r.changed, r.retryAfter = true, time.Now().Add(unresponsiveRetryInterval)
-				return
-			}
-			e.log.Info("record of silent workers stored", "workers", ids, "revision", revision)
-		})
+		revision, records, err := e.store.Commit(ctx, txn)
+		e.runInEventLoop(ctx, func() { e.handleUnresponsiveWorkersStored(workers, revision, records, err) })
 	})
 }
 
+// handleUnresponsiveWorkersStored processes the result of storing the record.
+func (e *Engine) handleUnresponsiveWorkersStored(workers UnresponsiveWorkers, revision int64, records []keeper.Record, err error) {
+	r := &e.unresponsive
+	r.commitInFlight = false
+	switch {
+	case err == nil:
+		r.revision = revision
+		e.log.Info("record of silent workers stored", "workers", slices.Sorted(maps.Keys(workers)), "revision", revision)
+		e.setStored(workers, time.Now())
+		return
+	case errors.Is(err, keeper.ErrConflict):
+		if !e.checkStillLeader(records, err) {
+			return
+		}
+		r.revision = revisionOf(unresponsiveKey, records) // an earlier write whose response was lost
+	default:
+		e.log.Warn("record of silent workers not stored, trying again", "error", err)
+		r.retryAfter = time.Now().Add(unresponsiveRetryInterval)
+	}
+	r.changed = true
+}
+
 // requeueTasksOfReplacedWorkers requeues the tasks of earlier workers of each
 // instance, because a newer worker proves that the earlier ones have ended.
 func (e *Engine) requeueTasksOfReplacedWorkers() {
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -1,9 +1,13 @@
 package orchestrator_test
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"os"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,7 +22,10 @@
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
-const testLease = 6 * time.Second
+const (
+	testLease       = 6 * time.Second
+	unresponsiveKey = "fleet/silence" // key of the orchestrator.UnresponsiveWorkers
+)
 
 // deployment is a small simulated deployment: a store, workers and the entry
 // nodes that a test starts.
@@ -49,13 +56,14 @@
 // workerLink is an entry node's connection to the workers.
 type workerLink struct {
 	*emulator.TaskFleet
-	disconnected *atomic.Bool
-	pollDelay    *atomic.Int64
+	disconnected       *atomic.Bool
+	pollDelay          *atomic.Int64
+	unreachableWorkers *sync.Map
 }
 
 // RenewAndPoll implements orchestrator.Workers.
 func (l workerLink) RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error) {
-	if l.disconnected.Load() {
+	if _, unreachable := l.unreachableWorkers.Load(w.ID); unreachable || l.disconnected.Load() {
 		time.Sleep(300 * time.Millisecond)
 		return modeler.Report{}, context.DeadlineExceeded
 	}
@@ -65,12 +73,14 @@
 
 // entryNode is a running entry node.
 type entryNode struct {
-	deployment   *deployment
-	name         string
-	cancel       context.CancelFunc
-	done         chan struct{}
-	disconnected atomic.Bool  // from the workers
-	pollDelay    atomic.Int64 // delay of each poll of a worker, in ns
+	deployment         *deployment
+	name               string
+	cancel             context.CancelFunc
+	done               chan struct{}
+	disconnected       atomic.Bool                      // from the workers
+	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
+	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
+	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
@@ -106,10 +116,11 @@
 // startEntry starts an entry node.
 func (d *deployment) startEntry(name string) *entryNode {
 	client := d.store.ClientFor(name)
+	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	cfg := orchestrator.Config{
 		RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
-		Manifest:       func() *modeler.Manifest { return d.manifest },
+		Manifest:       func() *modeler.Manifest { return cmp.Or(e.manifest.Load(), d.manifest) },
 		RequestedWaves: d.requestedWaves,
 		WaveStatus: func(n int64, completed bool) keeper.Put {
 			value := "running"
@@ -119,9 +130,8 @@
 			return keeper.Put{Key: "status", Value: []byte(value)}
 		},
 	}
-	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay}, d.taskFleet, term, orchestrator.WithLog(d.log),
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay, &e.unreachableWorkers}, d.taskFleet, term, orchestrator.WithLog(d.log),
 			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
@@ -177,6 +187,53 @@
 	return e, instance
 }
 
+// waitForLeader waits until the named entry node leads.
+func (d *deployment) waitForLeader(name string) {
+	for {
+		r, err := d.store.ClientFor("observer").Get(d.t.Context(), elector.Key)
+		require.NoError(d.t, err)
+		if strings.HasPrefix(string(r.Value), name+"/") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// loseWritesOf makes the store drop all writes of the keys without a response.
+func (d *deployment) loseWritesOf(keys ...string) {
+	d.delayWritesOf(time.Hour, keys...)
+}
+
+// delayWritesOf makes the store carry out all writes of the keys after the
+// delay, without a response.
+func (d *deployment) delayWritesOf(delay time.Duration, keys ...string) {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			return slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return slices.Contains(keys, p.Key) }), delay
+		}
+	})
+}
+
+// delayNextWriteOf makes the store carry out the next write of the key after the
+// delay, without a response.
+func (d *deployment) delayNextWriteOf(key string, delay time.Duration) {
+	lost := false
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+			if lost || !slices.ContainsFunc(txn.Put, func(p keeper.Put) bool { return p.Key == key }) {
+				return false, 0
+			}
+			lost = true
+			return true, delay
+		}
+	})
+}
+
+// loseNoWrites reverts loseWritesOf, delayWritesOf and delayNextWriteOf.
+func (d *deployment) loseNoWrites() {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+}
+
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
 	j.Accepted = time.Now()
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -22,14 +22,16 @@
 	// worker is the leader's view of a worker.
 	worker struct {
 		modeler.Worker
-		listed             bool      // in the current worker list
-		reachable          bool      // the last poll succeeded
-		polled             bool      // polled successfully in this term
-		replaced           bool      // a newer worker runs on its instance
-		registeredInTerm   bool      // started after the previous leader's lease expired, see startedAfterFirstListRequest
-		notAwaitedLogged   bool      // see logWorkerNotAwaited
-		suspectUntil       time.Time // gets no new tasks before this time
-		hasUnknownStart    bool      // a start got no response, and no poll has succeeded since
+		listed             bool          // in the current worker list
+		reachable          bool          // the last poll succeeded
+		polled             bool          // polled successfully in this term
+		bootLearnedAt      time.Duration // when the leader learned of the worker's last start, by elector.Term.Now
+		replaced           bool          // a newer worker runs on its instance
+		registeredInTerm   bool          // started after the previous leader's lease expired, see startedAfterFirstListRequest
+		notAwaitedLogged   bool          // see logWorkerNotAwaited
+		suspectUntil       time.Time     // gets no new tasks before this time
+		hasUnknownStart    bool          // a start got no response, and no poll has succeeded since
+		recorded           bool          // the store may name it as unresponsive, see unresponsiveState
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
@@ -101,7 +103,12 @@
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.listed && w.polled && w.reachable && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+	return w.listed && w.polled && w.mayBeUsed() && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+}
+
+// mayBeUsed reports whether tasks may be started on the worker.
+func (w *worker) mayBeUsed() bool {
+	return w.reachable && !w.recorded
 }
 
 // markSuspect excludes the worker from new tasks for suspectTime.
