Test that a new leader waits for a worker whose registration expires

A leader starts a task that it cannot store, its worker stops responding and the leader is lost. While the next leader waits for that worker, the registration of the worker expires, but its runs continue until their lease ends. The leader stops waiting and starts the task elsewhere. TaskFleet.SetUnlisted emulates the expired registration.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -41,6 +41,7 @@
 		modeler.Worker
 		startTime          time.Time
 		unresponsive       bool
+		unlisted           bool
 		highestToken       int64
 		leaseDeadline      int64
 		runs               map[modeler.TaskID]*taskRun
@@ -130,6 +131,16 @@
 	}
 }
 
+// SetUnlisted sets whether a worker is missing from the list of workers although
+// its runs continue, as after the expiry of its registration.
+func (f *TaskFleet) SetUnlisted(id string, unlisted bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		w.unlisted = unlisted
+	}
+}
+
 // SetDraining makes a worker report that it is about to leave.
 func (f *TaskFleet) SetDraining(id string) {
 	f.mu.Lock()
@@ -241,7 +252,9 @@
 	defer f.mu.Unlock()
 	var list []modeler.Worker
 	for _, w := range f.workers {
-		list = append(list, w.Worker)
+		if !w.unlisted {
+			list = append(list, w.Worker)
+		}
 	}
 	return list, ctx.Err()
 }
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -618,3 +618,27 @@
 		third.stopGracefully()
 	})
 }
+
+func TestNewLeaderWaitsForAWorkerWhoseRegistrationExpires(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.loseWritesOf(orchestrator.ProgressKey("j1"))
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b", "c")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.loseNoWrites()
+		first.crash()
+		second := s.startEntry("two")
+		s.waitForLeader("two")
+		time.Sleep(100 * time.Millisecond)
+		s.taskFleet.SetUnlisted(silent, true)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		time.Sleep(12 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		second.stopGracefully()
+	})
+}
