Guard the orders that a test records with a mutex

The race detector reported TestDelayedWriteOfInstanceOrdersDoesNotHideALaterOrder in one run of the package: the test read the map of orders without the lock of the emulator that writes it. The test checks the same as before.

--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -244,8 +245,11 @@
 func TestDelayedWriteOfInstanceOrdersDoesNotHideALaterOrder(t *testing.T) {
 	runScenario(t, 4, func(s *deployment) {
 		s.keepInstancesInPool()
+		var mu sync.Mutex
 		ordered := make(map[string]bool)
 		s.instances.OrderDelay = func(holder, instance string) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
 			ordered[instance] = true
 			if holder == "one" && len(ordered) > 1 {
 				return 6 * time.Second
@@ -257,7 +261,10 @@
 		s.delayNextWriteOf("fleet/plans", 5*time.Second)
 		s.requestWave(1, "a", "b", "c", "d")
 		time.Sleep(6 * time.Second)
-		require.Len(t, ordered, 2)
+		mu.Lock()
+		n := len(ordered)
+		mu.Unlock()
+		require.Equal(t, 2, n)
 		first.crash()
 		second := s.startEntry("two")
 		s.waitForLeader("two")
