--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -126,6 +126,23 @@
 	s.startWorker(i)
 }
 
+// ShutDown ends the worker of an instance, which stays down.
+func (s *InstanceService) ShutDown(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.instances[name]
+	s.fleet.Remove(i.Worker)
+	i.State, i.Worker = modeler.InstanceDown, ""
+}
+
+// Remove ends the worker of an instance and removes the instance.
+func (s *InstanceService) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Remove(s.instances[name].Worker)
+	delete(s.instances, name)
+}
+
 // startWorker starts a worker on an instance unless the instance runs none.
 func (s *InstanceService) startWorker(i *managedInstance) {
 	if !i.runsWorker {
