Requeue tasks of workers that the instance list shows to have ended

A worker crashed for good within some tenths of a second of the leader's kill.

The leader had the knowledge to end the wait earlier and didn't use it: the instance list, which it reads anyway, shows an instance without the worker as soon as the worker has ended. Such a worker runs nothing, whatever its leases. No wait is shortened without this proof: a worker that is cut off stays in the list, and its leases must run out as before.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -124,7 +124,7 @@
 		e.requestPlacement()
 	}
 	firstPoll := !w.polled
-	w.polled, w.replaced, w.hasUnknownStart, w.failedPolls = true, false, false, 0
+	w.polled, w.replaced, w.ended, w.hasUnknownStart, w.failedPolls = true, false, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
 	e.handleReportedEnds(w, report.Ended)
 	e.reconcileRuns(w, sentAt, report, firstPoll)
@@ -165,7 +165,9 @@
 	if w.reachable || w.failedPolls == 1 {
 		e.log.Warn("worker not reached: poll failed, trying again", "worker", w.ID, "pool", w.Pool, "tasks", len(w.tasks), "error", err)
 	}
-	w.reachable = false
+	if w.reachable {
+		w.reachable, w.unreachableSince = false, now
+	}
 	e.recordUnresponsiveWorker(w)
 }
 
@@ -236,7 +238,7 @@
 // began, unless the previous leader recorded that the worker had stopped
 // responding.
 func (e *Engine) leaseExpiry(w *worker) time.Time {
-	if w.replaced {
+	if w.replaced || w.ended {
 		return time.Time{}
 	}
 	if w.polled {
--- a/orchestrator/gone_test.go
+++ b/orchestrator/gone_test.go
@@ -38,3 +38,25 @@
 		})
 	}
 }
+
+// The platform may show a change of an instance late.
+func TestOutdatedInstanceListEndsNoRunOfAnUnresponsiveWorker(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(2 * time.Second)
+		busy := s.instancesWithTasks("a", "b")[0]
+		worker, idle := s.instances.WorkerOf(busy), map[string]string{"a": "b", "b": "a"}[busy]
+		s.instances.SetListedWorker(busy, "w-earlier")
+		s.requestWave(1, idle) // the list is read more often during maintenance
+		s.taskFleet.SetUnresponsive(worker, true)
+		time.Sleep(1900 * time.Millisecond)
+		s.instances.SetListedWorker(busy, worker)
+		s.taskFleet.SetUnresponsive(worker, false)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.instances.MaintenanceCount(idle))
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -107,7 +107,6 @@
 // requested at requestedAt.
 func (e *Engine) applyInstanceList(list []modeler.Instance, requestedAt time.Time) {
 	p := &e.planner
-	p.instancesListed = true
 	seen := make(map[string]bool, len(list))
 	for _, info := range list {
 		seen[info.Name] = true
@@ -122,6 +121,10 @@
 			e.completePlan(i)
 		}
 	}
+	if p.instancesListed {
+		e.markEndedWorkers(seen, requestedAt)
+	}
+	p.instancesListed = true
 	for name, i := range p.instances {
 		if !seen[name] {
 			e.log.Info("instance no longer listed", "instance", name, "pool", i.Pool)
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -26,6 +26,8 @@
 		reachable          bool      // the last poll succeeded
 		polled             bool      // polled successfully in this term
 		replaced           bool      // a newer worker runs on its instance
+		ended              bool      // has ended according to the instance list
+		unreachableSince   time.Time // when it was added or the first poll failed, if not reachable
 		registeredInTerm   bool      // started after the previous leader's lease expired, see startedAfterFirstListRequest
 		notAwaitedLogged   bool      // see logWorkerNotAwaited
 		suspectUntil       time.Time // gets no new tasks before this time
