Add failing tests for stops that fail

Found by reading; shown by the tests alone. A stop that cannot be sent is not repeated, and stops that a worker refuses hold up its starts.

--- /dev/null
+++ b/orchestrator/order_test.go
@@ -0,0 +1,51 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+// cancel requests the cancellation of a job as an entry node does for a caller.
+func (d *deployment) cancel(id string) {
+	_, _, err := d.store.ClientFor("caller").Commit(d.t.Context(), keeper.Txn{Put: []keeper.Put{{Key: orchestrator.CancelKey(id), Value: []byte("{}")}}})
+	require.NoError(d.t, err)
+}
+
+func TestStopThatCouldNotBeSentIsRepeated(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		s.submit(longRunningJob("j1", 3))
+		time.Sleep(2 * time.Second)
+		e.unsentStops.Store(3)
+		s.cancel("j1")
+		time.Sleep(3 * time.Second)
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
+
+func TestStopsThatAWorkerRefusesDelayNoStart(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		s.submit(longRunningJob("j1", 2))
+		time.Sleep(2 * time.Second)
+		e.refusesStops.Store(true)
+		s.cancel("j1")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("j2", 2))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j2"))
+		e.refusesStops.Store(false)
+		time.Sleep(2 * time.Second)
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
@@ -16,6 +17,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/requester"
 )
 
 const testLease = 6 * time.Second
@@ -49,20 +51,30 @@
 // workerLink is an entry node's connection to the workers.
 type workerLink struct {
 	*emulator.TaskFleet
-	disconnected *atomic.Bool
-	pollDelay    *atomic.Int64
+	entry *entryNode
 }
 
 // RenewAndPoll implements orchestrator.Workers.
 func (l workerLink) RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error) {
-	if l.disconnected.Load() {
+	if l.entry.disconnected.Load() {
 		time.Sleep(300 * time.Millisecond)
 		return modeler.Report{}, context.DeadlineExceeded
 	}
-	time.Sleep(time.Duration(l.pollDelay.Load()))
+	time.Sleep(time.Duration(l.entry.pollDelay.Load()))
 	return l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
 }
 
+// Stop implements orchestrator.Workers.
+func (l workerLink) Stop(ctx context.Context, w modeler.Worker, task modeler.TaskID, run int, token int64) error {
+	if l.entry.refusesStops.Load() {
+		return modeler.ErrUnhealthy
+	}
+	if l.entry.unsentStops.Add(-1) >= 0 {
+		return &requester.Error{Err: errors.New("connection refused")}
+	}
+	return l.TaskFleet.Stop(ctx, w, task, run, token)
+}
+
 // entryNode is a running entry node.
 type entryNode struct {
 	deployment   *deployment
@@ -71,6 +83,8 @@
 	done         chan struct{}
 	disconnected atomic.Bool  // from the workers
 	pollDelay    atomic.Int64 // delay of each poll of a worker, in ns
+	unsentStops  atomic.Int64 // number of stops that fail before they are sent
+	refusesStops atomic.Bool  // workers refuse stops because they are unhealthy
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
@@ -121,7 +135,7 @@
 	}
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay}, d.taskFleet, term, orchestrator.WithLog(d.log),
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, orchestrator.WithLog(d.log),
 			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
