Repeat stops until the run has ended instead of until one was answered

Callers would see a run of a cancelled job, or of a worker to be emptied, go on for good, and starts that never begin (LOST). A stop was an order sent once: it was given up when no connection came about, and while a worker refused it, one of the worker's two callers repeated it, so that two such stops held up every start to that worker although its polls succeeded.

The stop is now derived from the difference of wanted and reported state: while a task is in phase stopping, or a run without a task is listed, its stop is sent again, after 100 ms if the last one failed and after 500 ms if the run has not ended. A caller sends a stop once, so it is free for other orders. A repeated stop goes to the worker's present address.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -8,8 +8,6 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
-const orphanStopRetryInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
-
 // handleReportedEnds processes the ended runs that a worker lists.
 func (e *Engine) handleReportedEnds(w *worker, ended []modeler.EndedTask) {
 	lastNumber := w.acknowledgedEnd
@@ -144,7 +142,7 @@
 			t = e.adoptRun(w, r)
 		}
 		if t == nil || t.run != r.Run {
-			e.stopOrphanedRun(w, r, now)
+			e.stopOrphanedRun(w, r)
 			continue
 		}
 		e.confirmRun(t, r, now)
@@ -208,11 +206,12 @@
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
 // because its job has ended.
-func (e *Engine) stopOrphanedRun(w *worker, r modeler.RunningTask, now time.Time) {
-	if last, ok := w.orphanedRuns[r.Task]; ok && now.Sub(last) < orphanStopRetryInterval {
-		return
+func (e *Engine) stopOrphanedRun(w *worker, r modeler.RunningTask) {
+	if o := w.orphanedRuns[r.Task]; o != nil && o.run == r.Run {
+		return // its stop is repeated until it ends
 	}
-	w.orphanedRuns[r.Task] = now
+	o := &orphanedRun{run: r.Run}
+	w.orphanedRuns[r.Task] = o
 	e.log.Info("orphaned run without an assigned task is stopped", "task", r.Task.String(), "run", r.Run, "worker", w.ID)
-	e.queueStop(w, r.Task, r.Run)
+	e.sendStop(w, r.Task, r.Run, &o.stop)
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -274,6 +274,7 @@
 	for _, w := range e.workersByID {
 		e.handleLeaseExpiry(w, now)
 		e.retryPoll(w, now)
+		e.repeatStops(w, now)
 	}
 	e.publishLoad(ctx, now)
 	e.runPlanRound(ctx, now)
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -74,6 +74,7 @@
 		ticket           string    // permission from the advice service
 		placementVersion int64     // job version that contains the placement
 		phaseSince       time.Time // start of the phase
+		stop             stopState // in phase stopping
 		startupDone      bool      // the worker reported that the task has started up
 		reportedLoad     int       // last value of modeler.RunningTask.Metric
 		pacePercent      int       // speed of the task in percent of full speed
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -12,7 +12,10 @@
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-const callRetryInterval = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome
+const (
+	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
+	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
+)
 
 // sendStart sends the start of a placed task to its worker.
 func (e *Engine) sendStart(ctx context.Context, t *task) {
@@ -30,13 +33,15 @@
 	})
 }
 
-// queueCall queues a call to a worker. If the queue is full, the worker is not
-// responding and the call is dropped; the tasks are then requeued when the
-// worker's leases expire.
-func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) {
+// queueCall queues a call to a worker and reports whether there was room for
+// it. If not, the call is dropped; the tasks are then requeued when the worker's
+// leases expire.
+func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) bool {
 	if w.pendingCalls == nil || !w.pendingCalls.Offer(fn) {
 		e.log.Warn("order dropped: call queue of the worker is full", "worker", w.ID)
+		return false
 	}
+	return true
 }
 
 // handleStartResult processes the result of a start.
@@ -154,7 +159,7 @@
 		}
 	}
 	if reportsRun(report, o) {
-		t.phase, t.phaseSince = stopping, time.Now()
+		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
 	e.log.Info("start of a run prevented by a stop, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
@@ -167,26 +172,43 @@
 func (e *Engine) requestStop(t *task) {
 	switch t.phase {
 	case running:
-		t.phase, t.phaseSince = stopping, time.Now()
-		e.queueStop(t.worker, t.id, t.run)
+		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{}
+		e.sendStop(t.worker, t.id, t.run, &t.stop)
 	case placed:
 		e.requeueTask(t) // no start has been sent yet
 	}
 }
 
-// queueStop queues a stop of a run and repeats it until the worker executes or
-// rejects it.
-func (e *Engine) queueStop(w *worker, id modeler.TaskID, run int) {
+// sendStop sends the stop of a run.
+func (e *Engine) sendStop(w *worker, id modeler.TaskID, run int, s *stopState) {
 	info, token := w.Worker, e.term.Token
-	e.queueCall(w, func(ctx context.Context) {
-		for ctx.Err() == nil {
-			err := e.workers.Stop(ctx, info, id, run, token)
-			if err == nil || wasNotExecuted(err) && !errors.Is(err, modeler.ErrUnhealthy) {
-				return
+	s.inFlight = e.queueCall(w, func(ctx context.Context) {
+		err := e.workers.Stop(ctx, info, id, run, token)
+		e.runInEventLoop(ctx, func() {
+			s.inFlight, s.repeatAt = false, time.Now().Add(stopRepeatInterval)
+			if err != nil {
+				s.repeatAt = time.Now().Add(callRetryInterval)
 			}
-			if supervisor.Pause(ctx, callRetryInterval) != nil {
-				return
-			}
-		}
+		})
 	})
 }
+
+// repeatStops sends the stops of runs again that have not ended, because a stop
+// may get lost or be refused.
+func (e *Engine) repeatStops(w *worker, now time.Time) {
+	for id, t := range w.tasks {
+		if t.phase == stopping && t.stop.isDue(now) {
+			e.sendStop(w, id, t.run, &t.stop)
+		}
+	}
+	for id, o := range w.orphanedRuns {
+		if o.stop.isDue(now) {
+			e.sendStop(w, id, o.run, &o.stop)
+		}
+	}
+}
+
+// isDue reports whether the stop must be sent again.
+func (s *stopState) isDue(now time.Time) bool {
+	return !s.inFlight && !now.Before(s.repeatAt)
+}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -35,17 +35,17 @@
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
-		leaseDeadline      int64                        // latest lease expiry sent, on the worker's clock
-		acknowledgedEnd    int64                        // number of the last ended run that the worker need not list again
-		pendingEnds        []reportedEnd                // ended runs reported by the worker and not acknowledged yet
-		polling            bool                         // a poll is queued or in flight
-		lastPollAt         time.Time                    // when the last poll was queued
-		failedPolls        int                          // failed polls in a row
-		cordonReason       string                       // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task                      // tasks that have resources reserved here
-		idleCPUPacePercent int                          // speed of the tasks that use idle CPU, in percent of full speed
-		paceChangedAt      time.Time                    // when idleCPUPacePercent last changed
-		orphanedRuns       map[modeler.TaskID]time.Time // runs without an assigned task, with the time at which a stop was last sent
+		leaseDeadline      int64         // latest lease expiry sent, on the worker's clock
+		acknowledgedEnd    int64         // number of the last ended run that the worker need not list again
+		pendingEnds        []reportedEnd // ended runs reported by the worker and not acknowledged yet
+		polling            bool          // a poll is queued or in flight
+		lastPollAt         time.Time     // when the last poll was queued
+		failedPolls        int           // failed polls in a row
+		cordonReason       string        // kind of plan that excludes the worker from new tasks; empty if there is none
+		reservedFor        []*task       // tasks that have resources reserved here
+		idleCPUPacePercent int           // speed of the tasks that use idle CPU, in percent of full speed
+		paceChangedAt      time.Time     // when idleCPUPacePercent last changed
+		orphanedRuns       map[modeler.TaskID]*orphanedRun
 
 		pendingCalls *supervisor.Ring[func(ctx context.Context)]
 		pollRequests *supervisor.Ring[pollRequest]
@@ -60,6 +60,18 @@
 		jobVersion int64
 	}
 
+	// orphanedRun is a run without an assigned task.
+	orphanedRun struct {
+		run  int
+		stop stopState
+	}
+
+	// stopState is the state of the stop of a run.
+	stopState struct {
+		inFlight bool      // queued or in flight
+		repeatAt time.Time // if the run has not ended by this time, the stop is sent again
+	}
+
 	// pollRequest requests a worker's lists of current and ended runs and extends
 	// the leases of its runs.
 	pollRequest struct {
