--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -49,3 +49,17 @@
 		e.stopGracefully()
 	})
 }
+
+func TestTasksWhoseStartsExceedTheCallQueueRun(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		j := longRunningJob("j1", 1000)
+		j.Steps[0].Need = modeler.Resources{CPU: 1}
+		s.submit(j)
+		time.Sleep(9 * time.Second)
+		require.Equal(t, 1000, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
