Requeue a task whose start finds the call queue full

Callers would see tasks that never run (LOST): a start dropped from a worker's full call queue left its task in phase starting for good, since the polls of that worker succeed and its leases never expire, which the comment relied on.

A dropped start was certainly not sent, so its task waits again at once, and the worker gets no new tasks for a second. A dropped pace command is not taken for sent either, so the next poll sends it again.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -24,18 +24,23 @@
 		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint, FencingToken: e.term.Token,
 		DeadlineMs: w.clockSample.workerTimeAfter(now, e.cfg.RunLease), Ticket: t.ticket,
 	}
-	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
-	t.phase, t.phaseSince = starting, now
 	info := w.Worker
-	e.queueCall(w, func(ctx context.Context) {
+	queued := e.queueCall(w, func(ctx context.Context) {
 		clock, err := e.workers.Start(ctx, info, o)
 		e.runInEventLoop(ctx, func() { e.handleStartResult(ctx, w, t, o, clock, err) })
 	})
+	if !queued {
+		w.markSuspect(now)
+		e.requeueTask(t)
+		e.requestPlacement()
+		return
+	}
+	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
+	t.phase, t.phaseSince = starting, now
 }
 
 // queueCall queues a call to a worker and reports whether there was room for
-// it. If not, the call is dropped; the tasks are then requeued when the worker's
-// leases expire.
+// it. If not, the call is dropped.
 func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) bool {
 	if w.pendingCalls == nil || !w.pendingCalls.Offer(fn) {
 		e.log.Warn("order dropped: call queue of the worker is full", "worker", w.ID)
--- a/orchestrator/pace.go
+++ b/orchestrator/pace.go
@@ -42,8 +42,7 @@
 // the pace is sent again after the next poll.
 func (e *Engine) sendPaceCommand(w *worker, t *task, percent int) {
 	info, id, run, token := w.Worker, t.id, t.run, e.term.Token
-	t.pacePercent = percent
-	e.queueCall(w, func(ctx context.Context) {
+	queued := e.queueCall(w, func(ctx context.Context) {
 		err := e.workers.SetPace(ctx, info, id, run, percent, token)
 		if err == nil {
 			return
@@ -57,4 +56,7 @@
 			}
 		})
 	})
+	if queued {
+		t.pacePercent = percent
+	}
 }
