--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -251,18 +251,19 @@
 	f.violations = append(f.violations, fmt.Sprintf(format, args...))
 }
 
-// respondingWorker returns the worker with an ID. It fails after noResponseTimeout
-// if the worker does not respond.
-func (f *TaskFleet) respondingWorker(ctx context.Context, id string) (*taskWorker, error) {
+// respondingWorker returns the worker that a call is for. It fails after
+// noResponseTimeout if the worker does not respond, or if info names another
+// address than its present one.
+func (f *TaskFleet) respondingWorker(ctx context.Context, info modeler.Worker) (*taskWorker, error) {
 	f.mu.Lock()
-	w := f.workers[id]
-	noResponse := w == nil || w.unresponsive
+	w := f.workers[info.ID]
+	noResponse := w == nil || w.unresponsive || info.Address != "" && info.Address != w.Address
 	f.mu.Unlock()
 	if noResponse {
 		if err := supervisor.Pause(ctx, noResponseTimeout); err != nil {
 			return nil, err
 		}
-		return nil, errors.Annotatef(errNoResponse, "worker %s", id)
+		return nil, errors.Annotatef(errNoResponse, "worker %s", info.ID)
 	}
 	return w, ctx.Err()
 }
@@ -296,7 +297,7 @@
 
 // Start starts a run on a worker and returns the time of the worker's clock.
 func (f *TaskFleet) Start(ctx context.Context, info modeler.Worker, o modeler.StartOrder) (int64, error) {
-	w, err := f.respondingWorker(ctx, info.ID)
+	w, err := f.respondingWorker(ctx, info)
 	if err != nil {
 		return 0, err
 	}
@@ -405,7 +406,7 @@
 
 // Stop requests a run to stop; it ends after StopTime.
 func (f *TaskFleet) Stop(ctx context.Context, info modeler.Worker, task modeler.TaskID, run int, token int64) error {
-	w, err := f.respondingWorker(ctx, info.ID)
+	w, err := f.respondingWorker(ctx, info)
 	if err != nil {
 		return err
 	}
@@ -425,7 +426,7 @@
 
 // SetPace sets the pace of a run in percent.
 func (f *TaskFleet) SetPace(ctx context.Context, info modeler.Worker, task modeler.TaskID, run, percent int, token int64) error {
-	w, err := f.respondingWorker(ctx, info.ID)
+	w, err := f.respondingWorker(ctx, info)
 	if err != nil {
 		return err
 	}
@@ -457,7 +458,7 @@
 // at most seen and returns the worker's report. If no ended run is left to report,
 // it first waits for one, at most for wait.
 func (f *TaskFleet) RenewAndPoll(ctx context.Context, info modeler.Worker, deadline, token, seen int64, wait time.Duration) (modeler.Report, error) {
-	w, err := f.respondingWorker(ctx, info.ID)
+	w, err := f.respondingWorker(ctx, info)
 	if err != nil {
 		return modeler.Report{}, err
 	}
@@ -482,7 +483,7 @@
 		}
 		break
 	}
-	if _, err := f.respondingWorker(ctx, info.ID); err != nil {
+	if _, err := f.respondingWorker(ctx, info); err != nil {
 		return modeler.Report{}, err
 	}
 	f.mu.Lock()
--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -63,3 +63,20 @@
 		e.stopGracefully()
 	})
 }
+
+func TestUnknownStartIsResolvedAfterTheWorkerReturnsAtAnotherAddress(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		id := s.instances.WorkerOf("a")
+		s.taskFleet.SetUnresponsive(id, true)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(50 * time.Millisecond) // the start is sent before a poll shows that the worker does not respond
+		s.taskFleet.Remove(id)
+		s.taskFleet.Add(modeler.Worker{ID: id, Pool: "p", Address: "127.0.0.1:2", Instance: "a", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}})
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
