Resolve an unknown start at the worker's present address

Callers would see a task that never runs (LOST): after a start without response, a loop asked the worker for the run at the address that the worker had then. If the worker returned under its ID at another address, its polls succeeded, the loop never did, and the task stayed in phase doubtful for good. The loop also went on until the end of the term after its task was requeued, for example for a worker that was gone.

Each attempt now starts in the event loop, with the worker's present address, and only while the task still waits for the outcome.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -73,8 +73,7 @@
 		e.log.Info("start of a run got no response, asking its worker whether it runs", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
 		t.phase = outcomeUnknown
 		w.hasUnknownStart = true
-		info := w.Worker
-		e.runInBackground(func() { e.resolveUnknownStart(ctx, info, w, t, o) })
+		e.resolveUnknownStart(ctx, w, t, o, false)
 	}
 }
 
@@ -111,26 +110,25 @@
 
 // resolveUnknownStart resolves a start that got no response: it polls the
 // worker until the run is listed, or stops the run so that it can no longer
-// begin.
-func (e *Engine) resolveUnknownStart(ctx context.Context, target modeler.Worker, w *worker, t *task, o modeler.StartOrder) {
-	stopped := false
-	for ctx.Err() == nil {
+// begin. stopped says that an earlier attempt has stopped the run. Each attempt
+// calls the worker at its present address.
+func (e *Engine) resolveUnknownStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, stopped bool) {
+	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
+		return // a poll has reported the run, or the task was requeued
+	}
+	target := w.Worker
+	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
-		if err == nil {
-			listed := reportsRun(report, o)
-			if listed || stopped {
-				e.runInEventLoop(ctx, func() { e.handleResolvedStart(w, t, o, listed && !stopped, report) })
-				return
-			}
-		}
-		if err := e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken); err == nil {
-			stopped = true
-			continue
+		if listed := reportsRun(report, o); err == nil && (listed || stopped) {
+			e.runInEventLoop(ctx, func() { e.handleResolvedStart(w, t, o, listed && !stopped, report) })
+			return
 		}
-		if supervisor.Pause(ctx, callRetryInterval) != nil {
+		err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken)
+		if err != nil && supervisor.Pause(ctx, callRetryInterval) != nil {
 			return
 		}
-	}
+		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, stopped || err == nil) })
+	})
 }
 
 // reportsRun reports whether the worker lists the run that the order was meant
