--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -591,3 +591,49 @@
 		second.stopGracefully()
 	})
 }
+
+// A worker full of other long-running tasks never gets room for the task, however much CPU it has.
+func TestLongRunningTaskIsPlacedDespiteOthersThatFillTheMemory(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.manifest.Pools = s.manifest.Pools[:1] // without a spare pool no instance moves
+		s.manifest.Index()
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+			if id.Job == "first" || id.Job == "second" {
+				return -1, modeler.EndDone
+			}
+			return time.Second + time.Duration(id.Index)*70*time.Millisecond, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		first, second := longRunningJob("first", 1), longRunningJob("second", 1)
+		first.Steps[0].Need = modeler.Resources{CPU: 100, Memory: 7500}
+		second.Steps[0].Need = modeler.Resources{CPU: 3900, Memory: 5000}
+		s.submit(first)
+		time.Sleep(2 * time.Second)
+		for i := range 40 {
+			s.submit(shortJob("j"+string(rune('a'+i)), modeler.Step{Count: 8, Need: modeler.Resources{CPU: 900, Memory: 500}}))
+		}
+		time.Sleep(2 * time.Second)
+		s.submit(second)
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("second"))
+		e.stopGracefully()
+	})
+}
+
+// No worker may be kept free for a task that finds no room even after all other tasks have ended.
+func TestLongRunningTaskIsPlacedBesideOneThatFitsNowhere(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		s.submit(longRunningJob("first", 1))
+		time.Sleep(time.Second)
+		large := longRunningJob("large", 1)
+		large.Steps[0].Need.CPU = 3500
+		s.submit(large)
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("small", 1))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("small"))
+		e.stopGracefully()
+	})
+}
