Keep a worker free only if it can get room for the task

Callers would see a long-running task that doesn't run although its pool has room for it (LOST). For a task that fits nowhere, the pass kept the worker with the most free CPU free, if only the task fits its whole capacity. A worker whose memory is full of other long-running tasks has much free CPU and never gets room: it was kept free for good, while the workers whose tasks end were filled up again; and a small task that would fit there was kept off it for good too. A pool that can grow hides both.

Only a worker now counts on which the task fits beside the other long-running tasks and the reservations for them; what else runs there ends.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -11,6 +11,7 @@
 	Worker struct {
 		Free             modeler.Resources
 		Capacity         modeler.Resources
+		Retained         modeler.Resources // used by long-running tasks or reserved for them
 		Labels           []string
 		Rack             string
 		Unavailable      bool // accepts no new tasks
@@ -57,13 +58,13 @@
 }
 
 // ChooseWorkerToKeepFree returns the index of the worker to keep free for a task
-// that fits on no worker now, or -1 if it fits on none even when empty. It is
-// the worker with the most free CPU, which is likely to have room first.
-// sameStepTasks is as in ChooseWorker.
+// that fits on no worker now, or -1 if it fits on none even after all tasks that
+// end have ended. It is the worker with the most free CPU, which is likely to
+// have room first. sameStepTasks is as in ChooseWorker.
 func ChooseWorkerToKeepFree(workers []*Worker, r Request, sameStepTasks func(i int) int) int {
 	best := -1
 	for i, w := range workers {
-		if w.Unavailable || !r.Resources.Fits(w.Capacity) || r.RequiredLabel != "" && !slices.Contains(w.Labels, r.RequiredLabel) || sameStepTasks(i) < 0 {
+		if w.Unavailable || !r.Resources.Fits(w.Capacity.Sub(w.Retained)) || r.RequiredLabel != "" && !slices.Contains(w.Labels, r.RequiredLabel) || sameStepTasks(i) < 0 {
 			continue
 		}
 		if best < 0 || w.Free.CPU > workers[best].Free.CPU {
@@ -157,5 +158,6 @@
 	}
 	if s.LongRunning {
 		w.LongRunningTasks += n
+		w.Retained = w.Retained.Add(s.ReservedResources().Times(n))
 	}
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -361,7 +361,7 @@
 
 // assignerView describes the worker to the assigner.
 func (w *worker) assignerView() *assigner.Worker {
-	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
+	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Retained: w.reservedResources(), Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
 	}
@@ -391,7 +391,9 @@
 	}
 	w.cancelReservation(t)
 	if i := slices.Index(v.workers, w); i >= 0 {
-		v.assignerViews[i].Free = v.assignerViews[i].Free.Add(t.step.ReservedResources())
+		view := v.assignerViews[i]
+		view.Free = view.Free.Add(t.step.ReservedResources())
+		view.Retained = view.Retained.Sub(t.step.ReservedResources())
 		v.unplaceable = nil
 	}
 }
