--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -8,8 +8,6 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
-const orphanStopRetryInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
-
 // handleReportedEnds processes the ended runs that a worker lists.
 func (e *Engine) handleReportedEnds(w *worker, ended []modeler.EndedTask) {
 	lastNumber := w.acknowledgedEnd
@@ -165,8 +163,8 @@
 		}
 		e.confirmRun(t, r, now)
 	}
-	for id, stoppedAt := range w.orphanedRuns {
-		if !listedRuns[id] && !sentAt.Before(stoppedAt) { // a report from before the stop may not list a run that had yet to start
+	for id, stop := range w.orphanedRuns {
+		if !listedRuns[id] && !sentAt.Before(stop.since) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
 		}
 	}
@@ -224,12 +222,13 @@
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
 // because its job has ended.
 func (e *Engine) stopOrphanedRun(w *worker, id runID, now time.Time) {
-	if last, ok := w.orphanedRuns[id]; ok && now.Sub(last) < orphanStopRetryInterval {
-		return
+	if w.orphanedRuns[id] != nil {
+		return // its stop is repeated until it ends
 	}
-	w.orphanedRuns[id] = now
+	s := &stopState{since: now}
+	w.orphanedRuns[id] = s
 	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
-	e.queueStop(w, id.task, id.number)
+	e.sendStop(w, id.task, id.number, s)
 }
 
 // tasksWithOrphanedRuns returns the tasks of which some worker may still run an
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -12,7 +12,10 @@
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-const callRetryInterval = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome
+const (
+	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
+	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
+)
 
 // sendStart sends the start of a placed task to its worker.
 func (e *Engine) sendStart(ctx context.Context, t *task) {
@@ -21,22 +24,29 @@
 		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint, FencingToken: e.term.Token,
 		DeadlineMs: w.clockSample.workerTimeAfter(now, e.cfg.RunLease), Ticket: t.ticket,
 	}
-	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
-	t.phase, t.phaseSince = starting, now
 	info := w.Worker
-	e.queueCall(w, func(ctx context.Context) {
+	queued := e.queueCall(w, func(ctx context.Context) {
 		clock, err := e.workers.Start(ctx, info, o)
 		e.runInEventLoop(ctx, func() { e.handleStartResult(ctx, w, t, o, clock, err) })
 	})
+	if !queued {
+		w.markSuspect(now)
+		e.requeueTask(t)
+		e.requestPlacement()
+		return
+	}
+	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
+	t.phase, t.phaseSince = starting, now
 }
 
-// queueCall queues a call to a worker. If the queue is full, the worker is not
-// responding and the call is dropped; the tasks are then requeued when the
-// worker's leases expire.
-func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) {
+// queueCall queues a call to a worker and reports whether there was room for
+// it. If not, the call is dropped.
+func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) bool {
 	if w.pendingCalls == nil || !w.pendingCalls.Offer(fn) {
 		e.log.Warn("order dropped: call queue of the worker is full", "worker", w.ID)
+		return false
 	}
+	return true
 }
 
 // handleStartResult processes the result of a start.
@@ -63,8 +73,7 @@
 		e.log.Info("start of a run got no response, asking its worker whether it runs", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
 		t.phase = outcomeUnknown
 		w.hasUnknownStart = true
-		info := w.Worker
-		e.runInBackground(func() { e.resolveUnknownStart(ctx, info, w, t, o) })
+		e.resolveUnknownStart(ctx, w, t, o, false)
 	}
 }
 
@@ -101,26 +110,25 @@
 
 // resolveUnknownStart resolves a start that got no response: it polls the
 // worker until the run is listed, or stops the run so that it can no longer
-// begin.
-func (e *Engine) resolveUnknownStart(ctx context.Context, target modeler.Worker, w *worker, t *task, o modeler.StartOrder) {
-	stopped := false
-	for ctx.Err() == nil {
+// begin. stopped says that an earlier attempt has stopped the run. Each attempt
+// calls the worker at its present address.
+func (e *Engine) resolveUnknownStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, stopped bool) {
+	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
+		return // a poll has reported the run, or the task was requeued
+	}
+	target := w.Worker
+	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
-		if err == nil {
-			listed := reportsRun(report, o)
-			if listed || stopped {
-				e.runInEventLoop(ctx, func() { e.handleResolvedStart(w, t, o, listed && !stopped, report) })
-				return
-			}
-		}
-		if err := e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken); err == nil {
-			stopped = true
-			continue
+		if listed := reportsRun(report, o); err == nil && (listed || stopped) {
+			e.runInEventLoop(ctx, func() { e.handleResolvedStart(w, t, o, listed && !stopped, report) })
+			return
 		}
-		if supervisor.Pause(ctx, callRetryInterval) != nil {
+		err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken)
+		if err != nil && supervisor.Pause(ctx, callRetryInterval) != nil {
 			return
 		}
-	}
+		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, stopped || err == nil) })
+	})
 }
 
 // reportsRun reports whether the worker lists the run that the order was meant
@@ -154,7 +162,7 @@
 		}
 	}
 	if reportsRun(report, o) {
-		t.phase, t.phaseSince = stopping, time.Now()
+		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
 	e.log.Info("start of a run prevented by a stop, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
@@ -167,26 +175,43 @@
 func (e *Engine) requestStop(t *task) {
 	switch t.phase {
 	case running:
-		t.phase, t.phaseSince = stopping, time.Now()
-		e.queueStop(t.worker, t.id, t.run)
+		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{}
+		e.sendStop(t.worker, t.id, t.run, &t.stop)
 	case placed:
 		e.requeueTask(t) // no start has been sent yet
 	}
 }
 
-// queueStop queues a stop of a run and repeats it until the worker executes or
-// rejects it.
-func (e *Engine) queueStop(w *worker, id modeler.TaskID, run int) {
+// sendStop sends the stop of a run.
+func (e *Engine) sendStop(w *worker, id modeler.TaskID, run int, s *stopState) {
 	info, token := w.Worker, e.term.Token
-	e.queueCall(w, func(ctx context.Context) {
-		for ctx.Err() == nil {
-			err := e.workers.Stop(ctx, info, id, run, token)
-			if err == nil || wasNotExecuted(err) && !errors.Is(err, modeler.ErrUnhealthy) {
-				return
-			}
-			if supervisor.Pause(ctx, callRetryInterval) != nil {
-				return
+	s.inFlight = e.queueCall(w, func(ctx context.Context) {
+		err := e.workers.Stop(ctx, info, id, run, token)
+		e.runInEventLoop(ctx, func() {
+			s.inFlight, s.repeatAt = false, time.Now().Add(stopRepeatInterval)
+			if err != nil {
+				s.repeatAt = time.Now().Add(callRetryInterval)
 			}
-		}
+		})
 	})
 }
+
+// repeatStops sends the stops of runs again that have not ended, because a stop
+// may get lost or be refused.
+func (e *Engine) repeatStops(w *worker, now time.Time) {
+	for id, t := range w.tasks {
+		if t.phase == stopping && t.stop.isDue(now) {
+			e.sendStop(w, id, t.run, &t.stop)
+		}
+	}
+	for id, s := range w.orphanedRuns {
+		if s.isDue(now) {
+			e.sendStop(w, id.task, id.number, s)
+		}
+	}
+}
+
+// isDue reports whether the stop must be sent again.
+func (s *stopState) isDue(now time.Time) bool {
+	return !s.inFlight && !now.Before(s.repeatAt)
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
@@ -20,6 +21,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/requester"
 )
 
 const (
@@ -56,21 +58,30 @@
 // workerLink is an entry node's connection to the workers.
 type workerLink struct {
 	*emulator.TaskFleet
-	disconnected       *atomic.Bool
-	pollDelay          *atomic.Int64
-	unreachableWorkers *sync.Map
+	entry *entryNode
 }
 
 // RenewAndPoll implements orchestrator.Workers.
 func (l workerLink) RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error) {
-	if _, unreachable := l.unreachableWorkers.Load(w.ID); unreachable || l.disconnected.Load() {
+	if _, unreachable := l.entry.unreachableWorkers.Load(w.ID); unreachable || l.entry.disconnected.Load() {
 		time.Sleep(300 * time.Millisecond)
 		return modeler.Report{}, context.DeadlineExceeded
 	}
-	time.Sleep(time.Duration(l.pollDelay.Load()))
+	time.Sleep(time.Duration(l.entry.pollDelay.Load()))
 	return l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
 }
 
+// Stop implements orchestrator.Workers.
+func (l workerLink) Stop(ctx context.Context, w modeler.Worker, task modeler.TaskID, run int, token int64) error {
+	if l.entry.refusesStops.Load() {
+		return modeler.ErrUnhealthy
+	}
+	if l.entry.unsentStops.Add(-1) >= 0 {
+		return &requester.Error{Err: errors.New("connection refused")}
+	}
+	return l.TaskFleet.Stop(ctx, w, task, run, token)
+}
+
 // entryNode is a running entry node.
 type entryNode struct {
 	deployment         *deployment
@@ -79,6 +90,8 @@
 	done               chan struct{}
 	disconnected       atomic.Bool                      // from the workers
 	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
+	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
+	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
 	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
 	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
@@ -131,7 +144,7 @@
 		},
 	}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, &e.disconnected, &e.pollDelay, &e.unreachableWorkers}, d.taskFleet, term, orchestrator.WithLog(d.log),
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, orchestrator.WithLog(d.log),
 			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -27,6 +27,8 @@
 		polled             bool          // polled successfully in this term
 		bootLearnedAt      time.Duration // when the leader learned of the worker's last start, by elector.Term.Now
 		replaced           bool          // a newer worker runs on its instance
+		ended              bool          // has ended according to the instance list
+		unreachableSince   time.Time     // when it was added or the first poll failed, if not reachable
 		registeredInTerm   bool          // started after the previous leader's lease expired, see startedAfterFirstListRequest
 		notAwaitedLogged   bool          // see logWorkerNotAwaited
 		suspectUntil       time.Time     // gets no new tasks before this time
@@ -35,17 +37,17 @@
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
-		leaseDeadline      int64               // latest lease expiry sent, on the worker's clock
-		acknowledgedEnd    int64               // number of the last ended run that the worker need not list again
-		pendingEnds        []reportedEnd       // ended runs reported by the worker and not acknowledged yet
-		polling            bool                // a poll is queued or in flight
-		lastPollAt         time.Time           // when the last poll was queued
-		failedPolls        int                 // failed polls in a row
-		cordonReason       string              // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task             // tasks that have resources reserved here
-		idleCPUPacePercent int                 // speed of the tasks that use idle CPU, in percent of full speed
-		paceChangedAt      time.Time           // when idleCPUPacePercent last changed
-		orphanedRuns       map[runID]time.Time // runs without an assigned task that have not certainly ended, with the time at which a stop was last sent
+		leaseDeadline      int64                // latest lease expiry sent, on the worker's clock
+		acknowledgedEnd    int64                // number of the last ended run that the worker need not list again
+		pendingEnds        []reportedEnd        // ended runs reported by the worker and not acknowledged yet
+		polling            bool                 // a poll is queued or in flight
+		lastPollAt         time.Time            // when the last poll was queued
+		failedPolls        int                  // failed polls in a row
+		cordonReason       string               // kind of plan that excludes the worker from new tasks; empty if there is none
+		reservedFor        []*task              // tasks that have resources reserved here
+		idleCPUPacePercent int                  // speed of the tasks that use idle CPU, in percent of full speed
+		paceChangedAt      time.Time            // when idleCPUPacePercent last changed
+		orphanedRuns       map[runID]*stopState // runs without an assigned task that have not certainly ended
 
 		pendingCalls *supervisor.Ring[func(ctx context.Context)]
 		pollRequests *supervisor.Ring[pollRequest]
@@ -67,6 +69,13 @@
 		jobVersion int64
 	}
 
+	// stopState is the state of the stop of a run.
+	stopState struct {
+		since    time.Time // when the run became orphaned; not used for the run of an assigned task
+		inFlight bool      // queued or in flight
+		repeatAt time.Time // if the run has not ended by this time, the stop is sent again
+	}
+
 	// pollRequest requests a worker's lists of current and ended runs and extends
 	// the leases of its runs.
 	pollRequest struct {
