--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -29,7 +29,7 @@
 	UnresponsiveWorker struct {
 		Instance  string    `json:"instance"`
 		Born      int64     `json:"born"`
-		Until     time.Time `json:"until"`               // all its leases have expired by this time, by the clock of the entry node that wrote the record
+		Until     time.Time `json:"until"`                // all its leases have expired by this time, by the clock of the entry node that wrote the record
 		AllStored bool      `json:"all-stored,omitempty"` // the placements of all its runs are stored, so inherited tasks need not wait for it
 	}
 
