Count orphaned runs toward their customer's limit

Callers could see a customer above its maximum while a run that belongs to no assigned task was still stopping.

Cause: only the tasks assigned to workers counted. An orphaned run keeps its resources until its end is certain, which takes up to the platform's stop timeout. Its worker gets no new tasks meanwhile, but the rest of the customer's limit went to tasks on other workers.

Now a worker's orphaned runs are kept with their task, and a placement pass counts them like assigned tasks. The task is kept because its job may have ended, and so be gone, before the run is. A run that is adopted after its first stop is in the worker's tasks as well and counts there alone.

Not counted: an orphaned run of a job that ended in an earlier term. Its record holds the outcome alone and doesn't name the customer. Fair shares stay as they are: they divide the capacity of the workers that accept tasks, and a worker with an orphaned run is none of them.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -115,7 +115,7 @@
 	for _, t := range tasks {
 		switch t.phase {
 		case starting, outcomeUnknown, running, stopping:
-			e.stopOrphanedRun(t.worker, runID{t.id, t.run}, now)
+			e.stopOrphanedRun(t.worker, t, runID{t.id, t.run}, now)
 		}
 	}
 }
@@ -160,13 +160,13 @@
 		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
-			e.stopOrphanedRun(w, runID{r.Task, r.Run}, now)
+			e.stopOrphanedRun(w, t, runID{r.Task, r.Run}, now)
 			continue
 		}
 		e.confirmRun(t, r, now)
 	}
-	for id, stoppedAt := range w.orphanedRuns {
-		if !listedRuns[id] && !sentAt.Before(stoppedAt) { // a report from before the stop may not list a run that had yet to start
+	for id, r := range w.orphanedRuns {
+		if !listedRuns[id] && !sentAt.Before(r.stoppedAt) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
 		}
 	}
@@ -221,12 +221,16 @@
 }
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
-// because its job has ended.
-func (e *Engine) stopOrphanedRun(w *worker, id runID, now time.Time) {
-	if last, ok := w.orphanedRuns[id]; ok && now.Sub(last) < orphanStopRetryInterval {
+// because its job has ended. The task t is nil if the job is not known.
+func (e *Engine) stopOrphanedRun(w *worker, t *task, id runID, now time.Time) {
+	r, ok := w.orphanedRuns[id]
+	if ok && now.Sub(r.stoppedAt) < orphanStopRetryInterval {
 		return
 	}
-	w.orphanedRuns[id] = now
+	if t == nil {
+		t = r.task // the job has ended since the first stop
+	}
+	w.orphanedRuns[id] = orphanRun{t, now}
 	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
 	e.queueStop(w, id.task, id.number)
 }
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -83,7 +83,7 @@
 func (e *Engine) findOrAddWorker(id string) *worker {
 	w := e.workersByID[id]
 	if w == nil {
-		w = &worker{Worker: modeler.Worker{ID: id}, idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]time.Time)}
+		w = &worker{Worker: modeler.Worker{ID: id}, idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]orphanRun)}
 		e.workersByID[id] = w
 	}
 	return w
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -62,13 +62,21 @@
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
-// running, by customer.
+// running and of orphaned runs of known jobs, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
 	usage := make(map[string]modeler.Resources)
+	add := func(t *task) {
+		customer := t.step.occurrence.job.Customer
+		usage[customer] = usage[customer].Add(t.resourcesTowardCustomerLimit())
+	}
 	for _, w := range e.workersByID {
 		for _, t := range w.tasks {
-			customer := t.step.occurrence.job.Customer
-			usage[customer] = usage[customer].Add(t.resourcesTowardCustomerLimit())
+			add(t)
+		}
+		for id, r := range w.orphanedRuns {
+			if r.task != nil && !r.task.isPlacedAs(w, id.number) { // a run adopted after its first stop is in w.tasks
+				add(r.task)
+			}
 		}
 	}
 	return usage
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -43,7 +43,7 @@
 		reservedFor        []*task             // tasks that have resources reserved here
 		idleCPUPacePercent int                 // speed of the tasks that use idle CPU, in percent of full speed
 		paceChangedAt      time.Time           // when idleCPUPacePercent last changed
-		orphanedRuns       map[runID]time.Time // runs without an assigned task that have not certainly ended, with the time at which a stop was last sent
+		orphanedRuns       map[runID]orphanRun // runs without an assigned task that have not certainly ended
 
 		pendingCalls *supervisor.Ring[func(ctx context.Context)]
 		pollRequests *supervisor.Ring[pollRequest]
@@ -57,6 +57,12 @@
 		number int
 	}
 
+	// orphanRun is a run that belongs to no assigned task and is told to stop.
+	orphanRun struct {
+		task      *task     // nil if its job is not known; it may have ended
+		stoppedAt time.Time // when a stop was last sent
+	}
+
 	// reportedEnd is an ended run reported by a worker and the job version that
 	// records it.
 	reportedEnd struct {
