--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -1,14 +1,33 @@
 package orchestrator_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
+func (d *deployment) progressOf(job string) orchestrator.Progress {
+	r, err := d.store.ClientFor("x").Get(d.t.Context(), orchestrator.ProgressKey(job))
+	require.NoError(d.t, err)
+	var p orchestrator.Progress
+	require.NoError(d.t, json.Unmarshal(r.Value, &p))
+	return p
+}
+
+func (d *deployment) storeProgress(job string, p orchestrator.Progress) {
+	raw, err := json.Marshal(p)
+	require.NoError(d.t, err)
+	_, _, err = d.store.ClientFor("x").Commit(d.t.Context(), keeper.Txn{Put: []keeper.Put{{Key: orchestrator.ProgressKey(job), Value: raw}}})
+	require.NoError(d.t, err)
+}
+
 func TestOrphanedRunsCountTowardTheirCustomersLimit(t *testing.T) {
 	const limit = 5000
 	large := shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}})
@@ -54,3 +73,67 @@
 		})
 	}
 }
+
+func TestFailedRunsWithOneNumberOnTwoWorkersCountAsTwoAttempts(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return 3 * time.Second, modeler.EndFailed }
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.LoseCommitResponse = func(txn keeper.Txn) (bool, time.Duration) {
+				return len(txn.Put) > 0 && txn.Put[0].Key == orchestrator.ProgressKey("j1"), time.Hour
+			}
+		})
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+		first.crash()
+		second := s.startEntry("two")
+		for s.taskFleet.StartedRuns(taskID("j1", 0, 0)) < 3 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.taskFleet.SetUnresponsive(silent, false) // its run has failed under the number of the second one
+		time.Sleep(1500 * time.Millisecond)
+		second.stopGracefully()
+		third := s.startEntry("three")
+		time.Sleep(6 * time.Second)
+		require.Equal(t, modeler.Failed, s.jobState("j1"))
+		require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		third.stopGracefully()
+	})
+}
+
+func TestFailedRunThatIsListedAgainCountsOnce(t *testing.T) {
+	for name, forget := range map[string]func(p *orchestrator.TaskProgress){
+		"worker stored":     func(*orchestrator.TaskProgress) {},
+		"worker not stored": func(p *orchestrator.TaskProgress) { *p = orchestrator.TaskProgress{Run: p.Run, Failed: p.Failed} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return 2 * time.Second, modeler.EndFailed }
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(time.Second)
+				first.pollDelay.Store(int64(400 * time.Millisecond)) // the end is stored before it is acknowledged
+				busy := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+				s.taskFleet.SetDraining(busy) // later runs start on the other worker
+				progress := s.progressOf("j1")
+				for len(progress.Steps[0].Tasks[0].Failed) == 0 {
+					time.Sleep(10 * time.Millisecond)
+					progress = s.progressOf("j1")
+				}
+				first.crash()
+				forget(&progress.Steps[0].Tasks[0])
+				s.storeProgress("j1", progress)
+				second := s.startEntry("two")
+				time.Sleep(20 * time.Second)
+				require.Equal(t, modeler.Failed, s.jobState("j1"))
+				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+				second.stopGracefully()
+			})
+		})
+	}
+}
