Count failed runs with one number on two workers as two attempts

Callers could see a task start again after it had failed as often as its queue allows.

Cause: failed runs were known by their number alone. Leaders of two terms can give one number to runs on different workers; if both failed, one attempt was counted.

Now a failed run is known by its number and its worker. A worker refuses a number that has ended there, so the two name one run, and an end that the next leader gets again still counts once. The record keeps the workers in the new field "failed-on" beside the numbers. A record of the previous version has no workers; its numbers count for every worker, as before. A leader of the previous version counts the numbers, so it comes to the same sum, and drops the field.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -50,7 +50,7 @@
 	if ended.Checkpoint != "" {
 		t.checkpoint = ended.Checkpoint
 	}
-	e.updateTaskAfterEnd(t, ended)
+	e.updateTaskAfterEnd(w, t, ended)
 	result.job, result.jobVersion = j, j.version
 	return result
 }
@@ -66,7 +66,7 @@
 
 // updateTaskAfterEnd marks the task done or requeues it, depending on how its
 // run ended.
-func (e *Engine) updateTaskAfterEnd(t *task, ended modeler.EndedTask) {
+func (e *Engine) updateTaskAfterEnd(w *worker, t *task, ended modeler.EndedTask) {
 	j, how := t.step.occurrence.job, ended.EndKind
 	e.markUnstored(j)
 	switch {
@@ -78,7 +78,7 @@
 		t.markDone()
 	case how == modeler.EndFailed && !t.step.LongRunning:
 		t.requeue()
-		e.recordFailedRun(t, ended.Run)
+		e.recordFailedRun(w, t, ended.Run)
 	default:
 		t.requeue()
 	}
@@ -97,9 +97,9 @@
 	case t.step.LongRunning:
 	case ended.EndKind == modeler.EndDone:
 		e.stopRunsOfDoneTask(t)
-		e.updateTaskAfterEnd(t, ended)
+		e.updateTaskAfterEnd(w, t, ended)
 	case ended.EndKind == modeler.EndFailed:
-		e.recordFailedRun(t, ended.Run)
+		e.recordFailedRun(w, t, ended.Run)
 	}
 }
 
@@ -120,12 +120,13 @@
 	}
 }
 
-// recordFailedRun records that a run failed. Each run counts only once.
-func (e *Engine) recordFailedRun(t *task, run int) {
-	if slices.Contains(t.failedRuns, run) {
+// recordFailedRun records that a run failed. Each run counts only once, also if
+// its end is reported again to the next leader.
+func (e *Engine) recordFailedRun(w *worker, t *task, run int) {
+	if slices.ContainsFunc(t.failedRuns, func(f failedRun) bool { return f.number == run && (f.worker == w.ID || f.worker == "") }) {
 		return
 	}
-	t.failedRuns = append(t.failedRuns, run)
+	t.failedRuns = append(t.failedRuns, failedRun{run, w.ID})
 	e.markUnstored(t.step.occurrence.job)
 	e.failJobAfterTooManyAttempts(t)
 }
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -63,14 +63,20 @@
 		preferredRack string // rack for a step whose tasks should run on one rack
 	}
 
+	// failedRun identifies a failed run of a task.
+	failedRun struct {
+		number int
+		worker string // ID of its worker; empty if recorded by a version that stored numbers only
+	}
+
 	// task is a task of a step. Each attempt to execute it is a run.
 	task struct {
 		step             *step
 		id               modeler.TaskID
 		phase            phase
-		run              int   // number of the last run, 0 before the first
-		highestRun       int   // highest number of a run that a worker has listed; the run may belong to another leader
-		failedRuns       []int // numbers of the failed runs
+		run              int // number of the last run, 0 before the first
+		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
+		failedRuns       []failedRun
 		checkpoint       string
 		worker           *worker   // assigned worker, nil while waiting or done
 		ticket           string    // permission from the advice service
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -48,13 +48,14 @@
 
 	// TaskProgress is the progress of a task that has been placed and is not done.
 	TaskProgress struct {
-		Index      int    `json:"index,omitempty"`
-		Run        int    `json:"run,omitempty"`
-		Failed     []int  `json:"failed,omitempty"`   // numbers of the failed runs
-		Worker     string `json:"worker,omitempty"`   // worker on which the run exists or may exist
-		Instance   string `json:"instance,omitempty"` // instance of the worker
-		Born       int64  `json:"born,omitempty"`     // start time of the worker, see modeler.Worker.StartTimeMs
-		Checkpoint string `json:"checkpoint,omitempty"`
+		Index      int      `json:"index,omitempty"`
+		Run        int      `json:"run,omitempty"`
+		Failed     []int    `json:"failed,omitempty"`    // numbers of the failed runs
+		FailedOn   []string `json:"failed-on,omitempty"` // workers of the failed runs, in the same order; versions that don't know it count the numbers
+		Worker     string   `json:"worker,omitempty"`    // worker on which the run exists or may exist
+		Instance   string   `json:"instance,omitempty"`  // instance of the worker
+		Born       int64    `json:"born,omitempty"`      // start time of the worker, see modeler.Worker.StartTimeMs
+		Checkpoint string   `json:"checkpoint,omitempty"`
 	}
 
 	// Load contains the job counts that the leader publishes for the other entry
@@ -116,7 +117,10 @@
 		if t.run == 0 && len(t.failedRuns) == 0 {
 			continue
 		}
-		tp := TaskProgress{Index: t.id.Index, Run: t.run, Failed: t.failedRuns, Checkpoint: t.checkpoint}
+		tp := TaskProgress{Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint}
+		for _, f := range t.failedRuns {
+			tp.Failed, tp.FailedOn = append(tp.Failed, f.number), append(tp.FailedOn, f.worker)
+		}
 		if t.worker != nil {
 			tp.Worker, tp.Instance, tp.Born = t.worker.ID, t.worker.Instance, t.worker.StartTimeMs
 		}
@@ -125,6 +129,18 @@
 	return sp
 }
 
+// failedRuns returns the failed runs in the record.
+func (tp *TaskProgress) failedRuns() []failedRun {
+	runs := make([]failedRun, len(tp.Failed))
+	for i, n := range tp.Failed {
+		runs[i].number = n
+		if i < len(tp.FailedOn) {
+			runs[i].worker = tp.FailedOn[i]
+		}
+	}
+	return runs
+}
+
 // restore applies a stored progress record to a new job. workerOf returns the
 // worker named in a placement.
 func (j *job) restore(p Progress, workerOf func(tp TaskProgress) *worker) error {
@@ -153,7 +169,7 @@
 			return errors.NotValidf("progress record (unknown task %d of step %d of job %q)", tp.Index, s.number, s.occurrence.job.ID)
 		}
 		t := s.tasks[tp.Index]
-		t.run, t.failedRuns, t.checkpoint = tp.Run, tp.Failed, tp.Checkpoint
+		t.run, t.failedRuns, t.checkpoint = tp.Run, tp.failedRuns(), tp.Checkpoint
 		if tp.Worker != "" {
 			t.assignTo(workerOf(tp), adopted)
 		}
