Show that the end of an earlier run replaces a newer checkpoint

The emulated workers now report the checkpoints that a test gives them and keep the one of each task's last start.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -30,7 +30,11 @@
 		RemovedListTime time.Duration                                  // time for which a removed worker stays in the list of workers
 		// ReportedLoad returns the load that a running task reports, given the
 		// paces of all tasks on its worker. Nil reports zero.
-		ReportedLoad       func(id modeler.TaskID, pace map[modeler.TaskID]int) int
+		ReportedLoad func(id modeler.TaskID, pace map[modeler.TaskID]int) int
+		// Checkpoint returns the last checkpoint of a run. Nil means that no run has
+		// one.
+		Checkpoint         func(id modeler.TaskID, run int) string
+		startCheckpoints   map[modeler.TaskID]string // of each task's last start
 		violations         []string
 		startCounts        map[modeler.TaskID]int
 		doneCounts         map[modeler.TaskID]int // runs that ended as done
@@ -75,7 +79,7 @@
 func NewTaskFleet(runOutcome func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)) *TaskFleet {
 	return &TaskFleet{
 		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
-		startCounts: make(map[modeler.TaskID]int), doneCounts: make(map[modeler.TaskID]int),
+		startCounts: make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
 		unacknowledgedDone: make(map[modeler.TaskID]int),
 	}
 }
@@ -235,6 +239,21 @@
 	return f.startCounts[id]
 }
 
+// StartCheckpoint returns the checkpoint with which a task was last started.
+func (f *TaskFleet) StartCheckpoint(id modeler.TaskID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startCheckpoints[id]
+}
+
+// checkpointOf returns the last checkpoint of a run.
+func (f *TaskFleet) checkpointOf(id modeler.TaskID, run int) string {
+	if f.Checkpoint == nil {
+		return ""
+	}
+	return f.Checkpoint(id, run)
+}
+
 // Workers returns the list of workers.
 func (f *TaskFleet) Workers(ctx context.Context) ([]modeler.Worker, error) {
 	f.mu.Lock()
@@ -335,6 +354,7 @@
 	}
 	f.checkStart(w, o)
 	f.startCounts[o.Task]++
+	f.startCheckpoints[o.Task] = o.Checkpoint
 	duration, endKind := f.RunOutcome(o.Task, o.Run)
 	r := &taskRun{number: o.Run, startTime: time.Now(), cancelTimer: func() {}, pacePercent: fullPacePercent}
 	w.runs[o.Task] = r
@@ -393,7 +413,7 @@
 	delete(w.runs, id)
 	w.highestFinishedRun[id] = max(w.highestFinishedRun[id], r.number)
 	w.endCounter++
-	w.ended = append(w.ended, modeler.EndedTask{Number: w.endCounter, Task: id, Run: r.number, EndKind: endKind})
+	w.ended = append(w.ended, modeler.EndedTask{Number: w.endCounter, Task: id, Run: r.number, EndKind: endKind, Checkpoint: f.checkpointOf(id, r.number)})
 	if endKind == modeler.EndDone {
 		f.doneCounts[id]++
 		if n := f.doneCounts[id] - f.unacknowledgedDone[id]; n > 1 {
@@ -530,7 +550,7 @@
 		if f.ReportedLoad != nil {
 			load = f.ReportedLoad(id, paces)
 		}
-		r.Running = append(r.Running, modeler.RunningTask{Task: id, Run: run.number, Percent: percent, Metric: load})
+		r.Running = append(r.Running, modeler.RunningTask{Task: id, Run: run.number, Checkpoint: f.checkpointOf(id, run.number), Percent: percent, Metric: load})
 	}
 	return r
 }
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
 	"time"
 
@@ -137,3 +138,32 @@
 		})
 	}
 }
+
+func TestEndOfAnEarlierRunDoesNotReplaceANewerCheckpoint(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.Checkpoint = func(_ modeler.TaskID, number int) string { return fmt.Sprintf("after run %d", number) }
+		s.taskFleet.RunOutcome = func(_ modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if number == 2 {
+				return time.Second, modeler.EndFailed
+			}
+			return -1, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])
+		s.taskFleet.SetUnresponsive(silent, true)
+		for s.taskFleet.StartedRuns(taskID("j1", 0, 0)) < 2 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.taskFleet.SetDraining(s.instances.WorkerOf(s.instancesWithTasks("a", "b")[0])) // so that the task waits after run 2
+		time.Sleep(2 * time.Second)
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		s.taskFleet.SetUnresponsive(silent, false) // its run 1 has lapsed
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		require.Equal(t, "after run 2", s.taskFleet.StartCheckpoint(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
