Keep the checkpoint of a later run when an earlier one is listed as ended

Callers could see a task resume from an old checkpoint and repeat work that a later run had saved.

Cause: the end of a run of a waiting task set the task's checkpoint, whatever the number of the run. The end of a run on a worker that was silent until its leases had expired is read after that of the next run. Found by reading; shown by the test alone.

Now the checkpoint of a run with a lower number than the task's last one is taken only if none is known. A run that is still placed was safe already.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -46,10 +46,10 @@
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
-	t.run = max(t.run, ended.Run)
-	if ended.Checkpoint != "" {
+	if ended.Checkpoint != "" && (ended.Run >= t.run || t.checkpoint == "") { // otherwise a later run has reported the known checkpoint or resumed from it
 		t.checkpoint = ended.Checkpoint
 	}
+	t.run = max(t.run, ended.Run)
 	e.updateTaskAfterEnd(w, t, ended)
 	result.job, result.jobVersion = j, j.version
 	return result
