--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -167,3 +167,48 @@
 		e.stopGracefully()
 	})
 }
+
+func TestGangMembersResumeFromTheSameCheckpoint(t *testing.T) {
+	members := []modeler.TaskID{taskID("j1", 0, 0), taskID("j1", 0, 1)}
+	for name, restart := range map[string]func(s *deployment, e *entryNode) *entryNode{
+		"after a failed run": func(_ *deployment, e *entryNode) *entryNode { return e },
+		"after a change of leader": func(s *deployment, e *entryNode) *entryNode {
+			e.crash()
+			progress := s.progressOf("j1") // as a version stored it that kept a checkpoint for each member
+			for i := range members {
+				progress.Steps[0].Tasks[i].Checkpoint = fmt.Sprintf("of member %d", i)
+			}
+			s.storeProgress("j1", progress)
+			for _, name := range []string{"a", "b"} {
+				s.instances.RestartWorker(name)
+			}
+			return s.startEntry("two")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.taskFleet.Checkpoint = func(id modeler.TaskID, _ int) string { return fmt.Sprintf("of member %d", id.Index) }
+				s.taskFleet.RunOutcome = func(id modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+					switch {
+					case number > 1:
+						return -1, modeler.EndDone
+					case id.Index == 0:
+						return 2 * time.Second, modeler.EndFailed
+					}
+					return 2 * time.Second, modeler.EndBroken
+				}
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(shortJob("j1", modeler.Step{Count: len(members), Need: modeler.Resources{CPU: 3000}, Gang: true}))
+				time.Sleep(time.Second)
+				e = restart(s, e)
+				time.Sleep(5 * time.Second)
+				require.Equal(t, len(members), s.taskFleet.RunCountOfJob("j1"))
+				require.Equal(t, 2, s.taskFleet.StartedRuns(members[0]))
+				require.NotEmpty(t, s.taskFleet.StartCheckpoint(members[0]))
+				require.Equal(t, s.taskFleet.StartCheckpoint(members[0]), s.taskFleet.StartCheckpoint(members[1]))
+				e.stopGracefully()
+			})
+		})
+	}
+}
