Let the members of a gang share their checkpoint

Callers could see the members of a gang start with different checkpoints, which the platform rules out: the value from any member is valid for the gang, and all must carry the same one.

Cause: each member kept the checkpoint that its own worker reported last. Found by reading; shown by the test alone.

Now a checkpoint that any member reports is set for all of them, the one read last wins, and a record in which they differ is read in the same way. The starts of a gang are sent together, so no report can come between them.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -46,8 +46,8 @@
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
-	if ended.Checkpoint != "" && (ended.Run >= t.run || t.checkpoint == "") { // otherwise a later run has reported the known checkpoint or resumed from it
-		t.checkpoint = ended.Checkpoint
+	if ended.Run >= t.run || t.checkpoint == "" { // otherwise a later run has reported the known checkpoint or resumed from it
+		t.setCheckpoint(ended.Checkpoint)
 	}
 	t.run = max(t.run, ended.Run)
 	e.updateTaskAfterEnd(w, t, ended)
@@ -207,9 +207,7 @@
 
 // confirmRun records that a worker lists the run of a task.
 func (e *Engine) confirmRun(t *task, r modeler.RunningTask, now time.Time) {
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
-	}
+	t.setCheckpoint(r.Checkpoint)
 	t.startupDone, t.reportedLoad = r.Percent >= fullPace, r.Metric
 	switch t.phase {
 	case starting, outcomeUnknown, adopted:
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -169,7 +169,8 @@
 			return errors.NotValidf("progress record (unknown task %d of step %d of job %q)", tp.Index, s.number, s.occurrence.job.ID)
 		}
 		t := s.tasks[tp.Index]
-		t.run, t.failedRuns, t.checkpoint = tp.Run, tp.failedRuns(), tp.Checkpoint
+		t.run, t.failedRuns = tp.Run, tp.failedRuns()
+		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
 			t.assignTo(workerOf(tp), adopted)
 		}
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -33,6 +33,22 @@
 	return t.worker == w && t.run == run
 }
 
+// setCheckpoint sets the checkpoint from which the next run resumes, unless it is
+// empty. The members of a gang share it, because they must all start with the
+// same one and that of any member is valid for all.
+func (t *task) setCheckpoint(checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	t.checkpoint = checkpoint
+	if !t.step.Gang {
+		return
+	}
+	for _, member := range t.step.tasks {
+		member.checkpoint = checkpoint
+	}
+}
+
 // markDone marks the task as done.
 func (t *task) markDone() {
 	if t.phase == done {
