Show that a run started after a worker's restart is taken for lost

The log shows "run lost, its task is requeued" (run 2), "orphaned run without an assigned task is stopped" (run 2) and then a run 3.

--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -212,3 +212,27 @@
 		})
 	}
 }
+
+func TestRunStartedAfterAWorkerRestartIsKeptBesideTheEndOfAnEarlierOne(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(_ modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if number == 1 {
+				return 10 * time.Millisecond, modeler.EndFailed
+			}
+			return -1, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		id := s.instances.WorkerOf("a")
+		s.taskFleet.Remove(id)
+		s.taskFleet.Add(modeler.Worker{ID: id, Pool: "p", Address: "127.0.0.1:1", Instance: "a", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}})
+		_, err := s.taskFleet.Start(t.Context(), modeler.Worker{ID: id}, modeler.StartOrder{Task: taskID("j1", 0, 0), Run: 1, DeadlineMs: 1 << 40}) // a late order of an earlier leader
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond)
+		s.submit(longRunningJob("j1", 1)) // placed before a poll shows the restart
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
