Compare the runs of a restarted worker by task and number

Callers could see a run stopped and started again for no reason after its worker had restarted under the same ID.

Cause: the runs that the restarted worker lists were kept by task alone, ends after current runs. The end of an earlier run hid the current one, so its task was requeued as lost, and the run was then stopped as orphaned. This takes a start between the worker's restart and the first poll that shows it, and another run of the task there.

Now each listed run is known by task and number.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -177,16 +177,16 @@
 	e.log.Info("worker has restarted", "worker", w.ID, "born", report.StartTimeMs, "before", w.StartTimeMs, "tasks", len(w.tasks))
 	w.acknowledgedEnd, w.pendingEnds = 0, nil
 	w.leaseDeadline = report.ClockMs + e.cfg.MaxWorkerLease.Milliseconds() // covers orders that were sent before the restart and arrive after it
-	listed := make(map[modeler.TaskID]int)
+	listed := make(map[runID]bool, len(report.Running)+len(report.Ended))
 	for _, r := range report.Running {
-		listed[r.Task] = r.Run
+		listed[runID{r.Task, r.Run}] = true
 	}
 	for _, r := range report.Ended {
-		listed[r.Task] = r.Run
+		listed[runID{r.Task, r.Run}] = true
 	}
 	for id, t := range w.tasks {
 		confirmed := t.phase == running || t.phase == stopping || t.phase == adopted
-		if confirmed && listed[id] != t.run {
+		if confirmed && !listed[runID{id, t.run}] {
 			e.requeueLostTask(w, t, "reborn")
 		}
 	}
