--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -44,11 +44,11 @@
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
-	t.run = max(t.run, ended.Run)
-	if ended.Checkpoint != "" {
-		t.checkpoint = ended.Checkpoint
+	if ended.Run >= t.run || t.checkpoint == "" { // otherwise a later run has reported the known checkpoint or resumed from it
+		t.setCheckpoint(ended.Checkpoint)
 	}
-	e.updateTaskAfterEnd(t, ended)
+	t.run = max(t.run, ended.Run)
+	e.updateTaskAfterEnd(w, t, ended)
 	result.job, result.jobVersion = j, j.version
 	return result
 }
@@ -64,7 +64,7 @@
 
 // updateTaskAfterEnd marks the task done or requeues it, depending on how its
 // run ended.
-func (e *Engine) updateTaskAfterEnd(t *task, ended modeler.EndedTask) {
+func (e *Engine) updateTaskAfterEnd(w *worker, t *task, ended modeler.EndedTask) {
 	j, how := t.step.occurrence.job, ended.EndKind
 	e.markUnstored(j)
 	switch {
@@ -76,7 +76,7 @@
 		t.markDone()
 	case how == modeler.EndFailed && !t.step.LongRunning:
 		t.requeue()
-		e.recordFailedRun(t, ended.Run)
+		e.recordFailedRun(w, t, ended.Run)
 	default:
 		t.requeue()
 	}
@@ -95,9 +95,9 @@
 	case t.step.LongRunning:
 	case ended.EndKind == modeler.EndDone:
 		e.stopRunsOfDoneTask(t)
-		e.updateTaskAfterEnd(t, ended)
+		e.updateTaskAfterEnd(w, t, ended)
 	case ended.EndKind == modeler.EndFailed:
-		e.recordFailedRun(t, ended.Run)
+		e.recordFailedRun(w, t, ended.Run)
 	}
 }
 
@@ -113,17 +113,18 @@
 	for _, t := range tasks {
 		switch t.phase {
 		case starting, outcomeUnknown, running, stopping:
-			e.stopOrphanedRun(t.worker, runID{t.id, t.run}, now)
+			e.stopOrphanedRun(t.worker, t, runID{t.id, t.run}, now)
 		}
 	}
 }
 
-// recordFailedRun records that a run failed. Each run counts only once.
-func (e *Engine) recordFailedRun(t *task, run int) {
-	if slices.Contains(t.failedRuns, run) {
+// recordFailedRun records that a run failed. Each run counts only once, also if
+// its end is reported again to the next leader.
+func (e *Engine) recordFailedRun(w *worker, t *task, run int) {
+	if slices.ContainsFunc(t.failedRuns, func(f failedRun) bool { return f.number == run && (f.worker == w.ID || f.worker == "") }) {
 		return
 	}
-	t.failedRuns = append(t.failedRuns, run)
+	t.failedRuns = append(t.failedRuns, failedRun{run, w.ID})
 	e.markUnstored(t.step.occurrence.job)
 	e.failJobAfterTooManyAttempts(t)
 }
@@ -158,13 +159,13 @@
 		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
-			e.stopOrphanedRun(w, runID{r.Task, r.Run}, now)
+			e.stopOrphanedRun(w, t, runID{r.Task, r.Run}, now)
 			continue
 		}
 		e.confirmRun(t, r, now)
 	}
-	for id, stop := range w.orphanedRuns {
-		if !listedRuns[id] && !sentAt.Before(stop.since) { // a report from before the stop may not list a run that had yet to start
+	for id, r := range w.orphanedRuns {
+		if !listedRuns[id] && !sentAt.Before(r.since) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
 		}
 	}
@@ -205,9 +206,7 @@
 
 // confirmRun records that a worker lists the run of a task.
 func (e *Engine) confirmRun(t *task, r modeler.RunningTask, now time.Time) {
-	if r.Checkpoint != "" {
-		t.checkpoint = r.Checkpoint
-	}
+	t.setCheckpoint(r.Checkpoint)
 	t.startupDone, t.reportedLoad = r.Percent >= fullPace, r.Metric
 	switch t.phase {
 	case starting, outcomeUnknown, adopted:
@@ -220,15 +219,15 @@
 }
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
-// because its job has ended.
-func (e *Engine) stopOrphanedRun(w *worker, id runID, now time.Time) {
+// because its job has ended. The task t is nil if the job is not known.
+func (e *Engine) stopOrphanedRun(w *worker, t *task, id runID, now time.Time) {
 	if w.orphanedRuns[id] != nil {
 		return // its stop is repeated until it ends
 	}
-	s := &stopState{since: now}
-	w.orphanedRuns[id] = s
+	r := &orphanedRun{task: t, since: now}
+	w.orphanedRuns[id] = r
 	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
-	e.sendStop(w, id.task, id.number, s)
+	e.sendStop(w, id.task, id.number, &r.stop)
 }
 
 // tasksWithOrphanedRuns returns the tasks of which some worker may still run an
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -84,7 +84,7 @@
 func (e *Engine) findOrAddWorker(id string) *worker {
 	w := e.workersByID[id]
 	if w == nil {
-		w = &worker{Worker: modeler.Worker{ID: id}, unreachableSince: time.Now(), idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]*stopState)}
+		w = &worker{Worker: modeler.Worker{ID: id}, unreachableSince: time.Now(), idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]*orphanedRun)}
 		w.recorded = e.unresponsive.mayBeStored[id]
 		e.workersByID[id] = w
 	}
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -204,9 +204,9 @@
 			e.sendStop(w, id, t.run, &t.stop)
 		}
 	}
-	for id, s := range w.orphanedRuns {
-		if s.isDue(now) {
-			e.sendStop(w, id.task, id.number, s)
+	for id, r := range w.orphanedRuns {
+		if r.stop.isDue(now) {
+			e.sendStop(w, id.task, id.number, &r.stop)
 		}
 	}
 }
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -37,17 +37,17 @@
 		used               modeler.Resources
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
-		leaseDeadline      int64                // latest lease expiry sent, on the worker's clock
-		acknowledgedEnd    int64                // number of the last ended run that the worker need not list again
-		pendingEnds        []reportedEnd        // ended runs reported by the worker and not acknowledged yet
-		polling            bool                 // a poll is queued or in flight
-		lastPollAt         time.Time            // when the last poll was queued
-		failedPolls        int                  // failed polls in a row
-		cordonReason       string               // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task              // tasks that have resources reserved here
-		idleCPUPacePercent int                  // speed of the tasks that use idle CPU, in percent of full speed
-		paceChangedAt      time.Time            // when idleCPUPacePercent last changed
-		orphanedRuns       map[runID]*stopState // runs without an assigned task that have not certainly ended
+		leaseDeadline      int64                  // latest lease expiry sent, on the worker's clock
+		acknowledgedEnd    int64                  // number of the last ended run that the worker need not list again
+		pendingEnds        []reportedEnd          // ended runs reported by the worker and not acknowledged yet
+		polling            bool                   // a poll is queued or in flight
+		lastPollAt         time.Time              // when the last poll was queued
+		failedPolls        int                    // failed polls in a row
+		cordonReason       string                 // kind of plan that excludes the worker from new tasks; empty if there is none
+		reservedFor        []*task                // tasks that have resources reserved here
+		idleCPUPacePercent int                    // speed of the tasks that use idle CPU, in percent of full speed
+		paceChangedAt      time.Time              // when idleCPUPacePercent last changed
+		orphanedRuns       map[runID]*orphanedRun // runs without an assigned task that have not certainly ended
 
 		pendingCalls *supervisor.Ring[func(ctx context.Context)]
 		pollRequests *supervisor.Ring[pollRequest]
@@ -61,6 +61,13 @@
 		number int
 	}
 
+	// orphanedRun is a run that belongs to no assigned task and is told to stop.
+	orphanedRun struct {
+		task  *task     // nil if its job is not known; it may have ended
+		since time.Time // when the first stop was queued
+		stop  stopState
+	}
+
 	// reportedEnd is an ended run reported by a worker and the job version that
 	// records it.
 	reportedEnd struct {
@@ -71,7 +78,6 @@
 
 	// stopState is the state of the stop of a run.
 	stopState struct {
-		since    time.Time // when the run became orphaned; not used for the run of an assigned task
 		inFlight bool      // queued or in flight
 		repeatAt time.Time // if the run has not ended by this time, the stop is sent again
 	}
