Wait for the commands of TestTaskCommandsOverHTTP before it ends

The fault is the test's. It now waits for the goroutine; every assertion stays. 2 runs of -count=300 pass, and 30 with the race detector.

--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -122,7 +122,9 @@
 		c := dispatcher.NewClient(dispatcher.WithDialer(l.dial), dispatcher.WithStartConns(1))
 		defer c.Close()
 		ctx := t.Context()
+		commanded := make(chan struct{})
 		time.AfterFunc(time.Second, func() {
+			defer close(commanded)
 			unknown, err := c.Renew(ctx, address, dispatcher.Renewal{Owner: "entry-a1.1", Lease: time.Minute, Tasks: []string{"a/b", "other"}})
 			require.NoError(t, err)
 			require.Equal(t, []string{"other"}, unknown)
@@ -137,6 +139,7 @@
 		require.NoError(t, err)
 		require.Equal(t, dispatcher.Checkpointed, f.Outcome)
 		require.Equal(t, fmt.Sprint(int64(4*time.Second)), string(f.Checkpoint))
+		<-commanded // the checkpointed task may end before the command's response arrives
 	})
 }
 
