Isolate the evicted member before its eviction in TestEachRuleInItsCase

The test hung at times: a heartbeat that was under way when the member was isolated got its answer, with the new membership, after the eviction. The member then knew of it and was the home of no name, and datedNameWithHome looked for one without end. The fault was the test's, not the claimer's: the case is about a member that doesn't know. The eviction now comes after the last answer (messages take 1 ms, the wait is 2 ms), the test requires that the member doesn't know of its eviction, and the searches for a name end with a message after 10000 names. Nothing else in the case changed: with the freshness check, no double grant; without it, one.

--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -15,7 +15,10 @@
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 )
 
-const settleTime = 5 * time.Second
+const (
+	settleTime   = 5 * time.Second
+	maxNameTries = 10_000 // of nameWithHome
+)
 
 // runInCluster runs fn in a synctest bubble with three members that know each other.
 func runInCluster(t *testing.T, fn func(t *testing.T, c *cluster), opts ...claimer.Option) {
@@ -40,21 +43,27 @@
 }
 
 // datedNameWithHome returns a new dated name whose home is the process.
-func (c *cluster) datedNameWithHome(n *process) string {
-	for i := uint64(0); ; i++ {
-		if name := newDatedName(time.Now(), i); n.claimer.IsHome("team", name) {
-			return name
-		}
-	}
+func datedNameWithHome(t *testing.T, n *process) string {
+	return nameWithHome(t, n, 0, func(i uint64) string { return newDatedName(time.Now(), i) })
 }
 
 // undatedNameWithHome returns a name without a date whose home is the process.
-func (c *cluster) undatedNameWithHome(n *process) string {
-	for i := 0; ; i++ {
-		if name := fmt.Sprintf("order-%d", i); n.claimer.IsHome("team", name) {
+func undatedNameWithHome(t *testing.T, n *process) string {
+	return nameWithHome(t, n, 0, func(i uint64) string { return fmt.Sprintf("order-%d", i) })
+}
+
+// nameWithHome returns the first name from newName(first) on whose home is the
+// process. The test fails if there is none: a process that knows that it was
+// removed is the home of no name.
+func nameWithHome(t *testing.T, n *process, first uint64, newName func(i uint64) string) string {
+	t.Helper()
+	for i := range uint64(maxNameTries) {
+		if name := newName(first + i); n.claimer.IsHome("team", name) {
 			return name
 		}
 	}
+	require.FailNow(t, "no name has its home at the process", "%s, after %d names, view %+v", n.address, maxNameTries, n.members.View())
+	return ""
 }
 
 func TestSecondClaimThroughAnyEntryIsDenied(t *testing.T) {
@@ -119,7 +128,7 @@
 func TestOutcomeIsReportedAgainUntilHomeAnswers(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		home, other := c.processes[0], c.processes[1]
-		name := c.datedNameWithHome(home)
+		name := datedNameWithHome(t, home)
 		_, err := other.claim(name, "body", "t1")
 		require.NoError(t, err)
 		c.setDisconnected(home, other, true)
@@ -134,7 +143,7 @@
 func TestClaimFailsWhileHomeIsUnreachable(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		home, other := c.processes[0], c.processes[1]
-		name := c.datedNameWithHome(home)
+		name := datedNameWithHome(t, home)
 		c.setDisconnected(home, other, true)
 		_, err := other.claim(name, "body", "t1")
 		require.Equal(t, classifier.HomeAbsent, classifier.As(err).Code)
@@ -145,7 +154,7 @@
 func TestLostGrantIsReleased(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		home, other := c.processes[0], c.processes[1]
-		name := c.datedNameWithHome(home)
+		name := datedNameWithHome(t, home)
 		home.pause()
 		go func() {
 			time.Sleep(settleTime)
@@ -163,8 +172,8 @@
 func TestClaimIsRefusedAsRepeatedAfterHomeDied(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		home, other := c.processes[0], c.processes[1]
-		names := []string{c.datedNameWithHome(home), c.datedNameWithHome(home), c.undatedNameWithHome(home)}
-		unmoved := c.undatedNameWithHome(other)
+		names := []string{datedNameWithHome(t, home), datedNameWithHome(t, home), undatedNameWithHome(t, home)}
+		unmoved := undatedNameWithHome(t, other)
 		_, err := other.claim(names[0], "body", "t1")
 		require.NoError(t, err)
 		c.killInstance(home.instance)
@@ -189,7 +198,7 @@
 func TestClaimIsRefusedAsRepeatedAfterHolderDied(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		holder, home, other := c.processes[0], c.processes[1], c.processes[2]
-		name := c.datedNameWithHome(home)
+		name := datedNameWithHome(t, home)
 		_, err := holder.claim(name, "body", "t1")
 		require.NoError(t, err)
 		c.killInstance(holder.instance)
@@ -203,7 +212,7 @@
 func TestNamesAreHandedOverOnPlannedDeparture(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		home, other := c.processes[0], c.processes[1]
-		name := c.datedNameWithHome(home)
+		name := datedNameWithHome(t, home)
 		_, err := other.claim(name, "body", "t1")
 		require.NoError(t, err)
 		require.NoError(t, home.members.Leave(c.ctx))
@@ -269,18 +278,12 @@
 func TestFullTableRefusesNewNames(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		a := c.processes[0]
-		name := c.datedNameWithHome(a)
+		name := datedNameWithHome(t, a)
 		_, err := a.claim(name, "body", "t1")
 		require.NoError(t, err)
-		for i := uint64(1000); ; i++ {
-			other := newDatedName(time.Now(), i)
-			if !a.claimer.IsHome("team", other) {
-				continue
-			}
-			_, err = a.claim(other, "body", "t2")
-			require.Equal(t, classifier.QueueFull, classifier.As(err).Code)
-			break
-		}
+		other := nameWithHome(t, a, 1000, func(i uint64) string { return newDatedName(time.Now(), i) })
+		_, err = a.claim(other, "body", "t2")
+		require.Equal(t, classifier.QueueFull, classifier.As(err).Code)
 		d, err := a.claim(name, "body", "t3")
 		require.NoError(t, err)
 		require.Equal(t, "t1", d.Task, "a full home forgets nothing")
@@ -290,7 +293,7 @@
 func TestNamesAreRemovedAfterRetention(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		a := c.processes[0]
-		name := c.datedNameWithHome(a)
+		name := datedNameWithHome(t, a)
 		_, err := a.claim(name, "body", "t1")
 		require.NoError(t, err)
 		time.Sleep(3 * time.Minute)
@@ -305,7 +308,7 @@
 		c.store.SetDown(true)
 		c.killInstance(c.processes[2].instance)
 		time.Sleep(listDelay + settleTime)
-		name := c.datedNameWithHome(c.processes[0])
+		name := datedNameWithHome(t, c.processes[0])
 		d, err := c.processes[1].claim(name, "body", "t1")
 		require.NoError(t, err)
 		require.True(t, d.Granted, "two live members and the list agree on the outage")
@@ -321,7 +324,7 @@
 		a := c.processes[0]
 		c.setIsolated(a, true)
 		time.Sleep(registrar.DefaultStaleness + time.Second)
-		_, err := a.claim(c.datedNameWithHome(a), "body", "t1")
+		_, err := a.claim(datedNameWithHome(t, a), "body", "t1")
 		require.Equal(t, classifier.Isolated, classifier.As(err).Code)
 		require.Equal(t, classifier.NotRun, classifier.VerdictOf(err))
 	})
--- a/claimer/rules_test.go
+++ b/claimer/rules_test.go
@@ -47,9 +47,12 @@
 func claimAtEvictedHome(t *testing.T, c *cluster) {
 	a, b := c.processes[0], c.processes[1]
 	c.setIsolated(a, true)
+	time.Sleep(2 * messageDelay) // the answer to an earlier heartbeat would tell it of the eviction
 	require.NoError(t, b.members.Evict(c.ctx, a.members.Self().ID, "operator"))
 	time.Sleep(3 * settleTime)
-	name := c.datedNameWithHome(a)
+	_, ok := a.members.View().Member(a.members.Self().ID)
+	require.True(t, ok, "the isolated member must not know of its eviction")
+	name := datedNameWithHome(t, a)
 	_, _ = c.claimAndCheck(a, name, false)
 	d, err := c.claimAndCheck(b, name, false)
 	require.NoError(t, err)
