--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -116,7 +116,9 @@
 	time.AfterFunc(f.RemovedListTime, func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
-		delete(f.workers, id)
+		if f.workers[id] == w {
+			delete(f.workers, id)
+		}
 	})
 }
 
--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -106,6 +108,13 @@
 	s.listedWorkers[name] = worker
 }
 
+// Names returns the names of the instances, sorted.
+func (s *InstanceService) Names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.instances))
+}
+
 // WorkerOf returns the ID of the worker of an instance.
 func (s *InstanceService) WorkerOf(name string) string {
 	s.mu.Lock()
@@ -126,6 +135,21 @@
 	s.startWorker(i)
 }
 
+// RestartWorkerWithSameID ends the worker of an instance and starts one with the
+// same ID at another address. It has no effect on an instance that is not up.
+func (s *InstanceService) RestartWorkerWithSameID(name, address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.instances[name]
+	if i.State != modeler.InstanceUp || i.Worker == "" {
+		return
+	}
+	s.fleet.Remove(i.Worker)
+	s.fleet.Add(modeler.Worker{
+		ID: i.Worker, Pool: i.Pool, Address: address, Zone: i.Zone, Instance: i.Name, Capacity: i.Capacity, Labels: i.Labels,
+	})
+}
+
 // ShutDown ends the worker of an instance, which stays down.
 func (s *InstanceService) ShutDown(name string) {
 	s.mu.Lock()
