--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -80,3 +81,44 @@
 		e.stopGracefully()
 	})
 }
+
+// advisor permits each worker of which it is asked to run any step.
+type advisor struct{}
+
+// Advise implements orchestrator.Advisor.
+func (advisor) Advise(_ context.Context, _ string, workers []string) (map[string]string, time.Duration, error) {
+	tickets := make(map[string]string)
+	for _, id := range workers {
+		tickets[id] = "ticket"
+	}
+	return tickets, time.Minute, nil
+}
+
+func TestStepAsksForTicketsAgainAfterOneWasRefused(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.manifest.Queues[1].Advice = &modeler.Advice{TicketValidity: time.Minute}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		e.refusedTickets.Store(1)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
+
+func TestStepAsksForTicketsOfWorkersThatJoinLater(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.manifest.Queues[1].Advice = &modeler.Advice{TicketValidity: time.Minute}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("j1", 6))
+		time.Sleep(time.Second)
+		s.instances.Add(modeler.Instance{Name: "late", Pool: "p", Zone: "z", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 6, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -64,6 +64,14 @@
 	return l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
 }
 
+// Start implements orchestrator.Workers.
+func (l workerLink) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
+	if o.Ticket != "" && l.entry.refusedTickets.Add(-1) >= 0 {
+		return 0, modeler.ErrInvalidTicket
+	}
+	return l.TaskFleet.Start(ctx, w, o)
+}
+
 // Stop implements orchestrator.Workers.
 func (l workerLink) Stop(ctx context.Context, w modeler.Worker, task modeler.TaskID, run int, token int64) error {
 	if l.entry.refusesStops.Load() {
@@ -77,14 +85,15 @@
 
 // entryNode is a running entry node.
 type entryNode struct {
-	deployment   *deployment
-	name         string
-	cancel       context.CancelFunc
-	done         chan struct{}
-	disconnected atomic.Bool  // from the workers
-	pollDelay    atomic.Int64 // delay of each poll of a worker, in ns
-	unsentStops  atomic.Int64 // number of stops that fail before they are sent
-	refusesStops atomic.Bool  // workers refuse stops because they are unhealthy
+	deployment     *deployment
+	name           string
+	cancel         context.CancelFunc
+	done           chan struct{}
+	disconnected   atomic.Bool  // from the workers
+	pollDelay      atomic.Int64 // delay of each poll of a worker, in ns
+	unsentStops    atomic.Int64 // number of stops that fail before they are sent
+	refusesStops   atomic.Bool  // workers refuse stops because they are unhealthy
+	refusedTickets atomic.Int64 // number of starts that are refused because of their ticket
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
@@ -136,7 +145,7 @@
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	lead := func(ctx context.Context, term *elector.Term) {
 		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, orchestrator.WithLog(d.log),
-			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
+			orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
 	e.cancel = cancel
