Keep tickets by worker and ask for those that are missing

Callers of a queue with advice would see a task that doesn't run although workers may run it (LOST). The tickets of a step were one set with one end: after a worker had refused one, the set was dropped but its end stayed, so that nothing was asked until then; and a worker that joined meanwhile was not asked about before that end, nor was any beyond the first 100 of a pool.

Each ticket now has its own end, a refused one is dropped alone, and while tasks of a step wait, the service is asked about the workers whose tickets are missing.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -100,7 +100,7 @@
 // run.
 func (e *Engine) handleRefusedStart(w *worker, t *task, now time.Time, err error) {
 	if errors.Is(err, modeler.ErrInvalidTicket) {
-		t.step.tickets = nil
+		t.step.dropTicket(w, now)
 	} else if !errors.Is(err, modeler.ErrStaleRun) {
 		w.markSuspect(now)
 	}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -298,7 +298,7 @@
 // if the worker must not take another one.
 func (s *step) countSameStepTasks(w *worker) int {
 	n := s.countTasksOn(w)
-	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || s.tickets != nil && s.tickets[w.ID] == "" {
+	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || s.tickets != nil && s.tickets[w.ID].value == "" {
 		return -1
 	}
 	return n
@@ -332,7 +332,7 @@
 	}
 	e.markUnstored(j)
 	t.placementVersion = j.version
-	t.ticket = t.step.tickets[t.worker.ID]
+	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
 	e.log.Info("task placed on a worker", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.now.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
 		"free-cpu", t.worker.freeResources().CPU, "manifest", p.manifest.Version)
