--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -122,3 +122,16 @@
 		e.stopGracefully()
 	})
 }
+
+func TestAcceptedJobRunsAfterItsQueueIsRemoved(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.submit(longRunningJob("j1", 2))
+		s.manifest.Queues = s.manifest.Queues[:1]
+		s.manifest.Index()
+		e := s.startEntry("one")
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
