Let accepted jobs keep the terms of their queue

Callers would see a job that was accepted and never runs (LOST) after its queue has left the manifest: placement, sizing and attempts skip a job whose queue they don't find.

Records of earlier versions have none; their jobs wait as before.

--- a/modeler/job.go
+++ b/modeler/job.go
@@ -59,6 +59,7 @@
 		FirstDue time.Time     `json:"first,omitzero"`   // due time of the first occurrence
 		Interval time.Duration `json:"interval,omitempty"`
 		Accepted time.Time     `json:"accepted"`
+		Terms    *QueueTerms   `json:"terms,omitempty"` // those of its queue on acceptance; nil in records of earlier versions
 	}
 
 	// TaskID identifies a task.
--- a/modeler/manifest.go
+++ b/modeler/manifest.go
@@ -38,6 +38,17 @@
 		Advice          *Advice       // nil if any worker of the pool may run the steps
 	}
 
+	// QueueTerms are the settings of a queue that its accepted jobs keep if the
+	// queue is removed. The fields are those of Queue.
+	QueueTerms struct {
+		Pool            string        `json:"pool"`
+		Priority        int           `json:"priority,omitempty"`
+		MaxFailedRuns   int           `json:"attempts,omitempty"`
+		ObjectiveFactor float64       `json:"factor,omitempty"`
+		ObjectiveOffset time.Duration `json:"offset,omitempty"`
+		Advice          *Advice       `json:"advice,omitempty"`
+	}
+
 	// Advice describes the service that decides which workers may run a step
 	// and issues the tickets that these workers demand.
 	Advice struct {
@@ -63,6 +74,24 @@
 	}
 )
 
+// Terms returns the settings that accepted jobs keep.
+func (q *Queue) Terms() *QueueTerms {
+	return &QueueTerms{q.Pool, q.Priority, q.MaxFailedRuns, q.ObjectiveFactor, q.ObjectiveOffset, q.Advice}
+}
+
+// QueueOf returns the queue of a job. If the queue has been removed, it returns
+// one with the terms on which the job was accepted, or nil if they are unknown.
+func (m *Manifest) QueueOf(j *Job) *Queue {
+	t := j.Terms
+	if q := m.Queue(j.Queue); q != nil || t == nil {
+		return q
+	}
+	return &Queue{
+		Name: j.Queue, Pool: t.Pool, Priority: t.Priority, MaxFailedRuns: t.MaxFailedRuns,
+		ObjectiveFactor: t.ObjectiveFactor, ObjectiveOffset: t.ObjectiveOffset, Advice: t.Advice,
+	}
+}
+
 // Index builds the maps for look-ups by name and by key. It must be called once after all fields are set.
 func (m *Manifest) Index() {
 	m.queuesByName = make(map[string]*Queue, len(m.Queues))
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -113,7 +113,7 @@
 // attempts.
 func (e *Engine) failJobAfterTooManyAttempts(t *task) {
 	j := t.step.occurrence.job
-	q := e.cfg.Manifest().Queue(j.Queue)
+	q := e.cfg.Manifest().QueueOf(&j.Job)
 	if q == nil || len(t.failedRuns) < q.MaxFailedRuns || j.state.IsFinal() {
 		return
 	}
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -149,7 +149,7 @@
 func (w *worker) hasTasksOfPool(pool string, e *Engine) bool {
 	m := e.cfg.Manifest()
 	for _, t := range w.tasks {
-		if q := m.Queue(t.step.occurrence.job.Queue); q != nil && q.Pool == pool {
+		if q := m.QueueOf(&t.step.occurrence.job.Job); q != nil && q.Pool == pool {
 			return true
 		}
 	}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -79,7 +79,7 @@
 	var candidates []candidateStep
 	byPool := make(map[string][]*assigner.Candidate)
 	for _, j := range p.engine.jobs {
-		q := p.manifest.Queue(j.Queue)
+		q := p.manifest.QueueOf(&j.Job)
 		if q == nil || j.state.IsFinal() {
 			continue
 		}
@@ -166,7 +166,7 @@
 		return // no task is waiting, or the first round has already tried
 	}
 	j := s.occurrence.job
-	q := p.manifest.Queue(j.Queue)
+	q := p.manifest.QueueOf(&j.Job)
 	view := p.poolView(q.Pool)
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q.Pool) {
 		return
--- a/orchestrator/share.go
+++ b/orchestrator/share.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		j := c.step.occurrence.job
-		pool := p.manifest.Queue(j.Queue).Pool
+		pool := p.manifest.QueueOf(&j.Job).Pool
 		if pools[pool] == nil {
 			pools[pool] = p.cpuInUseByCustomer(pool)
 		}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -171,7 +171,7 @@
 
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
-	j.Accepted = time.Now()
+	j.Accepted, j.Terms = time.Now(), d.manifest.Queue(j.Queue).Terms()
 	_, _, err := d.store.ClientFor("caller").Commit(d.t.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)}},
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -46,7 +46,7 @@
 	}
 	now, m := time.Now(), e.cfg.Manifest()
 	for _, j := range e.jobs {
-		q := m.Queue(j.Queue)
+		q := m.QueueOf(&j.Job)
 		if q == nil || j.state.IsFinal() {
 			continue
 		}
@@ -111,7 +111,7 @@
 	if m == nil || j.IsLongRunning() || now.Sub(j.Accepted) > sizer.Window {
 		return
 	}
-	q := m.Queue(j.Queue)
+	q := m.QueueOf(&j.Job)
 	if q == nil {
 		return
 	}
