--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -71,6 +71,14 @@
 	return l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
 }
 
+// Start implements orchestrator.Workers.
+func (l workerLink) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
+	if o.Ticket != "" && l.entry.refusedTickets.Add(-1) >= 0 {
+		return 0, modeler.ErrInvalidTicket
+	}
+	return l.TaskFleet.Start(ctx, w, o)
+}
+
 // Stop implements orchestrator.Workers.
 func (l workerLink) Stop(ctx context.Context, w modeler.Worker, task modeler.TaskID, run int, token int64) error {
 	if l.entry.refusesStops.Load() {
@@ -92,6 +100,7 @@
 	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
 	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
+	refusedTickets     atomic.Int64                     // number of starts that are refused because of their ticket
 	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
 	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
@@ -145,7 +154,7 @@
 	}
 	lead := func(ctx context.Context, term *elector.Term) {
 		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, orchestrator.WithLog(d.log),
-			orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
+			orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
 	e.cancel = cancel
@@ -249,7 +258,7 @@
 
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
-	j.Accepted = time.Now()
+	j.Accepted, j.Terms = time.Now(), d.manifest.Queue(j.Queue).Terms()
 	_, _, err := d.store.ClientFor("caller").Commit(d.t.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)}},
