Test that a leader with an orphaned run that stops does not hand over

A leader stops an orphaned run, keeps the task of it waiting, and is stopped itself. The next leader doesn't reach the run's worker and starts the task elsewhere while the run goes on.

--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -795,6 +795,23 @@
 	})
 }
 
+func TestLeaderStoppedWhileAnOrphanedRunStopsDoesNotHandOver(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.StopTime = 3 * time.Second
+		second, instance := s.startEntryAfterOrphanedRun(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		second.stopGracefully()
+		require.Equal(t, 1, s.taskFleet.StoppingRunCount())
+		third := s.startEntry("three")
+		third.unreachableWorkers.Store(s.instances.WorkerOf(instance), true)
+		time.Sleep(13 * time.Second)
+		third.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+	})
+}
+
 func TestNewLeaderWaitsForAWorkerWhoseRegistrationExpires(t *testing.T) {
 	runScenario(t, 3, func(s *deployment) {
 		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
