Hand over only once the orphaned runs of waiting tasks have ended

Cause: a leader keeps a task waiting while an orphaned run of it may go on. It knows that from the worker's report; the store contains no orphaned runs. The handover record says that the stored state is all there is, so the next leader starts the task as soon as it reaches any worker, whether it has polled the one with the orphaned run or not.

A leader that waits for the end of an orphaned run now stores no handover record, as one that waits for a worker. The next leader then holds inherited tasks back until the workers of the pool have reported or their leases have ended, and finds the run in the report. Orphaned runs of tasks that are done or whose job has ended don't count.

--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -131,7 +131,7 @@
 
 // storeHandoverRecord stores the handover record, which tells the next leader
 // that all state is stored. It stores none if a worker may be running tasks that
-// this leader does not know of.
+// this leader does not know of or that the stored state does not contain.
 func (e *Engine) storeHandoverRecord(ctx context.Context) {
 	if len(e.unstoredJobs) > 0 || e.commitsInFlight > 0 {
 		return
@@ -140,6 +140,10 @@
 		e.log.Info("handover record of the term not stored: some workers have not reported their runs")
 		return
 	}
+	if e.awaitsOrphanedRuns() {
+		e.log.Info("handover record of the term not stored: some orphaned runs have not ended")
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
 	_, _, err := e.store.Commit(ctx, keeper.Txn{
@@ -305,6 +309,18 @@
 	return true
 }
 
+// awaitsOrphanedRuns reports whether a task waits for the end of an orphaned run
+// of it. Only this leader knows that, because the stored state contains no
+// orphaned runs.
+func (e *Engine) awaitsOrphanedRuns() bool {
+	for id := range e.tasksWithOrphanedRuns() {
+		if t := e.findTask(id); t != nil && t.phase != done {
+			return true
+		}
+	}
+	return false
+}
+
 // logWorkerNotAwaited logs, once for each worker, why inherited tasks don't wait
 // for a worker that has not reported its runs.
 func (e *Engine) logWorkerNotAwaited(w *worker) {
