--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -80,3 +80,31 @@
 		e.stopGracefully()
 	})
 }
+
+func TestTaskReturnsIfItsWorkerRestartsAfterAnEndSeenOnlyByTheResolutionOfItsStart(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(_ modeler.TaskID, number int) (time.Duration, modeler.EndKind) {
+			if number == 1 {
+				return 10 * time.Millisecond, modeler.EndFailed
+			}
+			return -1, modeler.EndDone
+		}
+		s.taskFleet.StartDelay = func(_ modeler.TaskID, number int) time.Duration {
+			if number == 1 {
+				return 10 * time.Millisecond
+			}
+			return 0
+		}
+		e := s.startEntry("one")
+		time.Sleep(3 * time.Second)
+		e.losesRenewals.Store(true)
+		e.pollDelay.Store(int64(30 * time.Millisecond))
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(80 * time.Millisecond)
+		s.taskFleet.RestartUnderSameID(s.instances.WorkerOf("a"))
+		e.losesRenewals.Store(false)
+		time.Sleep(15 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -68,7 +68,11 @@
 		return modeler.Report{}, context.DeadlineExceeded
 	}
 	time.Sleep(time.Duration(l.entry.pollDelay.Load()))
-	return l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
+	report, err := l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
+	if err == nil && leaseDeadline > 0 && l.entry.losesRenewals.Load() {
+		return modeler.Report{}, &requester.Error{MaybeSent: true, Err: errors.New("connection reset")}
+	}
+	return report, err
 }
 
 // Stop implements orchestrator.Workers.
@@ -92,6 +96,7 @@
 	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
 	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
+	losesRenewals      atomic.Bool                      // polls that extend leases get no response
 	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
 	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
