Resolve a start again until a poll has reported the end of its run

Callers would see a task that never runs although there is room for it (LOST).

Cause: after a start without response, the loop that resolves it ends when it sees the run among those that have ended, and leaves the end to the next poll. If the worker restarts under its ID before that poll, the end is gone. The leader keeps tasks with a start in doubt through a restart, because the loop is to tell what became of them; nobody did, and the polls of the worker succeed, so the task stayed in phase doubtful for good.

Evidence: found by review; shown by the test alone.

The loop now goes on until the task has left the phase. After a restart it finds neither the run nor its end and lets the task wait again.

TestTaskReturnsIfItsWorkerRestartsAfterAnEndSeenOnlyByTheResolutionOfItsStart failed in 20 of 20 runs before and passes in 20 of 20 runs and with the race detector now.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -120,7 +120,7 @@
 	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
 		if listed := reportsRun(report, o); err == nil && (listed || stopped) {
-			e.runInEventLoop(ctx, func() { e.handleResolvedStart(w, t, o, listed && !stopped, report) })
+			e.runInEventLoop(ctx, func() { e.handleResolvedStart(ctx, w, t, o, listed && !stopped, report) })
 			return
 		}
 		err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken)
@@ -131,6 +131,16 @@
 	})
 }
 
+// resolveUnknownStartLater resolves a start again whose run has been stopped or
+// has ended. Its worker may restart and forget the end before a poll reports it.
+func (e *Engine) resolveUnknownStartLater(ctx context.Context, w *worker, t *task, o modeler.StartOrder) {
+	e.runInBackground(func() {
+		if supervisor.Pause(ctx, callRetryInterval) == nil {
+			e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, true) })
+		}
+	})
+}
+
 // reportsRun reports whether the worker lists the run that the order was meant
 // to start.
 func reportsRun(report modeler.Report, o modeler.StartOrder) bool {
@@ -143,7 +153,7 @@
 }
 
 // handleResolvedStart processes the result of resolveUnknownStart.
-func (e *Engine) handleResolvedStart(w *worker, t *task, o modeler.StartOrder, started bool, report modeler.Report) {
+func (e *Engine) handleResolvedStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, started bool, report modeler.Report) {
 	w.hasUnknownStart = false
 	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
 		return
@@ -158,7 +168,8 @@
 	}
 	for _, ended := range report.Ended {
 		if ended.Task == o.Task && ended.Run == o.Run {
-			return // the next poll reports the ended run
+			e.resolveUnknownStartLater(ctx, w, t, o) // unless the next poll reports the ended run
+			return
 		}
 	}
 	if reportsRun(report, o) {
