--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -881,3 +881,22 @@
 		e.stopGracefully()
 	})
 }
+
+func TestWorkerIsNotTakenForReplacedBecauseAnEarlierClockWasAhead(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.keepInstances()
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.ClockOffset = 5 * time.Second
+		s.instances.RestartWorker("a")
+		s.taskFleet.ClockOffset = 0
+		s.taskFleet.RemovedListTime = 3 * time.Second
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.instances.RestartWorker("a")
+		for i := range 60 {
+			s.submit(shortJob(fmt.Sprintf("j%d", i), modeler.Step{Count: 1, Need: modeler.Resources{CPU: 100}}))
+			time.Sleep(100 * time.Millisecond)
+		}
+		e.stopGracefully()
+	})
+}
