Test that a late term record does not replace a later one

The store carries out the first write of the term record five seconds late, after the manifest has sent the queues to another pool and the record that names it has been stored.

--- a/orchestrator/reroute_test.go
+++ b/orchestrator/reroute_test.go
@@ -1,12 +1,14 @@
 package orchestrator_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
 // addPool adds a pool with one instance.
@@ -70,3 +72,22 @@
 		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestDelayedTermRecordDoesNotReplaceALaterOne(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.keepInstances()
+		s.addPool("other", "x")
+		s.delayNextWriteOf(termKey, 5*time.Second)
+		e := s.startEntry("one")
+		s.waitForLeader("one")
+		time.Sleep(200 * time.Millisecond)
+		e.manifest.Store(s.rerouted("other"))
+		time.Sleep(8 * time.Second)
+		r, err := s.store.ClientFor("x").Get(t.Context(), termKey)
+		require.NoError(t, err)
+		var record orchestrator.TermRecord
+		require.NoError(t, json.Unmarshal(r.Value, &record))
+		require.Contains(t, record.Pools["lasting"], "other")
+		e.stopGracefully()
+	})
+}
