Test that a worker of the first worker list is not taken for new

The worker's clock is 2.9 s ahead, and the first instance list still names an earlier worker of its instance.

--- a/orchestrator/unlisted_test.go
+++ b/orchestrator/unlisted_test.go
@@ -99,3 +99,37 @@
 		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestListedWorkerIsNotTakenForNewWhenTheInstanceListIsOutdated(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		fast := modeler.Instance{Name: "x", Pool: "p", Zone: "z", Labels: []string{"k", "fast"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.taskFleet.ClockOffset = 2900 * time.Millisecond
+		s.instances.Add(fast, true)
+		s.taskFleet.ClockOffset = 0
+		s.instances.SetListedWorker("x", "w-earlier")
+		time.Sleep(700 * time.Millisecond)
+		worker := s.startUnstored("fast", "x")
+		first.crash()
+		other := fast
+		other.Name = "y"
+		s.instances.Add(other, true)
+		second := s.startEntry("two")
+		second.unreachableWorkers.Store(worker, true)
+		for s.leads("one") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(200 * time.Millisecond)
+		s.instances.SetListedWorker("x", worker)
+		s.taskFleet.SetRegistered(worker, false)
+		time.Sleep(700 * time.Millisecond)
+		s.taskFleet.SetRegistered(worker, true)
+		time.Sleep(15 * time.Second)
+		second.stopGracefully()
+		require.Empty(t, s.taskFleet.Violations())
+		require.Equal(t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
