Stop an unknown start only if a poll shows that it does not run

A long-running task was ended by its leader while as many others of its step were away as may be (AVAIL).

Cause: a start that got no response is resolved by a poll and, unless the run is listed, by a stop. A poll that failed counted like one that did not list the run, so a leader that missed many responses stopped runs that were at work.

A stop now follows only a poll that succeeded and did not list the run. While polls fail, the task keeps its worker until a poll succeeds or the leases are over.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -109,8 +109,9 @@
 }
 
 // resolveUnknownStart resolves a start that got no response: it polls the
-// worker until the run is listed, or stops the run so that it can no longer
-// begin. stopped says that an earlier attempt has stopped the run. Each attempt
+// worker until the run is listed, or stops the run that is not listed so that it
+// can no longer begin. While polls fail the run may be at work, so it is not
+// stopped. stopped says that an earlier attempt has stopped the run. Each attempt
 // calls the worker at its present address.
 func (e *Engine) resolveUnknownStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, stopped bool) {
 	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
@@ -119,15 +120,18 @@
 	target := w.Worker
 	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
-		if listed := reportsRun(report, o); err == nil && (listed || stopped) {
-			e.runInEventLoop(ctx, func() { e.handleResolvedStart(ctx, w, t, o, listed && !stopped, report) })
-			return
+		if err == nil {
+			if listed := reportsRun(report, o); listed || stopped {
+				e.runInEventLoop(ctx, func() { e.handleResolvedStart(ctx, w, t, o, listed && !stopped, report) })
+				return
+			}
+			err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken)
+			stopped = err == nil
 		}
-		err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken)
 		if err != nil && supervisor.Pause(ctx, callRetryInterval) != nil {
 			return
 		}
-		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, stopped || err == nil) })
+		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, stopped) })
 	})
 }
 
--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -163,3 +163,26 @@
 		e.stopGracefully()
 	})
 }
+
+func TestUnknownStartIsNotStoppedWhileItsWorkerCannotBePolled(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.StartDelay = func(_ modeler.TaskID, number int) time.Duration {
+			if number == 1 {
+				return 50 * time.Millisecond
+			}
+			return 0
+		}
+		e := s.startEntry("one")
+		time.Sleep(3 * time.Second)
+		worker := s.instances.WorkerOf("a")
+		s.submit(longRunningJob("j1", 1))
+		e.unreachableWorkers.Store(worker, true)
+		time.Sleep(time.Second)
+		e.unreachableWorkers.Delete(worker)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
