--- /dev/null
+++ b/orchestrator/limit_test.go
@@ -0,0 +1,69 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+func TestRunsThatWereNotStoredCountTowardTheirCustomersLimit(t *testing.T) {
+	const limit = 5000
+	none := func(*deployment) {}
+	for name, tt := range map[string]struct {
+		beforeRun, duringRun func(s *deployment)
+		usesIdleCPU          bool
+	}{
+		"on a listed worker":    {none, none, false},
+		"on otherwise idle CPU": {none, none, true},
+		"on an unlisted worker": {none, func(s *deployment) {
+			s.taskFleet.SetRegistered(s.instances.WorkerOf("x"), false)
+		}, false},
+		"in the room of another customer's task whose end was not stored": {func(s *deployment) {
+			j := shortJob("other", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}, Label: "x"})
+			j.Customer = "d"
+			s.submit(j)
+			time.Sleep(500 * time.Millisecond)
+		}, none, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.keepInstances()
+				s.manifest.Customers[0].Limit = modeler.Resources{CPU: limit}
+				s.instances.Add(modeler.Instance{Name: "x", Pool: "p", Zone: "z", Labels: []string{"x"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+				s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+					if id.Job == "other" {
+						return time.Second, modeler.EndDone
+					}
+					return time.Minute, modeler.EndDone
+				}
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				tt.beforeRun(s)
+				s.loseWritesOf(orchestrator.ProgressKey("j1"), orchestrator.ProgressKey("other"), orchestrator.JobKey("other"))
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}, Label: "x", UsesIdleCPU: tt.usesIdleCPU}))
+				time.Sleep(time.Second)
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				tt.duringRun(s)
+				s.taskFleet.SetUnresponsive(s.instances.WorkerOf("x"), true)
+				first.crash()
+				s.loseNoWrites()
+				second := s.startEntry("two")
+				s.waitForLeader("two")
+				time.Sleep(300 * time.Millisecond)
+				s.submit(shortJob("j2"))
+				time.Sleep(300 * time.Millisecond)
+				require.Equal(t, 2, s.taskFleet.RunCountOfJob("j2"))
+				for range 1500 {
+					time.Sleep(10 * time.Millisecond)
+					require.LessOrEqual(t, 3000*s.taskFleet.RunCountOfJob("j1")+1000*s.taskFleet.RunCountOfJob("j2"), limit)
+				}
+				require.Equal(t, 4, s.taskFleet.RunCountOfJob("j2"), "the worker can't run anything unknown any more")
+				second.stopGracefully()
+			})
+		})
+	}
+}
