Count runs that may not be stored toward their customer's limit

Callers with a limit could have more running than it allows, for up to 10 s after a change of leader without a handover: their new jobs started beside runs that the new leader did not know of.

Cause: inherited tasks wait until each worker of their pool has reported, since the predecessor may have started what it could not store. New jobs don't wait, and the usage against which they are checked had only the known runs.

Customers without a limit are not affected, nor those with room for the bound; a test that passed before as well shows both.

--- a/modeler/job.go
+++ b/modeler/job.go
@@ -85,6 +85,16 @@
 	return Resources{r.CPU - o.CPU, r.Memory - o.Memory, r.GPU - o.GPU}
 }
 
+// Min returns the smaller one of each component of r and o.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.CPU, o.CPU), min(r.Memory, o.Memory), min(r.GPU, o.GPU)}
+}
+
+// Max returns the larger one of each component of r and o.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPU, o.CPU), max(r.Memory, o.Memory), max(r.GPU, o.GPU)}
+}
+
 // Times returns n times r.
 func (r Resources) Times(n int) Resources {
 	return Resources{r.CPU * int64(n), r.Memory * int64(n), r.GPU * int64(n)}
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -201,7 +201,7 @@
 			e.logWorkerNotAwaited(w)
 			continue
 		}
-		if w.Pool == pool || w.Pool == "" && w.hasTasksOfPool(pool, e) {
+		if w.mayBeInPool(pool, e) {
 			return w
 		}
 	}
@@ -252,14 +252,18 @@
 		}
 	}
 	for id, name := range e.handover.unlistedWorkers {
-		i := e.planner.instances[name]
-		if i != nil && i.Pool == pool && i.Worker == id && i.State == modeler.InstanceUp && !e.hasListedWorker(name) {
+		if i := e.planner.instances[name]; i != nil && i.Pool == pool && i.isUpWith(id) && !e.hasListedWorker(name) {
 			return id
 		}
 	}
 	return ""
 }
 
+// isUpWith reports whether the instance is up and runs the worker with the ID.
+func (i *instance) isUpWith(worker string) bool {
+	return i.State == modeler.InstanceUp && i.Worker == worker
+}
+
 // hasUnlistedWorker reports whether findUnlistedWorker finds a worker in any
 // pool.
 func (e *Engine) hasUnlistedWorker() bool {
@@ -316,6 +320,11 @@
 		"registered-in-term", e.isNewInTerm(w), "recorded-unresponsive", e.unresponsive.restored[w.ID].AllStored, "leases-until", e.leaseExpiry(w))
 }
 
+// mayBeInPool reports whether the worker is in a pool, as far as that is known.
+func (w *worker) mayBeInPool(pool string, e *Engine) bool {
+	return w.Pool == pool || w.Pool == "" && w.hasTasksOfPool(pool, e)
+}
+
 // hasTasksOfPool reports whether any task assigned to the worker belongs to a
 // queue that uses or used a pool. It is used for workers that were never listed,
 // whose pool is unknown.
--- a/orchestrator/limit_test.go
+++ b/orchestrator/limit_test.go
@@ -67,3 +67,37 @@
 		})
 	}
 }
+
+func TestNewJobsOfOthersStartAtOnceBesideRunsThatMayNotBeStored(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.keepInstances()
+		s.manifest.Customers = []modeler.Customer{
+			{Name: "room to spare beside all that the worker can run", Weight: 1, Limit: modeler.Resources{CPU: 8000}},
+			{Name: "no limit", Weight: 1},
+		}
+		s.manifest.Index()
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Minute, modeler.EndDone }
+		submit := func(prefix string, step modeler.Step) {
+			for _, c := range s.manifest.Customers {
+				j := shortJob(prefix+c.Name, step)
+				j.Customer = c.Name
+				s.submit(j)
+			}
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		submit("inherited: ", modeler.Step{Count: 20, Need: modeler.Resources{CPU: 1000}, Label: "on no worker"})
+		time.Sleep(500 * time.Millisecond)
+		first.crash()
+		second := s.startEntry("two")
+		second.unreachableWorkers.Store(s.instances.WorkerOf("a"), true)
+		s.waitForLeader("two")
+		time.Sleep(300 * time.Millisecond)
+		submit("new: ", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}})
+		time.Sleep(150 * time.Millisecond)
+		for _, c := range s.manifest.Customers {
+			require.Equal(t, 4, s.taskFleet.RunCountOfJob("new: "+c.Name), c.Name)
+		}
+		second.stopGracefully()
+	})
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -35,7 +35,7 @@
 		assignerViews         []*assigner.Worker
 		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
 		keptFree              int                 // number of workers kept free for tasks that wait for room
-		waitChecked, mustWait bool                // cached result of placementPass.mustWaitForWorkers
+		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
 	}
 
 	// candidateStep is a step with waiting tasks that may start, with the
@@ -52,6 +52,7 @@
 		return
 	}
 	p := &placementPass{engine: e, now: now, manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
+	p.addUnstoredUsage()
 	candidates := p.listCandidates()
 	p.customerShares = p.customerSharesByPool(candidates)
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
@@ -236,19 +237,19 @@
 	return tasks
 }
 
-// mustWaitForWorkers reports whether inherited tasks of a queue must wait. It
-// calls Engine.mustWaitForWorkers once per pool and pass.
+// mustWaitForWorkers reports whether inherited tasks of a queue must wait.
 func (p *placementPass) mustWaitForWorkers(q *modeler.Queue) bool {
-	for _, pool := range p.engine.poolsOfQueue(q) {
-		v := p.poolView(pool)
-		if !v.waitChecked {
-			v.waitChecked, v.mustWait = true, p.engine.mustWaitForWorkers(pool, p.now)
-		}
-		if v.mustWait {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.engine.poolsOfQueue(q), p.mustWaitInPool)
+}
+
+// mustWaitInPool reports whether inherited tasks of a pool must wait. It calls
+// Engine.mustWaitForWorkers once per pool and pass.
+func (p *placementPass) mustWaitInPool(pool string) bool {
+	v := p.poolView(pool)
+	if !v.waitChecked {
+		v.waitChecked, v.mustWait = true, p.engine.mustWaitForWorkers(pool, p.now)
+	}
+	return v.mustWait
 }
 
 // isWithinCustomerLimit reports whether the customer stays within its limit if
