--- a/orchestrator/limit_test.go
+++ b/orchestrator/limit_test.go
@@ -101,3 +101,51 @@
 		second.stopGracefully()
 	})
 }
+
+func TestPlacedTaskDoesNotStartWhenAnAdoptedRunUsesUpTheLimit(t *testing.T) {
+	const limit = 5000
+	for name, tt := range map[string]struct{ gang, orphaned bool }{
+		"single tasks":       {false, false},
+		"gang":               {true, false},
+		"run that must stop": {false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.keepInstances()
+				s.manifest.Customers[0].Limit = modeler.Resources{CPU: limit}
+				s.taskFleet.StopTime = time.Minute
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Minute, modeler.EndDone }
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.taskFleet.Add(modeler.Worker{ID: "w-x", Pool: "p", Address: "127.0.0.1:1", Instance: "x", Labels: []string{"x"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}) // the list of instances doesn't show it yet
+				time.Sleep(time.Second)
+				s.loseWritesOf(orchestrator.ProgressKey("j1"))
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}, Label: "x"}))
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				s.taskFleet.SetRegistered("w-x", false)
+				first.crash()
+				if tt.orphaned {
+					s.loseNoWrites()
+					s.storeProgress("j1", orchestrator.Progress{State: modeler.Running, Begun: true, Steps: []orchestrator.StepProgress{{Tasks: []orchestrator.TaskProgress{{Run: 1}}}}})
+				}
+				s.loseWritesOf("fleet/term", orchestrator.ProgressKey("j2")) // so that the start waits longer than the worker list
+				second := s.startEntry("two")
+				s.waitForLeader("two")
+				time.Sleep(300 * time.Millisecond)
+				s.submit(shortJob("j2", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}, Gang: tt.gang}))
+				time.Sleep(50 * time.Millisecond)
+				s.taskFleet.SetRegistered("w-x", true)
+				time.Sleep(time.Second)
+				require.Zero(t, s.taskFleet.RunCountOfJob("j2"))
+				s.loseNoWrites()
+				for range 500 {
+					time.Sleep(10 * time.Millisecond)
+					require.LessOrEqual(t, 3000*s.taskFleet.RunCountOfJob("j1")+1000*s.taskFleet.RunCountOfJob("j2"), limit)
+				}
+				require.Equal(t, tt.gang, s.taskFleet.RunCountOfJob("j2") == 0)
+				second.stopGracefully()
+			})
+		})
+	}
+}
