Requeue placed tasks whose customer's limit an adopted run uses up

Callers with a limit could have more running than it allows after a change of leader, by all tasks that were placed and not yet started when a worker reported a run of theirs that the leader had not known of.

Cause: the limit is checked when a task is placed. The start is sent when the placement is stored, or 100 ms later if the store is slow, and not checked again. By reading, a worker that inherited tasks wait for can no longer cause this, since these tasks count toward the limit.

Before starts are sent, placed tasks of a customer over its limit are requeued, the last placed first and a gang as a whole, if a run has been found since the last check. They have certainly not begun, since no start was sent. No check is made otherwise, as only found runs raise the usage without a placement.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -195,6 +195,7 @@
 	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
 	t.run = run
 	t.assignTo(w, adopted)
+	e.unknownRunsFound = true
 	j.hasStarted = true
 	if j.state == modeler.Queued {
 		j.state = modeler.Running
@@ -226,6 +227,7 @@
 	}
 	r := &orphanedRun{task: t, since: now}
 	w.orphanedRuns[id] = r
+	e.unknownRunsFound = true
 	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
 	e.sendStop(w, id.task, id.number, &r.stop)
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -94,6 +94,7 @@
 		unstoredJobs         map[*job]bool
 		dirtyCount           int64   // number of times that a job became unstored, see job.dirtyOrder
 		awaitingStart        []*task // placed tasks; their start is sent once the placement is stored
+		unknownRunsFound     bool    // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
 		commitsInFlight      int     // job transactions in flight
 		nextPlacement        time.Time
 		nextFlush            time.Time
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -237,6 +237,7 @@
 	if len(e.awaitingStart) == 0 {
 		return
 	}
+	e.requeuePlacedOverLimit()
 	orphaned := e.tasksWithOrphanedRuns()
 	remaining := e.awaitingStart[:0]
 	for _, t := range e.awaitingStart {
@@ -256,6 +257,32 @@
 	e.awaitingStart = remaining
 }
 
+// requeuePlacedOverLimit requeues placed tasks whose customers exceed their limit
+// because runs have been found since the last check. The tasks placed last come
+// first. A gang is requeued as a whole or not at all.
+func (e *Engine) requeuePlacedOverLimit() {
+	if !e.unknownRunsFound {
+		return
+	}
+	e.unknownRunsFound = false
+	m, usage := e.cfg.Manifest(), e.usageByCustomer()
+	for _, t := range slices.Backward(e.awaitingStart) {
+		customer, members := t.step.occurrence.job.Customer, []*task{t}
+		if t.step.Gang {
+			members = t.step.tasks
+		}
+		hasStarted := func(t *task) bool { return t.phase != placed }
+		if c := m.Customer(customer); c == nil || c.WithinLimit(usage[customer]) || slices.ContainsFunc(members, hasStarted) {
+			continue
+		}
+		for _, t := range members {
+			usage[customer] = usage[customer].Sub(t.resourcesTowardCustomerLimit())
+			e.requeueTask(t)
+		}
+		e.requestPlacement()
+	}
+}
+
 // acknowledgeStoredEnds polls workers whose reported ends are all stored, which
 // lets them drop these ends from their lists.
 func (e *Engine) acknowledgeStoredEnds() {
