Count unstored runs of jobs whose queue has left the manifest in its pool

The bound on a customer's unstored runs took the pools of a removed queue only from the predecessor's term record. Tests of orchestrator pass.

--- a/orchestrator/unstored.go
+++ b/orchestrator/unstored.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		if _, ok := pools[j.Queue]; !ok {
-			pools[j.Queue] = p.poolsThatWait(j.Queue)
+			pools[j.Queue] = p.poolsThatWait(j)
 		}
 		if len(pools[j.Queue]) == 0 {
 			continue
@@ -73,11 +73,11 @@
 	return sums
 }
 
-// poolsThatWait returns the pools of a queue in which inherited tasks wait for
-// workers to report. The queue may have left the manifest.
-func (p *placementPass) poolsThatWait(queue string) []string {
-	pools := p.engine.handover.inheritedPools[queue]
-	if q := p.manifest.Queue(queue); q != nil {
+// poolsThatWait returns the pools of a job's queue in which inherited tasks wait
+// for workers to report.
+func (p *placementPass) poolsThatWait(j *job) []string {
+	pools := p.engine.handover.inheritedPools[j.Queue]
+	if q := p.manifest.QueueOf(&j.Job); q != nil {
 		pools = p.engine.poolsOfQueue(q)
 	}
 	var waiting []string
