--- a/orchestrator/silence_test.go
+++ b/orchestrator/silence_test.go
@@ -195,3 +195,22 @@
 		})
 	}
 }
+
+func TestRecordOfUnresponsiveWorkersForgetsWorkersThatAreGone(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.keepInstancesInPool()
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		gone := s.instances.WorkerOf("a")
+		s.taskFleet.SetUnresponsive(gone, true)
+		time.Sleep(2 * time.Second)
+		first.crash()
+		s.instances.Remove("a")
+		second := s.startEntry("two")
+		time.Sleep(30 * time.Second)
+		r, err := s.store.ClientFor("x").Get(t.Context(), unresponsiveKey)
+		require.NoError(t, err)
+		require.NotContains(t, string(r.Value), gone)
+		second.stopGracefully()
+	})
+}
