Forget unresponsive workers of earlier terms that are gone

The record of unresponsive workers could only grow: a worker that is named in it when a term begins, but is neither listed nor named in a placement, was never removed. Each change of leader during a failure of workers left some behind for good, and every write of the record carried them along; a record over the store's limit could not be written any more, so that workers in it would stay out of use.

Such workers are now removed once their leases have expired as recorded. A next leader that still finds one of them on an instance waits for it, as for any worker that is not in the record.

--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -208,6 +208,7 @@
 	for _, w := range e.workersByID {
 		e.handleLeaseExpiry(w, now)
 	}
+	e.clearGoneWorkers(now)
 	e.cordonPlannedInstances()
 	e.requestPlacement()
 }
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -136,6 +136,16 @@
 	}
 }
 
+// clearGoneWorkers removes the workers of earlier terms that are neither listed
+// nor named in a placement and whose leases have expired.
+func (e *Engine) clearGoneWorkers(now time.Time) {
+	for id, recorded := range e.unresponsive.workers {
+		if e.workersByID[id] == nil && now.After(recorded.Until.Add(maxClockDifference)) {
+			e.clearUnresponsiveWorker(id)
+		}
+	}
+}
+
 // removalDue reports whether a worker that responds again must be removed from
 // the stored record. It is not used until then.
 func (r *unresponsiveState) removalDue() bool {
