--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -68,6 +68,7 @@
 	noResponseTimeout = 300 * time.Millisecond // after this time a call without response fails
 	defaultStopTime   = 100 * time.Millisecond // default of TaskFleet.StopTime
 	fullPacePercent   = 100
+	maxReportedEnds   = 500                    // a report contains at most this many ended runs
 	startupTime       = 500 * time.Millisecond // after this time a task reports that its start is complete
 	clockStartMs      = 1_000_000              // milliseconds that a worker's own clock shows when the worker starts; not zero, and unrelated to the wall clock
 )
@@ -543,7 +544,7 @@
 	for id, run := range w.runs {
 		paces[id] = run.pacePercent
 	}
-	r := modeler.Report{StartTimeMs: w.StartTimeMs, ClockMs: w.clockMs(), Ended: append([]modeler.EndedTask(nil), w.ended...)}
+	r := modeler.Report{StartTimeMs: w.StartTimeMs, ClockMs: w.clockMs(), Ended: append([]modeler.EndedTask(nil), w.ended[:min(len(w.ended), maxReportedEnds)]...)}
 	for id, run := range w.runs {
 		percent := 0
 		if time.Since(run.startTime) > startupTime {
