Take no run for lost that a full list of ended runs may lack

Callers could see tasks run again that were done (TWICE), and lose the work of a store outage.

Cause: a worker lists all that runs, but at most 500 of its ended runs at a time, and drops them only once they are acknowledged, that is stored. The leader took a run that is in neither list for lost. While the store is away, ends pile up; on a worker with many short tasks the 501st is in neither list, and its task was started again.

Evidence: found by review; shown by the test alone.

A report with 500 ended runs now proves of no run that it has ended: no task is requeued, no orphaned run forgotten and no start found prevented because of it, and a new leader goes on waiting for the worker's first complete report. The ends that are listed are stored and acknowledged as before, which brings the others.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -19,6 +19,7 @@
 	unstoredEndsPollInterval = 500 * time.Millisecond // ended runs that could not be stored are requested again after this time
 	minPollRetryInterval     = 150 * time.Millisecond // after a failed poll; doubles with each further failure
 	maxPollRetryInterval     = time.Second            // upper limit of the retry interval for a worker that stays unresponsive
+	maxReportedEnds          = 500                    // a report contains at most this many ended runs, from the platform's documentation
 )
 
 // startWorkerCallers starts the goroutines that send calls and polls to a
@@ -125,14 +126,15 @@
 		e.clearUnresponsiveWorker(w.ID)
 		e.requestPlacement()
 	}
-	firstPoll := !w.polled
+	firstPoll, firstReport := !w.polled, !w.reported && isComplete(report)
+	w.reported = w.reported || firstReport
 	w.polled, w.replaced, w.ended, w.hasUnknownStart, w.failedPolls = true, false, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
 	if firstPoll {
 		w.leaseDeadline = max(w.leaseDeadline, report.ClockMs+e.cfg.RunLease.Milliseconds()) // an earlier leader may have extended the leases this far
 	}
 	e.handleReportedEnds(w, report.Ended)
-	e.reconcileRuns(w, sentAt, report, firstPoll)
+	e.reconcileRuns(w, sentAt, report, firstReport)
 	e.adjustFillerPace(w, now)
 	if w.acknowledgeStoredEnds() || w.recorded {
 		return // the next poll acknowledges the ended runs once they are stored, or extends the leases once the store no longer names the worker
@@ -140,6 +142,12 @@
 	e.requestNextPoll(w, now)
 }
 
+// isComplete reports whether a run that the report doesn't contain neither runs
+// nor has ended unacknowledged. A full list of ended runs may lack some.
+func isComplete(report modeler.Report) bool {
+	return len(report.Ended) < maxReportedEnds
+}
+
 // requestNextPoll queues the next poll of a worker. The worker may hold it for
 // less time while a long-running task starts up, or while tasks that use idle
 // CPU run next to tasks with a latency target.
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -150,8 +150,9 @@
 
 // reconcileRuns compares the runs that a worker lists with the tasks assigned
 // to it: it confirms or adopts listed runs, stops orphaned ones and requeues
-// tasks whose run is missing.
-func (e *Engine) reconcileRuns(w *worker, sentAt time.Time, report modeler.Report, firstPoll bool) {
+// tasks whose run is missing. firstReport says that this is the worker's first
+// complete report in this term.
+func (e *Engine) reconcileRuns(w *worker, sentAt time.Time, report modeler.Report, firstReport bool) {
 	now := time.Now()
 	listedRuns := make(map[runID]bool, len(report.Running))
 	for _, r := range report.Running {
@@ -163,6 +164,9 @@
 		}
 		e.confirmRun(t, r, now)
 	}
+	if !isComplete(report) {
+		return
+	}
 	for id, stop := range w.orphanedRuns {
 		if !listedRuns[id] && !sentAt.Before(stop.since) { // a report from before the stop may not list a run that had yet to start
 			delete(w.orphanedRuns, id)
@@ -173,7 +177,7 @@
 			continue
 		}
 		switch {
-		case t.phase == adopted && firstPoll, (t.phase == running || t.phase == stopping) && t.phaseSince.Before(sentAt):
+		case t.phase == adopted && firstReport, (t.phase == running || t.phase == stopping) && t.phaseSince.Before(sentAt):
 			e.log.Info("run not on its worker, its task is requeued", "task", id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String())
 			e.requeueTask(t)
 			e.requestPlacement()
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -307,7 +307,7 @@
 // mayHaveUnstoredRuns reports whether the worker may be running tasks whose
 // placement the previous leader did not store.
 func (e *Engine) mayHaveUnstoredRuns(w *worker, now time.Time) bool {
-	return !e.handover.predecessorStoredAll && !w.polled && !e.isNewInTerm(w) && !e.unresponsive.restored[w.ID].AllStored && now.Before(e.leaseExpiry(w))
+	return !e.handover.predecessorStoredAll && !w.reported && !e.isNewInTerm(w) && !e.unresponsive.restored[w.ID].AllStored && now.Before(e.leaseExpiry(w))
 }
 
 // knowsAllRuns reports whether this leader knows all runs on the workers. Before
@@ -342,7 +342,7 @@
 // logWorkerNotAwaited logs, once for each worker, why inherited tasks don't wait
 // for a worker that has not reported its runs.
 func (e *Engine) logWorkerNotAwaited(w *worker) {
-	if w.polled || w.notAwaitedLogged {
+	if w.reported || w.notAwaitedLogged {
 		return
 	}
 	w.notAwaitedLogged = true
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -176,6 +176,10 @@
 		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
+	if !isComplete(report) {
+		e.resolveUnknownStartLater(ctx, w, t, o)
+		return
+	}
 	e.log.Info("start of a run prevented by a stop, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
 	e.requeueTask(t)
 	e.requestPlacement()
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -116,8 +116,8 @@
 // allRunsStored reports whether this leader knows all runs on an unresponsive
 // worker and their placements are stored.
 func (e *Engine) allRunsStored(w *worker, now time.Time) bool {
-	if !w.polled {
-		return !e.mayHaveUnstoredRuns(w, now)
+	if e.mayHaveUnstoredRuns(w, now) {
+		return false
 	}
 	for _, t := range w.tasks {
 		if t.step.occurrence.job.storedVersion < t.placementVersion {
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -25,6 +25,7 @@
 		listed             bool          // in the current worker list
 		reachable          bool          // the last poll succeeded
 		polled             bool          // polled successfully in this term
+		reported           bool          // has reported all its runs in this term, see isComplete
 		bootLearnedAt      time.Duration // when the leader learned of the worker's last start, by elector.Term.Now
 		replaced           bool          // a newer worker runs on its instance
 		ended              bool          // has ended according to the instance list
