--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -99,6 +99,7 @@
 		nextFlush            time.Time
 		nextTick             time.Time
 		placementDue         bool // a placement pass should run
+		replacementDue       bool // a worker has responded for the first time and may have replaced another
 		shuttingDown         bool
 		loadPublication      loadPublication
 		meanJobWork          map[string]workSum      // estimated work of the jobs, by queue
@@ -284,7 +285,10 @@
 		e.retryPoll(w, now)
 		e.repeatStops(w, now)
 	}
-	e.requeueTasksOfReplacedWorkers()
+	if e.replacementDue {
+		e.replacementDue = false
+		e.requeueTasksOfReplacedWorkers()
+	}
 	e.publishLoad(ctx, now)
 	e.runPlanRound(ctx, now)
 	e.storeUnresponsiveWorkers(ctx, now)
