Show that a deposed leader starts a stored task on a restarted worker

The response of the store to the placement comes late. By then the next leader has polled the worker and started the task elsewhere, and the worker has restarted under its ID and knows no token any more.

--- a/orchestrator/expired_lease_test.go
+++ b/orchestrator/expired_lease_test.go
@@ -115,3 +115,44 @@
 		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 	})
 }
+
+func TestDeposedLeaderDoesNotStartAStoredTaskOnARestartedWorker(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.keepInstances()
+		delays := map[string]time.Duration{termKey: 15 * time.Second, orchestrator.ProgressKey("j1"): 3 * time.Second}
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.DelayCommitResponse = func(txn keeper.Txn) time.Duration {
+				if len(txn.Put) == 0 {
+					return 0
+				}
+				delay := delays[txn.Put[0].Key]
+				delete(delays, txn.Put[0].Key)
+				return delay
+			}
+		})
+		restarted := s.instances.WorkerOf("a")
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		second := s.startEntry("two")
+		first.unreachableWorkers.Store(s.instances.WorkerOf("b"), true)
+		time.Sleep(2500 * time.Millisecond)
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		s.taskFleet.SetDraining(restarted)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.WatchOnlyClients["one"] = true })
+		for s.leads("one") {
+			time.Sleep(10 * time.Millisecond)
+		}
+		first.unreachableWorkers.Store(restarted, true)
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, s.taskFleet.RunCountOnWorker(s.instances.WorkerOf("b")))
+		second.unreachableWorkers.Store(restarted, true)
+		s.taskFleet.RestartUnderSameID(restarted)
+		first.unreachableWorkers.Delete(restarted)
+		time.Sleep(5 * time.Second)
+		first.stopGracefully()
+		second.stopGracefully()
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+	})
+}
