--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -49,7 +49,7 @@
 		termRecordInFlight   bool
 		termRecordRetryAfter time.Time
 		blockingWorkers      map[string]string // by pool, the ID of the worker that inherited tasks wait for; empty if none
-		workersAtStart       map[string]bool   // IDs of the workers that the first instance list names
+		workersAtStart       map[string]bool   // IDs of the workers that the stored placements, the first worker list or the first instance list name
 		unlistedWorkers      map[string]string // by ID, the instances of those that are on an instance that is up and have been in no worker list
 	}
 )
@@ -311,7 +311,7 @@
 // mayHaveUnstoredRuns reports whether the worker may be running tasks whose
 // placement the previous leader did not store.
 func (e *Engine) mayHaveUnstoredRuns(w *worker, now time.Time) bool {
-	return !e.handover.predecessorStoredAll && !w.polled && !e.isNewInTerm(w) && !e.unresponsive.restored[w.ID].AllStored && now.Before(e.leaseExpiry(w))
+	return !e.handover.predecessorStoredAll && !w.reported && !e.isNewInTerm(w) && !e.unresponsive.restored[w.ID].AllStored && now.Before(e.leaseExpiry(w))
 }
 
 // knowsAllRuns reports whether this leader knows all runs on the workers. Before
@@ -346,7 +346,7 @@
 // logWorkerNotAwaited logs, once for each worker, why inherited tasks don't wait
 // for a worker that has not reported its runs.
 func (e *Engine) logWorkerNotAwaited(w *worker) {
-	if w.polled || w.notAwaitedLogged {
+	if w.reported || w.notAwaitedLogged {
 		return
 	}
 	w.notAwaitedLogged = true
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -116,8 +116,8 @@
 // allRunsStored reports whether this leader knows all runs on an unresponsive
 // worker and their placements are stored.
 func (e *Engine) allRunsStored(w *worker, now time.Time) bool {
-	if !w.polled {
-		return !e.mayHaveUnstoredRuns(w, now)
+	if e.mayHaveUnstoredRuns(w, now) {
+		return false
 	}
 	for _, t := range w.tasks {
 		if t.step.occurrence.job.storedVersion < t.placementVersion {
@@ -136,6 +136,16 @@
 	}
 }
 
+// clearGoneWorkers removes the workers of earlier terms that are neither listed
+// nor named in a placement and whose leases have expired.
+func (e *Engine) clearGoneWorkers(now time.Time) {
+	for id, recorded := range e.unresponsive.workers {
+		if e.workersByID[id] == nil && now.After(recorded.Until.Add(maxClockDifference)) {
+			e.clearUnresponsiveWorker(id)
+		}
+	}
+}
+
 // removalDue reports whether a worker that responds again must be removed from
 // the stored record. It is not used until then.
 func (r *unresponsiveState) removalDue() bool {
