--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -58,6 +58,20 @@
 	})
 }
 
+func TestOrphanedRunCountsTowardTheCustomerLimit(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.taskFleet.StopTime = 3 * time.Second
+		s.manifest.Customers[0].Limit = modeler.Resources{CPU: 3000}
+		e, _ := s.startEntryAfterOrphanedRun(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		s.submit(shortJob("j2", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Zero(t, s.taskFleet.RunCountOfJob("j2"))
+		e.stopGracefully()
+	})
+}
+
 func TestCancelledJobStopsRunning(t *testing.T) {
 	runScenario(t, 2, func(s *deployment) {
 		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
