Count orphaned runs toward the limit of their customer

The workers could see more of a customer's tasks at once than its limit allows (QUOTA).

Cause: an orphaned run belongs to no task that is assigned to its worker, so it counted toward nobody. Since the task of such a run waits until the run has ended, its share was free for another task of the customer.

Orphaned runs now count as long as their job is known. The customer of a job that has ended is not known any more; such runs still don't count.

TestOrphanedRunCountsTowardTheCustomerLimit failed in 20 of 20 runs before and passes in 20 of 20 runs and with the race detector now.

--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -62,7 +62,7 @@
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
-// running, by customer.
+// running, by customer. Orphaned runs count as long as their job is known.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
 	usage := make(map[string]modeler.Resources)
 	for _, w := range e.workersByID {
@@ -70,6 +70,12 @@
 			customer := t.step.occurrence.job.Customer
 			usage[customer] = usage[customer].Add(t.resourcesTowardCustomerLimit())
 		}
+		for id := range w.orphanedRuns {
+			if t := e.findTask(id.task); t != nil && !t.isPlacedAs(w, id.number) {
+				customer := t.step.occurrence.job.Customer
+				usage[customer] = usage[customer].Add(t.resourcesTowardCustomerLimit())
+			}
+		}
 	}
 	return usage
 }
