Show that a start which arrives after a restart of the worker runs twice

TaskFleet.LateStarts lets a delayed start reach the process that has the ID of the worker by then. Without it such a start is dropped as before.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -26,6 +26,7 @@
 		// means that the run never ends.
 		RunOutcome      func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
 		StartDelay      func(id modeler.TaskID, run int) time.Duration // delay of a start, whose response is then lost; 0 for a normal start
+		LateStarts      bool                                           // a delayed start reaches the worker also if it has restarted under its ID by then
 		StopTime        time.Duration                                  // time from a stop request to the end of the run
 		ClockOffset     time.Duration                                  // by how much the wall clocks of workers that start from now on are ahead
 		RemovedListTime time.Duration                                  // time for which a removed worker stays in the list of workers
@@ -352,8 +353,8 @@
 			time.AfterFunc(delay, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
-				if f.workers[w.ID] == w {
-					_ = f.startRun(w, o) // the caller has already received errNoResponse, so the result is dropped
+				if present := f.workers[w.ID]; present == w || present != nil && f.LateStarts {
+					_ = f.startRun(present, o) // the caller has already received errNoResponse, so the result is dropped
 				}
 			})
 			return 0, errNoResponse
--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -186,3 +186,30 @@
 		e.stopGracefully()
 	})
 }
+
+func TestStartThatArrivesAfterARestartOfTheStoppedWorkerDoesNotRunTheTaskTwice(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		s.taskFleet.LateStarts = true
+		s.taskFleet.StartDelay = func(_ modeler.TaskID, number int) time.Duration {
+			if number == 1 {
+				return 3 * time.Second
+			}
+			return 0
+		}
+		e := s.startEntry("one")
+		time.Sleep(3 * time.Second)
+		worker := s.instances.WorkerOf("a")
+		e.pollDelay.Store(int64(600 * time.Millisecond))
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(100 * time.Millisecond)
+		s.taskFleet.SetDraining(worker)
+		s.instances.Add(modeler.Instance{Name: "late", Pool: "p", Zone: "z", Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+		time.Sleep(800 * time.Millisecond) // the first poll and the stop have been answered, the second poll has not
+		s.taskFleet.RestartUnderSameID(worker)
+		time.Sleep(4 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		require.Equal(t, 1, s.taskFleet.RunCountOnWorker(s.instances.WorkerOf("late")))
+		e.stopGracefully()
+	})
+}
