--- a/orchestrator/limit_test.go
+++ b/orchestrator/limit_test.go
@@ -68,6 +68,48 @@
 	}
 }
 
+func TestUnstoredRunOfACancelledJobCountsTowardTheLimit(t *testing.T) {
+	const limit = 5000
+	for name, reports := range map[string]bool{"worker stays unresponsive": false, "worker reports the run": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				s.keepInstances()
+				s.manifest.Customers[0].Limit = modeler.Resources{CPU: limit}
+				s.instances.Add(modeler.Instance{Name: "x", Pool: "p", Zone: "z", Labels: []string{"x"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+				s.taskFleet.StopTime = 5 * time.Second
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Minute, modeler.EndDone }
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.loseWritesOf(orchestrator.ProgressKey("j1"))
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 3000}, Label: "x"}))
+				time.Sleep(time.Second)
+				require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+				x := s.instances.WorkerOf("x")
+				s.taskFleet.SetUnresponsive(x, true)
+				first.crash()
+				s.loseNoWrites()
+				second := s.startEntry("two")
+				s.waitForLeader("two")
+				time.Sleep(300 * time.Millisecond)
+				s.cancel("j1")
+				time.Sleep(300 * time.Millisecond)
+				require.Equal(t, modeler.Cancelled, s.jobState("j1"))
+				s.submit(shortJob("j2"))
+				time.Sleep(300 * time.Millisecond)
+				s.taskFleet.SetUnresponsive(x, !reports)
+				for range 1500 {
+					time.Sleep(10 * time.Millisecond)
+					require.LessOrEqual(t, 3000*s.taskFleet.RunCountOfJob("j1")+1000*s.taskFleet.RunCountOfJob("j2"), limit)
+					require.GreaterOrEqual(t, s.taskFleet.RunCountOfJob("j2"), 2)
+				}
+				require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+				require.Equal(t, 4, s.taskFleet.RunCountOfJob("j2"), "the cancelled run does not count any more")
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
 func TestNewJobsOfOthersStartAtOnceBesideRunsThatMayNotBeStored(t *testing.T) {
 	runScenario(t, 3, func(s *deployment) {
 		s.keepInstances()
