Count unstored runs of inherited jobs that end before they are found

The workers could see more of a customer's tasks at once than its limit allows (QUOTA), for example 7000 in use with a limit of 5000.

Cause: after a change of leader without a handover, an inherited job can end, for example by a cancellation, while a run of it that is not stored is on a worker that has not reported. The leader forgot the job with its outcome stored, so neither the bound on unstored runs nor, later, the orphaned run counted toward the limit.

Evidence: found by review; shown by the test alone.

An inherited job that has ended without all its tasks done is now kept until all leases of the previous leader have expired. Its waiting tasks stay in the bound as long as their pool waits for workers to report, and an orphaned run of it is counted until it ends.

The outcome in the store does not name the customer, so a run that is still unknown or has not ended at a further change of leader does not count there (by reading).

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -160,7 +161,7 @@
 		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
-			e.stopOrphanedRun(w, t, runID{r.Task, r.Run}, now)
+			e.stopOrphanedRun(w, cmp.Or(t, e.findTaskOfEndedJob(r.Task)), runID{r.Task, r.Run}, now)
 			continue
 		}
 		e.confirmRun(t, r, now)
@@ -224,7 +225,7 @@
 }
 
 // stopOrphanedRun stops a run that belongs to no assigned task, for example
-// because its job has ended. The task t is nil if the job is not known.
+// because its job has ended. The task t is nil if the job is not known any more.
 func (e *Engine) stopOrphanedRun(w *worker, t *task, id runID, now time.Time) {
 	if w.orphanedRuns[id] != nil {
 		return // its stop is repeated until it ends
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -141,6 +141,7 @@
 	e.handover.blockingWorkers = make(map[string]string)
 	e.handover.workersAtStart = make(map[string]bool)
 	e.handover.unlistedWorkers = make(map[string]string)
+	e.handover.endedJobs = make(map[string]*job)
 	e.planner.instances = make(map[string]*instance)
 	e.planner.waves = make(map[int64]*waveState)
 	e.planner.poolHistories = make(map[string]*poolHistory)
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -184,6 +184,7 @@
 		return
 	}
 	delete(e.jobs, j.ID)
+	e.keepEndedJob(j)
 	e.outcomes[j.ID] = outcome{j.state, time.Now()}
 	meter.RecordEndedJob(j.Queue, string(j.state), time.Since(j.Accepted))
 	e.log.Info("job ended and its outcome is stored", "job", j.ID, "queue", j.Queue, "customer", j.Customer, "outcome", j.state, "reason", j.reason, "took", time.Since(j.Accepted).Round(time.Millisecond).String())
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -51,6 +51,7 @@
 		blockingWorkers      map[string]string // by pool, the ID of the worker that inherited tasks wait for; empty if none
 		workersAtStart       map[string]bool   // IDs of the workers that the stored placements, the first worker list or the first instance list name
 		unlistedWorkers      map[string]string // by ID, the instances of those that are on an instance that is up and have been in no worker list
+		endedJobs            map[string]*job   // inherited jobs that have ended while workers may be running unstored tasks of them
 	}
 )
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -63,7 +63,7 @@
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
-// running and of orphaned runs of known jobs, by customer.
+// running and of orphaned runs whose task is known, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
 	usage := make(map[string]modeler.Resources)
 	add := func(t *task) {
--- a/orchestrator/unstored.go
+++ b/orchestrator/unstored.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"iter"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -25,6 +26,45 @@
 	}
 )
 
+// mayInheritUnstoredRuns reports whether any worker may be running tasks whose
+// placement the previous leader did not store.
+func (e *Engine) mayInheritUnstoredRuns(now time.Time) bool {
+	return !e.handover.predecessorStoredAll && now.Before(e.inheritedLeaseExpiry())
+}
+
+// keepEndedJob keeps an inherited job whose outcome is stored as long as workers
+// may be running tasks of it, because such runs count toward the customer's
+// limit.
+func (e *Engine) keepEndedJob(j *job) {
+	if j.fromEarlierTerm && !j.isComplete() && e.mayInheritUnstoredRuns(time.Now()) {
+		e.handover.endedJobs[j.ID] = j
+	}
+}
+
+// findTaskOfEndedJob returns a task of a job that keepEndedJob has kept, or nil
+// if there is no such task.
+func (e *Engine) findTaskOfEndedJob(id modeler.TaskID) *task {
+	j := e.handover.endedJobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	return j.findTask(id)
+}
+
+// jobsWithUnstoredRuns returns the jobs of which workers may be running tasks
+// whose placement the previous leader did not store.
+func (e *Engine) jobsWithUnstoredRuns() iter.Seq[*job] {
+	return func(yield func(*job) bool) {
+		for _, jobs := range []map[string]*job{e.jobs, e.handover.endedJobs} {
+			for _, j := range jobs {
+				if j.fromEarlierTerm && !yield(j) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // addUnstoredUsage adds to the usage of customers with a limit what their
 // inherited tasks that wait for workers to report may be using there. In each
 // pool this is at most what the tasks need and what the workers have besides the
@@ -32,7 +72,8 @@
 // not been stored.
 func (p *placementPass) addUnstoredUsage() {
 	e := p.engine
-	if e.handover.predecessorStoredAll || !p.now.Before(e.inheritedLeaseExpiry()) {
+	if !e.mayInheritUnstoredRuns(p.now) {
+		clear(e.handover.endedJobs)
 		return
 	}
 	workers := make(map[string]*unreportedWorkers) // by pool
@@ -52,9 +93,9 @@
 func (p *placementPass) heldBackResources() map[customerPool]waitingResources {
 	sums := make(map[customerPool]waitingResources)
 	pools := make(map[string][]string) // in which inherited tasks wait, by queue
-	for _, j := range p.engine.jobs {
+	for j := range p.engine.jobsWithUnstoredRuns() {
 		c := p.manifest.Customer(j.Customer)
-		if !j.fromEarlierTerm || c == nil || c.Limit == (modeler.Resources{}) {
+		if c == nil || c.Limit == (modeler.Resources{}) {
 			continue
 		}
 		if _, ok := pools[j.Queue]; !ok {
