Find the pools of unstored runs by queue and pool

Jobs of a removed queue may have been accepted for different pools, but the pools that wait were kept by queue alone, so they depended on the order of a map. No run is known to go wrong: the term record names the pools in which a predecessor may have started anything unstored, and those count in any case. Found by reading; no test. Tests of orchestrator pass.

--- a/orchestrator/unstored.go
+++ b/orchestrator/unstored.go
@@ -17,6 +17,10 @@
 	// customerPool identifies a customer's tasks in a pool.
 	customerPool struct{ customer, pool string }
 
+	// queuePool identifies a queue and a pool that it sends tasks to. Jobs of a
+	// removed queue may have been accepted for different pools.
+	queuePool struct{ queue, pool string }
+
 	// unreportedWorkers describes the workers of a pool that may be running tasks
 	// whose placement the previous leader did not store.
 	unreportedWorkers struct {
@@ -92,20 +96,25 @@
 // of inherited jobs need in each pool in which they wait for workers to report.
 func (p *placementPass) heldBackResources() map[customerPool]waitingResources {
 	sums := make(map[customerPool]waitingResources)
-	pools := make(map[string][]string) // in which inherited tasks wait, by queue
+	pools := make(map[queuePool][]string) // in which inherited tasks wait
 	for j := range p.engine.jobsWithUnstoredRuns() {
 		c := p.manifest.Customer(j.Customer)
 		if c == nil || c.Limit == (modeler.Resources{}) {
 			continue
 		}
-		if _, ok := pools[j.Queue]; !ok {
-			pools[j.Queue] = p.poolsThatWait(j)
+		q := p.manifest.QueueOf(&j.Job)
+		qp := queuePool{queue: j.Queue}
+		if q != nil {
+			qp.pool = q.Pool
+		}
+		if _, ok := pools[qp]; !ok {
+			pools[qp] = p.poolsThatWait(j.Queue, q)
 		}
-		if len(pools[j.Queue]) == 0 {
+		if len(pools[qp]) == 0 {
 			continue
 		}
 		waiting := p.waitingResourcesOf(j)
-		for _, pool := range pools[j.Queue] {
+		for _, pool := range pools[qp] {
 			sum := sums[customerPool{j.Customer, pool}]
 			sum.reserved, sum.unreserved = sum.reserved.Add(waiting.reserved), sum.unreserved.Add(waiting.unreserved)
 			sums[customerPool{j.Customer, pool}] = sum
@@ -114,11 +123,11 @@
 	return sums
 }
 
-// poolsThatWait returns the pools of a job's queue in which inherited tasks wait
-// for workers to report.
-func (p *placementPass) poolsThatWait(j *job) []string {
-	pools := p.engine.handover.inheritedPools[j.Queue]
-	if q := p.manifest.QueueOf(&j.Job); q != nil {
+// poolsThatWait returns the pools of a queue in which inherited tasks wait for
+// workers to report. q is nil if the queue has been removed and is not known.
+func (p *placementPass) poolsThatWait(name string, q *modeler.Queue) []string {
+	pools := p.engine.handover.inheritedPools[name]
+	if q != nil {
 		pools = p.engine.poolsOfQueue(q)
 	}
 	var waiting []string
