--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -66,7 +66,7 @@
 	if err != nil {
 		return nil, classifier.Refuse(classifier.BadRequest, "%v", err)
 	}
-	job.ID, job.Queue, job.Customer, job.Terms = r.job, r.queue.Name, r.customer, r.queue.Terms()
+	job.ID, job.Queue, job.Customer, job.QueueSettings = r.job, r.queue.Name, r.customer, r.queue.Settings()
 	return &job, nil
 }
 
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -149,7 +149,8 @@
 }
 
 // WasValidAt reports whether the leader's lease had certainly not expired at a
-// time returned by Now. A later renewal proves that it had not.
+// time returned by Now. A later renewal counts too, because an expired lease can't
+// be renewed.
 func (t *Term) WasValidAt(at time.Duration) bool {
 	return at-time.Duration(t.lastRenewal.Load()) < t.leaseTime
 }
--- a/modeler/job.go
+++ b/modeler/job.go
@@ -50,16 +50,16 @@
 
 	// Job is a job as its caller submitted it.
 	Job struct {
-		ID       string        `json:"id"`
-		Queue    string        `json:"queue"`
-		Customer string        `json:"customer,omitempty"` // empty in a public queue
-		Spec     string        `json:"spec"`
-		Steps    []Step        `json:"steps"`
-		Repeat   int           `json:"repeat,omitempty"` // number of occurrences; 0 for a job that runs once, immediately
-		FirstDue time.Time     `json:"first,omitzero"`   // due time of the first occurrence
-		Interval time.Duration `json:"interval,omitempty"`
-		Accepted time.Time     `json:"accepted"`
-		Terms    *QueueTerms   `json:"terms,omitempty"` // those of its queue on acceptance; nil in records of earlier versions
+		ID            string         `json:"id"`
+		Queue         string         `json:"queue"`
+		Customer      string         `json:"customer,omitempty"` // empty in a public queue
+		Spec          string         `json:"spec"`
+		Steps         []Step         `json:"steps"`
+		Repeat        int            `json:"repeat,omitempty"` // number of occurrences; 0 for a job that runs once, immediately
+		FirstDue      time.Time      `json:"first,omitzero"`   // due time of the first occurrence
+		Interval      time.Duration  `json:"interval,omitempty"`
+		Accepted      time.Time      `json:"accepted"`
+		QueueSettings *QueueSettings `json:"queue-settings,omitempty"` // those of its queue on acceptance; nil in records of earlier versions
 	}
 
 	// TaskID identifies a task.
--- a/modeler/manifest.go
+++ b/modeler/manifest.go
@@ -38,9 +38,9 @@
 		Advice          *Advice       // nil if any worker of the pool may run the steps
 	}
 
-	// QueueTerms are the settings of a queue that its accepted jobs keep if the
+	// QueueSettings are the settings of a queue that its accepted jobs keep if the
 	// queue is removed. The fields are those of Queue.
-	QueueTerms struct {
+	QueueSettings struct {
 		Pool            string        `json:"pool"`
 		Priority        int           `json:"priority,omitempty"`
 		MaxFailedRuns   int           `json:"attempts,omitempty"`
@@ -74,21 +74,21 @@
 	}
 )
 
-// Terms returns the settings that accepted jobs keep.
-func (q *Queue) Terms() *QueueTerms {
-	return &QueueTerms{q.Pool, q.Priority, q.MaxFailedRuns, q.ObjectiveFactor, q.ObjectiveOffset, q.Advice}
+// Settings returns the settings that accepted jobs keep.
+func (q *Queue) Settings() *QueueSettings {
+	return &QueueSettings{q.Pool, q.Priority, q.MaxFailedRuns, q.ObjectiveFactor, q.ObjectiveOffset, q.Advice}
 }
 
 // QueueOf returns the queue of a job. If the queue has been removed, it returns
-// one with the terms on which the job was accepted, or nil if they are unknown.
+// one with the settings that applied when the job was accepted, or nil if they are unknown.
 func (m *Manifest) QueueOf(j *Job) *Queue {
-	t := j.Terms
-	if q := m.Queue(j.Queue); q != nil || t == nil {
+	s := j.QueueSettings
+	if q := m.Queue(j.Queue); q != nil || s == nil {
 		return q
 	}
 	return &Queue{
-		Name: j.Queue, Pool: t.Pool, Priority: t.Priority, MaxFailedRuns: t.MaxFailedRuns,
-		ObjectiveFactor: t.ObjectiveFactor, ObjectiveOffset: t.ObjectiveOffset, Advice: t.Advice,
+		Name: j.Queue, Pool: s.Pool, Priority: s.Priority, MaxFailedRuns: s.MaxFailedRuns,
+		ObjectiveFactor: s.ObjectiveFactor, ObjectiveOffset: s.ObjectiveOffset, Advice: s.Advice,
 	}
 }
 
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -16,7 +16,7 @@
 	pollWaitWithTasks        = 500 * time.Millisecond // how long a worker with tasks may hold a poll; a broken connection is noticed after this time
 	pollWaitDuringStartup    = 250 * time.Millisecond // how long a worker may hold a poll while a long-running task is still starting up
 	pollWaitIdle             = 2 * time.Second        // how long a worker without tasks may hold a poll; the maximum that workers accept
-	unstoredEndsPollInterval = 500 * time.Millisecond // ended runs that could not be stored are requested again after this time
+	pendingWritePollInterval = 500 * time.Millisecond // a worker whose next poll waits for a write to the store is polled again after this time
 	minPollRetryInterval     = 150 * time.Millisecond // after a failed poll; doubles with each further failure
 	maxPollRetryInterval     = time.Second            // upper limit of the retry interval for a worker that stays unresponsive
 	maxReportedEnds          = 500                    // a report contains at most this many ended runs, from the platform's documentation
@@ -91,7 +91,7 @@
 	if w.polling || w.pollRequests == nil {
 		return
 	}
-	pause := unstoredEndsPollInterval
+	pause := pendingWritePollInterval
 	if w.failedPolls > 0 {
 		pause = min(minPollRetryInterval<<min(w.failedPolls-1, 4), maxPollRetryInterval)
 	}
@@ -143,8 +143,8 @@
 	e.requestNextPoll(w, now)
 }
 
-// isComplete reports whether a run that the report doesn't contain neither runs
-// nor has ended unacknowledged. A full list of ended runs may lack some.
+// isComplete reports whether the report lists all ended runs that are not
+// acknowledged. If so, a run that it doesn't list has ended or never started.
 func isComplete(report modeler.Report) bool {
 	return len(report.Ended) < maxReportedEnds
 }
@@ -251,7 +251,7 @@
 // have certainly expired. If the worker has not responded in this term, the
 // previous leader may have extended its leases for some time after this term
 // began, unless the previous leader recorded that the worker had stopped
-// responding.
+// responding. It returns the zero time if the worker has ended or been replaced.
 func (e *Engine) leaseExpiry(w *worker) time.Time {
 	if w.replaced || w.ended {
 		return time.Time{}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -224,8 +224,9 @@
 	}
 }
 
-// stopOrphanedRun stops a run that belongs to no assigned task, for example
-// because its job has ended. The task t is nil if the job is not known any more.
+// stopOrphanedRun stops a run that no task needs: its job has ended, its task is
+// placed elsewhere, or an earlier run of the task is done. repeatStops repeats the
+// stop. t is nil if the job is not known any more.
 func (e *Engine) stopOrphanedRun(w *worker, t *task, id runID, now time.Time) {
 	if w.orphanedRuns[id] != nil {
 		return // its stop is repeated until it ends
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -314,7 +314,7 @@
 		if err == nil {
 			e.restoreState(records)
 			e.log.Info("fleet state read from the store", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision,
-				"handed-over", e.handover.predecessorStoredAll, "recorded-unresponsive", len(e.unresponsive.workers), "took", time.Since(e.termStart).String())
+				"handed-over", e.handover.predecessorStoredAll, "unresponsive-workers", len(e.unresponsive.workers), "took", time.Since(e.termStart).String())
 			return revision, nil
 		}
 		e.log.Warn("jobs not read from the store, trying again", "error", err)
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -58,7 +58,7 @@
 	})
 }
 
-func TestOrphanedRunCountsTowardTheCustomerLimit(t *testing.T) {
+func TestOtherJobDoesNotStartWhileAnOrphanedRunUsesUpTheLimit(t *testing.T) {
 	runScenario(t, 3, func(s *deployment) {
 		s.taskFleet.RunOutcome = neverEnds
 		s.taskFleet.StopTime = 3 * time.Second
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -92,10 +92,9 @@
 }
 
 // startedAfterFirstListRequest reports whether a worker that is listed for the
-// first time started after this term's first worker list was requested. The
-// previous leader never sent orders to such a worker, because a leader uses no
-// worker list received after its lease expired. An older worker whose
-// registration had expired and that is listed again doesn't count.
+// first time started, by its own clock, after this term's first worker list was
+// requested. The clock alone doesn't prove that the previous leader did not know
+// the worker, see isNewInTerm.
 func (e *Engine) startedAfterFirstListRequest(w *worker, requestedAt time.Time) bool {
 	return !w.polled && requestedAt.After(e.firstListAt) && time.UnixMilli(w.StartTimeMs).After(e.firstListAt)
 }
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -26,8 +26,8 @@
 
 type (
 	// TermRecord identifies a term by its fencing token. In the record of a term
-	// that began, Pools lists, by queue, the pools in which tasks may run that are
-	// not stored.
+	// that began, Pools lists, by queue, the pools in which the term may start tasks
+	// before their placement is stored.
 	TermRecord struct {
 		Token int64               `json:"token"`
 		Pools map[string][]string `json:"pools,omitempty"`
@@ -153,6 +153,7 @@
 // this leader does not know of or that the stored state does not contain.
 func (e *Engine) storeHandoverRecord(ctx context.Context) {
 	if len(e.unstoredJobs) > 0 || e.commitsInFlight > 0 {
+		e.log.Info("handover record of the term not stored: some jobs are not stored", "jobs", len(e.unstoredJobs), "transactions", e.commitsInFlight)
 		return
 	}
 	if !e.knowsAllRuns(time.Now()) {
@@ -169,7 +170,11 @@
 		Expect: []keeper.Expectation{e.termCondition()},
 		Put:    []keeper.Put{{Key: handoverKey, Value: encodeJSON(TermRecord{Token: e.term.Token})}},
 	})
-	e.log.Info("handover record of the term sent to the store", "error", err)
+	if err != nil {
+		e.log.Warn("handover record of the term not stored", "error", err)
+		return
+	}
+	e.log.Info("handover record of the term stored")
 }
 
 // maySendStart reports whether a placed task may be started: its placement is
@@ -256,9 +261,9 @@
 	return w.registeredInTerm && !e.handover.workersAtStart[w.ID]
 }
 
-// findUnlistedWorker returns the ID of a worker that runs on an instance of the
-// pool and has not been in a worker list of this term. It returns an empty ID if
-// there is none.
+// findUnlistedWorker returns the ID of a worker that the first instance list
+// showed in the pool and that no worker list of this term has named. It returns an
+// empty ID if there is none, and instancesNotListed before the first instance list.
 func (e *Engine) findUnlistedWorker(pool string) string {
 	if e.handover.predecessorStoredAll || e.planner.api == nil {
 		return ""
@@ -351,8 +356,23 @@
 		return
 	}
 	w.notAwaitedLogged = true
-	e.log.Info("inherited tasks do not wait for a worker that has not reported", "worker", w.ID, "pool", w.Pool,
-		"registered-in-term", e.isNewInTerm(w), "recorded-unresponsive", e.unresponsive.restored[w.ID].AllStored, "leases-until", e.leaseExpiry(w))
+	e.log.Info("inherited tasks do not wait for a worker that has not reported", "worker", w.ID, "pool", w.Pool, "reason", e.reasonNotToAwait(w))
+}
+
+// reasonNotToAwait returns, for log lines, why a worker that has not reported
+// runs no unstored tasks.
+func (e *Engine) reasonNotToAwait(w *worker) string {
+	switch {
+	case w.replaced:
+		return "replaced"
+	case w.ended:
+		return "ended"
+	case e.isNewInTerm(w):
+		return "new in this term"
+	case e.unresponsive.restored[w.ID].AllStored:
+		return "recorded as unresponsive with all runs stored"
+	}
+	return "leases expired"
 }
 
 // mayBeInPool reports whether the worker is in a pool, as far as that is known.
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -58,7 +58,7 @@
 		tasks         []*task
 		waitingTasks  int               // tasks in phase waiting
 		finishedTasks int               // tasks in phase done
-		tickets       map[string]ticket // decisions of the advice service by worker ID; nil if none is known
+		tickets       map[string]ticket // decisions of the advice service by worker ID; nil before its first response
 		adviceRetryAt time.Time         // no tickets are requested before this time
 		advicePending bool
 		preferredRack string // rack for a step whose tasks should run on one rack
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -44,7 +44,10 @@
 // queueCall queues a call to a worker and reports whether there was room for
 // it. If not, the call is dropped.
 func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) bool {
-	if w.pendingCalls == nil || !w.pendingCalls.Offer(fn) {
+	if w.pendingCalls == nil {
+		return false // the worker has never been listed
+	}
+	if !w.pendingCalls.Offer(fn) {
 		e.log.Warn("order dropped: call queue of the worker is full", "worker", w.ID)
 		return false
 	}
@@ -216,11 +219,19 @@
 		err := e.workers.Stop(ctx, info, id, run, token)
 		e.runInEventLoop(ctx, func() {
 			s.inFlight, s.repeatAt = false, time.Now().Add(stopRepeatInterval)
-			if err != nil {
-				s.repeatAt = time.Now().Add(callRetryInterval)
+			if err == nil {
+				return
+			}
+			s.repeatAt = time.Now().Add(callRetryInterval)
+			if !s.failureLogged {
+				s.failureLogged = true
+				e.log.Warn("stop of a run failed, trying again", "task", id.String(), "run", run, "worker", w.ID, "error", err)
 			}
 		})
 	})
+	if !s.inFlight {
+		s.repeatAt = time.Now().Add(stopRepeatInterval)
+	}
 }
 
 // repeatStops sends the stops of runs again that have not ended, because a stop
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -56,7 +56,7 @@
 	for _, r := range records {
 		e.unresponsive.revision = r.Revision
 		if err := json.Unmarshal(r.Value, &e.unresponsive.workers); err != nil {
-			e.log.Error("record of silent workers cannot be read, left alone", "revision", r.Revision, "error", err)
+			e.log.Error("record of silent workers cannot be read, the next write replaces it", "revision", r.Revision, "error", err)
 		}
 	}
 	e.unresponsive.restored = maps.Clone(e.unresponsive.workers)
@@ -196,7 +196,8 @@
 		if !e.checkStillLeader(records, err) {
 			return
 		}
-		r.revision = revisionOf(unresponsiveKey, records) // an earlier write whose response was lost
+		r.revision = revisionOf(unresponsiveKey, records)
+		e.log.Info("earlier write of the record of silent workers found in the store, using its revision", "revision", r.revision)
 	default:
 		e.log.Warn("record of silent workers not stored, trying again", "error", err)
 		r.retryAfter = time.Now().Add(unresponsiveRetryInterval)
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -263,7 +263,7 @@
 
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
-	j.Accepted, j.Terms = time.Now(), d.manifest.Queue(j.Queue).Terms()
+	j.Accepted, j.QueueSettings = time.Now(), d.manifest.Queue(j.Queue).Settings()
 	_, _, err := d.store.ClientFor("caller").Commit(d.t.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)}},
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -30,7 +30,7 @@
 		replaced           bool          // a newer worker runs on its instance
 		ended              bool          // has ended according to the instance list
 		unreachableSince   time.Time     // when it was added or the first poll failed, if not reachable
-		registeredInTerm   bool          // started after the previous leader's lease expired, see startedAfterFirstListRequest
+		registeredInTerm   bool          // its clock says that it started in this term, see isNewInTerm
 		notAwaitedLogged   bool          // see logWorkerNotAwaited
 		suspectUntil       time.Time     // gets no new tasks before this time
 		hasUnknownStart    bool          // a start got no response, and no poll has succeeded since
@@ -79,8 +79,9 @@
 
 	// stopState is the state of the stop of a run.
 	stopState struct {
-		inFlight bool      // queued or in flight
-		repeatAt time.Time // if the run has not ended by this time, the stop is sent again
+		inFlight      bool      // queued or in flight
+		failureLogged bool      // a failure of the stop has been logged
+		repeatAt      time.Time // if the run has not ended by this time, the stop is sent again
 	}
 
 	// pollRequest requests a worker's lists of current and ended runs and extends
