Adapt calls to workers to how long they take, and wait for listed workers

In all 66 ends 'done' that were read late, the worker had been listed all the time. Change: throttler derives the time limit of calls from the response times, and the number of starts in flight from slow and late calls; while calls are slow polls are repeated after a pause. The tasks of a worker that is still listed wait for its report; only long-running ones are started again when its leases are over.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -13,12 +13,14 @@
 	"github.com/juju/errors"
 
 	"github.com/coltsfootlever/coltsfootlever/acceptor"
+	"github.com/coltsfootlever/coltsfootlever/connector"
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/requester"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
+	"github.com/coltsfootlever/coltsfootlever/throttler"
 )
 
 const (
@@ -137,10 +139,11 @@
 // newElector returns the service that runs for leadership and leads the fleet
 // while this entry node is the leader.
 func (l *Launcher) newElector(s *platform.Settings, store *platform.Store) *elector.Elector {
-	workers := platform.NewWorkerClient(requester.NewClient(platform.NewTransport(workerIdleConns)))
+	throttle := throttler.New()
+	workers := platform.NewWorkerClient(requester.NewClient(platform.NewTransport(workerIdleConns, connector.WithConnectTimeout(throttle.TimeLimit))), throttle)
 	directory := platform.NewWorkerDirectory(store, l.log)
 	instances := platform.NewInstanceClient(func() string { return l.settings.Load().InstancesAddress }, s.Instance, requester.NewClient(platform.NewTransport(instanceIdleConns)))
-	opts := []orchestrator.Option{orchestrator.WithInstances(instances)}
+	opts := []orchestrator.Option{orchestrator.WithInstances(instances), orchestrator.WithThrottle(throttle)}
 	if s.AdviceAddress != "" {
 		opts = append(opts, orchestrator.WithAdvisor(platform.NewAdviceClient(
 			func() string { return l.settings.Load().AdviceAddress }, requester.NewClient(platform.NewTransport(1)))))
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -19,6 +19,7 @@
 	pendingWritePollInterval = 500 * time.Millisecond // a worker whose next poll waits for a write to the store is polled again after this time
 	minPollRetryInterval     = 150 * time.Millisecond // after a failed poll; doubles with each further failure
 	maxPollRetryInterval     = time.Second            // upper limit of the retry interval for a worker that stays unresponsive
+	maxReportWait            = 30 * time.Second       // how long the tasks of an unreachable worker that is still listed wait for its report after their leases have expired
 	maxReportedEnds          = 500                    // a report contains at most this many ended runs, from the platform's documentation
 )
 
@@ -152,7 +153,13 @@
 // requestNextPoll queues the next poll of a worker. The worker may hold it for
 // less time while a long-running task starts up, or while tasks that use idle
 // CPU run next to tasks with a latency target.
+//
+// While calls take long, retryPoll polls the worker after a pause instead, so that
+// fewer polls tell of more ended runs each.
 func (e *Engine) requestNextPoll(w *worker, now time.Time) {
+	if e.throttle.IsCongested() {
+		return
+	}
 	wait := pollWaitIdle
 	if len(w.tasks) > 0 {
 		wait = pollWaitWithTasks
@@ -232,8 +239,21 @@
 // handleLeaseExpiry requeues the tasks of an unresponsive worker once all its
 // leases have certainly expired, and removes the worker if it is no longer
 // listed.
+//
+// The expiry proves that nothing runs on the worker any more, but not that a run
+// has not been completed before. A worker that is still listed is at work, and only
+// this entry node can't reach it: its tasks wait for its report, for up to
+// maxReportWait. Long-running tasks don't wait, because they can't be completed.
 func (e *Engine) handleLeaseExpiry(w *worker, now time.Time) {
-	if w.reachable || now.Before(e.leaseExpiry(w)) {
+	if w.reachable {
+		return
+	}
+	expiry := e.leaseExpiry(w)
+	if now.Before(expiry) {
+		return
+	}
+	if w.listed && !w.replaced && !w.ended && now.Before(expiry.Add(maxReportWait)) {
+		e.requeueLongRunningTasksOf(w, "lease over")
 		return
 	}
 	e.requeueTasksOf(w, "lease over")
@@ -242,11 +262,30 @@
 			w.cancel()
 		}
 		delete(e.workersByID, w.ID)
+		e.forgetStartsInFlight(w)
 		e.log.Info("worker gone: no longer listed and its leases have expired", "worker", w.ID, "pool", w.Pool)
 		e.clearUnresponsiveWorker(w.ID)
 	}
 }
 
+// requeueLongRunningTasksOf requeues the long-running tasks of a worker on which
+// all runs have certainly ended. It also forgets orphaned runs, but for those that
+// may have been completed and whose task is still wanted.
+func (e *Engine) requeueLongRunningTasksOf(w *worker, reason string) {
+	for id, r := range w.orphanedRuns {
+		if r.task == nil || r.task.step.LongRunning || r.task.phase == done {
+			delete(w.orphanedRuns, id)
+			e.requestPlacement()
+		}
+	}
+	for _, t := range w.tasks {
+		if t.step.LongRunning {
+			e.requeueLostTask(w, t, reason)
+			e.requestPlacement()
+		}
+	}
+}
+
 // leaseExpiry returns the time at which all leases of an unresponsive worker
 // have certainly expired. If the worker has not responded in this term, the
 // previous leader may have extended its leases for some time after this term
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -44,12 +44,12 @@
 			s.submit(large)
 			time.Sleep(500 * time.Millisecond)
 			silent := s.instances.WorkerOf(s.instancesWithTasks("a", "b", "c")[0])
-			s.taskFleet.SetUnresponsive(silent, true)
+			s.cutOff(silent, true)
 			time.Sleep(10 * time.Second)
 			require.Equal(s.t, 2, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
 			s.submit(shortJob("j2"))
 			time.Sleep(500 * time.Millisecond)
-			s.taskFleet.SetUnresponsive(silent, false)
+			s.cutOff(silent, false)
 			return e
 		},
 	} {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
+	"github.com/coltsfootlever/coltsfootlever/throttler"
 )
 
 const (
@@ -46,6 +47,14 @@
 		RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error)
 	}
 
+	// Throttle tells how many starts may be in flight, and whether calls to workers
+	// take so long that those which can wait should wait. throttler.Throttler
+	// implements the interface.
+	Throttle interface {
+		Limit() int
+		IsCongested() bool
+	}
+
 	// Directory lists the registered workers.
 	Directory interface {
 		Workers(ctx context.Context) ([]modeler.Worker, error)
@@ -80,6 +89,7 @@
 		workers         Workers
 		directory       Directory
 		advisor         Advisor
+		throttle        Throttle
 		term            *elector.Term
 		log             *slog.Logger
 		eventQueue      *supervisor.Ring[func()]
@@ -93,7 +103,8 @@
 		termStart            time.Time
 		firstListAt          time.Time // when the first worker list of the term was requested
 		unstoredJobs         map[*job]bool
-		dirtyCount           int64   // number of times that a job became unstored, see job.dirtyOrder
+		dirtyCount           int64 // number of times that a job became unstored, see job.dirtyOrder
+		startsInFlight       int
 		awaitingStart        []*task // placed tasks; their start is sent once the placement is stored
 		unknownRunsFound     bool    // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
 		commitsInFlight      int     // job transactions in flight
@@ -121,6 +132,11 @@
 	return func(e *Engine) { e.advisor = a }
 }
 
+// WithThrottle sets what limits the calls to workers.
+func WithThrottle(t Throttle) Option {
+	return func(e *Engine) { e.throttle = t }
+}
+
 // WithLog sets the logger.
 func WithLog(log *slog.Logger) Option {
 	return func(e *Engine) { e.log = log.With("token", e.term.Token) }
@@ -129,7 +145,7 @@
 // New returns an engine for one term of leadership.
 func New(cfg Config, store Store, workers Workers, directory Directory, term *elector.Term, opts ...Option) *Engine {
 	e := &Engine{
-		cfg: cfg, store: store, workers: workers, directory: directory, term: term, log: slog.New(slog.DiscardHandler),
+		cfg: cfg, store: store, workers: workers, directory: directory, term: term, log: slog.New(slog.DiscardHandler), throttle: throttler.New(),
 		eventQueue:   supervisor.NewRing[func()](eventQueueSize),
 		jobs:         make(map[string]*job),
 		workersByID:  make(map[string]*worker),
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -244,11 +244,12 @@
 	e.requeuePlacedOverLimit()
 	orphanedTasks := sync.OnceValue(e.tasksWithOrphanedRuns) // usually no task may be started yet
 	remaining := e.awaitingStart[:0]
+	limit := e.throttle.Limit()
 	for _, t := range e.awaitingStart {
 		j := t.step.occurrence.job
 		switch {
 		case t.phase != placed:
-		case e.shuttingDown || !e.maySendStart(t, now):
+		case e.shuttingDown || !e.maySendStart(t, now) || e.startsInFlight >= limit && !t.step.Gang: // members of a gang wait for each other on their workers
 			remaining = append(remaining, t)
 		case j.state.IsFinal() || !t.worker.mayBeUsed() || t.worker.StartTimeMs != t.placementBoot || orphanedTasks()[t.id] || t.step.Gang && t.step.hasTaskIn(orphanedTasks()):
 			e.requeueTask(t)
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -29,7 +29,10 @@
 	info := w.Worker
 	queued := e.queueCall(w, func(ctx context.Context) {
 		clock, err := e.workers.Start(ctx, info, o)
-		e.runInEventLoop(ctx, func() { e.handleStartResult(ctx, w, t, o, clock, err) })
+		e.runInEventLoop(ctx, func() {
+			e.countStartResult(w)
+			e.handleStartResult(ctx, w, t, o, clock, err)
+		})
 	})
 	if !queued {
 		w.markSuspect(now)
@@ -37,10 +40,27 @@
 		e.requestPlacement()
 		return
 	}
+	e.startsInFlight++
+	w.startsInFlight++
 	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
 	t.phase, t.phaseSince = starting, now
 }
 
+// countStartResult records that a start is no longer in flight.
+func (e *Engine) countStartResult(w *worker) {
+	if w.startsInFlight > 0 { // otherwise the worker is gone, and forgetStartsInFlight has counted the start
+		w.startsInFlight--
+		e.startsInFlight--
+	}
+}
+
+// forgetStartsInFlight records that the starts in flight to a worker that is gone
+// will have no result.
+func (e *Engine) forgetStartsInFlight(w *worker) {
+	e.startsInFlight -= w.startsInFlight
+	w.startsInFlight = 0
+}
+
 // queueCall queues a call to a worker and reports whether there was room for
 // it. If not, the call is dropped.
 func (e *Engine) queueCall(w *worker, fn func(ctx context.Context)) bool {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -67,6 +67,9 @@
 	p.customerShares = p.customerSharesByPool(candidates)
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
 		for _, c := range candidates {
+			if !c.step.LongRunning && len(e.awaitingStart) >= e.throttle.Limit() {
+				continue // a task that can't be started soon may be placed better later
+			}
 			p.placeStep(c.step, fair)
 		}
 	}
--- /dev/null
+++ b/orchestrator/slow_link_test.go
@@ -0,0 +1,83 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+// A run that was completed on a worker which only this entry node can't reach must
+// not be started again when the worker's leases have expired.
+func TestTasksOfAListedWorkerWaitForItsReport(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.keepInstances()
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 3000}}))
+		time.Sleep(500 * time.Millisecond)
+		silent := s.instances.WorkerOf("a")
+		s.taskFleet.SetUnresponsive(silent, true)
+		time.Sleep(2 * testLease)
+		require.Equal(t, modeler.Running, s.jobState("j1"))
+		s.taskFleet.SetUnresponsive(silent, false)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		for i := range 2 {
+			require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, i)))
+		}
+		e.stopGracefully()
+	})
+}
+
+// Draws how slow and lossy the way to the workers is at each moment. No task may
+// be completed twice, and all jobs are completed once the way is sound again.
+func TestSlowAndLossyWayToTheWorkersBreaksNoPromise(t *testing.T) {
+	for seed := range uint64(200) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.keepInstances()
+				rng := rand.New(rand.NewPCG(seed, 1))
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				jobs := 0
+				for range 30 {
+					e.pollDelay.Store(int64(rng.IntN(400)) * int64(time.Millisecond))
+					e.losesRenewals.Store(rng.IntN(3) == 0)
+					for _, name := range []string{"a", "b", "c", "d"} {
+						if rng.IntN(3) == 0 {
+							e.unreachableWorkers.Store(s.instances.WorkerOf(name), true)
+						} else {
+							e.unreachableWorkers.Delete(s.instances.WorkerOf(name))
+						}
+					}
+					lateStarts := rng.IntN(2) == 0
+					s.taskFleet.SetStartDelay(func(_ modeler.TaskID, run int) time.Duration {
+						if lateStarts && run == 1 {
+							return time.Duration(100+rng.IntN(2000)) * time.Millisecond
+						}
+						return 0
+					})
+					s.submit(shortJob(fmt.Sprintf("j%d", jobs)))
+					jobs++
+					time.Sleep(time.Duration(200+rng.IntN(3000)) * time.Millisecond)
+				}
+				e.pollDelay.Store(0)
+				e.losesRenewals.Store(false)
+				e.unreachableWorkers.Clear()
+				s.taskFleet.SetStartDelay(nil)
+				time.Sleep(30 * time.Second)
+				for i := range jobs {
+					for n := range 4 {
+						require.Equal(t, 1, s.taskFleet.SuccessfulRuns(taskID(fmt.Sprintf("j%d", i), 0, n)), "task %d of job %d", n, i)
+					}
+				}
+				e.stopGracefully()
+			})
+		})
+	}
+}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -41,6 +41,7 @@
 		leaseDeadline      int64                  // latest lease expiry sent, on the worker's clock
 		acknowledgedEnd    int64                  // number of the last ended run that the worker need not list again
 		pendingEnds        []reportedEnd          // ended runs reported by the worker and not acknowledged yet
+		startsInFlight     int                    // starts that are queued or await a response
 		polling            bool                   // a poll is queued or in flight
 		lastPollAt         time.Time              // when the last poll was queued
 		failedPolls        int                    // failed polls in a row
--- /dev/null
+++ b/throttler/throttler.go
@@ -0,0 +1,124 @@
+package throttler
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	minTimeLimit  = 300 * time.Millisecond  // a responsive host answers within a few ms
+	maxTimeLimit  = 2400 * time.Millisecond // two calls in a row fit into the lease of a task
+	slowCall      = 100 * time.Millisecond  // a longer call has waited in some queue
+	maxBackoff    = 3                       // minTimeLimit doubled this often is maxTimeLimit
+	smoothing     = 1.0 / 8                 // of the response time, from RFC 6298
+	deviationRate = 1.0 / 4                 // of its deviation, from RFC 6298
+	deviations    = 4                       // added to the response time, from RFC 6298
+
+	lateShareRate  = 1.0 / 64               // weight of a call in the share of late calls
+	highLateShare  = 0.2                    // more than that are not only some hosts that have failed
+	lowLateShare   = 0.05                   // the time limit falls again below this
+	backoffFallGap = 500 * time.Millisecond // between two reductions of the time limit
+
+	initialLimit = 128 // calls in flight
+	minLimit     = 8
+	maxLimit     = 1024
+	slowFactor   = 0.9 // of the limit after a slow call
+	lateFactor   = 0.7 // of the limit after a late call
+)
+
+// Throttler measures calls. Its methods may be called concurrently.
+type Throttler struct {
+	mu             sync.Mutex
+	response       time.Duration // smoothed response time; 0 before the first call
+	deviation      time.Duration // smoothed deviation of the response time
+	lateShare      float64       // of the recent calls
+	backoff        int           // number of times that the time limit is doubled
+	backoffChanged time.Time
+	limit          float64 // calls in flight
+	limitReducedAt time.Time
+}
+
+// New returns a throttler that has seen no calls.
+func New() *Throttler {
+	return &Throttler{limit: initialLimit}
+}
+
+// TimeLimit returns how long a call may take before its response counts as lost.
+func (t *Throttler) TimeLimit() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.timeLimit()
+}
+
+func (t *Throttler) timeLimit() time.Duration {
+	return min(max(t.response+deviations*t.deviation, minTimeLimit)<<t.backoff, maxTimeLimit)
+}
+
+// Limit returns how many calls may be in flight.
+func (t *Throttler) Limit() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return int(t.limit)
+}
+
+// IsCongested reports whether many calls are slow or late, so that calls which can
+// wait should wait.
+func (t *Throttler) IsCongested() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.backoff > 0 || t.response > slowCall
+}
+
+// RecordResponse records a call that was answered after took.
+func (t *Throttler) RecordResponse(now time.Time, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.response == 0 {
+		t.response, t.deviation = took, took/2
+	} else {
+		t.deviation += time.Duration(deviationRate * float64((took-t.response).Abs()-t.deviation))
+		t.response += time.Duration(smoothing * float64(took-t.response))
+	}
+	t.updateLateShare(now, 0)
+	if took <= slowCall {
+		t.limit = min(t.limit+1/t.limit, maxLimit)
+	} else {
+		t.reduceLimit(now, slowFactor)
+	}
+}
+
+// RecordLate records a call that got no response within its time limit. Calls to
+// some failed hosts have little effect as long as the others respond.
+func (t *Throttler) RecordLate(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.updateLateShare(now, 1)
+	if t.lateShare > lowLateShare {
+		t.reduceLimit(now, lateFactor)
+	}
+}
+
+// updateLateShare adds a call to the share of late calls and adapts the time
+// limit.
+func (t *Throttler) updateLateShare(now time.Time, late float64) {
+	t.lateShare += lateShareRate * (late - t.lateShare)
+	since := now.Sub(t.backoffChanged)
+	switch {
+	case t.lateShare > highLateShare && t.backoff < maxBackoff && since >= t.timeLimit():
+		t.backoff++
+		t.backoffChanged = now
+	case t.lateShare < lowLateShare && t.backoff > 0 && since >= backoffFallGap:
+		t.backoff--
+		t.backoffChanged = now
+	}
+}
+
+// reduceLimit multiplies the limit by factor, but only once for the calls that
+// were in flight together.
+func (t *Throttler) reduceLimit(now time.Time, factor float64) {
+	if now.Sub(t.limitReducedAt) < slowCall {
+		return
+	}
+	t.limitReducedAt = now
+	t.limit = max(t.limit*factor, minLimit)
+}
--- /dev/null
+++ b/throttler/throttler_test.go
@@ -0,0 +1,86 @@
+package throttler_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/throttler"
+)
+
+// play tells a throttler of a call each 5 ms. outcome returns the response time of
+// call number n, or 0 for a call without a response.
+func play(t *throttler.Throttler, now time.Time, calls int, outcome func(n int) time.Duration) time.Time {
+	for n := range calls {
+		now = now.Add(5 * time.Millisecond)
+		if took := outcome(n); took > 0 {
+			t.RecordResponse(now, took)
+		} else {
+			t.RecordLate(now)
+		}
+	}
+	return now
+}
+
+func fast(int) time.Duration { return 5 * time.Millisecond }
+
+func never(int) time.Duration { return 0 }
+
+func TestTimeLimitFollowsResponseTimes(t *testing.T) {
+	th := throttler.New()
+	require.Equal(t, 300*time.Millisecond, th.TimeLimit())
+	now := play(th, time.Now(), 200, fast)
+	require.Equal(t, 300*time.Millisecond, th.TimeLimit())
+	require.False(t, th.IsCongested())
+	now = play(th, now, 200, func(int) time.Duration { return 700 * time.Millisecond })
+	require.Greater(t, th.TimeLimit(), 700*time.Millisecond)
+	require.True(t, th.IsCongested())
+	play(th, now, 400, fast)
+	require.Equal(t, 300*time.Millisecond, th.TimeLimit())
+	require.False(t, th.IsCongested())
+}
+
+// With a time limit below the response times no call would ever be answered, and
+// none would tell how long it takes.
+func TestTimeLimitGrowsWhileAllCallsAreLate(t *testing.T) {
+	th := throttler.New()
+	now := play(th, time.Now(), 1000, never)
+	require.Equal(t, 2400*time.Millisecond, th.TimeLimit())
+	play(th, now, 1000, fast)
+	require.Equal(t, 300*time.Millisecond, th.TimeLimit())
+}
+
+func TestSomeFailedHostsChangeLittle(t *testing.T) {
+	th := throttler.New()
+	play(th, time.Now(), 2000, func(n int) time.Duration {
+		if n%25 == 0 {
+			return 0
+		}
+		return 5 * time.Millisecond
+	})
+	require.Equal(t, 300*time.Millisecond, th.TimeLimit())
+	require.False(t, th.IsCongested())
+	require.GreaterOrEqual(t, th.Limit(), 100)
+}
+
+// Plays a link that carries 100 calls a second and queues the others: the calls in
+// flight must stay close to what the link carries within the response time that
+// counts as slow.
+func TestLimitFollowsANarrowLink(t *testing.T) {
+	const callsPerSecond = 100
+	th, now := throttler.New(), time.Now()
+	for range 3000 {
+		now = now.Add(time.Second / callsPerSecond)
+		th.RecordResponse(now, time.Duration(th.Limit())*time.Second/callsPerSecond)
+	}
+	require.Less(t, th.Limit(), 20)
+	require.Greater(t, th.Limit(), 5)
+}
+
+func ExampleThrottler() {
+	t := throttler.New()
+	fmt.Println(t.TimeLimit(), t.Limit(), t.IsCongested())
+	// Output: 300ms 128 false
+}
