Decode only what is needed of the store's answers, and pace lists and flushes

Cause: on the small twin of the large fleet the leader's link of 2 Mbit/s is full with lists of workers and instances, which moves cause to be read up to ten and four times a second, and with progress records, each of which comes back through the watch of the jobs. At full size decoding takes 0.8 of the 3.7 s of processor time in the run of TestLargeFleet.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -154,7 +154,7 @@
 		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, store.WithOptions(platform.WithMinWatchInterval(minWatchInterval)), workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
+		orchestrator.New(cfg, store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput)), workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
 	}
 	return elector.New(store, s.Instance, runTerm, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(newDelayCalculator(s, store, l.log).candidateDelay))
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -105,9 +105,10 @@
 		unstoredJobs         map[*job]bool
 		dirtyCount           int64 // number of times that a job became unstored, see job.dirtyOrder
 		startsInFlight       int
-		awaitingStart        []*task // placed tasks; their start is sent once the placement is stored
-		unknownRunsFound     bool    // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
-		commitsInFlight      int     // job transactions in flight
+		awaitingStart        []*task       // placed tasks; their start is sent once the placement is stored
+		unknownRunsFound     bool          // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
+		commitsInFlight      int           // job transactions in flight
+		commitTime           time.Duration // smoothed time that they take
 		nextPlacement        time.Time
 		nextFlush            time.Time
 		nextTick             time.Time
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -21,6 +21,9 @@
 	keysPerProgressWrite  = 2   // the leader record's condition and the progress record
 	keysPerOutcomeWrite   = 4   // the leader record's condition, the outcome record and the two deleted records
 
+	maxFlushInterval    = 250 * time.Millisecond // callers wait for the outcomes of their jobs
+	commitTimeSmoothing = 8                      // number of transactions over which their time is smoothed
+
 	flushRetryInterval = 100 * time.Millisecond // after a failed transaction
 )
 
@@ -32,7 +35,9 @@
 	final    []bool
 }
 
-// flush stores changed jobs in batches. Each transaction requires that this
+// flush stores changed jobs in batches, the next one at the earliest after the
+// time that transactions take: over a slow connection one record so contains more
+// changes of its job. Each transaction requires that this
 // leader's term is current and that each job's progress record has its last
 // known revision, so that a transaction that the store executes late changes
 // nothing.
@@ -43,7 +48,7 @@
 	if len(e.unstoredJobs) == 0 || e.commitsInFlight >= e.maxCommitsInFlight() {
 		return
 	}
-	e.nextFlush = now.Add(flushInterval) // also if all unstored jobs are part of a transaction in flight, so that the event loop does not spin
+	e.nextFlush = now.Add(max(flushInterval, e.commitTime)) // also if all unstored jobs are part of a transaction in flight, so that the event loop does not spin
 	jobs := e.jobsToStore()
 	for e.commitsInFlight < e.maxCommitsInFlight() {
 		var b *jobBatch
@@ -54,8 +59,14 @@
 		e.runInBackground(func() {
 			began := time.Now()
 			revision, records, err := e.store.Commit(ctx, b.txn)
-			meter.RecordCommit(storeOutcome(err), time.Since(began))
-			e.runInEventLoop(ctx, func() { e.handleCommitResult(ctx, b, revision, records, err) })
+			took := time.Since(began)
+			meter.RecordCommit(storeOutcome(err), took)
+			e.runInEventLoop(ctx, func() {
+				if err == nil {
+					e.commitTime += (min(took, maxFlushInterval) - e.commitTime) / commitTimeSmoothing
+				}
+				e.handleCommitResult(ctx, b, revision, records, err)
+			})
 		})
 	}
 }
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -135,6 +135,7 @@
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		list, err := e.directory.Workers(ctx)
+		took := time.Since(requestedAt)
 		switch {
 		case err != nil:
 			e.log.Warn("list of workers not read, trying again", "error", err)
@@ -143,15 +144,16 @@
 		default:
 			e.runInEventLoop(ctx, func() { e.applyWorkerList(callCtx, list, requestedAt) })
 		}
-		e.waitForNextWorkerList(ctx)
+		e.waitForNextWorkerList(ctx, took)
 	}
 }
 
 // waitForNextWorkerList waits until the worker list should be read again, which
-// is sooner if a new worker is expected.
-func (e *Engine) waitForNextWorkerList(ctx context.Context) {
+// is sooner if a new worker is expected. took is the time that the last read took:
+// a list that takes long is not read sooner.
+func (e *Engine) waitForNextWorkerList(ctx context.Context, took time.Duration) {
 	for waited := time.Duration(0); waited < e.cfg.WorkerListInterval; waited += tickInterval {
-		if e.workerListRequested.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
+		if waited >= pausePerListTime*took && e.workerListRequested.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
 			return
 		}
 	}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -14,6 +14,7 @@
 const (
 	idleInstanceListInterval   = 2 * time.Second        // between two reads of the instance list while no instance is planned for a move or maintenance
 	busyInstanceListInterval   = 250 * time.Millisecond // between two reads of the instance list while instances are moved or maintained
+	pausePerListTime           = 4                      // pause after reading a list as a multiple of the time that it took
 	planRoundInterval          = 200 * time.Millisecond // between two rounds of planning
 	instanceOrderRetryInterval = 250 * time.Millisecond // after an instance order that failed or was refused
 )
@@ -86,6 +87,7 @@
 	for ctx.Err() == nil {
 		requestedAt := time.Now()
 		list, err := e.planner.api.List(ctx)
+		took := time.Since(requestedAt)
 		if err != nil {
 			e.log.Warn("list of instances not read, trying again", "error", err)
 		} else {
@@ -96,13 +98,16 @@
 			_ = supervisor.Pause(ctx, busyInstanceListInterval) // inherited tasks may wait for the first list
 			continue
 		}
-		e.waitForNextInstanceList(ctx, requestedAt)
+		e.waitForNextInstanceList(ctx, requestedAt, took)
 	}
 }
 
-// waitForNextInstanceList waits until the instance list should be read again.
-func (e *Engine) waitForNextInstanceList(ctx context.Context, lastRequestedAt time.Time) {
-	for supervisor.Pause(ctx, busyInstanceListInterval) == nil {
+// waitForNextInstanceList waits until the instance list should be read again. took
+// is the time that the last read took: a list that takes long, because the link or
+// the processor is busy, is read less often.
+func (e *Engine) waitForNextInstanceList(ctx context.Context, lastRequestedAt time.Time, took time.Duration) {
+	interval := min(max(busyInstanceListInterval, pausePerListTime*took), idleInstanceListInterval)
+	for supervisor.Pause(ctx, interval) == nil {
 		if e.planner.anyPlanned.Load() || time.Since(lastRequestedAt) >= idleInstanceListInterval {
 			return
 		}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -83,6 +83,12 @@
 	return id, ""
 }
 
+// IsJobInput reports whether a key below JobPrefix holds what callers have stored,
+// and not the progress of a job, which only the leader writes.
+func IsJobInput(key string) bool {
+	return !strings.HasSuffix(key, progressSuffix)
+}
+
 // encodeJSON returns the JSON encoding of v. It panics if v can't be
 // encoded, which doesn't occur for the types of the stored records.
 func encodeJSON(v any) []byte {
