Write log lines in calls of up to 4 KB

Change: a call has as many complete lines as fit into PIPE_BUF. Measured: TestWritesConsistOfCompleteLines.

--- a/logger/logger.go
+++ b/logger/logger.go
@@ -10,6 +10,7 @@
 
 const (
 	maxBufferedBytes = 256 << 10              // enough for the lines of several seconds at full load
+	maxWriteBytes    = 4096                   // PIPE_BUF: a pipe takes in so much as a whole, so lines of two processes do not mix
 	flushInterval    = 100 * time.Millisecond // lines logged within this time are flushed together
 )
 
@@ -89,7 +90,22 @@
 	}
 }
 
-// flush writes the buffered lines to the sink in one call. Before them it writes a warning with
+// lengthOfLines returns the length of as many complete lines as limit bytes hold,
+// but at least of one.
+func lengthOfLines(lines []byte, limit int) int {
+	if len(lines) <= limit {
+		return len(lines)
+	}
+	if i := bytes.LastIndexByte(lines[:limit], '\n'); i >= 0 {
+		return i + 1
+	}
+	if i := bytes.IndexByte(lines, '\n'); i >= 0 {
+		return i + 1
+	}
+	return len(lines)
+}
+
+// flush writes the buffered lines to the sink in few calls. Before them it writes a warning with
 // the number of lines dropped since the last flush, if there are any.
 func (w *Writer) flush() {
 	w.mu.Lock()
@@ -102,7 +118,9 @@
 		sinkLog := slog.New(slog.NewJSONHandler(w.sink, nil))
 		sinkLog.Warn("log lines dropped because the log buffer was full", "lines", dropped)
 	}
-	if len(lines) > 0 {
-		_, _ = w.sink.Write(lines) // an error of the log sink cannot be logged anywhere
+	for len(lines) > 0 {
+		n := lengthOfLines(lines, maxWriteBytes)
+		_, _ = w.sink.Write(lines[:n]) // an error of the log sink cannot be logged anywhere
+		lines = lines[n:]
 	}
 }
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -91,6 +91,23 @@
 	})
 }
 
+func TestWritesConsistOfCompleteLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sink{}
+		log, w := logger.New(s, slog.LevelInfo)
+		for range 100 {
+			log.Info("decision", "detail", strings.Repeat("x", 60))
+		}
+		log.Info("long", "detail", strings.Repeat("x", 10_000))
+		log.Info("short", "detail", "")
+		time.Sleep(time.Second)
+		w.Close(time.Second)
+		require.Equal(t, 102, s.countContaining(`"msg"`))
+		require.Equal(t, 102, s.countContaining(`"}`), "each line ends with its last field")
+		require.Less(t, s.writes, 10)
+	})
+}
+
 func TestCloseWritesBufferedLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &sink{}
