Share the starts in flight among the pools

Change: each pool with candidates may have its part of the limit awaiting their start. Test: TestBacklogOfAPoolLeavesOtherPoolsTheirStarts fails without it.

--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -26,6 +26,8 @@
 		customerShares map[string]customerShares // fair shares of customers, by pool
 		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
 		cores          *coreCounts               // nil until it is needed
+		startsPerPool  int                       // number of placed tasks of a pool that may await their start
+		awaitingStart  map[string]int            // number of them, by pool
 	}
 
 	// coreCounts is the CPU, in thousandths of a core, that tasks which are not
@@ -65,9 +67,10 @@
 	p.addUnstoredUsage()
 	candidates := p.listCandidates()
 	p.customerShares = p.customerSharesByPool(candidates)
+	p.shareStarts(candidates)
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
 		for _, c := range candidates {
-			if !c.step.LongRunning && len(e.awaitingStart) >= e.throttle.Limit() {
+			if !c.step.LongRunning && !p.startsAvailable(c.step) {
 				continue // a task that can't be started soon may be placed better later
 			}
 			p.placeStep(c.step, fair)
@@ -75,6 +78,32 @@
 	}
 }
 
+// shareStarts divides the starts that may be in flight among the pools that have
+// candidates, so that a pool with a long backlog leaves the others their part.
+func (p *placementPass) shareStarts(candidates []candidateStep) {
+	pools := make(map[string]bool)
+	for _, c := range candidates {
+		pools[p.poolOf(c.step)] = true
+	}
+	p.startsPerPool = max(1, p.engine.throttle.Limit()/max(1, len(pools)))
+	p.awaitingStart = make(map[string]int)
+	for _, t := range p.engine.awaitingStart {
+		if t.phase == placed {
+			p.awaitingStart[t.worker.Pool]++
+		}
+	}
+}
+
+// startsAvailable reports whether further tasks of the step's pool may be placed.
+func (p *placementPass) startsAvailable(s *step) bool {
+	return p.awaitingStart[p.poolOf(s)] < p.startsPerPool
+}
+
+// poolOf returns the pool in which a step of a candidate is placed.
+func (p *placementPass) poolOf(s *step) string {
+	return p.manifest.QueueOf(&s.occurrence.job.Job).Pool
+}
+
 // usageByCustomer returns the resources of all tasks that are or may be
 // running and of orphaned runs whose task is known, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
@@ -386,6 +415,7 @@
 	t.placementBoot = t.worker.StartTimeMs
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
+	p.awaitingStart[t.worker.Pool]++
 	e.log.Info("task placed on a worker", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.now.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
 		"free-cpu", t.worker.freeResources().CPU, "manifest", p.manifest.Version)
 }
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -39,8 +39,9 @@
 	manifest                *modeler.Manifest
 	waves                   atomic.Pointer[[]modeler.Wave]
 	log                     *slog.Logger
-	storeWritesPerSecond    float64 // see orchestrator.Config.StoreWritesPerSecond
-	instanceOrdersPerSecond float64 // see orchestrator.Config.InstanceOrdersPerSecond
+	storeWritesPerSecond    float64               // see orchestrator.Config.StoreWritesPerSecond
+	instanceOrdersPerSecond float64               // see orchestrator.Config.InstanceOrdersPerSecond
+	throttle                orchestrator.Throttle // nil for one that permits many calls
 }
 
 // requestWaves replaces the maintenance waves that the operator requests.
@@ -157,9 +158,12 @@
 			return keeper.Put{Key: "status", Value: []byte(value)}
 		},
 	}
+	opts := []orchestrator.Option{orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))}
+	if d.throttle != nil {
+		opts = append(opts, orchestrator.WithThrottle(d.throttle))
+	}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, orchestrator.WithLog(d.log),
-			orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))).Run(ctx)
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, append(opts, orchestrator.WithLog(d.log))...).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
 	e.cancel = cancel
--- a/orchestrator/slow_link_test.go
+++ b/orchestrator/slow_link_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -34,6 +36,43 @@
 	})
 }
 
+// narrowThrottle permits few starts in flight.
+type narrowThrottle struct{}
+
+func (narrowThrottle) Limit() int        { return 4 }
+func (narrowThrottle) IsCongested() bool { return true }
+
+// A pool with a long backlog must not keep the starts of another pool waiting,
+// which has room for its tasks.
+func TestBacklogOfAPoolLeavesOtherPoolsTheirStarts(t *testing.T) {
+	runScenario(t, 4, func(s *deployment) {
+		s.manifest.Pools = []modeler.Pool{{Name: "p"}, {Name: "other"}}
+		s.manifest.Queues = append(s.manifest.Queues, modeler.Queue{Name: "other", Pool: "other", MaxFailedRuns: 3, ObjectiveFactor: 1.6, ObjectiveOffset: 600 * time.Millisecond})
+		s.manifest.Index()
+		s.instances.Add(modeler.Instance{Name: "x", Pool: "other", Zone: "z", Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, true)
+		s.throttle = narrowThrottle{}
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) {
+			return 10 * time.Millisecond, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(2 * time.Second)
+		s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+			f.DelayCommitResponse = func(keeper.Txn) time.Duration { return 80 * time.Millisecond }
+		})
+		for i := range 40 {
+			s.submit(shortJob(fmt.Sprintf("j%d", i), modeler.Step{Count: 4, Need: modeler.Resources{CPU: 100}, Estimate: 10 * time.Millisecond}))
+		}
+		other := shortJob("x1")
+		other.Queue = "other"
+		s.submit(other)
+		time.Sleep(400 * time.Millisecond)
+		for n := range 4 {
+			require.Equal(t, 1, s.taskFleet.SuccessfulRuns(taskID("x1", 0, n)))
+		}
+		e.stopGracefully()
+	})
+}
+
 // Draws how slow and lossy the way to the workers is at each moment. No task may
 // be completed twice, and all jobs are completed once the way is sound again.
 func TestSlowAndLossyWayToTheWorkersBreaksNoPromise(t *testing.T) {
