Decide due times by a clock that does not follow jumps

Due times of occurrences, the urgency of jobs and the record of silent workers were compared with the machine's time of day, and readiness with the time of day of the store's last answer. Change: timekeeper goes on at the rate of the boot clock when the time of day jumps and adopts a jump that lasts a minute; the store's last answer is taken from the monotonic clock.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -73,6 +73,11 @@
 	return func(a *Acceptor) { a.log = log }
 }
 
+// WithClock sets the clock of the time of day at which jobs are accepted.
+func WithClock(now func() time.Time) Option {
+	return func(a *Acceptor) { a.now = now }
+}
+
 // New returns the handler of the callers' HTTP interface.
 func New(store Store, fleet FleetState, opts ...Option) *Acceptor {
 	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache()}
@@ -86,7 +91,7 @@
 func (a *Acceptor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeLimit(r))
 	defer cancel()
-	began := a.now()
+	began := time.Now()
 	req, err := a.newRequest(r.WithContext(ctx))
 	var out answer
 	if err == nil {
@@ -95,7 +100,7 @@
 	if err != nil {
 		out = failureAnswer(w, classifier.As(err))
 	}
-	a.logAnswer(r, req, out, err, a.now().Sub(began))
+	a.logAnswer(r, req, out, err, time.Since(began))
 	writeJSON(w, out)
 }
 
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -19,9 +19,13 @@
 	maxLoadAge       = 3 * time.Second        // longer than the interval at which the leader publishes the load plus the time of a change of leader
 	unreachableAfter = 400 * time.Millisecond // time without a successful call, while calls fail
 	probeInterval    = 300 * time.Millisecond // interval and time-out of probes while the store is unreachable
+	neverAnswered    = 24 * time.Hour         // stands for the time since the last answer if there has been none
 	maxReadySilence  = 3 * time.Second        // the platform's contact time; the store must have answered within it
 )
 
+// processStart is the origin of times on the monotonic clock, which does not jump.
+var processStart = time.Now()
+
 type (
 	// fleetState holds the manifest, the requested maintenance waves, the published
 	// load and the reachability of the key-value store, as this entry node has
@@ -44,7 +48,7 @@
 	// records whether the store answers them.
 	storeHealth struct {
 		transport    http.RoundTripper
-		lastAnswer   atomic.Int64 // time of the last answer, Unix ns
+		lastAnswer   atomic.Int64 // time of the last answer, in ns since processStart
 		failedInARow atomic.Int64 // calls without an answer since then
 	}
 )
@@ -57,12 +61,16 @@
 		return res, err
 	}
 	h.failedInARow.Store(0)
-	h.lastAnswer.Store(time.Now().UnixNano())
+	h.lastAnswer.Store(int64(time.Since(processStart)))
 	return res, nil
 }
 
 func (h *storeHealth) sinceLastAnswer() time.Duration {
-	return time.Since(time.Unix(0, h.lastAnswer.Load()))
+	last := h.lastAnswer.Load()
+	if last == 0 {
+		return neverAnswered
+	}
+	return time.Since(processStart) - time.Duration(last)
 }
 
 // Manifest returns the newest manifest, or nil if none has been received.
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootlever/coltsfootlever/requester"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 	"github.com/coltsfootlever/coltsfootlever/throttler"
+	"github.com/coltsfootlever/coltsfootlever/timekeeper"
 )
 
 const (
@@ -49,6 +50,7 @@
 		fleet        *fleetState
 		stopping     atomic.Bool
 		reload       chan struct{}
+		clock        *timekeeper.Clock
 	}
 
 	// Option configures a Launcher.
@@ -62,7 +64,7 @@
 
 // New returns the entry node that the settings file at path describes.
 func New(path string, opts ...Option) (*Launcher, error) {
-	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1)}
+	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1), clock: timekeeper.New(time.Now, elector.BootClock)}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -151,7 +153,7 @@
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
 		WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
-		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
+		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
 		orchestrator.New(cfg, store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput)), workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
@@ -166,7 +168,7 @@
 		return nil, err
 	}
 	server := &http.Server{
-		Handler:           acceptor.New(store, l.fleet, acceptor.WithLog(l.log)),
+		Handler:           acceptor.New(store, l.fleet, acceptor.WithLog(l.log), acceptor.WithClock(l.clock.Now)),
 		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug),
 	}
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -300,7 +300,8 @@
 	}
 	expiry := e.inheritedLeaseExpiry()
 	if s, ok := e.unresponsive.workers[w.ID]; ok {
-		if recorded := s.Until.Add(maxClockDifference); recorded.Before(expiry) {
+		left := s.Until.Add(maxClockDifference).Sub(e.cfg.WallClock())
+		if recorded := time.Now().Add(left); recorded.Before(expiry) {
 			return recorded
 		}
 	}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -72,6 +72,7 @@
 		// calls from all entry nodes together; 0 selects the limits of a small
 		// deployment.
 		StoreWritesPerSecond, InstanceOrdersPerSecond float64
+		WallClock                                     func() time.Time // time of day for due times; nil selects the machine's clock
 		Manifest                                      func() *modeler.Manifest
 		RequestedWaves                                func() []modeler.Wave // maintenance waves that the operator has requested
 		// WaveStatus returns the record that tells the operator whether a wave is
@@ -156,6 +157,9 @@
 		durations:    make(map[string]durationSums),
 		termStart:    time.Now(),
 	}
+	if e.cfg.WallClock == nil {
+		e.cfg.WallClock = time.Now
+	}
 	e.handover.blockingWorkers = make(map[string]string)
 	e.handover.workersAtStart = make(map[string]bool)
 	e.handover.unlistedWorkers = make(map[string]string)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -20,6 +20,7 @@
 	placementPass struct {
 		engine         *Engine
 		now            time.Time
+		wallTime       time.Time // see Config.WallClock
 		manifest       *modeler.Manifest
 		customerUsage  map[string]modeler.Resources // resources in use, by customer
 		pools          map[string]*poolView
@@ -63,7 +64,7 @@
 	if e.shuttingDown {
 		return
 	}
-	p := &placementPass{engine: e, now: now, manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
+	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
 	p.addUnstoredUsage()
 	candidates := p.listCandidates()
 	p.customerShares = p.customerSharesByPool(candidates)
@@ -136,7 +137,7 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			if o.finishedSteps == len(o.steps) || p.now.Before(o.due.Add(-p.engine.cfg.EarlyStart)) && j.Repeat > 0 {
+			if o.finishedSteps == len(o.steps) || p.wallTime.Before(o.due.Add(-p.engine.cfg.EarlyStart)) && j.Repeat > 0 {
 				continue
 			}
 			c := p.describeOccurrence(o, q)
@@ -165,7 +166,7 @@
 		Priority:       q.Priority,
 		LongRunning:    o.job.IsLongRunning(),
 		Started:        o.hasStarted(),
-		TimeToDeadline: o.due.Add(o.targetDuration(q)).Sub(p.now),
+		TimeToDeadline: o.due.Add(o.targetDuration(q)).Sub(p.wallTime),
 		RemainingTime:  o.remainingCriticalPath(p.now),
 		RemainingWork:  o.remainingWork(),
 		RelativeSize:   p.engine.workRelativeToQueueMean(o.job, q),
@@ -416,7 +417,7 @@
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
 	p.awaitingStart[t.worker.Pool]++
-	e.log.Info("task placed on a worker", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.now.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
+	e.log.Info("task placed on a worker", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.wallTime.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
 		"free-cpu", t.worker.freeResources().CPU, "manifest", p.manifest.Version)
 }
 
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -104,7 +104,7 @@
 	recorded, ok := e.unresponsive.workers[w.ID]
 	switch {
 	case !ok:
-		recorded = UnresponsiveWorker{Instance: w.Instance, Born: w.StartTimeMs, Until: e.leaseExpiry(w)}
+		recorded = UnresponsiveWorker{Instance: w.Instance, Born: w.StartTimeMs, Until: e.cfg.WallClock().Add(e.leaseExpiry(w).Sub(now))}
 	case recorded.AllStored || !allStored:
 		return
 	}
@@ -140,7 +140,7 @@
 // nor named in a placement and whose leases have expired.
 func (e *Engine) clearGoneWorkers(now time.Time) {
 	for id, recorded := range e.unresponsive.workers {
-		if e.workersByID[id] == nil && now.After(recorded.Until.Add(maxClockDifference)) {
+		if e.workersByID[id] == nil && e.cfg.WallClock().After(recorded.Until.Add(maxClockDifference)) {
 			e.clearUnresponsiveWorker(id)
 		}
 	}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -42,6 +42,7 @@
 	storeWritesPerSecond    float64               // see orchestrator.Config.StoreWritesPerSecond
 	instanceOrdersPerSecond float64               // see orchestrator.Config.InstanceOrdersPerSecond
 	throttle                orchestrator.Throttle // nil for one that permits many calls
+	wallClock               func() time.Time      // see orchestrator.Config.WallClock
 }
 
 // requestWaves replaces the maintenance waves that the operator requests.
@@ -149,7 +150,7 @@
 		RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
 		Manifest:       func() *modeler.Manifest { return cmp.Or(e.manifest.Load(), d.manifest) },
-		RequestedWaves: d.requestedWaves,
+		RequestedWaves: d.requestedWaves, WallClock: d.wallClock,
 		WaveStatus: func(n int64, completed bool) keeper.Put {
 			value := "running"
 			if completed {
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -44,7 +44,7 @@
 			byPool[w.Pool] = d
 		}
 	}
-	now, m := time.Now(), e.cfg.Manifest()
+	now, m := e.cfg.WallClock(), e.cfg.Manifest()
 	for _, j := range e.jobs {
 		q := m.QueueOf(&j.Job)
 		if q == nil || j.state.IsFinal() {
