End a term, not the process, on an unexpected error, and log placements by step

Cause: a job with two billion repetitions makes each leader in turn use up its memory, a panic in the leader's work ends the whole process, and three log lines a task cost 500 KB a second at full size.

--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -176,6 +178,7 @@
 // Run runs the fleet until ctx ends. It then waits briefly for calls in flight,
 // so that the next leader finds few calls with an unknown outcome.
 func (e *Engine) Run(ctx context.Context) {
+	defer e.endTermOnPanic()
 	meter.SetLeaderToken(e.term.Token)
 	defer meter.SetLeaderToken(0)
 	revision, err := e.loadState(ctx)
@@ -274,11 +277,22 @@
 	e.storeHandoverRecord(ctx)
 }
 
+// endTermOnPanic ends the term if its goroutine panics, so that an unexpected
+// error costs this entry node its leadership but not its callers' calls. The state
+// of the term is discarded.
+func (e *Engine) endTermOnPanic() {
+	if v := recover(); v != nil {
+		e.log.Error("unexpected error in the work of the leader, ending the term", "error", fmt.Sprint(v), "stack", string(debug.Stack()))
+		e.term.Resign()
+	}
+}
+
 // runInBackground runs fn in a goroutine that Run waits for.
 func (e *Engine) runInBackground(fn func()) {
 	e.backgroundCalls.Add(1)
 	go func() {
 		defer e.backgroundCalls.Done()
+		defer e.endTermOnPanic()
 		fn()
 	}()
 }
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -13,6 +13,7 @@
 )
 
 const (
+	slowStart          = 100 * time.Millisecond // a start that takes longer is logged
 	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 )
@@ -83,7 +84,9 @@
 	meter.RecordTaskStart(workerCallOutcome(err), now.Sub(t.phaseSince))
 	switch {
 	case err == nil:
-		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock)
+		if took := now.Sub(t.phaseSince); took > slowStart {
+			e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock, "took", took.Round(time.Millisecond).String())
+		}
 		t.phase, t.phaseSince = running, now
 		if t.step.occurrence.job.state.IsFinal() {
 			e.requestStop(t)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -254,6 +255,28 @@
 	for _, t := range tasks {
 		p.commitPlacement(t)
 	}
+	if len(tasks) > 0 {
+		p.logPlacements(s, tasks)
+	}
+}
+
+// logPlacements logs the placements of tasks of a step in one line, each as
+// INDEX:RUN@WORKER.
+func (p *placementPass) logPlacements(s *step, tasks []*task) {
+	var list strings.Builder
+	for i, t := range tasks {
+		if i > 0 {
+			list.WriteByte(' ')
+		}
+		list.WriteString(strconv.Itoa(t.id.Index))
+		list.WriteByte(':')
+		list.WriteString(strconv.Itoa(t.run))
+		list.WriteByte('@')
+		list.WriteString(t.worker.ID)
+	}
+	id := tasks[0].id
+	p.engine.log.Info("tasks placed on workers", "job", id.Job, "occurrence", id.Occurrence, "step", id.Step, "tasks", list.String(), "waiting", s.waitingTasks,
+		"waited", p.wallTime.Sub(s.occurrence.due).Round(time.Millisecond).String(), "manifest", p.manifest.Version)
 }
 
 // alignRunNumbers sets the run number of all tasks of a gang to the highest one,
@@ -417,8 +440,6 @@
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
 	p.awaitingStart[t.worker.Pool]++
-	e.log.Info("task placed on a worker", "task", t.id.String(), "run", t.run, "worker", t.worker.ID, "waited", p.wallTime.Sub(t.step.occurrence.due).Round(time.Millisecond).String(),
-		"free-cpu", t.worker.freeResources().CPU, "manifest", p.manifest.Version)
 }
 
 // poolView returns the state of a pool in this pass.
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -152,7 +152,7 @@
 func (j *job) restore(p Progress, workerOf func(tp TaskProgress) *worker) error {
 	j.state, j.hasStarted = p.State, p.Begun
 	for _, sp := range p.Steps {
-		if sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.occurrences[sp.Occurrence].steps) {
+		if min(sp.Occurrence, sp.Step) < 0 || sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.occurrences[sp.Occurrence].steps) {
 			return errors.NotValidf("progress record (unknown step %d in occurrence %d of job %q)", sp.Step, sp.Occurrence, j.ID)
 		}
 		if err := j.occurrences[sp.Occurrence].steps[sp.Step].restore(sp, workerOf); err != nil {
@@ -165,13 +165,13 @@
 // restore applies a stored progress record to a new step.
 func (s *step) restore(sp StepProgress, workerOf func(tp TaskProgress) *worker) error {
 	for _, n := range sp.Done {
-		if n >= len(s.tasks) {
+		if n < 0 || n >= len(s.tasks) {
 			return errors.NotValidf("progress record (unknown task %d of step %d of job %q)", n, s.number, s.occurrence.job.ID)
 		}
 		s.tasks[n].markDone()
 	}
 	for _, tp := range sp.Tasks {
-		if tp.Index >= len(s.tasks) {
+		if tp.Index < 0 || tp.Index >= len(s.tasks) {
 			return errors.NotValidf("progress record (unknown task %d of step %d of job %q)", tp.Index, s.number, s.occurrence.job.ID)
 		}
 		t := s.tasks[tp.Index]
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -8,7 +8,7 @@
 const (
 	minTimeLimit  = 300 * time.Millisecond  // a responsive host answers within a few ms
 	maxTimeLimit  = 2400 * time.Millisecond // two calls in a row fit into the lease of a task
-	slowCall      = 100 * time.Millisecond  // a longer call has waited in some queue
+	slowCall      = 250 * time.Millisecond  // a longer call has waited in a queue that does not empty
 	maxBackoff    = 3                       // minTimeLimit doubled this often is maxTimeLimit
 	smoothing     = 1.0 / 8                 // of the response time, from RFC 6298
 	deviationRate = 1.0 / 4                 // of its deviation, from RFC 6298
