Reduce starts only while calls are late, and flush at once otherwise

Cause: at full size the leader's own processor delays calls by 100 to 300 ms. Flushes that waited for the time of a transaction added 100 ms to the first start. Change: only calls without a response within their adaptive time limit reduce the limit; starts are shared and flushes wait only while a fifth of the calls is late; starts that may not be sent are not gone through.

--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -35,9 +35,7 @@
 	final    []bool
 }
 
-// flush stores changed jobs in batches, the next one at the earliest after the
-// time that transactions take: over a slow connection one record so contains more
-// changes of its job. Each transaction requires that this
+// flush stores changed jobs in batches. Each transaction requires that this
 // leader's term is current and that each job's progress record has its last
 // known revision, so that a transaction that the store executes late changes
 // nothing.
@@ -48,7 +46,7 @@
 	if len(e.unstoredJobs) == 0 || e.commitsInFlight >= e.maxCommitsInFlight() {
 		return
 	}
-	e.nextFlush = now.Add(max(flushInterval, e.commitTime)) // also if all unstored jobs are part of a transaction in flight, so that the event loop does not spin
+	e.nextFlush = now.Add(e.flushPause()) // also if all unstored jobs are part of a transaction in flight, so that the event loop does not spin
 	jobs := e.jobsToStore()
 	for e.commitsInFlight < e.maxCommitsInFlight() {
 		var b *jobBatch
@@ -71,6 +69,16 @@
 	}
 }
 
+// flushPause returns the minimum time between two flushes. While calls are late it
+// is the time that a transaction takes, so that over a slow connection one record
+// contains more changes of its job.
+func (e *Engine) flushPause() time.Duration {
+	if e.throttle.IsCongested() {
+		return max(flushInterval, e.commitTime)
+	}
+	return flushInterval
+}
+
 // storeOutcome returns the metric label for the outcome of a store call.
 func storeOutcome(err error) meter.Outcome {
 	switch {
@@ -253,9 +261,12 @@
 		return
 	}
 	e.requeuePlacedOverLimit()
+	limit := e.throttle.Limit()
+	if e.startsInFlight >= limit && !slices.ContainsFunc(e.awaitingStart, func(t *task) bool { return t.step.Gang }) {
+		return
+	}
 	orphanedTasks := sync.OnceValue(e.tasksWithOrphanedRuns) // usually no task may be started yet
 	remaining := e.awaitingStart[:0]
-	limit := e.throttle.Limit()
 	for _, t := range e.awaitingStart {
 		j := t.step.occurrence.job
 		switch {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -81,14 +82,19 @@
 }
 
 // shareStarts divides the starts that may be in flight among the pools that have
-// candidates, so that a pool with a long backlog leaves the others their part.
+// candidates, so that a pool with a long backlog leaves the others their part. As
+// long as calls don't take long, it limits nothing: passes are cheapest if each
+// places all that there is room for.
 func (p *placementPass) shareStarts(candidates []candidateStep) {
+	p.awaitingStart = make(map[string]int)
+	if p.startsPerPool = math.MaxInt; !p.engine.throttle.IsCongested() {
+		return
+	}
 	pools := make(map[string]bool)
 	for _, c := range candidates {
 		pools[p.poolOf(c.step)] = true
 	}
 	p.startsPerPool = max(1, p.engine.throttle.Limit()/max(1, len(pools)))
-	p.awaitingStart = make(map[string]int)
 	for _, t := range p.engine.awaitingStart {
 		if t.phase == placed {
 			p.awaitingStart[t.worker.Pool]++
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -99,7 +99,7 @@
 		instances[i.Pool]++
 	}
 	for pool, d := range e.demandByPool() {
-		e.log.Info("load of a pool", "pool", pool, "instances", instances[pool], "capacity", d.capacity, "lasting", d.longRunning, "running", d.running, "waiting", d.waiting,
+		e.log.Info("load of a pool", "starts-in-flight", e.startsInFlight, "starts-limit", e.throttle.Limit(), "awaiting-start", len(e.awaitingStart), "pool", pool, "instances", instances[pool], "capacity", d.capacity, "lasting", d.longRunning, "running", d.running, "waiting", d.waiting,
 			"rate", e.forecastArrivalRate(e.poolHistoryOf(pool), now))
 	}
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -8,7 +8,6 @@
 const (
 	minTimeLimit  = 300 * time.Millisecond  // a responsive host answers within a few ms
 	maxTimeLimit  = 2400 * time.Millisecond // two calls in a row fit into the lease of a task
-	slowCall      = 250 * time.Millisecond  // a longer call has waited in a queue that does not empty
 	maxBackoff    = 3                       // minTimeLimit doubled this often is maxTimeLimit
 	smoothing     = 1.0 / 8                 // of the response time, from RFC 6298
 	deviationRate = 1.0 / 4                 // of its deviation, from RFC 6298
@@ -19,10 +18,9 @@
 	lowLateShare   = 0.05                   // the time limit falls again below this
 	backoffFallGap = 500 * time.Millisecond // between two reductions of the time limit
 
-	initialLimit = 128 // calls in flight
+	initialLimit = 512 // calls in flight
 	minLimit     = 8
-	maxLimit     = 1024
-	slowFactor   = 0.9 // of the limit after a slow call
+	maxLimit     = 2048
 	lateFactor   = 0.7 // of the limit after a late call
 )
 
@@ -61,12 +59,12 @@
 	return int(t.limit)
 }
 
-// IsCongested reports whether many calls are slow or late, so that calls which can
-// wait should wait.
+// IsCongested reports whether so many calls are late that those which can wait
+// should wait.
 func (t *Throttler) IsCongested() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.backoff > 0 || t.response > slowCall
+	return t.backoff > 0
 }
 
 // RecordResponse records a call that was answered after took.
@@ -80,11 +78,7 @@
 		t.response += time.Duration(smoothing * float64(took-t.response))
 	}
 	t.updateLateShare(now, 0)
-	if took <= slowCall {
-		t.limit = min(t.limit+1/t.limit, maxLimit)
-	} else {
-		t.reduceLimit(now, slowFactor)
-	}
+	t.limit = min(t.limit+1/t.limit, maxLimit)
 }
 
 // RecordLate records a call that got no response within its time limit. Calls to
@@ -94,7 +88,7 @@
 	defer t.mu.Unlock()
 	t.updateLateShare(now, 1)
 	if t.lateShare > lowLateShare {
-		t.reduceLimit(now, lateFactor)
+		t.reduceLimit(now)
 	}
 }
 
@@ -113,12 +107,12 @@
 	}
 }
 
-// reduceLimit multiplies the limit by factor, but only once for the calls that
-// were in flight together.
-func (t *Throttler) reduceLimit(now time.Time, factor float64) {
-	if now.Sub(t.limitReducedAt) < slowCall {
+// reduceLimit reduces the limit, but only once for the calls that were in flight
+// together.
+func (t *Throttler) reduceLimit(now time.Time) {
+	if now.Sub(t.limitReducedAt) < t.timeLimit() {
 		return
 	}
 	t.limitReducedAt = now
-	t.limit = max(t.limit*factor, minLimit)
+	t.limit = max(t.limit*lateFactor, minLimit)
 }
