--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -6,12 +6,13 @@
 )
 
 const (
-	minTimeLimit  = 300 * time.Millisecond  // a responsive host answers within a few ms
-	maxTimeLimit  = 2400 * time.Millisecond // two calls in a row fit into the lease of a task
-	maxBackoff    = 3                       // minTimeLimit doubled this often is maxTimeLimit
-	smoothing     = 1.0 / 8                 // of the response time, from RFC 6298
-	deviationRate = 1.0 / 4                 // of its deviation, from RFC 6298
-	deviations    = 4                       // added to the response time, from RFC 6298
+	minTimeLimit     = 300 * time.Millisecond  // a responsive host answers within a few ms
+	maxTimeLimit     = 2400 * time.Millisecond // two calls in a row fit into the lease of a task
+	maxBackoff       = 3                       // minTimeLimit doubled this often is maxTimeLimit
+	congestedBackoff = 2                       // a time limit doubled once suffices for a process that is short of processor time for a moment
+	smoothing        = 1.0 / 8                 // of the response time, from RFC 6298
+	deviationRate    = 1.0 / 4                 // of its deviation, from RFC 6298
+	deviations       = 4                       // added to the response time, from RFC 6298
 
 	lateShareRate  = 1.0 / 64               // weight of a call in the share of late calls
 	highLateShare  = 0.2                    // more than that are not only some hosts that have failed
@@ -64,7 +65,7 @@
 func (t *Throttler) IsCongested() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.backoff > 0
+	return t.backoff >= congestedBackoff
 }
 
 // RecordResponse records a call that was answered after took.
