--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -150,10 +150,11 @@
 
 // waitForNextWorkerList waits until the worker list should be read again, which
 // is sooner if a new worker is expected. took is the time that the last read took:
-// a list that takes long is not read sooner.
+// while calls are late, a list that takes long is not read sooner.
 func (e *Engine) waitForNextWorkerList(ctx context.Context, took time.Duration) {
 	for waited := time.Duration(0); waited < e.cfg.WorkerListInterval; waited += tickInterval {
-		if waited >= pausePerListTime*took && e.workerListRequested.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
+		mayBeSooner := waited >= pausePerListTime*took || !e.throttle.IsCongested()
+		if mayBeSooner && e.workerListRequested.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
 			return
 		}
 	}
