Read the boot clock once a second and write log lines in larger calls

Each call of the boot clock and each write is a system call. Change: timekeeper compares with the monotonic clock, which takes no system call, and reads the boot clock once a second or after a jump; a write has up to 32 KB.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -64,7 +64,7 @@
 
 // New returns the entry node that the settings file at path describes.
 func New(path string, opts ...Option) (*Launcher, error) {
-	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1), clock: timekeeper.New(time.Now, elector.BootClock)}
+	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1), clock: timekeeper.New(time.Now, func() time.Duration { return time.Since(processStart) }, elector.BootClock)}
 	for _, opt := range opts {
 		opt(l)
 	}
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -10,7 +10,7 @@
 
 const (
 	maxBufferedBytes = 256 << 10              // enough for the lines of several seconds at full load
-	maxWriteBytes    = 4096                   // PIPE_BUF: a pipe takes in so much as a whole, so lines of two processes do not mix
+	maxWriteBytes    = 32 << 10               // half of what a pipe holds, so that a slow reader delays few lines
 	flushInterval    = 100 * time.Millisecond // lines logged within this time are flushed together
 )
 
--- a/logger/logger_test.go
+++ b/logger/logger_test.go
@@ -98,7 +98,7 @@
 		for range 100 {
 			log.Info("decision", "detail", strings.Repeat("x", 60))
 		}
-		log.Info("long", "detail", strings.Repeat("x", 10_000))
+		log.Info("long", "detail", strings.Repeat("x", 50_000))
 		log.Info("short", "detail", "")
 		time.Sleep(time.Second)
 		w.Close(time.Second)
--- a/orchestrator/clock_test.go
+++ b/orchestrator/clock_test.go
@@ -22,7 +22,7 @@
 						return time.Now().Add(jump)
 					}
 					return time.Now()
-				}, func() time.Duration { return time.Since(start) })
+				}, func() time.Duration { return time.Since(start) }, func() time.Duration { return time.Since(start) })
 				s.wallClock = clock.Now
 				e := s.startEntry("one")
 				time.Sleep(time.Second)
--- a/timekeeper/timekeeper.go
+++ b/timekeeper/timekeeper.go
@@ -8,6 +8,7 @@
 const (
 	maxSlew      = 100 * time.Millisecond // a larger difference between two readings is a jump
 	adoptionTime = time.Minute            // a jump that lasts longer has corrected a wrong clock
+	syncInterval = time.Second            // between two readings of the steady clock, which takes a system call
 )
 
 // Clock tells the time of day. It follows the machine's clock as long as that runs
@@ -15,27 +16,33 @@
 // steady rate; it adopts a jump that has not been taken back after a minute. Its
 // methods may be called concurrently.
 type Clock struct {
-	wall   func() time.Time
-	steady func() time.Duration
+	wall      func() time.Time
+	monotonic func() time.Duration
+	steady    func() time.Duration
 
 	mu       sync.Mutex
 	base     time.Time     // time of day at baseAt
 	baseAt   time.Duration // on the steady clock
+	baseMono time.Duration // on the monotonic clock
 	jump     time.Duration // by which the machine's clock is ahead since jumpedAt; 0 if it has not jumped
 	jumpedAt time.Duration // on the steady clock
 }
 
-// New returns a clock. wall reads the machine's clock. steady reads a clock that
-// never jumps and keeps counting while the machine is suspended.
-func New(wall func() time.Time, steady func() time.Duration) *Clock {
-	return &Clock{wall: wall, steady: steady, base: wall().Round(0), baseAt: steady()}
+// New returns a clock. wall reads the machine's clock. monotonic and steady read
+// clocks that never jump; steady keeps counting while the machine is suspended.
+func New(wall func() time.Time, monotonic, steady func() time.Duration) *Clock {
+	return &Clock{wall: wall, monotonic: monotonic, steady: steady, base: wall().Round(0), baseAt: steady(), baseMono: monotonic()}
 }
 
 // Now returns the time of day, without a monotonic reading.
 func (c *Clock) Now() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	wall, steady := c.wall().Round(0), c.steady()
+	wall, mono := c.wall().Round(0), c.monotonic()-c.baseMono
+	if c.jump == 0 && mono < syncInterval && (wall.Sub(c.base)-mono).Abs() <= maxSlew {
+		return wall
+	}
+	steady := c.steady()
 	now := c.base.Add(steady - c.baseAt)
 	ahead := wall.Sub(now)
 	switch {
@@ -47,6 +54,6 @@
 	case steady-c.jumpedAt < adoptionTime:
 		return now
 	}
-	c.base, c.baseAt, c.jump = wall, steady, 0
+	c.base, c.baseAt, c.baseMono, c.jump = wall, steady, c.monotonic(), 0
 	return wall
 }
