--- a/orchestrator/slow_link_test.go
+++ b/orchestrator/slow_link_test.go
@@ -66,9 +66,7 @@
 		other.Queue = "other"
 		s.submit(other)
 		time.Sleep(400 * time.Millisecond)
-		for n := range 4 {
-			require.Equal(t, 1, s.taskFleet.SuccessfulRuns(taskID("x1", 0, n)))
-		}
+		s.requireDoneOnce("x1", 4)
 		e.stopGracefully()
 	})
 }
@@ -83,40 +81,55 @@
 				rng := rand.New(rand.NewPCG(seed, 1))
 				e := s.startEntry("one")
 				time.Sleep(time.Second)
-				jobs := 0
-				for range 30 {
-					e.pollDelay.Store(int64(rng.IntN(400)) * int64(time.Millisecond))
-					e.losesRenewals.Store(rng.IntN(3) == 0)
-					for _, name := range []string{"a", "b", "c", "d"} {
-						if rng.IntN(3) == 0 {
-							e.unreachableWorkers.Store(s.instances.WorkerOf(name), true)
-						} else {
-							e.unreachableWorkers.Delete(s.instances.WorkerOf(name))
-						}
-					}
-					lateStarts := rng.IntN(2) == 0
-					s.taskFleet.SetStartDelay(func(_ modeler.TaskID, run int) time.Duration {
-						if lateStarts && run == 1 {
-							return time.Duration(100+rng.IntN(2000)) * time.Millisecond
-						}
-						return 0
-					})
-					s.submit(shortJob(fmt.Sprintf("j%d", jobs)))
-					jobs++
+				const jobs = 30
+				for n := range jobs {
+					s.drawWayToWorkers(rng, e)
+					s.submit(shortJob(fmt.Sprintf("j%d", n)))
 					time.Sleep(time.Duration(200+rng.IntN(3000)) * time.Millisecond)
 				}
-				e.pollDelay.Store(0)
-				e.losesRenewals.Store(false)
-				e.unreachableWorkers.Clear()
-				s.taskFleet.SetStartDelay(nil)
+				s.repairWayToWorkers(e)
 				time.Sleep(30 * time.Second)
-				for i := range jobs {
-					for n := range 4 {
-						require.Equal(t, 1, s.taskFleet.SuccessfulRuns(taskID(fmt.Sprintf("j%d", i), 0, n)), "task %d of job %d", n, i)
-					}
+				for n := range jobs {
+					s.requireDoneOnce(fmt.Sprintf("j%d", n), 4)
 				}
 				e.stopGracefully()
 			})
 		})
 	}
 }
+
+// drawWayToWorkers draws how slow and lossy an entry node's way to workers a to d
+// is, and whether first starts arrive late.
+func (d *deployment) drawWayToWorkers(rng *rand.Rand, e *entryNode) {
+	e.pollDelay.Store(int64(rng.IntN(400)) * int64(time.Millisecond))
+	e.losesRenewals.Store(rng.IntN(3) == 0)
+	e.unreachableWorkers.Clear()
+	for _, name := range []string{"a", "b", "c", "d"} {
+		if rng.IntN(3) == 0 {
+			e.unreachableWorkers.Store(d.instances.WorkerOf(name), true)
+		}
+	}
+	lateStarts := rng.IntN(2) == 0
+	d.taskFleet.SetStartDelay(func(_ modeler.TaskID, run int) time.Duration {
+		if lateStarts && run == 1 {
+			return time.Duration(100+rng.IntN(2000)) * time.Millisecond
+		}
+		return 0
+	})
+}
+
+// repairWayToWorkers reverts drawWayToWorkers.
+func (d *deployment) repairWayToWorkers(e *entryNode) {
+	e.pollDelay.Store(0)
+	e.losesRenewals.Store(false)
+	e.unreachableWorkers.Clear()
+	d.taskFleet.SetStartDelay(nil)
+}
+
+// requireDoneOnce checks that each task of a job with one step has been completed
+// once.
+func (d *deployment) requireDoneOnce(job string, tasks int) {
+	for i := range tasks {
+		require.Equal(d.t, 1, d.taskFleet.SuccessfulRuns(taskID(job, 0, i)), "task %d of job %s", i, job)
+	}
+}
