Draw late starts of the slow-link test from a source of their own

Change: the delays of starts have their own source, used under the fleet's lock; candidates look up their pool only while starts are shared.

--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -104,7 +104,7 @@
 
 // startsAvailable reports whether further tasks of the step's pool may be placed.
 func (p *placementPass) startsAvailable(s *step) bool {
-	return p.awaitingStart[p.poolOf(s)] < p.startsPerPool
+	return p.startsPerPool == math.MaxInt || p.awaitingStart[p.poolOf(s)] < p.startsPerPool
 }
 
 // poolOf returns the pool in which a step of a candidate is placed.
--- a/orchestrator/slow_link_test.go
+++ b/orchestrator/slow_link_test.go
@@ -110,9 +110,10 @@
 		}
 	}
 	lateStarts := rng.IntN(2) == 0
+	delays := rand.New(rand.NewPCG(rng.Uint64(), 2)) // used by the task fleet only, which calls the function under its lock
 	d.taskFleet.SetStartDelay(func(_ modeler.TaskID, run int) time.Duration {
 		if lateStarts && run == 1 {
-			return time.Duration(100+rng.IntN(2000)) * time.Millisecond
+			return time.Duration(100+delays.IntN(2000)) * time.Millisecond
 		}
 		return 0
 	})
