--- a/launcher/large_fleet_test.go
+++ b/launcher/large_fleet_test.go
@@ -43,7 +43,7 @@
 	largeFleetProfile = flag.String("large-fleet-profile", "", "file for the CPU profile of TestLargeFleet; samples of the leader have the label role=leader")
 )
 
-// countingTransport counts the calls and the bytes of the platform's side.
+// countingHandler counts the calls of the platform's side.
 type countingHandler struct {
 	handler http.Handler
 	calls   *atomic.Int64
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -154,7 +154,7 @@
 // less time while a long-running task starts up, or while tasks that use idle
 // CPU run next to tasks with a latency target.
 //
-// While calls take long, retryPoll polls the worker after a pause instead, so that
+// While calls are late, retryPoll polls the worker after a pause instead, so that
 // fewer polls tell of more ended runs each.
 func (e *Engine) requestNextPoll(w *worker, now time.Time) {
 	if e.throttle.IsCongested() {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -23,7 +23,7 @@
 const (
 	eventQueueSize        = 8192                   // more than the number of calls that can be in flight at once
 	placementInterval     = 10 * time.Millisecond  // minimum time between two placement passes, to limit their cost
-	pausePerPlacementTime = 1                      // pause after a placement pass as a multiple of the time that it took, so that passes leave half of the processor to starts and reports
+	pausePerPlacementTime = 10                     // pause after a placement pass as a multiple of the time that it took, so that passes take up at most a tenth of the processor
 	flushInterval         = 25 * time.Millisecond  // minimum time between two flushes, to limit the calls to the store
 	tickInterval          = 100 * time.Millisecond // between two rounds of periodic work
 	shutdownTimeout       = 500 * time.Millisecond // for calls in flight when the term ends; workers usually respond in less time
