Go on with a random plan after its last process was killed

Change: the step starts a process. TestPlanGoesOnAfterTheLastProcessWasKilled plays such a plan; it panics without the change.

--- a/claimer/random_test.go
+++ b/claimer/random_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootlever/coltsfootlever/claimer"
@@ -130,6 +132,10 @@
 
 func (c *cluster) runStep(s step) {
 	live := c.liveProcesses()
+	if len(live) == 0 {
+		// A restart leaves two processes on an instance, so a kill can end the last ones.
+		live = []*process{c.startProcess(fmt.Sprintf("entry-%d", len(c.processes)))}
+	}
 	n := live[s.Node%len(live)]
 	other := live[s.Other%len(live)]
 	c.recordTrace("%s %s %s, name %d", s.Kind, n.address, other.address, s.Name)
@@ -193,6 +199,17 @@
 	}
 }
 
+// TestPlanGoesOnAfterTheLastProcessWasKilled plays the steps that leave no process:
+// all that are left run on one instance, which is killed.
+func TestPlanGoesOnAfterTheLastProcessWasKilled(t *testing.T) {
+	restart, kill := step{Kind: "restart", Wait: 4000}, step{Kind: "kill", Wait: 4000}
+	second := step{Kind: "kill", Node: 1, Wait: 4000}
+	claim := step{Kind: "claim", Wait: 4000}
+	c := runPlan(t, plan{Seed: 1, Steps: []step{restart, restart, second, second, restart, kill, claim, claim}})
+	require.Empty(t, c.violations)
+	require.Contains(t, strings.Join(c.trace, "\n"), "claim entry-6#6")
+}
+
 func TestNoNameIsGrantedTwice(t *testing.T) {
 	grants := 0
 	rapid.Check(t, func(rt *rapid.T) {
