Keep the leader's own records and too frequent lists off its link

Change: progress is stored under fleet/progress/, outside the watched prefix. Jobs accepted by earlier versions keep their keys; earlier versions leave the new job records alone. After a list, four times its time passes before the next, always and not only while calls are late.

--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -113,11 +113,7 @@
 // loadJob reads a job from the key-value service and caches its outcome once it
 // has ended.
 func (a *Acceptor) loadJob(r *request) (orchestrator.JobView, error) {
-	records, _, err := a.store.List(r.Context(), orchestrator.JobKey(r.job))
-	if err != nil {
-		return orchestrator.JobView{}, err
-	}
-	v, err := orchestrator.ReadJobView(r.job, records)
+	v, err := orchestrator.LoadJobView(r.Context(), a.store, r.job)
 	if err == nil && v.Known && v.State.IsFinal() {
 		a.outcomes.add(r.job, v.State)
 	}
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -23,10 +23,7 @@
 }
 
 func (d *deployment) storeProgress(job string, p orchestrator.Progress) {
-	raw, err := json.Marshal(p)
-	require.NoError(d.t, err)
-	_, _, err = d.store.ClientFor("x").Commit(d.t.Context(), keeper.Txn{Put: []keeper.Put{{Key: orchestrator.ProgressKey(job), Value: raw}}})
-	require.NoError(d.t, err)
+	d.put(orchestrator.ProgressKey(job), p)
 }
 
 func TestOrphanedRunsCountTowardTheirCustomersLimit(t *testing.T) {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"runtime/debug"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -368,7 +369,7 @@
 		kind, _, _ := strings.Cut(strings.TrimPrefix(r.Key, fleetPrefix), "/")
 		byKind[fleetPrefix+kind] = append(byKind[fleetPrefix+kind], r)
 	}
-	e.restoreJobs(byKind[strings.TrimSuffix(JobPrefix, "/")])
+	e.restoreJobs(slices.Concat(byKind[strings.TrimSuffix(JobPrefix, "/")], byKind[strings.TrimSuffix(progressPrefix, "/")]))
 	e.restoreWaves(byKind[strings.TrimSuffix(wavePrefix, "/")])
 	e.restoreUnresponsiveWorkers(byKind[unresponsiveKey])
 	e.restoreInstanceOrders(byKind[instanceOrdersKey])
--- a/orchestrator/engine_test.go
+++ b/orchestrator/engine_test.go
@@ -516,9 +516,11 @@
 		time.Sleep(35 * time.Second)
 		require.Equal(t, modeler.Completed, s.jobState("j1"))
 		time.Sleep(10 * time.Second)
-		records, _, err := s.store.ClientFor("x").List(t.Context(), orchestrator.JobPrefix)
-		require.NoError(t, err)
-		require.Empty(t, records)
+		for _, prefix := range []string{orchestrator.JobPrefix, orchestrator.ProgressKey("")} {
+			records, _, err := s.store.ClientFor("x").List(t.Context(), prefix)
+			require.NoError(t, err)
+			require.Empty(t, records)
+		}
 		e.stopGracefully()
 	})
 }
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -157,13 +157,13 @@
 	b.jobs = append(b.jobs, j)
 	b.versions = append(b.versions, j.version)
 	b.final = append(b.final, final)
-	b.txn.Expect = append(b.txn.Expect, keeper.Expectation{Key: ProgressKey(j.ID), Revision: j.revision})
+	b.txn.Expect = append(b.txn.Expect, keeper.Expectation{Key: j.progressKey, Revision: j.revision})
 	if final {
 		b.txn.Put = append(b.txn.Put, keeper.Put{Key: JobKey(j.ID), Value: encodeJSON(JobRecord{Outcome: j.state})})
-		b.txn.Delete = append(b.txn.Delete, ProgressKey(j.ID), CancelKey(j.ID))
+		b.txn.Delete = append(b.txn.Delete, j.progressKey, CancelKey(j.ID))
 		return
 	}
-	b.txn.Put = append(b.txn.Put, keeper.Put{Key: ProgressKey(j.ID), Value: encodeJSON(j.progress())})
+	b.txn.Put = append(b.txn.Put, keeper.Put{Key: j.progressKey, Value: encodeJSON(j.progress())})
 }
 
 // handleCommitResult processes the result of a job transaction.
@@ -234,7 +234,7 @@
 		found[r.Key] = r.Revision
 	}
 	for _, j := range b.jobs {
-		if r := found[ProgressKey(j.ID)]; r != j.revision {
+		if r := found[j.progressKey]; r != j.revision {
 			e.log.Info("earlier write of the job's progress found in the store, using its revision", "job", j.ID, "revision", r, "expected", j.revision)
 			j.revision = r
 		}
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -10,22 +10,21 @@
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-// restoreJobs loads all job records. Known jobs are left unchanged, so that it
-// can be called again with the same records.
+// restoreJobs loads all job records; records may also contain progress records.
+// Known jobs are left unchanged, so that it can be called again with the same
+// records.
 func (e *Engine) restoreJobs(records []keeper.Record) {
-	progress := make(map[string]keeper.Record)
+	byKey := make(map[string]keeper.Record, len(records))
 	var cancels []string
 	for _, r := range records {
-		switch id, suffix := splitJobKey(r.Key); suffix {
-		case progressSuffix:
-			progress[id] = r
-		case cancelSuffix:
+		byKey[r.Key] = r
+		if id, suffix := splitJobKey(r.Key); suffix == cancelSuffix {
 			cancels = append(cancels, id)
 		}
 	}
 	for _, r := range records {
-		if id, suffix := splitJobKey(r.Key); suffix == "" {
-			e.loadJob(id, r, progress[id])
+		if id, suffix := splitJobKey(r.Key); suffix == "" && r.Key == JobKey(id) {
+			e.loadJob(id, r, byKey)
 		}
 	}
 	for _, id := range cancels {
@@ -33,13 +32,16 @@
 	}
 }
 
-// loadJob loads a job that is not known yet from its record.
-func (e *Engine) loadJob(id string, r, progress keeper.Record) {
+// loadJob loads a job that is not known yet from its record. byKey contains its
+// progress record if there is one.
+func (e *Engine) loadJob(id string, r keeper.Record, byKey map[string]keeper.Record) {
 	if e.jobs[id] != nil || e.outcomes[id].state != "" {
 		return
 	}
 	var rec JobRecord
-	if err := json.Unmarshal(r.Value, &rec); err != nil || rec.Job == nil && rec.Outcome == "" {
+	err := json.Unmarshal(r.Value, &rec)
+	def, progressKey := rec.definition(id)
+	if err != nil || def == nil && rec.Outcome == "" {
 		e.log.Error("job record cannot be read, left alone", "job", id, "revision", r.Revision, "error", err)
 		return
 	}
@@ -47,9 +49,9 @@
 		e.outcomes[id] = outcome{rec.Outcome, time.Now()}
 		return
 	}
-	j := newJob(*rec.Job)
-	j.loadedAt = e.term.Now()
-	if progress.Revision != 0 {
+	j := newJob(*def)
+	j.progressKey, j.loadedAt = progressKey, e.term.Now()
+	if progress := byKey[progressKey]; progress.Revision != 0 {
 		var p Progress
 		err := json.Unmarshal(progress.Value, &p)
 		if err == nil {
@@ -116,7 +118,7 @@
 // handleJobEvent passes a change of a job record to the event loop.
 func (e *Engine) handleJobEvent(ctx context.Context, ev keeper.Event) {
 	id, suffix := splitJobKey(ev.Key)
-	if ev.Deleted || suffix == progressSuffix {
+	if ev.Deleted || suffix == oldProgressSuffix {
 		return
 	}
 	e.runInEventLoop(ctx, func() {
@@ -124,7 +126,7 @@
 			e.cancelJob(id)
 			return
 		}
-		e.loadJob(id, ev.Record, keeper.Record{})
+		e.loadJob(id, ev.Record, nil)
 	})
 }
 
@@ -149,11 +151,11 @@
 }
 
 // waitForNextWorkerList waits until the worker list should be read again, which
-// is sooner if a new worker is expected. took is the time that the last read took:
-// while calls are late, a list that takes long is not read sooner.
+// is sooner if a new worker is expected. took is the time that the last read took: a
+// list that takes long is read less often, since it keeps other calls waiting.
 func (e *Engine) waitForNextWorkerList(ctx context.Context, took time.Duration) {
 	for waited := time.Duration(0); waited < e.cfg.WorkerListInterval; waited += tickInterval {
-		mayBeSooner := waited >= pausePerListTime*took || !e.throttle.IsCongested()
+		mayBeSooner := waited >= pausePerListTime*took
 		if mayBeSooner && e.workerListRequested.Swap(false) || supervisor.Pause(ctx, tickInterval) != nil {
 			return
 		}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -103,13 +103,9 @@
 }
 
 // waitForNextInstanceList waits until the instance list should be read again. took
-// is the time that the last read took: while calls are late, a list that takes long
-// is read less often.
+// is the time that the last read took: a list that takes long is read less often.
 func (e *Engine) waitForNextInstanceList(ctx context.Context, lastRequestedAt time.Time, took time.Duration) {
-	interval := busyInstanceListInterval
-	if e.throttle.IsCongested() {
-		interval = min(max(interval, pausePerListTime*took), idleInstanceListInterval)
-	}
+	interval := min(max(busyInstanceListInterval, pausePerListTime*took), idleInstanceListInterval)
 	for supervisor.Pause(ctx, interval) == nil {
 		if e.planner.anyPlanned.Load() || time.Since(lastRequestedAt) >= idleInstanceListInterval {
 			return
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -34,6 +34,7 @@
 		storedVersion   int64         // last version in the store
 		commitInFlight  bool          // a transaction with the job is in flight
 		dirtyOrder      int64         // sequence number of the change that made the job unstored; older ones are stored first
+		progressKey     string        // key of the progress record
 		revision        int64         // store revision of the progress record, 0 if there is none
 		activeTasks     int           // tasks that are or may be running
 		fromEarlierTerm bool          // the job was loaded at the start of the term
@@ -99,7 +100,7 @@
 
 // newJob returns a job that has not started.
 func newJob(def modeler.Job) *job {
-	j := &job{Job: def, state: modeler.Queued}
+	j := &job{Job: def, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
 	for k := range def.OccurrenceCount() {
 		o := &occurrence{job: j, number: k, due: def.DueTime(k)}
 		for i := range def.Steps {
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -17,16 +17,21 @@
 	// LoadKey stores the Load that the leader publishes.
 	LoadKey = fleetPrefix + "load"
 
-	fleetPrefix = "fleet/" // prefix of all records that a new leader reads
+	fleetPrefix    = "fleet/"                  // prefix of all records that a new leader reads
+	progressPrefix = fleetPrefix + "progress/" // outside JobPrefix, so that the leader's watch of jobs does not return what it writes itself
 
-	cancelSuffix   = "/cancel"   // marks a job whose caller has requested its cancellation
-	progressSuffix = "/progress" // stores the Progress of a job
+	cancelSuffix      = "/cancel"   // marks a job whose caller has requested its cancellation
+	oldProgressSuffix = "/progress" // stores the Progress of a job whose record is in the old form
 )
 
 type (
-	// JobRecord is the record stored under a job's key.
+	// JobRecord is the record stored under a job's key. The old form has the job
+	// embedded, and its progress is stored below the job's key. Versions that know
+	// only that form don't read Definition, so that they leave jobs alone whose
+	// progress they would not find.
 	JobRecord struct {
-		Outcome modeler.State `json:"outcome,omitempty"` // final state; set when the job has ended
+		Outcome    modeler.State `json:"outcome,omitempty"` // final state; set when the job has ended
+		Definition *modeler.Job  `json:"definition,omitempty"`
 		*modeler.Job
 	}
 
@@ -72,7 +77,20 @@
 func CancelKey(id string) string { return JobPrefix + id + cancelSuffix }
 
 // ProgressKey returns the key of a job's progress record.
-func ProgressKey(id string) string { return JobPrefix + id + progressSuffix }
+func ProgressKey(id string) string { return progressPrefix + id }
+
+// OldProgressKey returns the key of the progress record of a job whose record is
+// in the old form.
+func OldProgressKey(id string) string { return JobPrefix + id + oldProgressSuffix }
+
+// definition returns the job and the key of its progress record, or nil if the
+// record contains no job.
+func (r *JobRecord) definition(id string) (def *modeler.Job, progressKey string) {
+	if r.Definition != nil {
+		return r.Definition, ProgressKey(id)
+	}
+	return r.Job, OldProgressKey(id)
+}
 
 // splitJobKey splits a key below JobPrefix into the job ID and the suffix.
 func splitJobKey(key string) (id, suffix string) {
@@ -86,7 +104,7 @@
 // IsJobInput reports whether a key below JobPrefix holds what callers have stored,
 // and not the progress of a job, which only the leader writes.
 func IsJobInput(key string) bool {
-	return !strings.HasSuffix(key, progressSuffix)
+	return !strings.HasSuffix(key, oldProgressSuffix)
 }
 
 // encodeJSON returns the JSON encoding of v. It panics if v can't be
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -291,9 +291,7 @@
 
 // jobState returns the state of a job as an entry node reports it to a caller.
 func (d *deployment) jobState(id string) modeler.State {
-	records, _, err := d.store.ClientFor("caller").List(d.t.Context(), orchestrator.JobKey(id))
-	require.NoError(d.t, err)
-	v, err := orchestrator.ReadJobView(id, records)
+	v, err := orchestrator.LoadJobView(d.t.Context(), d.store.ClientFor("caller"), id)
 	require.NoError(d.t, err)
 	require.True(d.t, v.Known)
 	return v.State
--- a/orchestrator/view.go
+++ b/orchestrator/view.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"context"
 	"encoding/json"
 
 	"github.com/juju/errors"
@@ -9,22 +10,42 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
-// JobView is the stored state of a job as callers see it.
-type JobView struct {
-	Known     bool
-	State     modeler.State
-	Revision  int64 // revision of the job's record
-	Cancelled bool  // cancellation has been requested
-}
+type (
+	// JobView is the stored state of a job as callers see it.
+	JobView struct {
+		Known     bool
+		State     modeler.State
+		Revision  int64 // revision of the job's record
+		Cancelled bool  // cancellation has been requested
+	}
+
+	// Lister lists the records below a prefix.
+	Lister interface {
+		List(ctx context.Context, prefix string) ([]keeper.Record, int64, error)
+	}
+)
 
 // EncodeJobRecord returns the record of a job that has not ended.
 func EncodeJobRecord(j *modeler.Job) []byte {
-	return encodeJSON(JobRecord{Job: j})
+	return encodeJSON(JobRecord{Definition: j})
+}
+
+// LoadJobView reads the state of a job from the store. The progress is read first:
+// if the job ends meanwhile, its record tells the outcome.
+func LoadJobView(ctx context.Context, s Lister, id string) (JobView, error) {
+	progress, _, err := s.List(ctx, ProgressKey(id))
+	if err != nil {
+		return JobView{}, errors.Trace(err)
+	}
+	records, _, err := s.List(ctx, JobKey(id))
+	if err != nil {
+		return JobView{}, errors.Trace(err)
+	}
+	return readJobView(id, append(progress, records...))
 }
 
-// ReadJobView returns the state of a job from its records, which are those
-// below JobKey(id).
-func ReadJobView(id string, records []keeper.Record) (JobView, error) {
+// readJobView returns the state of a job from its records.
+func readJobView(id string, records []keeper.Record) (JobView, error) {
 	v := JobView{State: modeler.Queued}
 	var outcome modeler.State
 	for _, r := range records {
@@ -35,7 +56,7 @@
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
 			}
 			v.Known, v.Revision, outcome = true, r.Revision, rec.Outcome
-		case ProgressKey(id):
+		case ProgressKey(id), OldProgressKey(id):
 			var p Progress
 			if err := json.Unmarshal(r.Value, &p); err != nil {
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
