--- /dev/null
+++ b/sizer/turns_test.go
@@ -0,0 +1,272 @@
+package sizer_test
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/sizer"
+)
+
+// The load is that of a large fleet: queues that rise in turn to five times their
+// mean within some seconds and have almost no work in between.
+const (
+	turnLength       = 9 * time.Second
+	turnPeak         = 5.0  // times the mean
+	turnTrough       = 0.05 // times the mean
+	loadStep         = 50 * time.Millisecond
+	planRound        = 200 * time.Millisecond
+	joinTime         = 2 * time.Second // of an instance, until it runs tasks
+	movesPerRound    = 50
+	poolInstances    = 540
+	instanceCores    = 32.0
+	usableShare      = 0.95 // of an instance's cores; the rest is too small for a task
+	packedShare      = 0.7  // of the idle cores that are on instances without tasks
+	allowedStretch   = 1.6
+	allowedDelay     = 600 * time.Millisecond
+	loadedTurns      = 4
+	longRunningCores = 300.0
+)
+
+type (
+	forecaster func(arrivals []sizer.Arrival, now time.Time, horizon time.Duration) float64
+
+	// queueLoad describes the jobs of a queue.
+	queueLoad struct {
+		jobsPerSecond, steps, tasks, seconds, cores float64 // means
+	}
+
+	// simulatedJob is a job whose steps run one after the other.
+	simulatedJob struct {
+		accepted time.Time
+		ideal    time.Duration
+		steps    []simulatedStep
+	}
+
+	simulatedStep struct {
+		tasks, running int // waiting and running tasks
+		cores          float64
+		took           time.Duration
+	}
+
+	simulatedRun struct {
+		ends time.Time
+		job  *simulatedJob
+	}
+
+	simulatedPool struct {
+		load     queueLoad
+		ready    int         // instances that run tasks
+		joining  []time.Time // when moving instances will be ready
+		used     float64
+		jobs     []*simulatedJob
+		runs     []simulatedRun
+		arrivals []sizer.Arrival
+		surplus  time.Time
+	}
+
+	// turnsResult is what a played load cost.
+	turnsResult struct {
+		poolSeconds float64
+		moves       int
+		jobs, late  int
+	}
+)
+
+var turnsOfLargeFleet = []queueLoad{
+	{3.83, 2, 8, 2.1, 9.8},
+	{30.4, 1.6, 8, 0.8, 4.5},
+	{24.3, 1.6, 8, 0.8, 4.5},
+	{4.67, 2, 8, 2.1, 9.8},
+}
+
+// rate returns how many jobs of the queue arrive per second.
+func (l queueLoad) rate(queue int, at time.Duration) float64 {
+	since := (at - time.Duration(queue)*turnLength).Seconds() / turnLength.Seconds()
+	if since < 0 || since > 1 {
+		return l.jobsPerSecond * turnTrough
+	}
+	return l.jobsPerSecond * max(turnTrough, turnPeak*math.Sin(math.Pi*since))
+}
+
+// drawJob draws a job of the queue.
+func (l queueLoad) drawJob(rng *rand.Rand, now time.Time) *simulatedJob {
+	vary := func(mean, spread float64) float64 {
+		return mean * math.Exp(spread*rng.NormFloat64()-spread*spread/2)
+	}
+	j := &simulatedJob{accepted: now}
+	for range max(1, int(math.Round(vary(l.steps, 0.4)))) {
+		s := simulatedStep{tasks: max(1, int(math.Round(vary(l.tasks, 0.6)))), cores: min(vary(l.cores, 0.45), 3*l.cores)}
+		s.took = time.Duration(vary(l.seconds, 0.5) * float64(time.Second))
+		j.ideal += s.took
+		j.steps = append(j.steps, s)
+	}
+	return j
+}
+
+func (j *simulatedJob) work() float64 {
+	sum := 0.0
+	for _, s := range j.steps {
+		sum += float64(s.tasks) * s.cores * s.took.Seconds()
+	}
+	return sum
+}
+
+// isLate reports whether the job has taken longer than its caller accepts.
+func (j *simulatedJob) isLate(now time.Time) bool {
+	return now.Sub(j.accepted) > time.Duration(allowedStretch*float64(j.ideal))+allowedDelay
+}
+
+// advance ends the runs that are over, starts waiting tasks in the order of their
+// jobs and returns how many jobs ended, and how many of them late.
+func (p *simulatedPool) advance(now time.Time) (ended, late int) {
+	for len(p.joining) > 0 && !now.Before(p.joining[0]) {
+		p.joining = p.joining[1:]
+		p.ready++
+	}
+	runs := p.runs[:0]
+	for _, r := range p.runs {
+		if now.Before(r.ends) {
+			runs = append(runs, r)
+			continue
+		}
+		s := &r.job.steps[0]
+		s.running--
+		p.used -= s.cores
+		if s.tasks+s.running == 0 {
+			r.job.steps = r.job.steps[1:]
+		}
+	}
+	p.runs = runs
+	jobs := p.jobs[:0]
+	for _, j := range p.jobs {
+		if len(j.steps) == 0 {
+			ended++
+			if j.isLate(now) {
+				late++
+			}
+			continue
+		}
+		p.start(j, now)
+		jobs = append(jobs, j)
+	}
+	p.jobs = jobs
+	return ended, late
+}
+
+func (p *simulatedPool) start(j *simulatedJob, now time.Time) {
+	s := &j.steps[0]
+	for s.tasks > 0 && p.used+s.cores <= float64(p.ready)*instanceCores*usableShare-longRunningCores {
+		s.tasks--
+		s.running++
+		p.used += s.cores
+		p.runs = append(p.runs, simulatedRun{now.Add(s.took), j})
+	}
+}
+
+// input describes the pool to the sizer.
+func (p *simulatedPool) input(name string, now time.Time, forecast forecaster) sizer.Pool {
+	waiting := 0.0
+	for _, j := range p.jobs {
+		if len(j.steps) > 0 {
+			waiting += float64(j.steps[0].tasks) * j.steps[0].cores
+		}
+	}
+	p.arrivals = sizer.RecentArrivals(p.arrivals, now)
+	idle := float64(p.ready)*instanceCores - p.used - longRunningCores
+	in := sizer.Pool{
+		Name: name, Instances: p.ready + len(p.joining), Movable: max(0, int(packedShare*idle/instanceCores)), CoresPerInstance: instanceCores,
+		LongRunningCores: longRunningCores, DemandCores: p.used + waiting, ArrivalRate: forecast(p.arrivals, now, joinTime),
+	}
+	if sizer.DesiredInstances(in) >= in.Instances {
+		p.surplus = now
+	}
+	in.SurplusFor = now.Sub(p.surplus)
+	return in
+}
+
+// playTurns plays one turn of each queue.
+func playTurns(seed uint64, forecast forecaster) turnsResult {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	start := time.Unix(0, 0)
+	spare, names := poolInstances, []string{"a", "b", "c", "d"}
+	pools := map[string]*simulatedPool{}
+	for i, l := range turnsOfLargeFleet {
+		pools[names[i]] = &simulatedPool{load: l, ready: 12, surplus: start}
+		spare -= 12
+	}
+	var r turnsResult
+	var returning []time.Time
+	for at := time.Duration(0); at < loadedTurns*turnLength+10*time.Second; at += loadStep {
+		now := start.Add(at)
+		for len(returning) > 0 && !now.Before(returning[0]) {
+			returning = returning[1:]
+			spare++
+		}
+		var inputs []sizer.Pool
+		for i, name := range names {
+			p := pools[name]
+			for t := rng.ExpFloat64(); at < loadedTurns*turnLength && t < p.load.rate(i, at)*loadStep.Seconds(); t += rng.ExpFloat64() {
+				j := p.load.drawJob(rng, now)
+				r.jobs++
+				p.arrivals = append(p.arrivals, sizer.Arrival{At: now, Work: j.work()})
+				p.jobs = append(p.jobs, j)
+			}
+			_, late := p.advance(now)
+			r.late += late
+			r.poolSeconds += float64(p.ready+len(p.joining)) * loadStep.Seconds()
+			inputs = append(inputs, p.input(name, now, forecast))
+		}
+		if at%planRound != 0 {
+			continue
+		}
+		inputs = append(inputs, sizer.Pool{Name: "spare", Spare: true, Instances: spare, Movable: spare, CoresPerInstance: instanceCores})
+		for _, m := range sizer.PlanMoves(inputs, movesPerRound) {
+			r.moves += m.Count
+			for range m.Count {
+				if m.From == "spare" {
+					spare--
+				} else {
+					pools[m.From].ready--
+				}
+				if m.To == "spare" {
+					returning = append(returning, now.Add(joinTime))
+				} else {
+					pools[m.To].joining = append(pools[m.To].joining, now.Add(joinTime))
+				}
+			}
+		}
+	}
+	return r
+}
+
+// meanOfTurns returns the mean result of several days.
+func meanOfTurns(t *testing.T, name string, forecast forecaster) (poolSeconds, moves, lateShare float64) {
+	const days = 20
+	jobs, late := 0, 0
+	for seed := range uint64(days) {
+		r := playTurns(seed, forecast)
+		poolSeconds += r.poolSeconds / days
+		moves += float64(r.moves) / days
+		jobs, late = jobs+r.jobs, late+r.late
+	}
+	lateShare = float64(late) / float64(jobs)
+	t.Logf("%s: %.0f instance-seconds in pools, %.0f moves, %.1f %% of %d jobs late", name, poolSeconds, moves, 100*lateShare, jobs)
+	return poolSeconds, moves, lateShare
+}
+
+// Compared with pools that follow the load as it is, the forecast must make at
+// most a third as many jobs late, for at most a tenth more instance-seconds and
+// moves.
+func TestPoolsFollowQueuesThatRiseInTurn(t *testing.T) {
+	poolSeconds, moves, late := meanOfTurns(t, "forecast", sizer.ForecastRate)
+	levelSeconds, levelMoves, levelLate := meanOfTurns(t, "no forecast", func(arrivals []sizer.Arrival, now time.Time, _ time.Duration) float64 {
+		return sizer.ArrivalRate(arrivals, now)
+	})
+	require.Less(t, late, levelLate/3)
+	require.Less(t, poolSeconds, 1.1*levelSeconds)
+	require.Less(t, moves, 1.1*levelMoves)
+}
