Clear an instance for a long-running task that finds no worker

Its pool is to get one, but only idle instances move, and in overload no instance is ever idle. Change: if no idle instance can move there, the instance of another pool whose tasks end first gets no new tasks and moves.

--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -192,9 +193,57 @@
 // planMovesBetweenPools plans moves of instances so that pool sizes follow the
 // demand.
 func (e *Engine) planMovesBetweenPools(now time.Time) {
-	for _, move := range sizer.PlanMoves(e.poolSizingInputs(now), e.maxMovesPerRound()) {
+	pools := e.poolSizingInputs(now)
+	moves := sizer.PlanMoves(pools, e.maxMovesPerRound())
+	for _, move := range moves {
 		e.startMoves(move, now)
 	}
+	for _, p := range pools {
+		if p.HasUnplacedTask && !slices.ContainsFunc(moves, func(m sizer.Move) bool { return m.To == p.Name }) {
+			e.clearInstanceFor(p.Name, now)
+		}
+	}
+}
+
+// clearInstanceFor plans the move of an instance of another pool that is not idle
+// to a pool in which a long-running task finds no worker: the one whose tasks
+// end first. It gets no new tasks. In overload no instance would ever become idle
+// by itself, and the task would wait until the load falls.
+func (e *Engine) clearInstanceFor(pool string, now time.Time) {
+	var best *instance
+	var bestTime time.Duration
+	for _, i := range e.planner.instances {
+		if i.Pool == pool || e.isSparePool(i.Pool) {
+			continue
+		}
+		if left, ok := e.timeUntilIdle(i, now); ok && (best == nil || left < bestTime) {
+			best, bestTime = i, left
+		}
+	}
+	if best == nil {
+		return
+	}
+	e.log.Info("instance is cleared for a long-running task that finds no worker", "instance", best.Name, "pool", best.Pool, "to", pool, "expected", bestTime.Round(time.Millisecond).String())
+	best.targetPool, best.wave = pool, 0
+	e.startPlan(best, movePlan, now)
+}
+
+// timeUntilIdle estimates when the tasks on an instance have ended. It reports false
+// if the instance is not up, has a plan, or has tasks that don't end by
+// themselves or reservations for such tasks.
+func (e *Engine) timeUntilIdle(i *instance, now time.Time) (time.Duration, bool) {
+	w := e.currentWorkerOn(i)
+	if i.plan != noPlan || i.State != modeler.InstanceUp || w == nil || !w.acceptsTasks(now) || len(w.reservedFor) > 0 {
+		return 0, false
+	}
+	left := time.Duration(0)
+	for _, t := range w.tasks {
+		if t.step.LongRunning {
+			return 0, false
+		}
+		left = max(left, t.step.Estimate-now.Sub(t.phaseSince))
+	}
+	return left, true
 }
 
 // maxMovesPerRound returns how many moves may start in a planning round.
