--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -115,10 +115,15 @@
 // usageByCustomer returns the resources of all tasks that are or may be
 // running and of orphaned runs whose task is known, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
-	usage := make(map[string]modeler.Resources)
+	byCustomer := make(map[string]*modeler.Resources)
 	add := func(t *task) {
 		customer := t.step.occurrence.job.Customer
-		usage[customer] = usage[customer].Add(t.resourcesTowardCustomerLimit())
+		u := byCustomer[customer]
+		if u == nil {
+			u = &modeler.Resources{}
+			byCustomer[customer] = u
+		}
+		*u = u.Add(t.resourcesTowardCustomerLimit())
 	}
 	for _, w := range e.workersByID {
 		for _, t := range w.tasks {
@@ -130,6 +135,10 @@
 			}
 		}
 	}
+	usage := make(map[string]modeler.Resources, len(byCustomer))
+	for customer, u := range byCustomer {
+		usage[customer] = *u
+	}
 	return usage
 }
 
@@ -198,13 +207,7 @@
 		if !w.acceptsTasks(now) {
 			continue
 		}
-		cpu := w.Capacity.CPU
-		for _, t := range w.tasks {
-			if t.step.LongRunning {
-				cpu -= t.step.ReservedResources().CPU
-			}
-		}
-		c.usable[w.Pool] += cpu
+		c.usable[w.Pool] += w.Capacity.CPU - w.longRunningCPU
 	}
 	for _, i := range e.planner.instances {
 		switch {
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -10,7 +10,7 @@
 	t.phase, t.worker, t.startupDone = p, w, false
 	t.step.occurrence.job.activeTasks++
 	w.tasks[t.id] = t
-	w.used = w.used.Add(t.step.ReservedResources())
+	w.take(t.step, 1)
 }
 
 // unassign frees the resources of the task on its worker. The caller sets the
@@ -23,7 +23,7 @@
 	t.worker, t.startupDone = nil, false
 	t.step.occurrence.job.activeTasks--
 	delete(w.tasks, t.id)
-	w.used = w.used.Sub(t.step.ReservedResources())
+	w.take(t.step, -1)
 }
 
 // isPlacedAs reports whether the task is placed on a worker as the run with this
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -36,6 +36,7 @@
 		hasUnknownStart    bool          // a start got no response, and no poll has succeeded since
 		recorded           bool          // the store may name it as unresponsive, see unresponsiveState
 		used               modeler.Resources
+		longRunningCPU     int64 // CPU that long-running tasks use, in thousandths of a core
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
 		leaseDeadline      int64                  // latest lease expiry sent, on the worker's clock
@@ -118,6 +119,16 @@
 	return w.Capacity.Sub(w.used)
 }
 
+// take takes up the resources of a task of the step for sign 1 and frees them for
+// sign -1.
+func (w *worker) take(s *step, sign int64) {
+	r := s.ReservedResources()
+	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
+	if s.LongRunning {
+		w.longRunningCPU += sign * r.CPU
+	}
+}
+
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
