Read the fleet's records in pieces over a slow link

Change: with a link below 50 Mbit/s a new leader lists by the first digit of the job IDs, repeats only a list that failed, and each list or page counts as progress. TestLeaderOnASlowLinkReadsALargeBacklog fails without it.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -38,6 +38,7 @@
 	readHeaderTimeout    = 3 * time.Second         // for the headers of a request
 	idleTimeout          = 15 * time.Second        // for a connection without requests
 	maxHeaderBytes       = 16 << 10
+	slowLinkMbps         = 50.0                  // Mbit/s; below it a page of a list, which is up to 1 MB, takes over 160 ms
 	minWatchInterval     = 15 * time.Millisecond // lets one response carry several events; delays a job by at most this time
 )
 
@@ -152,11 +153,12 @@
 	}
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
-		WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
+		ReadInPieces: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
 		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput)), workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
+		engineStore := store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput), platform.WithOnPage(term.ReportProgress))
+		orchestrator.New(cfg, engineStore, workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
 	}
 	return elector.New(store, s.Instance, runTerm, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(newDelayCalculator(s, store, l.log).candidateDelay))
 }
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -75,9 +75,12 @@
 		// calls from all entry nodes together; 0 selects the limits of a small
 		// deployment.
 		StoreWritesPerSecond, InstanceOrdersPerSecond float64
-		WallClock                                     func() time.Time // time of day for due times; nil selects the machine's clock
-		Manifest                                      func() *modeler.Manifest
-		RequestedWaves                                func() []modeler.Wave // maintenance waves that the operator has requested
+		// ReadInPieces makes a new leader read the fleet's records in small lists, so
+		// that over a slow link the renewals of its lease don't wait for a large one.
+		ReadInPieces   bool
+		WallClock      func() time.Time // time of day for due times; nil selects the machine's clock
+		Manifest       func() *modeler.Manifest
+		RequestedWaves func() []modeler.Wave // maintenance waves that the operator has requested
 		// WaveStatus returns the record that tells the operator whether a wave is
 		// running or completed.
 		WaveStatus func(number int64, completed bool) keeper.Put
@@ -347,19 +350,14 @@
 			return 0, errors.Trace(err)
 		}
 	}
-	for {
-		records, revision, err := e.store.List(ctx, fleetPrefix)
-		if err == nil {
-			e.restoreState(records)
-			e.log.Info("fleet state read from the store", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision,
-				"handed-over", e.handover.predecessorStoredAll, "unresponsive-workers", len(e.unresponsive.workers), "took", time.Since(e.termStart).String())
-			return revision, nil
-		}
-		e.log.Warn("jobs not read from the store, trying again", "error", err)
-		if err := supervisor.Pause(ctx, reloadRetryInterval); err != nil {
-			return 0, errors.Trace(err)
-		}
+	records, revision, err := e.listFleet(ctx)
+	if err != nil {
+		return 0, err
 	}
+	e.restoreState(records)
+	e.log.Info("fleet state read from the store", "jobs", len(e.jobs), "ended", len(e.outcomes), "revision", revision,
+		"handed-over", e.handover.predecessorStoredAll, "unresponsive-workers", len(e.unresponsive.workers), "took", time.Since(e.termStart).String())
+	return revision, nil
 }
 
 // restoreState restores the state from the records of earlier terms.
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -22,11 +22,13 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/requester"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
 const (
 	testLease       = 6 * time.Second
-	unresponsiveKey = "fleet/silence" // key of the orchestrator.UnresponsiveWorkers
+	unresponsiveKey = "fleet/silence"         // key of the orchestrator.UnresponsiveWorkers
+	slowListLimit   = 2500 * time.Millisecond // of a page over a slow storeLink, as the store's client has it
 )
 
 // deployment is a small simulated deployment: a store, workers and the entry
@@ -41,6 +43,7 @@
 	log                     *slog.Logger
 	storeWritesPerSecond    float64               // see orchestrator.Config.StoreWritesPerSecond
 	instanceOrdersPerSecond float64               // see orchestrator.Config.InstanceOrdersPerSecond
+	storeBytesPerSecond     int                   // of each entry node's link to the store, see storeLink; 0 if it is fast
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	wallClock               func() time.Time      // see orchestrator.Config.WallClock
 }
@@ -96,6 +99,45 @@
 	return l.TaskFleet.Stop(ctx, w, task, run, token)
 }
 
+// storeLink is an entry node's connection to the store. If it is slow, lists and
+// renewals of leases wait for each other, and a list takes the time of its bytes.
+type storeLink struct {
+	*emulator.MetaStoreClient
+	bytesPerSecond int // 0: fast
+	busy           chan struct{}
+}
+
+// transfer waits until the link is free and then as long as the bytes take. It
+// reports false if that takes longer than limit.
+func (l storeLink) transfer(ctx context.Context, bytes int, limit time.Duration) bool {
+	if l.bytesPerSecond == 0 {
+		return true
+	}
+	l.busy <- struct{}{}
+	defer func() { <-l.busy }()
+	took := time.Duration(bytes) * time.Second / time.Duration(l.bytesPerSecond)
+	return supervisor.Pause(ctx, min(took, limit)) == nil && took <= limit
+}
+
+// List implements orchestrator.Store.
+func (l storeLink) List(ctx context.Context, prefix string) ([]keeper.Record, int64, error) {
+	records, revision, err := l.MetaStoreClient.List(ctx, prefix)
+	bytes := 0
+	for _, r := range records {
+		bytes += len(r.Key) + len(r.Value)
+	}
+	if err == nil && !l.transfer(ctx, bytes, slowListLimit) {
+		return nil, 0, keeper.ErrUnavailable
+	}
+	return records, revision, err
+}
+
+// KeepAlive implements elector.Store.
+func (l storeLink) KeepAlive(ctx context.Context, id keeper.LeaseID) error {
+	l.transfer(ctx, 0, time.Second)
+	return l.MetaStoreClient.KeepAlive(ctx, id)
+}
+
 // entryNode is a running entry node.
 type entryNode struct {
 	deployment         *deployment
@@ -145,10 +187,10 @@
 
 // startEntry starts an entry node.
 func (d *deployment) startEntry(name string) *entryNode {
-	client := d.store.ClientFor(name)
+	client := storeLink{MetaStoreClient: d.store.ClientFor(name), bytesPerSecond: d.storeBytesPerSecond, busy: make(chan struct{}, 1)}
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	cfg := orchestrator.Config{
-		RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
+		ReadInPieces: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
 		Manifest: func() *modeler.Manifest {
 			if e.panicsOnce.CompareAndSwap(true, false) {
