--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -153,7 +153,7 @@
 	}
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
-		ReadInPieces: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
+		SlowLink: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
 		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
--- a/orchestrator/ends_test.go
+++ b/orchestrator/ends_test.go
@@ -1,7 +1,6 @@
 package orchestrator_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -17,8 +16,8 @@
 func (d *deployment) progressOf(job string) orchestrator.Progress {
 	r, err := d.store.ClientFor("x").Get(d.t.Context(), orchestrator.ProgressKey(job))
 	require.NoError(d.t, err)
-	var p orchestrator.Progress
-	require.NoError(d.t, json.Unmarshal(r.Value, &p))
+	p, err := orchestrator.DecodeProgress(r.Value)
+	require.NoError(d.t, err)
 	return p
 }
 
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -75,9 +75,10 @@
 		// calls from all entry nodes together; 0 selects the limits of a small
 		// deployment.
 		StoreWritesPerSecond, InstanceOrdersPerSecond float64
-		// ReadInPieces makes a new leader read the fleet's records in small lists, so
-		// that over a slow link the renewals of its lease don't wait for a large one.
-		ReadInPieces   bool
+		// SlowLink saves bytes at the price of processor time: progress records are
+		// compressed, and a new leader reads the fleet's records in small lists, so that
+		// the renewals of its lease don't wait for a large one.
+		SlowLink       bool
 		WallClock      func() time.Time // time of day for due times; nil selects the machine's clock
 		Manifest       func() *modeler.Manifest
 		RequestedWaves func() []modeler.Wave // maintenance waves that the operator has requested
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -144,15 +144,15 @@
 		j := jobs[0]
 		jobs = jobs[1:]
 		room -= j.keysToWrite()
-		b.add(j, j.isFinished())
+		b.add(j, j.isFinished(), e.cfg.SlowLink)
 		delete(e.unstoredJobs, j)
 	}
 	return b, jobs
 }
 
 // add adds the record of a job to the transaction: the outcome if the job is
-// finished (final), otherwise its progress.
-func (b *jobBatch) add(j *job, final bool) {
+// finished (final), otherwise its progress, compressed if compress is set.
+func (b *jobBatch) add(j *job, final, compress bool) {
 	j.commitInFlight = true
 	b.jobs = append(b.jobs, j)
 	b.versions = append(b.versions, j.version)
@@ -163,7 +163,7 @@
 		b.txn.Delete = append(b.txn.Delete, j.progressKey, CancelKey(j.ID))
 		return
 	}
-	b.txn.Put = append(b.txn.Put, keeper.Put{Key: j.progressKey, Value: encodeJSON(j.progress())})
+	b.txn.Put = append(b.txn.Put, keeper.Put{Key: j.progressKey, Value: encodeProgress(j.progress(), compress)})
 }
 
 // handleCommitResult processes the result of a job transaction.
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -52,8 +52,7 @@
 	j := newJob(*def)
 	j.progressKey, j.loadedAt = progressKey, e.term.Now()
 	if progress := byKey[progressKey]; progress.Revision != 0 {
-		var p Progress
-		err := json.Unmarshal(progress.Value, &p)
+		p, err := DecodeProgress(progress.Value)
 		if err == nil {
 			err = j.restore(p, e.workerOfPlacement)
 		}
--- a/orchestrator/read.go
+++ b/orchestrator/read.go
@@ -13,12 +13,12 @@
 const jobIDDigits = "0123456789abcdefABCDEF"
 
 // listFleet lists the records of earlier terms and returns the store revision from
-// which to watch for changes. With Config.ReadInPieces it reads one small list
+// which to watch for changes. With Config.SlowLink it reads one small list
 // after the other, and each counts as progress of the term. Changes between two
 // lists are no trouble: only callers still write, and the watch reports that.
 func (e *Engine) listFleet(ctx context.Context) ([]keeper.Record, int64, error) {
 	prefixes := []string{fleetPrefix}
-	if e.cfg.ReadInPieces {
+	if e.cfg.SlowLink {
 		prefixes = fleetPieces()
 	}
 	var all []keeper.Record
--- a/orchestrator/view.go
+++ b/orchestrator/view.go
@@ -57,8 +57,8 @@
 			}
 			v.Known, v.Revision, outcome = true, r.Revision, rec.Outcome
 		case ProgressKey(id), OldProgressKey(id):
-			var p Progress
-			if err := json.Unmarshal(r.Value, &p); err != nil {
+			p, err := DecodeProgress(r.Value)
+			if err != nil {
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
 			}
 			v.State = p.State
