Refuse new jobs at once that can't be served in time

Cause: nothing was refused in overload. Change: the leader estimates how long a new job of each customer waits: behind the customer's own limit, behind what customers want of the cores that the pool has or can get (generalized processor sharing), and behind all waiting tasks if placement stops for lack of starts. Where that is above the time after which a job is worth nothing, entries accept a share of the customer's new jobs, which the leader adapts to what gets done.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -13,6 +13,7 @@
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/postponer"
 )
@@ -35,8 +36,11 @@
 	FleetState interface {
 		Manifest() *modeler.Manifest
 		Pending(queue string) (int, bool) // jobs of the queue that have not begun; false when the count is too old
-		StoreIsUnreachable() bool         // calls to the key-value service have failed for some time
-		SinceStoreAnswer() time.Duration  // time since the last answer of the key-value service
+		// Limitation tells whether only a share of a customer's new jobs in a queue may be
+		// accepted.
+		Limitation(queue, customer string) (orchestrator.Limitation, bool)
+		StoreIsUnreachable() bool        // calls to the key-value service have failed for some time
+		SinceStoreAnswer() time.Duration // time since the last answer of the key-value service
 	}
 
 	// Acceptor is the handler of the callers' HTTP interface.
@@ -46,6 +50,7 @@
 		log      *slog.Logger
 		now      func() time.Time
 		outcomes *outcomeCache
+		random   func() float64 // from 0 to 1, decides which jobs are refused
 	}
 
 	// Option changes an Acceptor under construction.
@@ -78,9 +83,15 @@
 	return func(a *Acceptor) { a.now = now }
 }
 
+// WithRandom sets the source of the random numbers from 0 to 1 that decide which
+// jobs are refused when only a share can be accepted.
+func WithRandom(random func() float64) Option {
+	return func(a *Acceptor) { a.random = random }
+}
+
 // New returns the handler of the callers' HTTP interface.
 func New(store Store, fleet FleetState, opts ...Option) *Acceptor {
-	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache()}
+	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -27,6 +27,7 @@
 type fleetState struct {
 	manifest     *modeler.Manifest
 	pending      map[string]int
+	limited      map[string]orchestrator.Limitation // by customer
 	unreachable  bool
 	storeSilence time.Duration
 }
@@ -35,6 +36,11 @@
 
 func (b *fleetState) Pending(queue string) (int, bool) { return b.pending[queue], b.pending != nil }
 
+func (b *fleetState) Limitation(_, customer string) (orchestrator.Limitation, bool) {
+	l, ok := b.limited[customer]
+	return l, ok
+}
+
 func (b *fleetState) StoreIsUnreachable() bool { return b.unreachable }
 
 func (b *fleetState) SinceStoreAnswer() time.Duration { return b.storeSilence }
@@ -58,7 +64,7 @@
 	}
 	m.Index()
 	store, b := emulator.NewMetaStore(), &fleetState{manifest: m, pending: map[string]int{"open": 3}}
-	return &fixture{t: t, store: store, fleet: b, a: acceptor.New(store.ClientFor("entry"), b)}
+	return &fixture{t: t, store: store, fleet: b, a: acceptor.New(store.ClientFor("entry"), b, acceptor.WithRandom(func() float64 { return 0.5 }))}
 }
 
 // call sends a request to the Acceptor and returns the response.
@@ -199,3 +205,30 @@
 	b.put(orchestrator.JobKey(jobID), "nonsense")
 	require.Equal(t, http.StatusServiceUnavailable, b.call("GET", "/o/"+jobID, "", "").Code)
 }
+
+// The load: a customer sends more than can be served in time, so only a part of its
+// new jobs is accepted. A refused job is not stored; a job that was accepted before
+// its answer got lost stays accepted; jobs that last or run at set times are not
+// limited.
+func TestOnlyAShareOfTheNewJobsIsAcceptedInOverload(t *testing.T) {
+	const other, lasting, timed = "00000000000000a1", "00000000000000a2", "00000000000000a3"
+	b := newFixture(t)
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+	b.fleet.limited = map[string]orchestrator.Limitation{"c": {Accept: 0.4, WaitMs: 6000}}
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+	w := b.call("POST", "/k/"+other, body, "secret")
+	require.Equal(t, http.StatusTooManyRequests, w.Code)
+	require.Equal(t, "3", w.Header().Get("Retry-After"))
+	require.Contains(t, w.Body.String(), `"verdict":"not-run"`)
+	require.Equal(t, http.StatusGone, b.call("GET", "/k/"+other, "", "secret").Code)
+	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+other, body, "").Code, "another customer")
+	for id, field := range map[string]string{lasting: `"long_running":true`, timed: ""} {
+		text := `{"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1,"estimated_ms":1` + strings.TrimSuffix(","+field, ",") + `}]`
+		if id == timed {
+			text += `,"repetitions":2,"interval_ms":1000,"first_run_ms":1`
+		}
+		require.Equal(t, http.StatusOK, b.call("POST", "/k/"+id, text+"}", "secret").Code, field)
+	}
+	b.fleet.limited["c"] = orchestrator.Limitation{Accept: 0.6, WaitMs: 6000}
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/00000000000000a4", body, "secret").Code)
+}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/juju/errors"
 
@@ -12,6 +13,7 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
+	"github.com/coltsfootlever/coltsfootlever/postponer"
 )
 
 const cancelAttempts = 3 // a job's record changes at most once while a cancellation is stored
@@ -26,6 +28,9 @@
 	if a.fleet.StoreIsUnreachable() {
 		return answer{}, a.storeFailure(keeper.ErrUnavailable)
 	}
+	if l, ok := a.fleet.Limitation(r.queue.Name, r.customer); ok && !job.IsLongRunning() && job.Repeat == 0 && a.random() >= l.Accept {
+		return a.refuseUnlessStored(r, l)
+	}
 	job.Accepted = a.now()
 	_, _, err = a.store.Commit(r.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(r.job)}},
@@ -41,6 +46,21 @@
 	return a.readBack(r, err)
 }
 
+// refuseUnlessStored refuses a new job that can't be served in time. The call may
+// also repeat one whose answer was lost: a job that is stored stays accepted.
+func (a *Acceptor) refuseUnlessStored(r *request, l orchestrator.Limitation) (answer, error) {
+	v, err := a.loadJob(r)
+	if err != nil {
+		return answer{}, a.storeFailure(err)
+	}
+	if v.Known {
+		return answer{status: http.StatusOK}, nil
+	}
+	wait := time.Duration(l.WaitMs) * time.Millisecond
+	return answer{}, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later",
+		r.customer, r.queue.Name, wait, 100*l.Accept).WithRetryAfter(postponer.OverloadDelay(wait, a.random()))
+}
+
 // readBack checks whether a submission whose write was not answered was stored.
 // While the job is not found, the write may still take effect, so the answer
 // must not be a refusal.
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -88,6 +88,18 @@
 	return l.Pending[queue], true
 }
 
+// Limitation returns whether only a share of the customer's new jobs in a queue may
+// be accepted. It reports false if all may, or if the last published load is older
+// than maxLoadAge.
+func (s *fleetState) Limitation(queue, customer string) (orchestrator.Limitation, bool) {
+	l := s.load.Load()
+	if l == nil || time.Since(l.receivedAt) > maxLoadAge {
+		return orchestrator.Limitation{}, false
+	}
+	limitation, ok := l.Limited[queue][customer]
+	return limitation, ok
+}
+
 // StoreIsUnreachable reports whether calls to the key-value store have
 // failed for longer than unreachableAfter.
 func (s *fleetState) StoreIsUnreachable() bool {
--- /dev/null
+++ b/orchestrator/admit.go
@@ -0,0 +1,285 @@
+package orchestrator
+
+import (
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/refuser"
+)
+
+const (
+	admissionDelay   = 5 * time.Second // a new leader limits nobody before it has heard of the workers and placed what waited for it
+	rateIntervals    = 6               // intervals of which the leader remembers the rate of starts
+	limitedIntervals = 3               // in so many of them placement stopped for lack of starts before the leader takes itself for the limit
+	minLimitation    = 0.99            // shares above this are not published
+)
+
+type (
+	// Limitation tells entry nodes to accept only a share of the new jobs of a
+	// customer in a queue, because the others can't be served in time.
+	Limitation struct {
+		Accept float64 `json:"accept"`  // share of the new jobs to accept, below 1
+		WaitMs int64   `json:"wait-ms"` // how long a new job waits at present, in ms
+	}
+
+	// admissionKey identifies the new jobs that share a decision.
+	admissionKey struct{ queue, customer string }
+
+	// admissionState is what the decisions on new jobs are based on.
+	admissionState struct {
+		admissions   map[admissionKey]*refuser.Admission
+		updatedAt    time.Time
+		starts       map[string]int            // confirmed starts since then, by pool
+		startsLacked map[string]bool           // pools whose placement has stopped for lack of starts since then
+		startRates   map[string][]intervalRate // by pool
+		objectives   map[string]objectiveSums
+	}
+
+	// intervalRate is the rate of starts in an interval, and whether it was too low for
+	// the tasks that there was room for.
+	intervalRate struct {
+		startsPerSecond float64
+		lacked          bool
+	}
+
+	// objectiveSums contains the sums of the objectives of a queue's jobs and of the
+	// times that they take without waiting.
+	objectiveSums struct {
+		objective, ideal time.Duration
+		count            int
+	}
+
+	// backlogKey identifies the tasks that wait for each other.
+	backlogKey struct {
+		priority int
+		customer string
+	}
+
+	// poolBacklog is what waits and runs in a pool.
+	poolBacklog struct {
+		wantedCores float64
+		byKey       map[backlogKey]refuser.Backlog
+		queueWork   map[admissionKey]float64 // core-seconds that wait
+	}
+)
+
+func newAdmissionState() admissionState {
+	return admissionState{
+		admissions: make(map[admissionKey]*refuser.Admission), starts: make(map[string]int), startsLacked: make(map[string]bool),
+		startRates: make(map[string][]intervalRate), objectives: make(map[string]objectiveSums),
+	}
+}
+
+// admissionOf returns the decision for the new jobs of a customer in a queue and
+// adds it if it is missing.
+func (s *admissionState) admissionOf(k admissionKey) *refuser.Admission {
+	a := s.admissions[k]
+	if a == nil {
+		a = refuser.NewAdmission()
+		s.admissions[k] = a
+	}
+	return a
+}
+
+// recordNewJob records a new job for the decisions on the next ones.
+func (e *Engine) recordNewJob(j *job, q *modeler.Queue) {
+	s := &e.admission
+	s.admissionOf(admissionKey{j.Queue, j.Customer}).RecordAccepted(j.occurrenceWork() * e.estimateFactor(j.Queue))
+	sums := s.objectives[j.Queue]
+	o := j.occurrences[0]
+	sums.objective += o.targetDuration(q)
+	sums.ideal += o.longestPath()
+	sums.count++
+	s.objectives[j.Queue] = sums
+}
+
+// updateAdmissions adapts the decisions on new jobs and returns those that limit
+// them, by queue and customer.
+func (e *Engine) updateAdmissions(now time.Time) map[string]map[string]Limitation {
+	s := &e.admission
+	interval := now.Sub(s.updatedAt)
+	s.updatedAt = now
+	if now.Sub(e.termStart) < admissionDelay {
+		clear(s.admissions) // the jobs loaded so far are not new
+		return nil
+	}
+	backlogs, cores := e.backlogsByPool(), e.countCores(now)
+	s.updateStartRates(backlogs, interval)
+	limits := make(map[string]map[string]Limitation)
+	for i := range e.cfg.Manifest().Queues {
+		q := &e.cfg.Manifest().Queues[i]
+		b := backlogs[q.Pool]
+		if b == nil {
+			b = &poolBacklog{}
+		}
+		pool := b.describe(q.Priority)
+		pool.Cores = e.coresInOverload(q.Pool, cores, backlogs)
+		pool.StartsPerSecond = s.startsPerSecond(q.Pool)
+		e.updateQueueAdmissions(q, pool, b, interval, limits)
+	}
+	return limits
+}
+
+// coresInOverload returns the cores that a pool has or can get: its own and idle
+// ones, and also those that are in use by other pools and more than these want.
+func (e *Engine) coresInOverload(pool string, cores *coreCounts, backlogs map[string]*poolBacklog) float64 {
+	all := 0.0
+	for name, cpu := range cores.usable {
+		all += float64(cpu) / milliCoresPerCore
+		if b := backlogs[name]; b != nil && name != pool {
+			all -= b.wantedCores
+		}
+	}
+	for name, cpu := range cores.movableOf {
+		if e.isSparePool(name) {
+			all += float64(cpu) / milliCoresPerCore
+		}
+	}
+	return max(all, float64(cores.usable[pool]+cores.movable-cores.movableOf[pool])/milliCoresPerCore)
+}
+
+// updateQueueAdmissions adapts the decisions on the new jobs of a queue and adds
+// those that limit them.
+func (e *Engine) updateQueueAdmissions(q *modeler.Queue, pool refuser.Pool, b *poolBacklog, interval time.Duration, limits map[string]map[string]Limitation) {
+	sums := e.admission.objectives[q.Name]
+	if sums.count == 0 {
+		return
+	}
+	n := time.Duration(sums.count)
+	limit := refuser.Limit(sums.objective/n, sums.ideal/n)
+	waits := pool.Waits()
+	for k, a := range e.admission.admissions {
+		if k.queue != q.Name {
+			continue
+		}
+		limited := a.Share() < 1
+		wait := waits[k.customer]
+		a.Update(interval, wait, limit, b.queueWork[k])
+		if limited != (a.Share() < 1) {
+			e.log.Info("new jobs of a customer limited or free again", "queue", k.queue, "customer", k.customer, "accept", a.Share(),
+				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cores", pool.Cores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
+		}
+		if a.Share() >= minLimitation {
+			continue
+		}
+		if limits[k.queue] == nil {
+			limits[k.queue] = make(map[string]Limitation)
+		}
+		limits[k.queue][k.customer] = Limitation{Accept: a.Share(), WaitMs: wait.Milliseconds()}
+	}
+}
+
+// startsPerSecond returns the highest recent rate of starts in a pool if that is what
+// its tasks wait for, and 0 otherwise.
+func (s *admissionState) startsPerSecond(pool string) float64 {
+	lacked, highest := 0, 0.0
+	for _, r := range s.startRates[pool] {
+		highest = max(highest, r.startsPerSecond)
+		if r.lacked {
+			lacked++
+		}
+	}
+	if lacked < limitedIntervals {
+		return 0
+	}
+	return highest
+}
+
+// updateStartRates records the rates of starts in an interval. Without any start it
+// tells of an outage and not of what the leader can do.
+func (s *admissionState) updateStartRates(backlogs map[string]*poolBacklog, interval time.Duration) {
+	for pool := range backlogs {
+		if s.starts[pool] == 0 {
+			delete(s.startRates, pool)
+			continue
+		}
+		rates := append(s.startRates[pool], intervalRate{float64(s.starts[pool]) / interval.Seconds(), s.startsLacked[pool]})
+		s.startRates[pool] = rates[max(0, len(rates)-rateIntervals):]
+	}
+	clear(s.starts)
+	clear(s.startsLacked)
+}
+
+// describe returns the backlogs of the queues that come before or with those of a
+// priority.
+func (b *poolBacklog) describe(priority int) refuser.Pool {
+	byCustomer := make(map[string]*refuser.Backlog)
+	for k, part := range b.byKey {
+		if k.priority > priority {
+			continue
+		}
+		sum := byCustomer[k.customer]
+		if sum == nil {
+			sum = &refuser.Backlog{Customer: part.Customer, Weight: part.Weight, MaxCores: part.MaxCores}
+			byCustomer[k.customer] = sum
+		}
+		sum.WantedCores += part.WantedCores
+		sum.Work += part.Work
+		sum.Tasks += part.Tasks
+	}
+	var pool refuser.Pool
+	for _, sum := range byCustomer {
+		pool.Backlogs = append(pool.Backlogs, *sum)
+	}
+	return pool
+}
+
+// backlogsByPool returns what waits and runs in each pool. Long-running tasks don't
+// count.
+func (e *Engine) backlogsByPool() map[string]*poolBacklog {
+	byPool := make(map[string]*poolBacklog)
+	now, m := e.cfg.WallClock(), e.cfg.Manifest()
+	for _, j := range e.jobs {
+		q := m.QueueOf(&j.Job)
+		if q == nil || j.state.IsFinal() || j.IsLongRunning() {
+			continue
+		}
+		b := byPool[q.Pool]
+		if b == nil {
+			b = &poolBacklog{byKey: make(map[backlogKey]refuser.Backlog), queueWork: make(map[admissionKey]float64)}
+			byPool[q.Pool] = b
+		}
+		factor := e.estimateFactor(j.Queue)
+		for _, o := range j.occurrences {
+			if j.Repeat == 0 || !now.Before(o.due) {
+				b.addOccurrence(o, q, m, factor)
+			}
+		}
+	}
+	return byPool
+}
+
+// addOccurrence adds the tasks of an occurrence that run or could start.
+// estimateFactor is the ratio of actual to estimated durations.
+func (b *poolBacklog) addOccurrence(o *occurrence, q *modeler.Queue, m *modeler.Manifest, estimateFactor float64) {
+	j := o.job
+	key := backlogKey{q.Priority, j.Customer}
+	sum, ok := b.byKey[key]
+	if !ok {
+		sum = refuser.Backlog{Customer: j.Customer, Weight: 1}
+		if c := m.Customer(j.Customer); c != nil {
+			sum.Weight, sum.MaxCores = c.Weight, float64(c.Limit.CPU)/milliCoresPerCore
+		}
+	}
+	for _, s := range o.steps {
+		if s.finishedTasks == s.Count || !s.dependenciesDone() {
+			continue
+		}
+		cores := float64(s.ReservedResources().CPU) / milliCoresPerCore
+		for _, t := range s.tasks {
+			switch t.phase {
+			case done:
+			case waiting, placed:
+				sum.Tasks++
+				sum.WantedCores += cores
+				sum.Work += s.taskWork() * estimateFactor
+				b.queueWork[admissionKey{j.Queue, j.Customer}] += s.taskWork() * estimateFactor
+				b.wantedCores += cores
+			default:
+				sum.WantedCores += cores
+				b.wantedCores += cores
+			}
+		}
+	}
+	b.byKey[key] = sum
+}
--- /dev/null
+++ b/orchestrator/admit_test.go
@@ -0,0 +1,64 @@
+package orchestrator_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+)
+
+func (d *deployment) load() orchestrator.Load {
+	r, err := d.store.ClientFor("x").Get(d.t.Context(), orchestrator.LoadKey)
+	require.NoError(d.t, err)
+	var l orchestrator.Load
+	require.NoError(d.t, json.Unmarshal(r.Value, &l))
+	return l
+}
+
+// The load: one customer sends four times what the deployment can do, another one
+// little. Only the first one's new jobs are limited, and no longer than the
+// overload lasts.
+func TestLeaderLimitsNewJobsThatCannotBeServedInTime(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.manifest.Customers = []modeler.Customer{{Name: "hot", Weight: 1}, {Name: "mild", Weight: 1}}
+		s.manifest.Index()
+		e := s.startEntry("one")
+		n := 0
+		send := func(customer string, tasks int) {
+			j := shortJob(fmt.Sprintf("%s-%d", customer, n), modeler.Step{Count: tasks, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second})
+			j.Customer, n = customer, n+1
+			s.submit(j)
+		}
+		play := func(seconds int, hot bool) {
+			for range 2 * seconds {
+				send("mild", 1)
+				if hot {
+					send("hot", 16)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}
+		play(8, false)
+		require.Empty(t, s.load().Limited)
+		play(4, true)
+		limited := s.load().Limited["short"]
+		require.Contains(t, limited, "hot")
+		require.Less(t, limited["hot"].Accept, 0.5)
+		require.Greater(t, limited["hot"].WaitMs, int64(1000))
+		require.NotContains(t, limited, "mild")
+		play(30, false)
+		require.Empty(t, s.load().Limited)
+		for i := range n {
+			id := fmt.Sprintf("mild-%d", i)
+			if s.taskFleet.StartedRuns(taskID(id, 0, 0)) > 0 && i < n-6 {
+				require.Equal(t, modeler.Completed, s.jobState(id), id)
+			}
+		}
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -124,6 +124,7 @@
 		replacementDue       bool // a worker has responded for the first time and may have replaced another
 		shuttingDown         bool
 		loadPublication      loadPublication
+		admission            admissionState
 		meanJobWork          map[string]workSum      // estimated work of the jobs, by queue
 		durations            map[string]durationSums // actual and estimated task durations, by queue
 		planner              instancePlanner
@@ -167,6 +168,7 @@
 	if e.cfg.WallClock == nil {
 		e.cfg.WallClock = time.Now
 	}
+	e.admission = newAdmissionState()
 	e.handover.blockingWorkers = make(map[string]string)
 	e.handover.workersAtStart = make(map[string]bool)
 	e.handover.unlistedWorkers = make(map[string]string)
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -71,10 +71,11 @@
 	if since < maxLoadPublishInterval && maps.Equal(pending, l.lastPublished) {
 		return
 	}
+	limited := e.updateAdmissions(now)
 	l.commitInFlight, l.publishedAt = true, now
 	txn := keeper.Txn{
 		Expect: []keeper.Expectation{e.termCondition()},
-		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending})}},
+		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending, Limited: limited})}},
 	}
 	e.runInBackground(func() {
 		_, _, err := e.store.Commit(ctx, txn)
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -88,6 +88,7 @@
 			e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock, "took", took.Round(time.Millisecond).String())
 		}
 		t.phase, t.phaseSince = running, now
+		e.admission.starts[w.Pool]++
 		if t.step.occurrence.job.state.IsFinal() {
 			e.requestStop(t)
 		}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -74,6 +74,7 @@
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
 		for _, c := range candidates {
 			if !c.step.LongRunning && !p.startsAvailable(c.step) {
+				e.admission.startsLacked[p.poolOf(c.step)] = true
 				continue // a task that can't be started soon may be placed better later
 			}
 			p.placeStep(c.step, fair)
@@ -223,6 +224,12 @@
 
 // targetDuration returns the time within which the occurrence should complete.
 func (o *occurrence) targetDuration(q *modeler.Queue) time.Duration {
+	return time.Duration(q.ObjectiveFactor*float64(o.longestPath())) + q.ObjectiveOffset
+}
+
+// longestPath returns the longest path of estimated work through the dependent
+// steps, which is how long the occurrence takes if nothing waits.
+func (o *occurrence) longestPath() time.Duration {
 	ends := make([]time.Duration, len(o.steps))
 	longest := time.Duration(0)
 	for i, s := range o.steps {
@@ -232,7 +239,7 @@
 		}
 		longest = max(longest, ends[i])
 	}
-	return time.Duration(q.ObjectiveFactor*float64(longest)) + q.ObjectiveOffset
+	return longest
 }
 
 // placeStep places the waiting tasks of a step. If fair is set, it stops at the
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -63,10 +63,11 @@
 		Checkpoint string   `json:"checkpoint,omitempty"`
 	}
 
-	// Load contains the job counts that the leader publishes for the other entry
-	// nodes.
+	// Load is what the leader publishes for the other entry nodes: job counts, and
+	// which new jobs they accept only in part.
 	Load struct {
-		Pending map[string]int `json:"pending"` // accepted jobs of which no task has started, by queue
+		Pending map[string]int                   `json:"pending"`           // accepted jobs of which no task has started, by queue
+		Limited map[string]map[string]Limitation `json:"limited,omitempty"` // by queue and customer
 	}
 )
 
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -109,13 +109,19 @@
 // forecast.
 func (e *Engine) recordJobArrival(j *job, now time.Time) {
 	m := e.cfg.Manifest()
-	if m == nil || j.IsLongRunning() || now.Sub(j.Accepted) > sizer.Window {
+	if m == nil || j.IsLongRunning() {
 		return
 	}
 	q := m.QueueOf(&j.Job)
 	if q == nil {
 		return
 	}
+	if j.Repeat == 0 {
+		e.recordNewJob(j, q)
+	}
+	if now.Sub(j.Accepted) > sizer.Window {
+		return
+	}
 	h := e.poolHistoryOf(q.Pool)
 	h.arrivals = append(h.arrivals, sizer.Arrival{At: now, Work: j.occurrenceWork() * e.estimateFactor(j.Queue)})
 }
--- a/postponer/postponer.go
+++ b/postponer/postponer.go
@@ -22,3 +22,14 @@
 	delay := min(max(time.Duration(delayPerSilence*float64(silence)), minDelay), maxDelay)
 	return (delay + time.Duration(jitter*float64(time.Second))).Truncate(time.Second)
 }
+
+// OverloadDelay returns how long a caller should wait before it repeats a call that
+// was refused because new jobs wait too long, in whole seconds. wait is how long they
+// wait, and jitter, from 0 to 1, spreads the retries.
+//
+// After half of the wait much of the backlog is done. Since all that time counts
+// for the caller, the delay stays short.
+func OverloadDelay(wait time.Duration, jitter float64) time.Duration {
+	delay := min(max(wait/2, minDelay), maxDelay)
+	return (delay + time.Duration(jitter*float64(time.Second))).Truncate(time.Second)
+}
