Keep calls in flight and placed tasks to what a slow link carries

Change: as many starts in flight as the link carries in 0.1 s, four transactions below 50 Mbit/s, at most twice as many placed tasks as starts in flight; long-running tasks are stored first and start beyond the limit; a new leader takes over which new jobs its predecessor limits. Tests for each.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -142,7 +142,7 @@
 // newElector returns the service that runs for leadership and leads the fleet
 // while this entry node is the leader.
 func (l *Launcher) newElector(s *platform.Settings, store *platform.Store) *elector.Elector {
-	throttle := throttler.New()
+	throttle := throttler.New(throttler.WithLink(s.LinkMbps))
 	workers := platform.NewWorkerClient(requester.NewClient(platform.NewTransport(workerIdleConns, connector.WithConnectTimeout(throttle.TimeLimit))), throttle)
 	directory := platform.NewWorkerDirectory(store, l.log)
 	instances := platform.NewInstanceClient(func() string { return l.settings.Load().InstancesAddress }, s.Instance, requester.NewClient(platform.NewTransport(instanceIdleConns)))
--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -1,14 +1,16 @@
 package orchestrator
 
 import (
+	"encoding/json"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/refuser"
 )
 
 const (
-	admissionDelay   = 5 * time.Second // a new leader limits nobody before it has heard of the workers and placed what waited for it
+	admissionDelay   = 5 * time.Second // a new leader leaves the limitations as they are until it has heard of the workers and placed what waited for it
 	rateIntervals    = 6               // intervals of which the leader remembers the rate of starts
 	limitedIntervals = 3               // in so many of them placement stopped for lack of starts before the leader takes itself for the limit
 	minLimitation    = 0.99            // shares above this are not published
@@ -29,9 +31,10 @@
 	admissionState struct {
 		admissions   map[admissionKey]*refuser.Admission
 		updatedAt    time.Time
-		starts       map[string]int            // confirmed starts since then, by pool
-		startsLacked map[string]bool           // pools whose placement has stopped for lack of starts since then
-		startRates   map[string][]intervalRate // by pool
+		starts       map[string]int                   // confirmed starts since then, by pool
+		startsLacked map[string]bool                  // pools whose placement has stopped for lack of starts since then
+		startRates   map[string][]intervalRate        // by pool
+		inherited    map[string]map[string]Limitation // of the previous leader
 		objectives   map[string]objectiveSums
 	}
 
@@ -75,12 +78,37 @@
 func (s *admissionState) admissionOf(k admissionKey) *refuser.Admission {
 	a := s.admissions[k]
 	if a == nil {
-		a = refuser.NewAdmission()
+		a = refuser.NewAdmission(1)
 		s.admissions[k] = a
 	}
 	return a
 }
 
+// restoreLoad takes over the limitations of the previous leader, so that a change of
+// the leader does not let through what can't be served.
+func (e *Engine) restoreLoad(records []keeper.Record) {
+	for _, r := range records {
+		var l Load
+		if err := json.Unmarshal(r.Value, &l); err != nil {
+			e.log.Error("published load cannot be read, all new jobs are accepted at first", "revision", r.Revision, "error", err)
+			continue
+		}
+		e.admission.inherited = l.Limited
+	}
+	e.inheritAdmissions()
+}
+
+// inheritAdmissions sets the decisions to those of the previous leader.
+func (e *Engine) inheritAdmissions() {
+	s := &e.admission
+	clear(s.admissions)
+	for queue, byCustomer := range s.inherited {
+		for customer, l := range byCustomer {
+			s.admissions[admissionKey{queue, customer}] = refuser.NewAdmission(l.Accept)
+		}
+	}
+}
+
 // recordNewJob records a new job for the decisions on the next ones.
 func (e *Engine) recordNewJob(j *job, q *modeler.Queue) {
 	s := &e.admission
@@ -100,8 +128,8 @@
 	interval := now.Sub(s.updatedAt)
 	s.updatedAt = now
 	if now.Sub(e.termStart) < admissionDelay {
-		clear(s.admissions) // the jobs loaded so far are not new
-		return nil
+		e.inheritAdmissions() // also forgets the jobs loaded so far, which are not new
+		return s.inherited
 	}
 	backlogs, cores := e.backlogsByPool(), e.countCores(now)
 	s.updateStartRates(backlogs, interval)
--- a/orchestrator/admit_test.go
+++ b/orchestrator/admit_test.go
@@ -51,6 +51,11 @@
 		require.Less(t, limited["hot"].Accept, 0.5)
 		require.Greater(t, limited["hot"].WaitMs, int64(1000))
 		require.NotContains(t, limited, "mild")
+		e.stopGracefully()
+		e = s.startEntry("two")
+		s.waitForLeader("two")
+		play(3, true)
+		require.Contains(t, s.load().Limited["short"], "hot", "a change of the leader must not let all jobs through")
 		play(30, false)
 		require.Empty(t, s.load().Limited)
 		for i := range n {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -375,6 +375,7 @@
 	e.restoreUnresponsiveWorkers(byKind[unresponsiveKey])
 	e.restoreInstanceOrders(byKind[instanceOrdersKey])
 	e.restoreHandover(byKind[termKey], byKind[handoverKey])
+	e.restoreLoad(byKind[LoadKey])
 	for _, j := range e.jobs {
 		j.fromEarlierTerm = true
 	}
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -99,14 +99,18 @@
 }
 
 // maxCommitsInFlight returns how many transactions may be in flight: the number
-// of writes that flushes may make in one flush interval.
+// of writes that flushes may make in one flush interval, or few over a slow link,
+// where other calls would wait behind them.
 func (e *Engine) maxCommitsInFlight() int {
+	if e.cfg.SlowLink {
+		return minCommitsInFlight
+	}
 	return max(minCommitsInFlight, int(flushShareOfWrites*e.cfg.StoreWritesPerSecond*flushInterval.Seconds()))
 }
 
-// jobsToStore lists the unstored jobs by urgency: ended jobs first, because
-// their callers wait for the outcome, then the jobs that have been unstored
-// longest.
+// jobsToStore lists the unstored jobs by urgency: long-running jobs first, because
+// each second without one of their tasks is lost, then ended jobs, because their
+// callers wait for the outcome, then the jobs that have been unstored longest.
 func (e *Engine) jobsToStore() []*job {
 	jobs := make([]*job, 0, len(e.unstoredJobs))
 	for j := range e.unstoredJobs {
@@ -115,11 +119,22 @@
 		}
 	}
 	slices.SortFunc(jobs, func(a, b *job) int {
-		return cmp.Or(-cmp.Compare(a.keysToWrite(), b.keysToWrite()), cmp.Compare(a.dirtyOrder, b.dirtyOrder), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(longRunningFirst(a, b), -cmp.Compare(a.keysToWrite(), b.keysToWrite()), cmp.Compare(a.dirtyOrder, b.dirtyOrder), cmp.Compare(a.ID, b.ID))
 	})
 	return jobs
 }
 
+// longRunningFirst compares jobs so that long-running ones come first.
+func longRunningFirst(a, b *job) int {
+	switch {
+	case a.IsLongRunning() == b.IsLongRunning():
+		return 0
+	case a.IsLongRunning():
+		return -1
+	}
+	return 1
+}
+
 // keysToWrite returns how many keys the job's next record takes up in a
 // transaction.
 func (j *job) keysToWrite() int {
@@ -262,7 +277,7 @@
 	}
 	e.requeuePlacedOverLimit()
 	limit := e.throttle.Limit()
-	if e.startsInFlight >= limit && !slices.ContainsFunc(e.awaitingStart, func(t *task) bool { return t.step.Gang }) {
+	if e.startsInFlight >= limit && !slices.ContainsFunc(e.awaitingStart, func(t *task) bool { return t.step.startsBeyondLimit() }) {
 		return
 	}
 	orphanedTasks := sync.OnceValue(e.tasksWithOrphanedRuns) // usually no task may be started yet
@@ -271,7 +286,7 @@
 		j := t.step.occurrence.job
 		switch {
 		case t.phase != placed:
-		case e.shuttingDown || !e.maySendStart(t, now) || e.startsInFlight >= limit && !t.step.Gang: // members of a gang wait for each other on their workers
+		case e.shuttingDown || !e.maySendStart(t, now) || e.startsInFlight >= limit && !t.step.startsBeyondLimit():
 			remaining = append(remaining, t)
 		case j.state.IsFinal() || !t.worker.mayBeUsed() || t.worker.StartTimeMs != t.placementBoot || orphanedTasks()[t.id] || t.step.Gang && t.step.hasTaskIn(orphanedTasks()):
 			e.requeueTask(t)
@@ -284,6 +299,13 @@
 	e.awaitingStart = remaining
 }
 
+// startsBeyondLimit reports whether starts of the step's tasks are not held back while
+// too many are in flight: members of a gang wait for each other on their workers,
+// and each second without a long-running task is lost.
+func (s *step) startsBeyondLimit() bool {
+	return s.Gang || s.LongRunning
+}
+
 // requeuePlacedOverLimit requeues placed tasks whose customers exceed their limit
 // because runs have been found since the last check. The tasks placed last come
 // first. A gang is requeued as a whole or not at all.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -12,10 +12,16 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
-// maxKeptFreeShare is the maximum share of a pool's workers that may be kept
-// free for long-running tasks waiting for room. The other workers continue
-// to take any task that fits.
-const maxKeptFreeShare = 0.25
+const (
+	// maxKeptFreeShare is the maximum share of a pool's workers that may be kept
+	// free for long-running tasks waiting for room. The other workers continue
+	// to take any task that fits.
+	maxKeptFreeShare = 0.25
+
+	// placedPerStart is how many tasks may await their start for each start that may
+	// be in flight. Their placements are stored meanwhile.
+	placedPerStart = 2
+)
 
 type (
 	// placementPass is the state of one pass that places waiting tasks.
@@ -29,8 +35,11 @@
 		customerShares map[string]customerShares // fair shares of customers, by pool
 		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
 		cores          *coreCounts               // nil until it is needed
-		startsPerPool  int                       // number of placed tasks of a pool that may await their start
-		awaitingStart  map[string]int            // number of them, by pool
+		startsOfAll    int                       // number of placed tasks that may await their start
+		startsPerPool  int                       // number of them in one pool
+		awaitingStart  map[string]int            // number of placed tasks that await their start, by pool
+
+		allAwaitingStart int // sum of awaitingStart
 	}
 
 	// coreCounts is the CPU, in thousandths of a core, that tasks which are not
@@ -82,30 +91,32 @@
 	}
 }
 
-// shareStarts divides the starts that may be in flight among the pools that have
-// candidates, so that a pool with a long backlog leaves the others their part. As
-// long as calls don't take long, it limits nothing: passes are cheapest if each
-// places all that there is room for.
+// shareStarts limits how many tasks await their start, since tasks that can't be
+// started soon may be placed better later. While they pile up, it divides the
+// number among the pools that have candidates, so that a pool with a long backlog
+// leaves the others their part.
 func (p *placementPass) shareStarts(candidates []candidateStep) {
 	p.awaitingStart = make(map[string]int)
-	if p.startsPerPool = math.MaxInt; !p.engine.throttle.IsCongested() {
+	for _, t := range p.engine.awaitingStart {
+		if t.phase == placed {
+			p.awaitingStart[t.worker.Pool]++
+			p.allAwaitingStart++
+		}
+	}
+	p.startsOfAll = placedPerStart * p.engine.throttle.Limit()
+	if p.startsPerPool = math.MaxInt; !p.engine.throttle.IsCongested() && p.allAwaitingStart < p.startsOfAll/2 {
 		return
 	}
 	pools := make(map[string]bool)
 	for _, c := range candidates {
 		pools[p.poolOf(c.step)] = true
 	}
-	p.startsPerPool = max(1, p.engine.throttle.Limit()/max(1, len(pools)))
-	for _, t := range p.engine.awaitingStart {
-		if t.phase == placed {
-			p.awaitingStart[t.worker.Pool]++
-		}
-	}
+	p.startsPerPool = max(1, p.startsOfAll/max(1, len(pools)))
 }
 
 // startsAvailable reports whether further tasks of the step's pool may be placed.
 func (p *placementPass) startsAvailable(s *step) bool {
-	return p.startsPerPool == math.MaxInt || p.awaitingStart[p.poolOf(s)] < p.startsPerPool
+	return p.allAwaitingStart < p.startsOfAll && p.awaitingStart[p.poolOf(s)] < p.startsPerPool
 }
 
 // poolOf returns the pool in which a step of a candidate is placed.
@@ -456,6 +467,7 @@
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
 	p.awaitingStart[t.worker.Pool]++
+	p.allAwaitingStart++
 }
 
 // poolView returns the state of a pool in this pass.
--- a/orchestrator/slow_link_test.go
+++ b/orchestrator/slow_link_test.go
@@ -98,6 +98,29 @@
 	}
 }
 
+// exhaustedThrottle permits no further start.
+type exhaustedThrottle struct{}
+
+func (exhaustedThrottle) Limit() int        { return 0 }
+func (exhaustedThrottle) IsCongested() bool { return true }
+
+// The load: all starts that may be in flight are taken up. A long-running task must
+// not wait for the others.
+func TestLongRunningTasksStartBeyondTheLimit(t *testing.T) {
+	runScenario(t, 4, func(s *deployment) {
+		s.throttle = exhaustedThrottle{}
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1"))
+		s.submit(longRunningJob("lasts", 2))
+		time.Sleep(time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("lasts"))
+		require.Zero(t, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
+
 // drawWayToWorkers draws how slow and lossy an entry node's way to workers a to d
 // is, and whether first starts arrive late.
 func (d *deployment) drawWayToWorkers(rng *rand.Rand, e *entryNode) {
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -108,9 +108,10 @@
 	accepted float64 // smoothed work of the accepted jobs, in core-seconds a second
 }
 
-// NewAdmission returns an Admission that accepts all new jobs.
-func NewAdmission() *Admission {
-	return &Admission{share: 1}
+// NewAdmission returns an Admission that accepts the given share of the new jobs at
+// first.
+func NewAdmission(share float64) *Admission {
+	return &Admission{share: min(max(share, minAccepted), 1)}
 }
 
 // Share returns the share of the customer's new jobs to accept, up to 1.
--- a/refuser/refuser_test.go
+++ b/refuser/refuser_test.go
@@ -30,7 +30,7 @@
 }
 
 func ExampleAdmission() {
-	a := refuser.NewAdmission()
+	a := refuser.NewAdmission(1)
 	a.RecordAccepted(400) // core-seconds
 	a.Update(time.Second, 4*time.Second, 3*time.Second, 400)
 	fmt.Println(a.Share())
@@ -84,7 +84,7 @@
 	admissions := make([]*refuser.Admission, len(rates))
 	accepted := make([]float64, len(rates)) // shares of new jobs
 	for c := range rates {
-		admissions[c], accepted[c] = refuser.NewAdmission(), 1
+		admissions[c], accepted[c] = refuser.NewAdmission(1), 1
 	}
 	waiting, running := make([][]waitingJob, len(rates)), make([]int, len(rates))
 	ends := make(map[time.Duration][]int)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -22,6 +22,9 @@
 	initialLimit = 512 // calls in flight
 	minLimit     = 8
 	maxLimit     = 2048
+	maxQueueTime = 0.1  // s; over a slow link, calls in flight queue for at most this long
+	bytesPerCall = 1000 // of a start with its headers
+	bytesPerMbit = 125_000
 	lateFactor   = 0.7 // of the limit after a late call
 )
 
@@ -34,12 +37,31 @@
 	backoff        int           // number of times that the time limit is doubled
 	backoffChanged time.Time
 	limit          float64 // calls in flight
+	highestLimit   float64
 	limitReducedAt time.Time
 }
 
+// Option configures a Throttler.
+type Option func(*Throttler)
+
+// WithLink sets the bandwidth of the link in Mbit/s, 0 if it is not known. Over a slow
+// link fewer calls may be in flight, so that others don't wait behind them.
+func WithLink(mbps float64) Option {
+	return func(t *Throttler) {
+		if mbps > 0 {
+			t.highestLimit = min(max(mbps*bytesPerMbit*maxQueueTime/bytesPerCall, minLimit), maxLimit)
+		}
+	}
+}
+
 // New returns a throttler that has seen no calls.
-func New() *Throttler {
-	return &Throttler{limit: initialLimit}
+func New(opts ...Option) *Throttler {
+	t := &Throttler{highestLimit: maxLimit}
+	for _, opt := range opts {
+		opt(t)
+	}
+	t.limit = min(initialLimit, t.highestLimit)
+	return t
 }
 
 // TimeLimit returns how long a call may take before its response counts as lost.
@@ -79,7 +101,7 @@
 		t.response += time.Duration(smoothing * float64(took-t.response))
 	}
 	t.updateLateShare(now, 0)
-	t.limit = min(t.limit+1/t.limit, maxLimit)
+	t.limit = min(t.limit+1/t.limit, t.highestLimit)
 }
 
 // RecordLate records a call that got no response within its time limit. Calls to
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -88,3 +88,14 @@
 	fmt.Println(t.TimeLimit(), t.Limit(), t.IsCongested())
 	// Output: 300ms 512 false
 }
+
+// A link of 2 Mbit/s carries 25 KB in a tenth of a second, which is 25 starts.
+func TestSlowLinkCarriesFewCallsAtOnce(t *testing.T) {
+	th := throttler.New(throttler.WithLink(2))
+	require.Equal(t, 25, th.Limit())
+	play(th, time.Now(), 2000, fast)
+	require.Equal(t, 25, th.Limit())
+	for _, mbps := range []float64{0, 200} {
+		require.Equal(t, throttler.New().Limit(), throttler.New(throttler.WithLink(mbps)).Limit())
+	}
+}
