--- a/refuser/refuser_test.go
+++ b/refuser/refuser_test.go
@@ -63,9 +63,14 @@
 )
 
 type (
-	waitingJob struct {
-		accepted time.Duration
-		customer int
+	// simulatedCustomer sends jobs of one task.
+	simulatedCustomer struct {
+		rate      float64 // jobs a second
+		admission *refuser.Admission
+		accepted  float64         // share of the new jobs that entry nodes accept
+		waiting   []time.Duration // when the waiting jobs were accepted
+		running   int
+		got       callers
 	}
 
 	// callers is what the callers of a customer got.
@@ -73,86 +78,109 @@
 		jobs, refused, late int
 		longest             time.Duration
 	}
+
+	// simulatedPool serves the customer with the fewest running tasks first.
+	simulatedPool struct {
+		customers []*simulatedCustomer
+		ends      map[time.Duration][]*simulatedCustomer // running tasks, by when they end
+		rng       *rand.Rand
+	}
 )
 
-// playOverload plays customers whose jobs of one task arrive at the given rates a
-// second, with equal weights. The pool serves the customer with the fewest running
-// tasks first. It returns what the callers got and the mean share of cores in use.
+// arrive lets the customer's jobs of one tick arrive.
+func (c *simulatedCustomer) arrive(rng *rand.Rand, now time.Duration) {
+	for at := rng.ExpFloat64() / c.rate; at < tick.Seconds(); at += rng.ExpFloat64() / c.rate {
+		c.got.jobs++
+		if rng.Float64() >= c.accepted {
+			c.got.refused++
+			continue
+		}
+		c.admission.RecordAccepted(taskCores * taskTime.Seconds())
+		c.waiting = append(c.waiting, now)
+	}
+}
+
+// start starts the customer's oldest job.
+func (c *simulatedCustomer) start(now time.Duration) {
+	took := now - c.waiting[0] + taskTime
+	c.got.longest = max(c.got.longest, took)
+	if took > lateFactor*objective {
+		c.got.late++
+	}
+	c.waiting = c.waiting[1:]
+	c.running++
+}
+
+// next returns the customer whose job starts next, or nil if none waits.
+func (p *simulatedPool) next() *simulatedCustomer {
+	var next *simulatedCustomer
+	for _, c := range p.customers {
+		if len(c.waiting) > 0 && (next == nil || c.running < next.running) {
+			next = c
+		}
+	}
+	return next
+}
+
+// advance ends tasks, lets jobs arrive and starts as many as there is room for. It
+// returns the number of free places.
+func (p *simulatedPool) advance(now time.Duration) int {
+	for _, c := range p.ends[now] {
+		c.running--
+	}
+	free := int(cores / taskCores)
+	for _, c := range p.customers {
+		c.arrive(p.rng, now)
+		free -= c.running
+	}
+	for c := p.next(); free > 0 && c != nil; c = p.next() {
+		c.start(now)
+		p.ends[now+taskTime] = append(p.ends[now+taskTime], c)
+		free--
+	}
+	return free
+}
+
+// decide returns the shares of the customers' new jobs to accept.
+func (p *simulatedPool) decide() []float64 {
+	pool := refuser.Pool{Cores: cores}
+	for i, c := range p.customers {
+		work := float64(len(c.waiting)) * taskCores * taskTime.Seconds()
+		pool.Backlogs = append(pool.Backlogs, refuser.Backlog{Customer: fmt.Sprint(i), Weight: 1, WantedCores: taskCores * float64(len(c.waiting)+c.running), Work: work, Tasks: len(c.waiting)})
+	}
+	var shares []float64
+	waits := pool.Waits()
+	for i, c := range p.customers {
+		c.admission.Update(publishPeriod, waits[fmt.Sprint(i)], refuser.Limit(objective, taskTime), pool.Backlogs[i].Work)
+		shares = append(shares, c.admission.Share())
+	}
+	return shares
+}
+
+// playOverload plays customers with equal weights whose jobs arrive at the given
+// rates a second. Entry nodes use a decision recordAge after it was made. It returns
+// what the callers got and the mean share of cores in use.
 func playOverload(rates []float64, recordAge time.Duration) ([]callers, float64) {
-	rng := rand.New(rand.NewPCG(1, 2))
-	got := make([]callers, len(rates))
-	admissions := make([]*refuser.Admission, len(rates))
-	accepted := make([]float64, len(rates)) // shares of new jobs
-	for c := range rates {
-		admissions[c], accepted[c] = refuser.NewAdmission(1), 1
-	}
-	waiting, running := make([][]waitingJob, len(rates)), make([]int, len(rates))
-	ends := make(map[time.Duration][]int)
+	p := &simulatedPool{ends: make(map[time.Duration][]*simulatedCustomer), rng: rand.New(rand.NewPCG(1, 2))}
+	for _, rate := range rates {
+		p.customers = append(p.customers, &simulatedCustomer{rate: rate, admission: refuser.NewAdmission(1), accepted: 1})
+	}
 	published := make(map[time.Duration][]float64)
 	used := 0.0
 	for now := time.Duration(0); now < played; now += tick {
-		for _, c := range ends[now] {
-			running[c]--
-		}
-		if r, ok := published[now]; ok {
-			accepted = r
-		}
-		for c, rate := range rates {
-			for at := rng.ExpFloat64() / rate; at < tick.Seconds(); at += rng.ExpFloat64() / rate {
-				got[c].jobs++
-				if rng.Float64() >= accepted[c] {
-					got[c].refused++
-					continue
-				}
-				admissions[c].RecordAccepted(taskCores * taskTime.Seconds())
-				waiting[c] = append(waiting[c], waitingJob{now, c})
-			}
-		}
-		free := int(cores / taskCores)
-		for _, n := range running {
-			free -= n
-		}
-		for ; free > 0; free-- {
-			next := -1
-			for c := range waiting {
-				if len(waiting[c]) > 0 && (next < 0 || running[c] < running[next]) {
-					next = c
-				}
-			}
-			if next < 0 {
-				break
-			}
-			took := now - waiting[next][0].accepted + taskTime
-			got[next].longest = max(got[next].longest, took)
-			if took > lateFactor*objective {
-				got[next].late++
-			}
-			waiting[next] = waiting[next][1:]
-			running[next]++
-			ends[now+taskTime] = append(ends[now+taskTime], next)
+		for i, share := range published[now] {
+			p.customers[i].accepted = share
 		}
-		used += 1 - float64(free)*taskCores/cores
+		used += 1 - float64(p.advance(now))*taskCores/cores
 		if now%publishPeriod == 0 {
-			published[now+recordAge] = decide(admissions, waiting, running)
+			published[now+recordAge] = p.decide()
 		}
 	}
-	return got, used * tick.Seconds() / played.Seconds()
-}
-
-// decide returns the shares of the customers' new jobs that are accepted.
-func decide(admissions []*refuser.Admission, waiting [][]waitingJob, running []int) []float64 {
-	p := refuser.Pool{Cores: cores}
-	for c, jobs := range waiting {
-		work := float64(len(jobs)) * taskCores * taskTime.Seconds()
-		p.Backlogs = append(p.Backlogs, refuser.Backlog{Customer: fmt.Sprint(c), Weight: 1, WantedCores: taskCores * float64(len(jobs)+running[c]), Work: work, Tasks: len(jobs)})
-	}
-	accepted := make([]float64, len(waiting))
-	waits := p.Waits()
-	for c := range waiting {
-		admissions[c].Update(publishPeriod, waits[fmt.Sprint(c)], refuser.Limit(objective, taskTime), p.Backlogs[c].Work)
-		accepted[c] = admissions[c].Share()
+	var got []callers
+	for _, c := range p.customers {
+		got = append(got, c.got)
 	}
-	return accepted
+	return got, used * tick.Seconds() / played.Seconds()
 }
 
 // The load: one customer sends four times what the pool can do, and nine others
--- a/sizer/turns_test.go
+++ b/sizer/turns_test.go
@@ -22,6 +22,7 @@
 	joinTime         = 2 * time.Second // of an instance, until it runs tasks
 	movesPerRound    = 50
 	poolInstances    = 540
+	initialInstances = 12 // of each pool
 	instanceCores    = 32.0
 	usableShare      = 0.95 // of an instance's cores; the rest is too small for a task
 	packedShare      = 0.7  // of the idle cores that are on instances without tasks
@@ -188,59 +189,74 @@
 	return in
 }
 
+// simulatedFleet is the pools and the spare instances.
+type simulatedFleet struct {
+	names     []string
+	pools     map[string]*simulatedPool
+	spare     int
+	returning []time.Time // when instances that return to the spare pool can move again
+	result    turnsResult
+}
+
+// arrive lets the jobs of one step of time arrive at a pool.
+func (f *simulatedFleet) arrive(p *simulatedPool, queue int, rng *rand.Rand, at time.Duration, now time.Time) {
+	for t := rng.ExpFloat64(); at < loadedTurns*turnLength && t < p.load.rate(queue, at)*loadStep.Seconds(); t += rng.ExpFloat64() {
+		j := p.load.drawJob(rng, now)
+		f.result.jobs++
+		p.arrivals = append(p.arrivals, sizer.Arrival{At: now, Work: j.work()})
+		p.jobs = append(p.jobs, j)
+	}
+}
+
+// move starts moves of instances.
+func (f *simulatedFleet) move(moves []sizer.Move, now time.Time) {
+	for _, m := range moves {
+		f.result.moves += m.Count
+		for range m.Count {
+			if m.From == "spare" {
+				f.spare--
+			} else {
+				f.pools[m.From].ready--
+			}
+			if m.To == "spare" {
+				f.returning = append(f.returning, now.Add(joinTime))
+			} else {
+				f.pools[m.To].joining = append(f.pools[m.To].joining, now.Add(joinTime))
+			}
+		}
+	}
+}
+
 // playTurns plays one turn of each queue.
 func playTurns(seed uint64, forecast forecaster) turnsResult {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	start := time.Unix(0, 0)
-	spare, names := poolInstances, []string{"a", "b", "c", "d"}
-	pools := map[string]*simulatedPool{}
+	f := &simulatedFleet{names: []string{"a", "b", "c", "d"}, pools: map[string]*simulatedPool{}, spare: poolInstances}
 	for i, l := range turnsOfLargeFleet {
-		pools[names[i]] = &simulatedPool{load: l, ready: 12, surplus: start}
-		spare -= 12
+		f.pools[f.names[i]] = &simulatedPool{load: l, ready: initialInstances, surplus: start}
+		f.spare -= initialInstances
 	}
-	var r turnsResult
-	var returning []time.Time
 	for at := time.Duration(0); at < loadedTurns*turnLength+10*time.Second; at += loadStep {
 		now := start.Add(at)
-		for len(returning) > 0 && !now.Before(returning[0]) {
-			returning = returning[1:]
-			spare++
+		for len(f.returning) > 0 && !now.Before(f.returning[0]) {
+			f.returning = f.returning[1:]
+			f.spare++
 		}
 		var inputs []sizer.Pool
-		for i, name := range names {
-			p := pools[name]
-			for t := rng.ExpFloat64(); at < loadedTurns*turnLength && t < p.load.rate(i, at)*loadStep.Seconds(); t += rng.ExpFloat64() {
-				j := p.load.drawJob(rng, now)
-				r.jobs++
-				p.arrivals = append(p.arrivals, sizer.Arrival{At: now, Work: j.work()})
-				p.jobs = append(p.jobs, j)
-			}
+		for i, name := range f.names {
+			p := f.pools[name]
+			f.arrive(p, i, rng, at, now)
 			_, late := p.advance(now)
-			r.late += late
-			r.poolSeconds += float64(p.ready+len(p.joining)) * loadStep.Seconds()
+			f.result.late += late
+			f.result.poolSeconds += float64(p.ready+len(p.joining)) * loadStep.Seconds()
 			inputs = append(inputs, p.input(name, now, forecast))
 		}
-		if at%planRound != 0 {
-			continue
-		}
-		inputs = append(inputs, sizer.Pool{Name: "spare", Spare: true, Instances: spare, Movable: spare, CoresPerInstance: instanceCores})
-		for _, m := range sizer.PlanMoves(inputs, movesPerRound) {
-			r.moves += m.Count
-			for range m.Count {
-				if m.From == "spare" {
-					spare--
-				} else {
-					pools[m.From].ready--
-				}
-				if m.To == "spare" {
-					returning = append(returning, now.Add(joinTime))
-				} else {
-					pools[m.To].joining = append(pools[m.To].joining, now.Add(joinTime))
-				}
-			}
+		if at%planRound == 0 {
+			inputs = append(inputs, sizer.Pool{Name: "spare", Spare: true, Instances: f.spare, Movable: f.spare, CoresPerInstance: instanceCores})
+			f.move(sizer.PlanMoves(inputs, movesPerRound), now)
 		}
 	}
-	return r
+	return f.result
 }
 
 // meanOfTurns returns the mean result of several days.
