Send a queued start only while it is still wanted

Change: a queued start is not sent if its job has ended, if it has waited for over a second, or if the leader may no longer extend leases.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -14,10 +15,34 @@
 
 const (
 	slowStart          = 100 * time.Millisecond // a start that takes longer is logged
+	maxStartQueueTime  = time.Second            // a start that has waited longer for its worker's other calls is not sent
 	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 )
 
+// startPermit is the permission to send a queued start. The event loop withdraws it
+// when the task must no longer start.
+type startPermit struct {
+	withdrawn atomic.Bool
+}
+
+const (
+	errStartWithdrawn = errors.ConstError("start not sent: its job has ended")
+	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
+)
+
+// checkPermit returns an error if a start that was queued at queuedAt may not be
+// sent any more.
+func (e *Engine) checkPermit(permit *startPermit, queuedAt time.Time) error {
+	switch {
+	case permit.withdrawn.Load():
+		return errStartWithdrawn
+	case time.Since(queuedAt) > maxStartQueueTime || !e.term.MayExtend():
+		return errStartTooLate
+	}
+	return nil
+}
+
 // sendStart sends the start of a placed task to its worker. now must have been
 // taken before the check that the leader may still extend leases, because the
 // lease is counted from it.
@@ -27,9 +52,13 @@
 		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint, FencingToken: e.term.Token,
 		DeadlineMs: w.clockSample.workerTimeAfter(now, e.cfg.RunLease), Ticket: t.ticket,
 	}
-	info := w.Worker
+	info, permit := w.Worker, &startPermit{}
+	t.permit = permit
 	queued := e.queueCall(w, func(ctx context.Context) {
-		clock, err := e.workers.Start(ctx, info, o)
+		clock, err := int64(0), e.checkPermit(permit, now)
+		if err == nil {
+			clock, err = e.workers.Start(ctx, info, o)
+		}
 		e.runInEventLoop(ctx, func() {
 			e.countStartResult(w)
 			e.handleStartResult(ctx, w, t, o, clock, err)
@@ -92,6 +121,8 @@
 		if t.step.occurrence.job.state.IsFinal() {
 			e.requestStop(t)
 		}
+	case errors.Is(err, errStartWithdrawn):
+		e.requeueTask(t)
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("term superseded: worker has seen a higher fencing token, ending the term", "worker", w.ID)
 		e.term.Depose()
@@ -233,6 +264,8 @@
 		e.sendStop(t.worker, t.id, t.run, &t.stop)
 	case placed:
 		e.requeueTask(t) // no start has been sent yet
+	case starting:
+		t.permit.withdrawn.Store(true) // unless the start has been sent; its result then shows what to do
 	}
 }
 
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -82,6 +82,7 @@
 
 // Start implements orchestrator.Workers.
 func (l workerLink) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
+	time.Sleep(time.Duration(l.entry.startDelay.Load()))
 	if o.Ticket != "" && l.entry.refusedTickets.Add(-1) >= 0 {
 		return 0, modeler.ErrInvalidTicket
 	}
@@ -146,6 +147,7 @@
 	done               chan struct{}
 	disconnected       atomic.Bool                      // from the workers
 	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
+	startDelay         atomic.Int64                     // time until a start reaches its worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
 	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
 	refusedTickets     atomic.Int64                     // number of starts that are refused because of their ticket
