--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -14,6 +14,7 @@
 	rateIntervals    = 6               // intervals of which the leader remembers the rate of starts
 	limitedIntervals = 3               // in so many of them placement stopped for lack of starts before the leader takes itself for the limit
 	minLimitation    = 0.99            // shares above this are not published
+	minWeight        = 0.01            // stands for the weight of a customer that has none
 )
 
 type (
@@ -286,7 +287,7 @@
 	if !ok {
 		sum = refuser.Backlog{Customer: j.Customer, Weight: 1}
 		if c := m.Customer(j.Customer); c != nil {
-			sum.Weight, sum.MaxCores = c.Weight, float64(c.Limit.CPU)/milliCoresPerCore
+			sum.Weight, sum.MaxCores = max(c.Weight, minWeight), float64(c.Limit.CPU)/milliCoresPerCore
 		}
 	}
 	for _, s := range o.steps {
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -18,6 +18,9 @@
 	maxStartQueueTime  = time.Second            // a start that has waited longer for its worker's other calls is not sent
 	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
+
+	errStartWithdrawn = errors.ConstError("start not sent: its job has ended")
+	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
 )
 
 // startPermit is the permission to send a queued start. The event loop withdraws it
@@ -26,11 +29,6 @@
 	withdrawn atomic.Bool
 }
 
-const (
-	errStartWithdrawn = errors.ConstError("start not sent: its job has ended")
-	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
-)
-
 // checkPermit returns an error if a start that was queued at queuedAt may not be
 // sent any more.
 func (e *Engine) checkPermit(permit *startPermit, queuedAt time.Time) error {
@@ -122,6 +120,7 @@
 			e.requestStop(t)
 		}
 	case errors.Is(err, errStartWithdrawn):
+		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
 		e.requeueTask(t)
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("term superseded: worker has seen a higher fencing token, ending the term", "worker", w.ID)
