--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/platform"
 )
 
 const (
@@ -222,12 +223,16 @@
 	require.Contains(t, w.Body.String(), `"verdict":"not-run"`)
 	require.Equal(t, http.StatusGone, b.call("GET", "/k/"+other, "", "secret").Code)
 	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+other, body, "").Code, "another customer")
-	for id, field := range map[string]string{lasting: `"long_running":true`, timed: ""} {
-		text := `{"spec":"s","steps":[{"count":1,"cpu":1,"mem_mb":1,"estimated_ms":1` + strings.TrimSuffix(","+field, ",") + `}]`
-		if id == timed {
-			text += `,"repetitions":2,"interval_ms":1000,"first_run_ms":1`
-		}
-		require.Equal(t, http.StatusOK, b.call("POST", "/k/"+id, text+"}", "secret").Code, field)
+	step := modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1, Memory: 1}, Estimate: time.Second}
+	long := step
+	long.LongRunning = true
+	for id, j := range map[string]modeler.Job{
+		lasting: {Spec: "s", Steps: []modeler.Step{long}},
+		timed:   {Spec: "s", Steps: []modeler.Step{step}, Repeat: 2, Interval: time.Second, FirstDue: time.Unix(1, 0)},
+	} {
+		raw, err := platform.EncodeJob(j)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, b.call("POST", "/k/"+id, string(raw), "secret").Code, id)
 	}
 	b.fleet.limited["c"] = orchestrator.Limitation{Accept: 0.6, WaitMs: 6000}
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/00000000000000a4", body, "secret").Code)
