--- a/meter/meter.go
+++ b/meter/meter.go
@@ -68,6 +68,12 @@
 	incrementCounter(`coltsfootlever_runs_ended_total{how=%q}`, endKind)
 }
 
+// CountLostRun counts a run that ended together with its worker, by the reason for
+// which it is known to have ended.
+func CountLostRun(reason string) {
+	incrementCounter(`coltsfootlever_runs_lost_total{reason=%q}`, reason)
+}
+
 // RecordWorkerPoll counts a request for the status of a worker, by outcome, and
 // records its duration.
 func RecordWorkerPoll(o Outcome, took time.Duration) {
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -232,10 +232,24 @@
 // requeueLostTask requeues a task whose run has certainly ended without a
 // report.
 func (e *Engine) requeueLostTask(w *worker, t *task, reason string) {
-	e.log.Info("run lost, its task is requeued", "task", t.id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String(), "reason", reason)
+	e.log.Info("run lost, its task is requeued", "task", t.id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String(), "reason", reason,
+		"worked", w.longestWorkOf(t, time.Now()).Round(time.Millisecond).String(), "listed", t.listedFor.Round(time.Millisecond).String())
+	meter.CountLostRun(reason)
 	e.requeueTask(t)
 }
 
+// longestWorkOf returns how long the present run of a task on the worker can have
+// worked at most: until the worker stopped responding, if it has.
+func (w *worker) longestWorkOf(t *task, now time.Time) time.Duration {
+	if t.phaseSince.IsZero() {
+		return 0
+	}
+	if !w.reachable {
+		now = w.unreachableSince
+	}
+	return max(0, now.Sub(t.phaseSince))
+}
+
 // handleLeaseExpiry requeues the tasks of an unresponsive worker once all its
 // leases have certainly expired, and removes the worker if it is no longer
 // listed.
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -222,6 +222,9 @@
 			e.requestStop(t)
 		}
 	}
+	if t.phase == running {
+		t.listedFor = now.Sub(t.phaseSince)
+	}
 }
 
 // stopOrphanedRun stops a run that no task needs: its job has ended, its task is
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -176,6 +176,9 @@
 		if info.Draining && !w.Draining {
 			e.log.Info("worker is draining", "worker", info.ID, "pool", info.Pool, "tasks", len(w.tasks))
 		}
+		if w.listed && info.Capacity != w.Capacity {
+			e.log.Info("capacity of a worker has changed", "worker", info.ID, "pool", info.Pool, "before", w.Capacity, "capacity", info.Capacity, "in-use", w.used, "tasks", len(w.tasks))
+		}
 		born := w.StartTimeMs
 		if !w.polled && info.StartTimeMs != born {
 			w.bootLearnedAt = e.term.Now()
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -80,18 +80,19 @@
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
 		checkpoint       string
-		worker           *worker      // assigned worker, nil while waiting or done
-		ticket           string       // permission from the advice service
-		permit           *startPermit // to send the start, in phase starting
-		placementVersion int64        // job version that contains the placement
-		placementBoot    int64        // start time of the worker for which the placement was made
-		phaseSince       time.Time    // start of the phase
-		stop             stopState    // in phase stopping
-		startupDone      bool         // the worker reported that the task has started up
-		reportedLoad     int          // last value of modeler.RunningTask.Metric
-		pacePercent      int          // speed of the task in percent of full speed
-		reservedOn       *worker      // worker that has resources reserved for the next run
-		moveObstacle     string       // why the task can't move off its worker at present
+		worker           *worker       // assigned worker, nil while waiting or done
+		ticket           string        // permission from the advice service
+		permit           *startPermit  // to send the start, in phase starting
+		placementVersion int64         // job version that contains the placement
+		placementBoot    int64         // start time of the worker for which the placement was made
+		phaseSince       time.Time     // start of the phase
+		listedFor        time.Duration // how long the run had worked when its worker last listed it; 0 if it hasn't yet
+		stop             stopState     // in phase stopping
+		startupDone      bool          // the worker reported that the task has started up
+		reportedLoad     int           // last value of modeler.RunningTask.Metric
+		pacePercent      int           // speed of the task in percent of full speed
+		reservedOn       *worker       // worker that has resources reserved for the next run
+		moveObstacle     string        // why the task can't move off its worker at present
 	}
 )
 
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -7,7 +7,7 @@
 	if t.phase == waiting {
 		t.step.waitingTasks--
 	}
-	t.phase, t.worker, t.startupDone = p, w, false
+	t.phase, t.worker, t.startupDone, t.listedFor = p, w, false, 0
 	t.step.occurrence.job.activeTasks++
 	w.tasks[t.id] = t
 	w.take(t.step, 1)
