--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -35,7 +35,17 @@
 		ReportedLoad func(id modeler.TaskID, pace map[modeler.TaskID]int) int
 		// Checkpoint returns the last checkpoint of a run. Nil means that no run has
 		// one.
-		Checkpoint         func(id modeler.TaskID, run int) string
+		Checkpoint func(id modeler.TaskID, run int) string
+		// CrashAfter reports whether a run crashes its worker, and how long after its
+		// start. OnCrash then ends the worker; the default is Remove.
+		CrashAfter func(id modeler.TaskID, run int) (after time.Duration, crashes bool)
+		OnCrash    func(worker string)
+		// Need returns what a task needs on its worker. Nil means that workers have
+		// room for any number of tasks.
+		Need               func(id modeler.TaskID) modeler.Resources
+		CapacityGrace      time.Duration             // how long starts may rely on the capacity that a worker had before it shrank
+		crashCounts        map[modeler.TaskID]int    // workers that a task has crashed
+		startsAfterCrashes map[modeler.TaskID]int    // starts of a task after it has crashed maxCrashes workers
 		startCheckpoints   map[modeler.TaskID]string // of each task's last start
 		violations         []string
 		startCounts        map[modeler.TaskID]int
@@ -55,6 +65,7 @@
 		ended              []modeler.EndedTask
 		endCounter         int64
 		changed            chan struct{}
+		earlierCapacities  []earlierCapacity
 	}
 
 	taskRun struct {
@@ -84,7 +95,7 @@
 	return &TaskFleet{
 		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
 		startCounts: make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
-		unacknowledgedDone: make(map[modeler.TaskID]int),
+		unacknowledgedDone: make(map[modeler.TaskID]int), crashCounts: make(map[modeler.TaskID]int), startsAfterCrashes: make(map[modeler.TaskID]int),
 	}
 }
 
@@ -389,12 +400,13 @@
 		timer := time.AfterFunc(duration, func() { f.endRun(w, o.Task, r, endKind) })
 		r.cancelTimer = func() { timer.Stop() }
 	}
+	f.scheduleCrash(w, o.Task, r)
 	f.endRunsAtLeaseExpiry(w)
 	return nil
 }
 
 // checkStart records a violation if the task is already done or runs on any
-// worker.
+// worker, has crashed too many workers, or does not fit on this one.
 func (f *TaskFleet) checkStart(w *taskWorker, o modeler.StartOrder) {
 	if f.acknowledgedDone[o.Task] {
 		f.addViolation("task %s starts although it is done", o.Task)
@@ -404,6 +416,8 @@
 			f.addViolation("task %s starts on %s while it runs on %s", o.Task, w.ID, other.ID)
 		}
 	}
+	f.checkCrashes(o.Task)
+	f.checkCapacity(w, o.Task)
 }
 
 // endRunsAtLeaseExpiry ends all runs of a worker when its lease has expired.
--- a/emulator/taskfleet_test.go
+++ b/emulator/taskfleet_test.go
@@ -69,3 +69,34 @@
 		})
 	}
 }
+
+func TestTaskFleetReportsStartsOfATaskThatCrashedThreeWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet()
+		f.CrashAfter = func(modeler.TaskID, int) (time.Duration, bool) { return time.Millisecond, true }
+		for run := 1; run <= 5; run++ {
+			f.Add(modeler.Worker{ID: "a"})
+			startOnWorker(t, f, "a", run)
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.Equal(t, 5, f.CrashCount(modeler.TaskID{Job: "j"}))
+		require.Empty(t, f.Violations())
+		startOnWorker(t, f, "b", 6)
+		require.Len(t, f.Violations(), 1)
+	})
+}
+
+func TestTaskFleetReportsStartsBeyondTheCapacity(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet()
+		f.Need = func(modeler.TaskID) modeler.Resources { return modeler.Resources{CPU: 2} }
+		f.CapacityGrace = time.Second
+		f.SetCapacity("a", modeler.Resources{CPU: 2})
+		f.SetCapacity("a", modeler.Resources{CPU: 1})
+		startOnWorker(t, f, "a", 1)
+		require.Empty(t, f.Violations())
+		time.Sleep(1100 * time.Millisecond)
+		startOnWorker(t, f, "a", 2)
+		require.Len(t, f.Violations(), 1)
+	})
+}
--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -167,13 +167,42 @@
 	delete(s.instances, name)
 }
 
+// CrashWorker ends a worker and starts another one on its instance after downtime.
+// The new one has the same ID if keepID is set. Meanwhile the instance is down.
+func (s *InstanceService) CrashWorker(id string, downtime time.Duration, keepID bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.instances {
+		if i.Worker != id || i.State != modeler.InstanceUp {
+			continue
+		}
+		s.fleet.Remove(id)
+		i.State, i.Worker = modeler.InstanceDown, ""
+		time.AfterFunc(downtime, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			i.State = modeler.InstanceUp
+			if keepID {
+				s.addWorker(i, id)
+			} else {
+				s.startWorker(i)
+			}
+		})
+	}
+}
+
 // startWorker starts a worker on an instance unless the instance runs none.
 func (s *InstanceService) startWorker(i *managedInstance) {
 	if !i.runsWorker {
 		return
 	}
 	s.startedWorkers++
-	i.Worker = fmt.Sprintf("w-%s-%d", i.Name, s.startedWorkers)
+	s.addWorker(i, fmt.Sprintf("w-%s-%d", i.Name, s.startedWorkers))
+}
+
+// addWorker starts a worker with the given ID on an instance.
+func (s *InstanceService) addWorker(i *managedInstance, id string) {
+	i.Worker = id
 	address := "127.0.0.1:1"
 	if s.WorkerAddress != nil {
 		address = s.WorkerAddress(i.Name)
--- /dev/null
+++ b/orchestrator/crash_test.go
@@ -0,0 +1,194 @@
+package orchestrator_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+const crashDowntime = 3 * time.Second // from the crash of a worker to the start of the next one
+
+// crashes lets the tasks of the named jobs with index 0 crash their workers a
+// while after they start.
+func (d *deployment) crashes(after time.Duration, keepID bool, jobs ...string) {
+	deadly := make(map[modeler.TaskID]bool)
+	for _, id := range jobs {
+		deadly[taskID(id, 0, 0)] = true
+	}
+	d.taskFleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return after, deadly[id] }
+	d.taskFleet.OnCrash = func(worker string) { d.instances.CrashWorker(worker, crashDowntime, keepID) }
+}
+
+// submitSteadily submits a job of count tasks at each interval for a while.
+func (d *deployment) submitSteadily(prefix string, duration, interval time.Duration, count int) (jobs []string) {
+	for n := range int(duration / interval) {
+		id := fmt.Sprintf("%s-%d", prefix, n)
+		d.submit(shortJob(id, modeler.Step{Count: count, Need: modeler.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}))
+		jobs = append(jobs, id)
+		time.Sleep(interval)
+	}
+	return jobs
+}
+
+// requireState checks that all jobs are in a state.
+func (d *deployment) requireState(state modeler.State, jobs ...string) {
+	for _, id := range jobs {
+		require.Equal(d.t, state, d.jobState(id), id)
+	}
+}
+
+// The load: a steady stream of short jobs fills half of eight workers, and each of
+// two jobs has one task that crashes its worker. The other jobs are all to be done.
+func TestTaskThatCrashesItsWorkersIsGivenUpAndItsNeighborsAreDone(t *testing.T) {
+	for name, c := range map[string]struct {
+		after    time.Duration
+		keepID   bool
+		maxTries int
+	}{
+		"at once":                {after: 10 * time.Millisecond, maxTries: 3},
+		"at once, same ID":       {after: 10 * time.Millisecond, keepID: true, maxTries: 3},
+		"while the start is out": {after: 0, maxTries: 3},
+		"late":                   {after: 900 * time.Millisecond, maxTries: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 8, func(s *deployment) {
+				s.crashes(c.after, c.keepID, "deadly-1", "deadly-2")
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				before := s.submitSteadily("before", 2*time.Second, 250*time.Millisecond, 6)
+				s.submit(shortJob("deadly-1", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}))
+				s.submit(shortJob("deadly-2"))
+				after := s.submitSteadily("after", 20*time.Second, 250*time.Millisecond, 6)
+				time.Sleep(15 * time.Second)
+				s.requireState(modeler.Failed, "deadly-1", "deadly-2")
+				s.requireState(modeler.Completed, append(before, after...)...)
+				for _, id := range []string{"deadly-1", "deadly-2"} {
+					require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID(id, 0, 0)), c.maxTries, id)
+				}
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
+// The load: all workers are idle, so that the assigner packs the tasks that were
+// lost together on one worker again.
+func TestTasksLostTogetherDoNotCrashTogetherAgain(t *testing.T) {
+	runScenario(t, 6, func(s *deployment) {
+		s.crashes(10*time.Millisecond, false, "deadly")
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		step := modeler.Step{Count: 2, Need: modeler.Resources{CPU: 400, Memory: 100}, Estimate: time.Second}
+		s.submit(shortJob("deadly", step))
+		jobs := []string{"n1", "n2", "n3", "n4"}
+		for _, id := range jobs {
+			s.submit(shortJob(id, step))
+		}
+		time.Sleep(9 * time.Second)
+		s.requireState(modeler.Completed, jobs...)
+		for _, id := range jobs {
+			for n := range step.Count {
+				require.LessOrEqual(s.t, s.taskFleet.StartedRuns(taskID(id, 0, n)), 3, id)
+			}
+		}
+		time.Sleep(10 * time.Second)
+		s.requireState(modeler.Failed, "deadly")
+		e.stopGracefully()
+	})
+}
+
+func TestCrashesAreCountedAcrossLeaders(t *testing.T) {
+	for _, keepID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keeps ID %t", keepID), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.crashes(10*time.Millisecond, keepID, "deadly")
+				leader := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(shortJob("deadly"))
+				for n := range 8 {
+					time.Sleep(2500 * time.Millisecond)
+					leader.crash()
+					leader = s.startEntry(fmt.Sprintf("next-%d", n))
+				}
+				time.Sleep(10 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				leader.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestTaskOfUnreachableWorkersIsNotGivenUp(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.removeSparePool()
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return 15 * time.Second, modeler.EndDone }
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000, Memory: 100}, Estimate: 15 * time.Second}))
+		for range 6 {
+			time.Sleep(500 * time.Millisecond)
+			busy := s.instancesWithTasks("a", "b", "c")
+			for _, name := range busy {
+				s.cutOff(s.instances.WorkerOf(name), true)
+			}
+			time.Sleep(12 * time.Second)
+			for _, name := range busy {
+				s.cutOff(s.instances.WorkerOf(name), false)
+			}
+		}
+		require.Greater(s.t, s.taskFleet.StartedRuns(taskID("j1", 0, 0)), 4)
+		time.Sleep(20 * time.Second)
+		s.requireState(modeler.Completed, "j1")
+		e.stopGracefully()
+	})
+}
+
+func TestLongRunningTaskOutlastsCrashesFarApart(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("j1", 1))
+		for range 8 {
+			time.Sleep(40 * time.Second)
+			for _, name := range s.instancesWithTasks("a", "b", "c") {
+				s.instances.CrashWorker(s.instances.WorkerOf(name), crashDowntime, false)
+			}
+			time.Sleep(4 * time.Second)
+			require.Equal(s.t, 1, s.taskFleet.RunCountOfJob("j1"))
+		}
+		s.requireState(modeler.Running, "j1")
+		e.stopGracefully()
+	})
+}
+
+// The load: short jobs fill two thirds of nine workers, and three random workers
+// crash at the same moment every 2.5 s, as racks do that lose power.
+func TestJobsAreDoneWhileWorkersCrashAtRandom(t *testing.T) {
+	runScenario(t, 9, func(s *deployment) {
+		s.outcomeQueryTime = time.Minute
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		go func() {
+			random := rand.New(rand.NewPCG(1, 2))
+			for range 10 {
+				names := s.instances.Names()
+				for _, n := range random.Perm(len(names))[:3] {
+					if worker := s.instances.WorkerOf(names[n]); worker != "" {
+						s.instances.CrashWorker(worker, crashDowntime, false)
+					}
+				}
+				time.Sleep(2500 * time.Millisecond)
+			}
+		}()
+		jobs := s.submitSteadily("j", 25*time.Second, 500*time.Millisecond, 12)
+		time.Sleep(20 * time.Second)
+		s.requireState(modeler.Completed, jobs...)
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -46,6 +46,18 @@
 	storeBytesPerSecond     int                   // of each entry node's link to the store, see storeLink; 0 if it is fast
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	wallClock               func() time.Time      // see orchestrator.Config.WallClock
+	outcomeQueryTime        time.Duration         // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
+	steps                   sync.Map              // steps of the submitted jobs, by job ID
+}
+
+// needOf returns what a task of a submitted job needs on its worker.
+func (d *deployment) needOf(id modeler.TaskID) modeler.Resources {
+	steps, ok := d.steps.Load(id.Job)
+	if !ok {
+		return modeler.Resources{}
+	}
+	step := steps.([]modeler.Step)[id.Step]
+	return step.ReservedResources()
 }
 
 // requestWaves replaces the maintenance waves that the operator requests.
@@ -100,6 +112,20 @@
 	return l.TaskFleet.Stop(ctx, w, task, run, token)
 }
 
+// directoryLink is an entry node's connection to the list of workers.
+type directoryLink struct {
+	*emulator.TaskFleet
+	entry *entryNode
+}
+
+// Workers implements orchestrator.Directory.
+func (l directoryLink) Workers(ctx context.Context) ([]modeler.Worker, error) {
+	if l.entry.losesWorkerLists.Load() {
+		return nil, keeper.ErrUnavailable
+	}
+	return l.TaskFleet.Workers(ctx)
+}
+
 // storeLink is an entry node's connection to the store. If it is slow, lists and
 // renewals of leases wait for each other, and a list takes the time of its bytes.
 type storeLink struct {
@@ -153,6 +179,7 @@
 	refusedTickets     atomic.Int64                     // number of starts that are refused because of their ticket
 	panicsOnce         atomic.Bool                      // the leader panics in its event loop
 	losesRenewals      atomic.Bool                      // polls that extend leases get no response
+	losesWorkerLists   atomic.Bool                      // the list of workers can't be read
 	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
 	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
 }
@@ -167,6 +194,7 @@
 	s.taskFleet = emulator.NewTaskFleet(func(modeler.TaskID, int) (time.Duration, modeler.EndKind) {
 		return time.Second, modeler.EndDone
 	})
+	s.taskFleet.Need, s.taskFleet.CapacityGrace = s.needOf, 4500*time.Millisecond // contact time and a beat
 	s.instances = emulator.NewInstanceService(s.taskFleet, 1500*time.Millisecond, 2*time.Second)
 	s.manifest = &modeler.Manifest{
 		Version: 1,
@@ -192,7 +220,7 @@
 	client := storeLink{MetaStoreClient: d.store.ClientFor(name), bytesPerSecond: d.storeBytesPerSecond, busy: make(chan struct{}, 1)}
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	cfg := orchestrator.Config{
-		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: 20 * time.Second, MoveTime: 1500 * time.Millisecond,
+		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: cmp.Or(d.outcomeQueryTime, 20*time.Second), MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
 		Manifest: func() *modeler.Manifest {
 			if e.panicsOnce.CompareAndSwap(true, false) {
@@ -214,10 +242,11 @@
 		opts = append(opts, orchestrator.WithThrottle(d.throttle))
 	}
 	lead := func(ctx context.Context, term *elector.Term) {
-		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, d.taskFleet, term, append(opts, orchestrator.WithLog(d.log))...).Run(ctx)
+		orchestrator.New(cfg, client, workerLink{d.taskFleet, e}, directoryLink{d.taskFleet, e}, term, append(opts, orchestrator.WithLog(d.log))...).Run(ctx)
 	}
 	ctx, cancel := context.WithCancel(d.t.Context())
 	e.cancel = cancel
+	d.t.Cleanup(e.stopGracefully) // also after a failed check, which else would leave goroutines in the bubble
 	go func() {
 		defer close(e.done)
 		_ = elector.New(client, name, lead, d.log).Run(ctx)
@@ -326,6 +355,7 @@
 // submit stores a job as an entry node does for a caller.
 func (d *deployment) submit(j modeler.Job) {
 	j.Accepted, j.QueueSettings = time.Now(), d.manifest.Queue(j.Queue).Settings()
+	d.steps.Store(j.ID, j.Steps)
 	_, _, err := d.store.ClientFor("caller").Commit(d.t.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)}},
