--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -19,6 +19,7 @@
 		IdleCPUTasks     int  // running tasks that use the CPU time that other tasks leave unused
 		LongRunningTasks int  // tasks that run until they are cancelled
 		EvacuationDue    bool // its tasks will soon be moved to other workers
+		Suspects         int  // tasks whose earlier workers have crashed
 	}
 
 	// Request describes a task that needs a worker.
@@ -29,6 +30,7 @@
 		UsesIdleCPU      bool   // the task runs on unused CPU time and slows down tasks with a latency target
 		HasLatencyTarget bool   // the task is slowed down by tasks that run on unused CPU time
 		LongRunning      bool   // the task runs until it is cancelled
+		Suspect          bool   // an earlier worker of the task has crashed
 	}
 )
 
@@ -114,6 +116,7 @@
 	costInterference     = 4.0  // for each task that the new task slows down or that slows it down
 	costSameStep         = 0.25 // for each task of the same step, since one failure would end them together
 	costFirstLongRunning = 0.5  // for a long-running task on a worker without any, whose instance could otherwise change pools
+	costSuspects         = 1.0  // for each other suspect, since a crash then tells less about its cause
 	costEvacuationDue    = 2.0  // for a long-running task on a worker that it would soon have to leave
 )
 
@@ -128,6 +131,9 @@
 	if r.HasLatencyTarget {
 		cost += costInterference * float64(w.IdleCPUTasks)
 	}
+	if r.Suspect {
+		cost += costSuspects * float64(w.Suspects)
+	}
 	if r.LongRunning {
 		cost += costSameStep * float64(sameStep)
 		if w.LongRunningTasks == 0 {
--- a/emulator/taskcrash.go
+++ b/emulator/taskcrash.go
@@ -24,6 +24,13 @@
 	return f.crashCounts[id]
 }
 
+// LostRuns returns the number of runs of a task that ended with their worker.
+func (f *TaskFleet) LostRuns(id modeler.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lostRuns[id]
+}
+
 // scheduleCrash lets a run crash its worker if CrashAfter says so.
 func (f *TaskFleet) scheduleCrash(w *taskWorker, id modeler.TaskID, r *taskRun) {
 	if f.CrashAfter == nil {
--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -44,6 +44,7 @@
 		// room for any number of tasks.
 		Need               func(id modeler.TaskID) modeler.Resources
 		CapacityGrace      time.Duration             // how long starts may rely on the capacity that a worker had before it shrank
+		lostRuns           map[modeler.TaskID]int    // runs of a task that ended with their worker
 		crashCounts        map[modeler.TaskID]int    // workers that a task has crashed
 		startsAfterCrashes map[modeler.TaskID]int    // starts of a task after it has crashed maxCrashes workers
 		startCheckpoints   map[modeler.TaskID]string // of each task's last start
@@ -95,7 +96,7 @@
 	return &TaskFleet{
 		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
 		startCounts: make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
-		unacknowledgedDone: make(map[modeler.TaskID]int), crashCounts: make(map[modeler.TaskID]int), startsAfterCrashes: make(map[modeler.TaskID]int),
+		unacknowledgedDone: make(map[modeler.TaskID]int), crashCounts: make(map[modeler.TaskID]int), lostRuns: make(map[modeler.TaskID]int), startsAfterCrashes: make(map[modeler.TaskID]int),
 	}
 }
 
@@ -119,8 +120,9 @@
 	if w == nil {
 		return
 	}
-	for _, r := range w.runs {
+	for id, r := range w.runs {
 		r.cancelTimer()
+		f.lostRuns[id]++
 	}
 	for _, end := range w.ended { // reports that were not acknowledged are lost when the worker is removed
 		if end.EndKind == modeler.EndDone {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -74,6 +74,16 @@
 	incrementCounter(`coltsfootlever_runs_lost_total{reason=%q}`, reason)
 }
 
+// CountWorkerCrash counts a worker that crashed while it ran tasks.
+func CountWorkerCrash() {
+	incrementCounter(`coltsfootlever_worker_crashes_total`)
+}
+
+// CountTaskGivenUp counts a task that is given up because its workers crashed.
+func CountTaskGivenUp() {
+	incrementCounter(`coltsfootlever_tasks_given_up_total`)
+}
+
 // RecordWorkerPoll counts a request for the status of a worker, by outcome, and
 // records its duration.
 func RecordWorkerPoll(o Outcome, took time.Duration) {
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -174,7 +176,7 @@
 	if serves && fills {
 		wait = pollWaitDuringStartup
 	}
-	e.requestPoll(w, now, wait)
+	e.requestPoll(w, now, w.clearancePollWait(wait))
 }
 
 // handlePollFailure records that a poll failed.
@@ -207,11 +209,19 @@
 	for _, r := range report.Ended {
 		listed[runID{r.Task, r.Run}] = true
 	}
+	var ended, lost []*task
 	for id, t := range w.tasks {
-		confirmed := t.phase == running || t.phase == stopping || t.phase == adopted
-		if confirmed && !listed[runID{id, t.run}] {
-			e.requeueLostTask(w, t, "reborn")
+		if listed[runID{id, t.run}] {
+			continue
 		}
+		ended = append(ended, t)
+		if t.phase == running || t.phase == stopping || t.phase == adopted {
+			lost = append(lost, t)
+		}
+	}
+	e.assessCrash(w, ended, "reborn")
+	for _, t := range lost {
+		e.requeueLostTask(w, t, "reborn")
 	}
 	e.requestPlacement()
 }
@@ -222,6 +232,9 @@
 	if len(w.tasks)+len(w.orphanedRuns) == 0 {
 		return
 	}
+	if w.replaced || w.ended {
+		e.assessCrash(w, slices.Collect(maps.Values(w.tasks)), reason) // leases that are over don't prove that the worker has ended
+	}
 	for _, t := range w.tasks {
 		e.requeueLostTask(w, t, reason)
 	}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -174,6 +174,9 @@
 			delete(w.orphanedRuns, id)
 		}
 	}
+	if firstReport {
+		e.assessRestartBeforeTerm(w, listedRuns)
+	}
 	for id, t := range w.tasks {
 		if listedRuns[runID{id, t.run}] {
 			continue
@@ -224,6 +227,7 @@
 	}
 	if t.phase == running {
 		t.listedFor = now.Sub(t.phaseSince)
+		e.forgetCrashes(t)
 	}
 }
 
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -129,6 +129,7 @@
 		durations            map[string]durationSums // actual and estimated task durations, by queue
 		planner              instancePlanner
 		unresponsive         unresponsiveState
+		recentCrashes        []recentCrash // of the last crashMemory
 		handover             handoverState
 		workerListRequested  atomic.Bool // the worker list should be read soon
 		mostUnreachableSince time.Time   // since when most workers have not responded to this entry node; zero if they do
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -40,6 +40,7 @@
 		if t.reservedOn != nil {
 			t.reservedOn.cancelReservation(t)
 		}
+		t.releaseKeptWorker()
 		e.requestStop(t)
 	})
 	e.requestPlacement()
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -79,6 +80,8 @@
 		run              int // number of the last run, 0 before the first
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
+		suspicion        investigator.Suspicion
+		keptWorker       *worker // worker that is kept for the next run, see keepWorkerForIsolation
 		checkpoint       string
 		worker           *worker       // assigned worker, nil while waiting or done
 		ticket           string        // permission from the advice service
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/assigner"
+	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -57,6 +58,7 @@
 		name                  string
 		workers               []*worker
 		assignerViews         []*assigner.Worker
+		probations            []probationView
 		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
 		keptFree              int                 // number of workers kept free for tasks that wait for room
 		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
@@ -332,6 +334,9 @@
 			tasks = append(tasks, t)
 			continue
 		}
+		if t.suspicion.IsOnProbation() {
+			continue // it waits for a worker of its own, and others of the step need not
+		}
 		if !s.LongRunning {
 			break
 		}
@@ -370,12 +375,21 @@
 func (p *placementPass) tryPlaceTask(t *task, view *poolView) bool {
 	s := t.step
 	view.releaseReservation(t)
-	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil
+	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
+		t.releaseKeptWorker()
+	}
+	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion == investigator.Suspicion{}
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
-	i := assigner.ChooseWorker(view.assignerViews, s.assignerRequest(), func(i int) int { return s.countSameStepTasks(view.workers[i]) })
+	i := assigner.ChooseWorker(view.assignerViews, t.assignerRequest(), func(i int) int {
+		if !view.admits(t, i) {
+			return -1
+		}
+		return s.countSameStepTasks(view.workers[i])
+	})
 	if i < 0 {
+		p.keepWorkerForIsolation(t, view)
 		if plain {
 			view.unplaceable = append(view.unplaceable, s.ReservedResources())
 		}
@@ -385,6 +399,7 @@
 	p.customerUsage[customer] = p.customerUsage[customer].Add(t.resourcesTowardCustomerLimit())
 	t.assignTo(view.workers[i], placed)
 	view.updateWorkerView(i, s, 1)
+	view.probations[i] = view.workers[i].probationView()
 	if share := p.customerShares[view.name][customer]; share != nil && !s.LongRunning {
 		share.running += s.ReservedResources().CPU
 	}
@@ -430,6 +445,13 @@
 	return assigner.Request{Resources: s.ReservedResources(), RequiredLabel: s.Label, PreferredRack: cmp.Or(s.DataRack, s.preferredRack), UsesIdleCPU: s.UsesIdleCPU, HasLatencyTarget: s.LatencyTarget > 0, LongRunning: s.LongRunning}
 }
 
+// assignerRequest describes the task to the assigner.
+func (t *task) assignerRequest() assigner.Request {
+	r := t.step.assignerRequest()
+	r.Suspect = t.suspicion.Score() > 0
+	return r
+}
+
 // countSameStepTasks returns the number of tasks of the step on a worker, or -1
 // if the worker must not take another one.
 func (s *step) countSameStepTasks(w *worker) int {
@@ -449,6 +471,7 @@
 	}
 	view.updateWorkerView(i, t.step, -1)
 	t.requeue()
+	view.probations[i] = view.workers[i].probationView()
 }
 
 // commitPlacement gives the placed task a new run number and queues the
@@ -486,6 +509,7 @@
 		view := w.assignerView()
 		view.EvacuationDue = p.engine.isMaintenanceDue(w.Instance)
 		v.assignerViews = append(v.assignerViews, view)
+		v.probations = append(v.probations, w.probationView())
 	}
 	p.pools[name] = v
 	return v
@@ -496,6 +520,9 @@
 	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Retained: w.reservedResources(), Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
+		if t.suspicion.Score() > 0 {
+			v.Suspects++
+		}
 	}
 	return v
 }
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -3,9 +3,11 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -61,6 +63,11 @@
 		Instance   string   `json:"instance,omitempty"`  // instance of the worker
 		Born       int64    `json:"born,omitempty"`      // start time of the worker, see modeler.Worker.StartTimeMs
 		Checkpoint string   `json:"checkpoint,omitempty"`
+
+		Crashes     int   `json:"crashes,omitempty"`             // see investigator.Suspicion
+		Unconfirmed int   `json:"unconfirmed-crashes,omitempty"` // see investigator.Suspicion
+		SoleSuspect int   `json:"sole-suspect,omitempty"`        // see investigator.Suspicion
+		ProbationMs int64 `json:"probation-ms,omitempty"`        // see investigator.Suspicion
 	}
 
 	// Load is what the leader publishes for the other entry nodes: job counts, and
@@ -139,10 +146,13 @@
 			sp.Done = append(sp.Done, t.id.Index)
 			continue
 		}
-		if t.run == 0 && len(t.failedRuns) == 0 {
+		if t.run == 0 && len(t.failedRuns) == 0 && t.suspicion == (investigator.Suspicion{}) {
 			continue
 		}
-		tp := TaskProgress{Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint}
+		tp := TaskProgress{
+			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint,
+			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, ProbationMs: t.suspicion.Probation.Milliseconds(),
+		}
 		for _, f := range t.failedRuns {
 			tp.Failed, tp.FailedOn = append(tp.Failed, f.number), append(tp.FailedOn, f.worker)
 		}
@@ -195,6 +205,8 @@
 		}
 		t := s.tasks[tp.Index]
 		t.run, t.failedRuns = tp.Run, tp.failedRuns()
+		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
+		t.placementBoot = tp.Born
 		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
 			t.assignTo(workerOf(tp), adopted)
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -221,7 +221,10 @@
 		if w.Instance == "" || w.StartTimeMs >= n.StartTimeMs || !n.clockSample.receivedAt.After(w.clockSample.receivedAt) {
 			continue
 		}
-		e.requeueTasksOf(w, "instance has another worker")
+		if !w.replaced && w.reachable {
+			w.unreachableSince = time.Now()
+		}
 		w.reachable, w.replaced, w.leaseDeadline = false, true, 0
+		e.requeueTasksOf(w, "instance has another worker")
 	}
 }
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -8,6 +8,7 @@
 		t.step.waitingTasks--
 	}
 	t.phase, t.worker, t.startupDone, t.listedFor = p, w, false, 0
+	t.releaseKeptWorker()
 	t.step.occurrence.job.activeTasks++
 	w.tasks[t.id] = t
 	w.take(t.step, 1)
@@ -58,6 +59,7 @@
 		t.step.waitingTasks--
 	}
 	t.unassign()
+	t.releaseKeptWorker()
 	if t.reservedOn != nil {
 		t.reservedOn.cancelReservation(t)
 	}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -48,6 +48,7 @@
 		failedPolls        int                    // failed polls in a row
 		cordonReason       string                 // kind of plan that excludes the worker from new tasks; empty if there is none
 		reservedFor        []*task                // tasks that have resources reserved here
+		keptFor            *task                  // only this task may be placed here; nil for any
 		idleCPUPacePercent int                    // speed of the tasks that use idle CPU, in percent of full speed
 		paceChangedAt      time.Time              // when idleCPUPacePercent last changed
 		orphanedRuns       map[runID]*orphanedRun // runs without an assigned task that have not certainly ended
