--- a/emulator/taskcrash.go
+++ b/emulator/taskcrash.go
@@ -79,13 +79,18 @@
 	w.Capacity = capacity
 }
 
-// RestartWithCapacity ends a worker and its runs and starts it again with the same
-// ID and another capacity.
-func (f *TaskFleet) RestartWithCapacity(id string, capacity modeler.Resources) {
+// RestartWithCapacity ends a worker and its runs, which breaks its connections, and
+// after downtime starts it again with the same ID and another capacity.
+func (f *TaskFleet) RestartWithCapacity(id string, capacity modeler.Resources, downtime time.Duration) {
 	f.mu.Lock()
-	w := f.workers[id].Worker
+	before := f.workers[id]
+	w := before.Worker
 	f.mu.Unlock()
 	f.Remove(id)
+	f.mu.Lock()
+	before.notifyChange()
+	f.mu.Unlock()
+	time.Sleep(downtime)
 	w.Capacity = capacity
 	f.Add(w)
 }
--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -545,14 +545,17 @@
 		}
 		break
 	}
+	f.mu.Lock()
+	ended := f.workers[w.ID] != w
+	f.mu.Unlock()
+	if ended { // the end of the worker breaks the connection
+		return modeler.Report{}, errors.Annotatef(errNoResponse, "worker %s", info.ID)
+	}
 	if _, err := f.respondingWorker(ctx, info); err != nil {
 		return modeler.Report{}, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.workers[w.ID] != w {
-		return modeler.Report{}, errors.Annotatef(errNoResponse, "worker %s", info.ID)
-	}
 	return f.buildReport(w), nil
 }
 
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -122,6 +122,7 @@
 	}
 	if report.StartTimeMs != w.StartTimeMs {
 		w.StartTimeMs, w.bootLearnedAt = report.StartTimeMs, e.term.Now()
+		e.workerListRequested.Store(true)
 	}
 	if !w.reachable {
 		w.reachable = true
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -161,6 +161,36 @@
 	}
 }
 
+// updateListedWorker updates a worker from its registration.
+func (e *Engine) updateListedWorker(ctx context.Context, info modeler.Worker, requestedAt time.Time) {
+	w := e.findOrAddWorker(info.ID)
+	if info.Draining && !w.Draining {
+		e.log.Info("worker is draining", "worker", info.ID, "pool", info.Pool, "tasks", len(w.tasks))
+	}
+	if w.listed && info.Capacity != w.Capacity {
+		e.log.Info("capacity of a worker has changed", "worker", info.ID, "pool", info.Pool, "before", w.Capacity, "capacity", info.Capacity, "in-use", w.used, "tasks", len(w.tasks))
+	}
+	born := w.StartTimeMs
+	if !w.polled && info.StartTimeMs != born {
+		w.bootLearnedAt = e.term.Now()
+	}
+	w.Worker, w.registeredStartMs = info, info.StartTimeMs
+	if w.polled {
+		w.StartTimeMs = born // the worker's own report counts; the next poll updates it
+		if info.StartTimeMs > born {
+			w.acknowledgedEnd, w.pendingEnds = 0, nil // a restarted worker numbers its ended runs from the beginning
+		}
+	}
+	if !w.listed {
+		w.listed = true
+		w.registeredInTerm = e.startedAfterFirstListRequest(w, requestedAt)
+		e.log.Info("worker listed", "worker", info.ID, "instance", info.Instance, "pool", info.Pool, "born", info.StartTimeMs)
+	}
+	if w.pollRequests == nil {
+		e.startWorkerCallers(ctx, w)
+	}
+}
+
 // applyWorkerList updates the workers from a worker list that was requested at
 // requestedAt.
 func (e *Engine) applyWorkerList(ctx context.Context, list []modeler.Worker, requestedAt time.Time) {
@@ -172,32 +202,7 @@
 	listed := make(map[string]bool, len(list))
 	for _, info := range list {
 		listed[info.ID] = true
-		w := e.findOrAddWorker(info.ID)
-		if info.Draining && !w.Draining {
-			e.log.Info("worker is draining", "worker", info.ID, "pool", info.Pool, "tasks", len(w.tasks))
-		}
-		if w.listed && info.Capacity != w.Capacity {
-			e.log.Info("capacity of a worker has changed", "worker", info.ID, "pool", info.Pool, "before", w.Capacity, "capacity", info.Capacity, "in-use", w.used, "tasks", len(w.tasks))
-		}
-		born := w.StartTimeMs
-		if !w.polled && info.StartTimeMs != born {
-			w.bootLearnedAt = e.term.Now()
-		}
-		w.Worker = info
-		if w.polled {
-			w.StartTimeMs = born // the worker's own report counts; the next poll updates it
-			if info.StartTimeMs > born {
-				w.acknowledgedEnd, w.pendingEnds = 0, nil // a restarted worker numbers its ended runs from the beginning
-			}
-		}
-		if !w.listed {
-			w.listed = true
-			w.registeredInTerm = e.startedAfterFirstListRequest(w, requestedAt)
-			e.log.Info("worker listed", "worker", info.ID, "instance", info.Instance, "pool", info.Pool, "born", info.StartTimeMs)
-		}
-		if w.pollRequests == nil {
-			e.startWorkerCallers(ctx, w)
-		}
+		e.updateListedWorker(ctx, info, requestedAt)
 	}
 	if firstList {
 		for id := range e.workersByID { // also those that stored placements name
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -23,6 +23,7 @@
 	worker struct {
 		modeler.Worker
 		listed             bool          // in the current worker list
+		registeredStartMs  int64         // start time of the worker process to which Capacity and Labels belong
 		reachable          bool          // the last poll succeeded
 		polled             bool          // polled successfully in this term
 		reported           bool          // has reported all its runs in this term, see isComplete
@@ -133,7 +134,13 @@
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.listed && w.polled && w.mayBeUsed() && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+	return w.listed && w.polled && w.hasKnownCapacity() && w.mayBeUsed() && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+}
+
+// hasKnownCapacity reports whether the present process of the worker has registered
+// its capacity. A process that restarts under the same ID may have another one.
+func (w *worker) hasKnownCapacity() bool {
+	return w.registeredStartMs == w.StartTimeMs
 }
 
 // mayBeUsed reports whether tasks may be started on the worker.
