--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -189,6 +189,9 @@
 	if w.pollRequests == nil {
 		e.startWorkerCallers(ctx, w)
 	}
+	if !w.used.Fits(w.Capacity) {
+		e.withdrawStartsBeyondCapacity(w)
+	}
 }
 
 // applyWorkerList updates the workers from a worker list that was requested at
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,28 +21,71 @@
 	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 
-	errStartWithdrawn = errors.ConstError("start not sent: its job has ended")
+	errStartWithdrawn = errors.ConstError("start not sent: its job has ended, or its worker has no room any more")
 	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
 )
 
+// States of a startPermit.
+const (
+	startQueued int32 = iota
+	startSent
+	startWithdrawn
+)
+
 // startPermit is the permission to send a queued start. The event loop withdraws it
 // when the task must no longer start.
 type startPermit struct {
-	withdrawn atomic.Bool
+	state atomic.Int32
+}
+
+// withdraw withdraws the permission and reports whether the start will not be sent.
+// If it has been sent, its result shows what to do.
+func (p *startPermit) withdraw() bool {
+	return p.state.CompareAndSwap(startQueued, startWithdrawn) || p.state.Load() == startWithdrawn
 }
 
 // checkPermit returns an error if a start that was queued at queuedAt may not be
-// sent any more.
+// sent any more. Otherwise the permission is used up, and the caller must send it.
 func (e *Engine) checkPermit(permit *startPermit, queuedAt time.Time) error {
 	switch {
-	case permit.withdrawn.Load():
+	case permit.state.Load() == startWithdrawn:
 		return errStartWithdrawn
 	case time.Since(queuedAt) > maxStartQueueTime || !e.term.MayExtend():
 		return errStartTooLate
+	case !permit.state.CompareAndSwap(startQueued, startSent):
+		return errStartWithdrawn
 	}
 	return nil
 }
 
+// withdrawStartsBeyondCapacity requeues tasks that have been placed on a worker and
+// not sent, the last ones first, until the others fit on it. Starts in its queue are
+// withdrawn unless they have been sent meanwhile. The members of a gang stay, because
+// the others would wait for them.
+func (e *Engine) withdrawStartsBeyondCapacity(w *worker) {
+	excess := w.used.Sub(w.Capacity)
+	withdrawn := 0
+	for _, t := range slices.Backward(slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return a.phaseSince.Compare(b.phaseSince) })) {
+		if excess.Fits(modeler.Resources{}) {
+			break
+		}
+		switch {
+		case t.step.Gang:
+			continue
+		case t.phase == placed:
+			e.requeueTask(t)
+		case t.phase != starting || !t.permit.withdraw():
+			continue
+		}
+		excess = excess.Sub(t.step.ReservedResources())
+		withdrawn++
+	}
+	if withdrawn > 0 {
+		e.log.Info("starts withdrawn: their worker has less capacity now", "worker", w.ID, "tasks", withdrawn, "in-use", w.used, "capacity", w.Capacity)
+		e.requestPlacement()
+	}
+}
+
 // sendStart sends the start of a placed task to its worker. now must have been
 // taken before the check that the leader may still extend leases, because the
 // lease is counted from it.
@@ -120,8 +165,9 @@
 			e.requestStop(t)
 		}
 	case errors.Is(err, errStartWithdrawn):
-		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
+		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "reason", err)
 		e.requeueTask(t)
+		e.requestPlacement()
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("term superseded: worker has seen a higher fencing token, ending the term", "worker", w.ID)
 		e.term.Depose()
@@ -264,7 +310,7 @@
 	case placed:
 		e.requeueTask(t) // no start has been sent yet
 	case starting:
-		t.permit.withdrawn.Store(true) // unless the start has been sent; its result then shows what to do
+		t.permit.withdraw()
 	}
 }
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -221,7 +221,7 @@
 		if !w.acceptsTasks(now) {
 			continue
 		}
-		c.usable[w.Pool] += w.Capacity.CPU - w.longRunningCPU
+		c.usable[w.Pool] += max(0, w.Capacity.CPU-w.longRunningCPU) // long-running tasks stay on a worker whose capacity has shrunk
 	}
 	for _, i := range e.planner.instances {
 		switch {
