--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -29,6 +29,7 @@
 	gcPercent            = 50                      // garbage collection starts when the heap has grown by half; memory is scarcer than processor time here
 	settingsPollInterval = time.Second             // the settings file may change without a signal
 	runLease             = 6 * time.Second         // lease of a task's run; twice the time of a change of leader including the new leader's first status queries
+	startTravelTime      = 200 * time.Millisecond  // from the decision to send a start to its execution
 	workerListInterval   = 700 * time.Millisecond  // less than half of the workers' heartbeat interval
 	storeIdleConns       = 8                       // for watches and some concurrent calls
 	workerIdleConns      = 3                       // per worker, for status queries and orders
@@ -153,7 +154,7 @@
 	}
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
-		SlowLink: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
+		SlowLink: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, MaxWorkerListAge: max(0, s.Bounds.ContactTime-startTravelTime), OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
 		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -69,6 +69,7 @@
 		MaxWorkerLease     time.Duration // longest lease that a worker accepts
 		EarlyStart         time.Duration // occurrences of a repeating job may start this long before they are due
 		WorkerListInterval time.Duration // between two reads of the worker list
+		MaxWorkerListAge   time.Duration // no starts are sent if the worker list is older, because workers may have less capacity by now; 0 for no limit
 		OutcomeQueryTime   time.Duration // callers may query the outcome of an ended job for this long
 		MoveTime           time.Duration // an instance is down for this long while it moves to another pool
 		// StoreWritesPerSecond and InstanceOrdersPerSecond are the platform's limits on
@@ -131,8 +132,9 @@
 		unresponsive         unresponsiveState
 		recentCrashes        []recentCrash // of the last crashMemory
 		handover             handoverState
-		workerListRequested  atomic.Bool // the worker list should be read soon
-		mostUnreachableSince time.Time   // since when most workers have not responded to this entry node; zero if they do
+		workerListRequested  atomic.Bool  // the worker list should be read soon
+		workersAsOf          atomic.Int64 // when the last worker list was requested, by elector.Term.Now
+		mostUnreachableSince time.Time    // since when most workers have not responded to this entry node; zero if they do
 	}
 )
 
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -134,7 +134,7 @@
 // end of the term so that calls in flight can finish.
 func (e *Engine) pollWorkerList(ctx, callCtx context.Context) {
 	for ctx.Err() == nil {
-		requestedAt := time.Now()
+		requestedAt, asOf := time.Now(), e.term.Now()
 		list, err := e.directory.Workers(ctx)
 		took := time.Since(requestedAt)
 		switch {
@@ -143,7 +143,10 @@
 		case !e.term.IsValid():
 			e.log.Warn("list of workers ignored: leader lease has expired, another entry may lead", "asked", requestedAt)
 		default:
-			e.runInEventLoop(ctx, func() { e.applyWorkerList(callCtx, list, requestedAt) })
+			e.runInEventLoop(ctx, func() {
+				e.workersAsOf.Store(int64(asOf))
+				e.applyWorkerList(callCtx, list, requestedAt)
+			})
 		}
 		e.waitForNextWorkerList(ctx, took)
 	}
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -185,7 +185,7 @@
 // pool, because the next leader holds back only the jobs of its first reading
 // and waits only for the processes that it finds in the recorded pools.
 func (e *Engine) maySendStart(t *task, now time.Time) bool {
-	if !e.term.MayExtend() {
+	if !e.term.MayExtend() || !e.knowsCapacities() {
 		return false
 	}
 	j := t.step.occurrence.job
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -23,6 +23,7 @@
 
 	errStartWithdrawn = errors.ConstError("start not sent: its job has ended, or its worker has no room any more")
 	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
+	errListTooOld     = errors.ConstError("start not sent: the list of workers is too old to rely on their capacity")
 )
 
 // States of a startPermit.
@@ -52,12 +53,20 @@
 		return errStartWithdrawn
 	case time.Since(queuedAt) > maxStartQueueTime || !e.term.MayExtend():
 		return errStartTooLate
+	case !e.knowsCapacities():
+		return errListTooOld
 	case !permit.state.CompareAndSwap(startQueued, startSent):
 		return errStartWithdrawn
 	}
 	return nil
 }
 
+// knowsCapacities reports whether the list of workers is new enough to rely on the
+// capacities in it.
+func (e *Engine) knowsCapacities() bool {
+	return e.cfg.MaxWorkerListAge == 0 || e.term.Now()-time.Duration(e.workersAsOf.Load()) < e.cfg.MaxWorkerListAge
+}
+
 // withdrawStartsBeyondCapacity requeues tasks that have been placed on a worker and
 // not sent, the last ones first, until the others fit on it. Starts in its queue are
 // withdrawn unless they have been sent meanwhile. The members of a gang stay, because
@@ -164,7 +173,7 @@
 		if t.step.occurrence.job.state.IsFinal() {
 			e.requestStop(t)
 		}
-	case errors.Is(err, errStartWithdrawn):
+	case errors.Is(err, errStartWithdrawn), errors.Is(err, errListTooOld):
 		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "reason", err)
 		e.requeueTask(t)
 		e.requestPlacement()
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -220,7 +220,7 @@
 	client := storeLink{MetaStoreClient: d.store.ClientFor(name), bytesPerSecond: d.storeBytesPerSecond, busy: make(chan struct{}, 1)}
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
 	cfg := orchestrator.Config{
-		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, OutcomeQueryTime: cmp.Or(d.outcomeQueryTime, 20*time.Second), MoveTime: 1500 * time.Millisecond,
+		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, MaxWorkerListAge: 2800 * time.Millisecond, OutcomeQueryTime: cmp.Or(d.outcomeQueryTime, 20*time.Second), MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
 		Manifest: func() *modeler.Manifest {
 			if e.panicsOnce.CompareAndSwap(true, false) {
