--- a/emulator/taskcrash.go
+++ b/emulator/taskcrash.go
@@ -70,11 +70,14 @@
 }
 
 // SetCapacity changes the capacity of a worker while it runs. The list of workers
-// shows it.
+// shows it. It has no effect if there is no such worker.
 func (f *TaskFleet) SetCapacity(id string, capacity modeler.Resources) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	w := f.workers[id]
+	if w == nil {
+		return // its instance is moving or down
+	}
 	w.earlierCapacities = append(w.earlierCapacities, earlierCapacity{w.Capacity, time.Now()})
 	w.Capacity = capacity
 }
--- a/soaker/ledger.go
+++ b/soaker/ledger.go
@@ -15,7 +15,10 @@
 	refused                      // every attempt was refused
 )
 
-const maxVisibilityDelay = 3 * time.Second // guaranteed by the platform's documentation: every entry node knows an accepted job after this time
+const (
+	maxVisibilityDelay = 3 * time.Second // guaranteed by the platform's documentation: every entry node knows an accepted job after this time
+	minCrashes         = 2               // from the platform's documentation: a task may be given up after so many crashes under it
+)
 
 type (
 	submitResult int
@@ -26,6 +29,8 @@
 		mu       sync.Mutex
 		jobs     map[string]*jobRecord
 		breaches []string
+		lostRuns func(id modeler.TaskID) int // number of runs of a task that ended with their worker
+		steps    sync.Map                    // steps of the jobs by ID, for needOf, which is called while the fleet is locked
 	}
 
 	jobRecord struct {
@@ -42,12 +47,13 @@
 		Refused   int `json:"refused"`
 		Unknown   int `json:"unknown"`
 		Completed int `json:"completed"`
+		GivenUp   int `json:"given-up"`
 	}
 )
 
 // NewChecker returns a checker without jobs.
 func NewChecker() *Checker {
-	return &Checker{jobs: make(map[string]*jobRecord)}
+	return &Checker{jobs: make(map[string]*jobRecord), lostRuns: func(modeler.TaskID) int { return 0 }}
 }
 
 // AddBreach records the breach of a guarantee.
@@ -69,6 +75,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.jobs[j.ID] = &jobRecord{Job: j}
+	c.steps.Store(j.ID, j.Steps)
 }
 
 // recordResult records the result of submitting a job.
@@ -88,16 +95,38 @@
 	switch {
 	case s == modeler.Completed && !allTasksDone:
 		c.breaches = append(c.breaches, fmt.Sprintf("job %s is told to be completed and has tasks that have not ended well", id))
+	case s == modeler.Failed && c.mayBeGivenUp(j.Job):
 	case s == modeler.Failed, s == modeler.Cancelled:
 		c.breaches = append(c.breaches, fmt.Sprintf("job %s is told to be %s without cause", id, s))
-	case j.state == modeler.Completed && s != modeler.Completed:
-		c.breaches = append(c.breaches, fmt.Sprintf("job %s was completed and is told to be %s", id, s))
+	case j.state.IsFinal() && s != j.state:
+		c.breaches = append(c.breaches, fmt.Sprintf("job %s was %s and is told to be %s", id, j.state, s))
 	}
-	if j.state != modeler.Completed {
+	if !j.state.IsFinal() {
 		j.state = s
 	}
 }
 
+// mayBeGivenUp reports whether two workers or more have crashed under a task of the
+// job.
+func (c *Checker) mayBeGivenUp(j modeler.Job) bool {
+	for i, s := range j.Steps {
+		for n := range s.Count {
+			if c.lostRuns(modeler.TaskID{Job: j.ID, Step: i, Index: n}) >= minCrashes {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// needOf returns what a task needs on its worker.
+func (c *Checker) needOf(id modeler.TaskID) modeler.Resources {
+	if steps, ok := c.steps.Load(id.Job); ok {
+		return steps.([]modeler.Step)[id.Step].Need
+	}
+	return modeler.Resources{}
+}
+
 // checkUnknownJob checks whether an entry node may respond that it does not know a
 // job. queryTime is the time of the query.
 func (c *Checker) checkUnknownJob(id string, queryTime time.Time) {
@@ -108,13 +137,14 @@
 	}
 }
 
-// unfinishedJobs returns the accepted jobs that were not reported as completed.
+// unfinishedJobs returns the accepted jobs that were reported neither as completed nor
+// as failed.
 func (c *Checker) unfinishedJobs() []modeler.Job {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var jobs []modeler.Job
 	for _, j := range c.jobs {
-		if j.result == accepted && j.state != modeler.Completed {
+		if j.result == accepted && !j.state.IsFinal() {
 			jobs = append(jobs, j.Job)
 		}
 	}
@@ -165,6 +195,9 @@
 		if j.state == modeler.Completed {
 			counts.Completed++
 		}
+		if j.state == modeler.Failed {
+			counts.GivenUp++
+		}
 	}
 	return counts
 }
--- a/soaker/ledger_test.go
+++ b/soaker/ledger_test.go
@@ -26,7 +26,14 @@
 		"a job is reported as completed while tasks run":     {accepted, func(c *Checker) { c.addState("j", modeler.Completed, false) }, func(c *Checker) { c.addState("j", modeler.Completed, true) }},
 		"a completed job is reported as running again":       {accepted, func(c *Checker) { c.addState("j", modeler.Completed, true); c.addState("j", modeler.Running, true) }, func(c *Checker) { c.addState("j", modeler.Running, false); c.addState("j", modeler.Completed, true) }},
 		"a job is reported as failed without a cause":        {accepted, func(c *Checker) { c.addState("j", modeler.Failed, false) }, func(c *Checker) { c.addState("j", modeler.Queued, false) }},
-		"a worker runs more than its capacity":               {accepted, func(c *Checker) { c.checkRunningTasks(running, 1000) }, func(c *Checker) { c.checkRunningTasks(running, 1200) }},
+		"a job is given up after one crash under a task": {accepted, func(c *Checker) {
+			c.lostRuns = func(modeler.TaskID) int { return 1 }
+			c.addState("j", modeler.Failed, false)
+		}, func(c *Checker) {
+			c.lostRuns = func(id modeler.TaskID) int { return 2 * id.Index }
+			c.addState("j", modeler.Failed, false)
+		}},
+		"a worker runs more than its capacity": {accepted, func(c *Checker) { c.checkRunningTasks(running, 1000) }, func(c *Checker) { c.checkRunningTasks(running, 1200) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			checker := NewChecker()
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -23,15 +23,17 @@
 	WorkerUnresponsive Kind = "worker-silent"   // a worker responds to no call while its tasks continue
 	WorkerRestart      Kind = "worker-restart"  // a worker ends with all its runs and a new one starts
 	WorkerStartsLate   Kind = "worker-late"     // workers carry out some starts late and lose the responses
+	WorkerShrinks      Kind = "worker-shrinks"  // a worker has room for less for a while
 	NewManifest        Kind = "manifest-change" // the operator changes the limits of the customers
 	NewMaintenanceWave Kind = "wave"            // the operator orders the maintenance of some instances
 )
 
 const (
-	warmUp            = 2 * time.Second         // time without faults, in which the first jobs start
-	meanFaultInterval = 1200 * time.Millisecond // mean time between the starts of two faults; faults overlap
-	minFaultDuration  = 300 * time.Millisecond  // shortest duration of a fault whose kind is in kindsWithDuration
-	maxFaultDuration  = 5 * time.Second         // longest duration of such a fault; as long as outages of the platform
+	warmUp             = 2 * time.Second         // time without faults, in which the first jobs start
+	meanFaultInterval  = 1200 * time.Millisecond // mean time between the starts of two faults; faults overlap
+	meanShrinkInterval = 2 * time.Second         // mean time between two WorkerShrinks faults
+	minFaultDuration   = 300 * time.Millisecond  // shortest duration of a fault whose kind is in kindsWithDuration
+	maxFaultDuration   = 5 * time.Second         // longest duration of such a fault; as long as outages of the platform
 )
 
 type (
@@ -72,6 +74,19 @@
 		}
 		faults = append(faults, f)
 	}
+	faults = append(faults, planShrinks(seed, duration)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
+
+// planShrinks draws the WorkerShrinks faults of a run, from a source of its own so
+// that the other faults of a seed stay what they were.
+func planShrinks(seed uint64, duration time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var faults []Fault
+	for at := warmUp; at < duration; at += time.Duration(rng.ExpFloat64() * float64(meanShrinkInterval)) {
+		d := minFaultDuration + time.Duration(rng.Int64N(int64(2*maxFaultDuration)))
+		faults = append(faults, Fault{At: at.Truncate(time.Millisecond), Kind: WorkerShrinks, Target: rng.IntN(1 << 16), Duration: d.Truncate(time.Millisecond)})
+	}
+	return faults
+}
--- a/soaker/site.go
+++ b/soaker/site.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -27,19 +28,27 @@
 	queueHost          = "queue.soak"
 	queuePrefix        = "/jobs/"
 	customerKeyPrefix  = "key-of-"
-	maxFailedRuns      = 8                      // number of failed runs after which a job fails
-	runsPerFailure     = 20                     // one run in this many fails; with 20, fewer than one in ten billion tasks fail eight times in a row
-	minTaskTime        = 150 * time.Millisecond // short, so that many tasks end during each fault
-	maxExtraTaskTime   = 600 * time.Millisecond // maximum time that is added to minTaskTime
-	startsPerLateStart = 3                      // one start in this many is late during a WorkerStartsLate fault
-	lateDelay          = 2 * time.Second        // delay of late starts and late store writes
-	moveTime           = 400 * time.Millisecond // time that an instance takes to move to another pool
-	maintenanceTime    = 600 * time.Millisecond // time that the maintenance of an instance takes
-	waveDuration       = 20 * time.Second       // time in which a maintenance wave should be completed
-	readHeaderTimeout  = 5 * time.Second        // time limit for reading the header of a request
+	maxFailedRuns      = 8                       // number of failed runs after which a job fails
+	runsPerFailure     = 20                      // one run in this many fails; with 20, fewer than one in ten billion tasks fail eight times in a row
+	minTaskTime        = 150 * time.Millisecond  // short, so that many tasks end during each fault
+	maxExtraTaskTime   = 600 * time.Millisecond  // maximum time that is added to minTaskTime
+	startsPerLateStart = 3                       // one start in this many is late during a WorkerStartsLate fault
+	lateDelay          = 2 * time.Second         // delay of late starts and late store writes
+	moveTime           = 400 * time.Millisecond  // time that an instance takes to move to another pool
+	crashDowntime      = time.Second             // time from the crash of a worker to the start of the next one
+	jobsPerDeadlyJob   = 60                      // one job in this many of a caller has a task that crashes its workers
+	crashTime          = 10 * time.Millisecond   // time from the start of such a task to the crash
+	capacityGrace      = 4500 * time.Millisecond // from the platform's documentation: a shrunk capacity counts after the contact time and a heartbeat
+	maintenanceTime    = 600 * time.Millisecond  // time that the maintenance of an instance takes
+	waveDuration       = 20 * time.Second        // time in which a maintenance wave should be completed
+	readHeaderTimeout  = 5 * time.Second         // time limit for reading the header of a request
 )
 
-var customers = []string{"ana", "ben", "eva"}
+var (
+	customers      = []string{"ana", "ben", "eva"}
+	workerCapacity = modeler.Resources{CPU: workerCores * 1000, Memory: workerMB}
+	shrunkCapacity = modeler.Resources{CPU: 1000, Memory: workerMB} // room for the largest task
+)
 
 // emulatedPlatform emulates the platform, with a proxy in front of each worker.
 // Entry nodes reach the store through proxies of their own.
@@ -64,6 +73,9 @@
 	p := &emulatedPlatform{metaStore: emulator.NewMetaStore()}
 	p.fleet = emulator.NewTaskFleet(runOutcome)
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
+	p.fleet.CapacityGrace = capacityGrace
+	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
+	p.fleet.OnCrash = func(worker string) { p.instanceService.CrashWorker(worker, crashDowntime, len(worker)%2 == 0) }
 	proxyByInstance := make(map[string]*Proxy)
 	p.instanceService.WorkerAddress = func(name string) string { return proxyByInstance[name].Address() }
 	for i := range workers {
@@ -80,7 +92,7 @@
 		p.instanceNames, p.workerProxies = append(p.instanceNames, name), append(p.workerProxies, proxy)
 		p.instanceService.Add(modeler.Instance{
 			Name: name, Pool: poolName, Zone: "zone", Labels: []string{"kind", fmt.Sprintf("rack-%d", i/4)},
-			Capacity: modeler.Resources{CPU: workerCores * 1000, Memory: workerMB},
+			Capacity: workerCapacity,
 		}, true)
 	}
 	var err error
@@ -107,6 +119,12 @@
 	return minTaskTime + time.Duration(n/runsPerFailure%uint64(maxExtraTaskTime)), endKind
 }
 
+// isDeadly reports whether a task crashes the workers that start it.
+func isDeadly(id modeler.TaskID) bool {
+	number, err := strconv.ParseUint(id.Job, 16, 64)
+	return err == nil && number%jobsPerDeadlyJob == 0 && id.Step == 0 && id.Index == 0
+}
+
 // startServer starts an HTTP server on a free port and returns its address.
 func (p *emulatedPlatform) startServer(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -79,6 +79,8 @@
 	}
 	defer p.close()
 	r := &soakRun{Options: opts, emulatedPlatform: p, checker: NewChecker()}
+	p.fleet.Need = r.checker.needOf
+	r.checker.lostRuns = p.fleet.LostRuns
 	defer r.stopEntryNodes()
 	for i := range opts.Entries {
 		e, err := p.startEntryNode(i, opts.Program, opts.Dir)
@@ -201,6 +203,10 @@
 		r.instanceService.RestartWorker(name)
 	case WorkerStartsLate:
 		r.switchOnDuring(&r.workerStartsLate, waitDuration, func(on bool) { r.fleet.SetStartDelay(lateStartRule(on)) })
+	case WorkerShrinks:
+		r.fleet.SetCapacity(r.instanceService.WorkerOf(name), shrunkCapacity)
+		waitDuration()
+		r.fleet.SetCapacity(r.instanceService.WorkerOf(name), workerCapacity)
 	case NewManifest:
 		if err := r.writeManifest(); err != nil {
 			r.checker.AddBreach("manifest not written: %v", err)
