--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -81,7 +81,9 @@
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
 		suspicion        investigator.Suspicion
-		keptWorker       *worker // worker that is kept for the next run, see keepWorkerForIsolation
+		keptWorker       *worker   // worker that is kept for the next run, see keepWorkerForIsolation
+		rejections       int       // starts that workers have rejected as malformed
+		retryAt          time.Time // the task isn't placed before this time
 		checkpoint       string
 		worker           *worker       // assigned worker, nil while waiting or done
 		ticket           string        // permission from the advice service
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -21,6 +21,10 @@
 	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 
+	minRejectionPause     = 500 * time.Millisecond // before a task whose start was rejected is placed again; doubles with each further rejection
+	maxRejectionPause     = 10 * time.Second       // upper limit of that pause
+	maxRejectionDoublings = 5                      // after so many the pause has reached its limit
+
 	errStartWithdrawn = errors.ConstError("start not sent: its job has ended, or its worker has no room any more")
 	errStartTooLate   = errors.ConstError("start not sent: it waited too long for other calls to the worker")
 	errListTooOld     = errors.ConstError("start not sent: the list of workers is too old to rely on their capacity")
@@ -210,12 +214,16 @@
 }
 
 // handleRefusedStart requeues a task whose start was refused. Its worker gets
-// no new tasks for a while, unless the refusal concerns only this ticket or
-// run.
+// no new tasks for a while, unless the refusal concerns only this ticket, run or
+// task. A task that was rejected as malformed waits before it is placed again.
 func (e *Engine) handleRefusedStart(w *worker, t *task, now time.Time, err error) {
-	if errors.Is(err, modeler.ErrInvalidTicket) {
+	switch {
+	case errors.Is(err, modeler.ErrInvalidTicket):
 		t.step.dropTicket(w, now)
-	} else if !errors.Is(err, modeler.ErrStaleRun) {
+	case errors.Is(err, modeler.ErrRejected): // another worker will probably reject it as well
+		t.rejections++
+		t.retryAt = now.Add(min(minRejectionPause<<min(t.rejections-1, maxRejectionDoublings), maxRejectionPause))
+	case !errors.Is(err, modeler.ErrStaleRun):
 		w.markSuspect(now)
 	}
 	e.requeueTask(t)
--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -213,3 +213,20 @@
 		e.stopGracefully()
 	})
 }
+
+// The load: steady short jobs on two workers, and a job whose starts every worker
+// rejects as malformed.
+func TestTaskThatAllWorkersRejectTakesNoWorkerFromTheOthers(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.keepInstancesInPool()
+		s.rejectedJob = "malformed"
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("malformed", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 100}}))
+		jobs := s.submitSteadily("j", 10*time.Second, 500*time.Millisecond, 4)
+		time.Sleep(1500 * time.Millisecond)
+		s.requireState(modeler.Completed, jobs...)
+		require.LessOrEqual(s.t, e.rejectedStarts.Load(), int64(12))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -324,7 +324,7 @@
 func (p *placementPass) placeTasks(s *step, j *job, view *poolView, fair bool) []*task {
 	var tasks []*task
 	for _, t := range s.tasks {
-		if t.phase != waiting || p.orphaned[t.id] {
+		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) {
 			continue
 		}
 		if !p.isWithinCustomerLimit(t, j) || fair && p.exceedsFairShare(s, view.name) {
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -46,6 +46,7 @@
 	storeBytesPerSecond     int                   // of each entry node's link to the store, see storeLink; 0 if it is fast
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	wallClock               func() time.Time      // see orchestrator.Config.WallClock
+	rejectedJob             string                // ID of a job whose starts all workers reject as malformed
 	outcomeQueryTime        time.Duration         // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
 	steps                   sync.Map              // steps of the submitted jobs, by job ID
 }
@@ -95,6 +96,10 @@
 // Start implements orchestrator.Workers.
 func (l workerLink) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
 	time.Sleep(time.Duration(l.entry.startDelay.Load()))
+	if o.Task.Job == l.entry.deployment.rejectedJob {
+		l.entry.rejectedStarts.Add(1)
+		return 0, modeler.ErrRejected
+	}
 	if o.Ticket != "" && l.entry.refusedTickets.Add(-1) >= 0 {
 		return 0, modeler.ErrInvalidTicket
 	}
@@ -176,6 +181,7 @@
 	startDelay         atomic.Int64                     // time until a start reaches its worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
 	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
+	rejectedStarts     atomic.Int64                     // number of starts of the deployment's rejectedJob
 	refusedTickets     atomic.Int64                     // number of starts that are refused because of their ticket
 	panicsOnce         atomic.Bool                      // the leader panics in its event loop
 	losesRenewals      atomic.Bool                      // polls that extend leases get no response
