--- a/elector/elector.go
+++ b/elector/elector.go
@@ -59,6 +59,8 @@
 		now            func() time.Duration
 		log            *slog.Logger
 		vacant         chan struct{} // signals that there may be no leader
+		newLeader      chan struct{} // signals that there may be another leader
+		isBetter       func(ctx context.Context, leader string) (bool, error)
 	}
 
 	// Option configures an Elector.
@@ -105,6 +107,7 @@
 		log:            log,
 		candidateDelay: func(context.Context) time.Duration { return 0 },
 		vacant:         make(chan struct{}, 1),
+		newLeader:      make(chan struct{}, 1),
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -171,16 +174,25 @@
 		_ = follower.Run(ctx) // only returns ctx's error
 	}()
 	defer func() { <-watched }()
+	if e.isBetter != nil {
+		challenging := make(chan struct{})
+		go func() {
+			defer close(challenging)
+			e.challengeLeaders(ctx)
+		}()
+		defer func() { <-challenging }()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-e.vacant:
 		}
-		if supervisor.Pause(ctx, e.candidateDelay(ctx)+rand.N(maxCandidateJitter)) != nil {
+		delay := e.candidateDelay(ctx)
+		if supervisor.Pause(ctx, delay+rand.N(maxCandidateJitter)) != nil {
 			return ctx.Err()
 		}
-		if err := e.holdTerm(ctx); err != nil {
+		if err := e.holdTerm(ctx, delay > 0); err != nil {
 			e.log.Warn("leadership not acquired, trying again", "error", err)
 			if !errors.Is(err, keeper.ErrConflict) {
 				_ = supervisor.Pause(ctx, retryInterval)
@@ -193,6 +205,7 @@
 func (e *Elector) handleSnapshot(records []keeper.Record) {
 	for _, record := range records {
 		if record.Key == Key {
+			e.signalLeader()
 			return
 		}
 	}
@@ -200,8 +213,12 @@
 }
 
 func (e *Elector) handleEvent(ev keeper.Event) {
-	if ev.Key == Key && ev.Deleted {
+	switch {
+	case ev.Key != Key:
+	case ev.Deleted:
 		e.signalVacancy()
+	default:
+		e.signalLeader()
 	}
 }
 
@@ -223,8 +240,9 @@
 }
 
 // holdTerm creates the leader record, runs the term and returns when the term
-// is over. It returns an error if this entry node didn't become leader.
-func (e *Elector) holdTerm(ctx context.Context) error {
+// is over. It returns an error if this entry node didn't become leader. Only a leader
+// that may be less suited than others looks for challenges.
+func (e *Elector) holdTerm(ctx context.Context, mayBeChallenged bool) error {
 	requestedAt := e.now()
 	id, err := e.store.Grant(ctx, e.leaseTime)
 	if err != nil {
@@ -247,8 +265,16 @@
 		e.runTerm(termCtx, t)
 		cancel(ErrStalled) // no effect if the term has already ended with another cause
 	}()
+	challenged := make(chan struct{})
+	go func() {
+		defer close(challenged)
+		if mayBeChallenged && e.isBetter != nil {
+			e.resignWhenChallenged(termCtx, t)
+		}
+	}()
 	e.keepLeaseAlive(termCtx, t, id)
 	<-done
+	<-challenged
 	e.log.Info("leadership ended", "token", token, "cause", context.Cause(termCtx).Error())
 	e.revokeLease(ctx, id)
 	if errors.Is(context.Cause(termCtx), ErrStalled) {
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -176,3 +176,58 @@
 		running.Wait()
 	})
 }
+
+// termCount returns the number of terms that have begun.
+func (s *leaderLog) termCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)
+}
+
+// progressingTerm runs a term of an entry node that makes progress.
+func (s *leaderLog) progressingTerm(name string) func(ctx context.Context, t *elector.Term) {
+	record := s.recordTerm(name)
+	return func(ctx context.Context, t *elector.Term) {
+		var progress sync.WaitGroup
+		progress.Go(func() {
+			for ctx.Err() == nil {
+				t.ReportProgress()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		record(ctx, t)
+		progress.Wait()
+	}
+}
+
+// A weak entry node that has become leader during an outage hands over to a strong one.
+// Strong ones don't challenge each other, and neither do weak ones.
+func TestLeaderResignsWhenABetterSuitedEntryChallengesIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store, s := emulator.NewMetaStore(), &leaderLog{leaders: make(map[string]int64)}
+		strength := map[string]int{"weak-1": 1, "weak-2": 1, "strong-1": 4, "strong-2": 4}
+		var running sync.WaitGroup
+		ctx, stop := context.WithCancel(t.Context())
+		start := func(name string) {
+			running.Go(func() {
+				_ = elector.New(store.ClientFor(name), name, s.progressingTerm(name), slog.New(slog.DiscardHandler),
+					elector.WithDelay(func(context.Context) time.Duration { return time.Duration(4-strength[name]) * 100 * time.Millisecond }),
+					elector.WithBetterSuited(func(_ context.Context, leader string) (bool, error) { return strength[name] > strength[leader], nil }),
+				).Run(ctx)
+			})
+		}
+		start("weak-1")
+		start("weak-2")
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, s.termCount())
+		start("strong-1")
+		start("strong-2")
+		time.Sleep(6 * time.Second)
+		require.Len(t, s.currentLeaders(), 1)
+		require.Contains(t, s.currentLeaders()[0], "strong")
+		time.Sleep(20 * time.Second)
+		require.Equal(t, 2, s.termCount())
+		stop()
+		running.Wait()
+	})
+}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -161,7 +161,8 @@
 		engineStore := store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput), platform.WithOnPage(term.ReportProgress))
 		orchestrator.New(cfg, engineStore, workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
 	}
-	return elector.New(store, s.Instance, runTerm, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(newDelayCalculator(s, store, l.log).candidateDelay))
+	delays := newDelayCalculator(s, store, l.log)
+	return elector.New(store, s.Instance, runTerm, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(delays.candidateDelay), elector.WithBetterSuited(delays.isBetter))
 }
 
 // newCallerService returns the HTTP service for callers.
--- a/launcher/standing.go
+++ b/launcher/standing.go
@@ -13,6 +13,7 @@
 const (
 	entryPrefix       = "entries/"             // followed by the instance of an entry node; the record holds its processor share
 	maxCandidateDelay = 300 * time.Millisecond // delay at a processor share of 0; a fifth of the time that the loss of a leader costs
+	minChallengeRatio = 1.5                    // an entry node challenges a leader if its processor share is larger by this factor
 	delayTimeout      = 200 * time.Millisecond // time-out for the calls to the store; a slow store takes this long to answer
 )
 
@@ -61,6 +62,25 @@
 	return c.lastDelay
 }
 
+// isBetter reports whether this entry node has so much more processor time than the
+// leader that a hand-over pays off. It hasn't if the share of the leader is unknown.
+func (c *delayCalculator) isBetter(ctx context.Context, leader string) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, delayTimeout)
+	defer cancel()
+	records, _, err := c.store.List(ctx, entryPrefix)
+	if err != nil {
+		return false, err
+	}
+	for _, r := range records {
+		if r.Key != entryPrefix+leader {
+			continue
+		}
+		share, err := strconv.ParseFloat(string(r.Value), 64)
+		return err == nil && c.processorShare >= minChallengeRatio*share, nil // an unreadable share is unknown
+	}
+	return false, nil
+}
+
 // storeProcessorShare writes the processor share of this entry node to the
 // store and reports whether that succeeded.
 func (c *delayCalculator) storeProcessorShare(ctx context.Context) bool {
