--- a/launcher/large_fleet_test.go
+++ b/launcher/large_fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"flag"
 	"fmt"
@@ -13,7 +14,9 @@
 	"os"
 	"path/filepath"
 	"runtime/pprof"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,15 +46,71 @@
 	largeFleetProfile = flag.String("large-fleet-profile", "", "file for the CPU profile of TestLargeFleet; samples of the leader have the label role=leader")
 )
 
-// countingHandler counts the calls of the platform's side.
+// countingHandler counts the calls of the platform's side, and the bytes of their
+// bodies by path.
 type countingHandler struct {
 	handler http.Handler
 	calls   *atomic.Int64
+	bytes   *bytesByPath
 }
 
 func (h countingHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.calls.Add(1)
-	h.handler.ServeHTTP(w, r)
+	path := r.URL.Path
+	if prefix := r.URL.Query().Get("prefix"); prefix != "" {
+		path += " " + prefix
+	}
+	h.bytes.add("sent "+path, max(0, r.ContentLength))
+	h.handler.ServeHTTP(countingWriter{w, h.bytes, "received " + path}, r)
+}
+
+// countingWriter counts the bytes of a response.
+type countingWriter struct {
+	http.ResponseWriter
+	bytes *bytesByPath
+	path  string
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	w.bytes.add(w.path, int64(len(p)))
+	return w.ResponseWriter.Write(p)
+}
+
+// bytesByPath counts bytes that the leader has sent or received.
+type bytesByPath struct {
+	mu     sync.Mutex
+	counts map[string]int64
+}
+
+func (b *bytesByPath) add(path string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts[path] += n
+}
+
+// shares returns a line for each path with at least one in a hundred of the bytes
+// that were sent or received since the last call, the largest first.
+func (b *bytesByPath) shares(seconds float64) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines strings.Builder
+	for _, direction := range []string{"sent", "received"} {
+		var paths []string
+		sum := int64(0)
+		for path, n := range b.counts {
+			if strings.HasPrefix(path, direction) {
+				paths, sum = append(paths, path), sum+n
+			}
+		}
+		slices.SortFunc(paths, func(x, y string) int { return cmp.Compare(b.counts[y], b.counts[x]) })
+		for _, path := range paths {
+			if share := 100 * b.counts[path] / max(1, sum); share > 0 {
+				_, _ = fmt.Fprintf(&lines, "\n%3d %% of %.0f KB a second %s", share, float64(sum)/1024/seconds, path) // writing to a Builder doesn't fail
+			}
+		}
+	}
+	clear(b.counts)
+	return lines.String()
 }
 
 // largeFleet emulates the platform of a large deployment over loopback HTTP.
@@ -60,11 +119,12 @@
 	tasks                        *emulator.TaskFleet
 	instances                    *emulator.InstanceService
 	workerCalls, storeCalls      atomic.Int64
+	bytes                        bytesByPath
 	storeAddress, instancesAddrs string
 }
 
 func newLargeFleet(t *testing.T) *largeFleet {
-	f := &largeFleet{store: emulator.NewMetaStore()}
+	f := &largeFleet{store: emulator.NewMetaStore(), bytes: bytesByPath{counts: make(map[string]int64)}}
 	f.tasks = emulator.NewTaskFleet(func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
 		h := fnv.New32a()
 		_, _ = h.Write([]byte(id.String()))
@@ -72,7 +132,7 @@
 	})
 	f.instances = emulator.NewInstanceService(f.tasks, 1500*time.Millisecond, 2*time.Second)
 	serve := func(h http.Handler, calls *atomic.Int64) string {
-		s := httptest.NewServer(countingHandler{h, calls})
+		s := httptest.NewServer(countingHandler{h, calls, &f.bytes})
 		t.Cleanup(s.Close)
 		return strings.TrimPrefix(s.URL, "http://")
 	}
@@ -143,7 +203,8 @@
 }
 
 // TestLargeFleet runs one entry node, which leads, at the size and load of a
-// large deployment and prints what the platform's side saw. With a profile it
+// large deployment and prints what the platform's side saw, and what shares of the
+// leader's bytes each kind of call has. With a profile it
 // shows where the leader's processor time goes:
 //
 //	go test ./launcher -run TestLargeFleet -large-fleet 20s -large-fleet-profile leader.prof -v
@@ -168,6 +229,7 @@
 		require.NoError(t, pprof.StartCPUProfile(file))
 		defer pprof.StopCPUProfile()
 	}
+	f.bytes.shares(1) // forgets those of the warm-up
 	calls, storeCalls, began := f.workerCalls.Load(), f.storeCalls.Load(), time.Now()
 	loadCtx, stopLoad := context.WithTimeout(ctx, *largeFleetTime)
 	defer stopLoad()
@@ -179,5 +241,6 @@
 	w.Close(time.Second)
 	t.Logf("a second: %.0f jobs, %.0f calls to workers, %.0f calls to the store; %.0f KB of log lines, %.0f lines",
 		float64(jobs)/took, float64(calls)/took, float64(storeCalls)/took, float64(lines.Len())/1024/took, float64(bytes.Count(lines.Bytes(), []byte("\n")))/took)
+	t.Logf("bytes of bodies:%s", f.bytes.shares(took))
 	require.Empty(t, f.tasks.Violations())
 }
