--- a/investigator/investigator.go
+++ b/investigator/investigator.go
@@ -9,9 +9,13 @@
 	MaxScore = 5
 
 	// MinCrashes is the number of workers that have certainly crashed under a task that
-	// is given up, unless MaxScore others have left its start unanswered.
+	// is given up, unless MaxScore workers may have.
 	MinCrashes = 2
 
+	// minSoleSuspect is the number of crashes that nothing else can have caused, of a
+	// task that is given up before MaxScore workers may have crashed under it.
+	minSoleSuspect = 2
+
 	// IsolationScore is the score from which a task is started only where nothing
 	// else can be the cause if that worker crashes.
 	IsolationScore = 2
@@ -61,7 +65,7 @@
 
 // IsConclusive reports whether the task must not be started again.
 func (s Suspicion) IsConclusive() bool {
-	return s.Score() >= MaxScore && (s.Crashes >= MinCrashes || s.Crashes+s.Unconfirmed >= MaxScore)
+	return s.Score() >= MaxScore && s.Crashes >= MinCrashes && s.SoleSuspect >= minSoleSuspect || s.Crashes+s.Unconfirmed >= MaxScore
 }
 
 // Clearance returns how long a run must work to be cleared.
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -167,6 +167,26 @@
 	})
 }
 
+func TestLongRunningTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for _, after := range []time.Duration{10 * time.Millisecond, 2 * time.Second} {
+		t.Run(after.String(), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.taskFleet.RunOutcome = neverEnds
+				s.crashes(after, false, "deadly")
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(longRunningJob("deadly", 2))
+				s.submit(longRunningJob("other", 3))
+				time.Sleep(5 * (after + 5*time.Second))
+				s.requireState(modeler.Failed, "deadly")
+				s.requireState(modeler.Running, "other")
+				require.Equal(s.t, 3, s.taskFleet.RunCountOfJob("other"))
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
 // The load: short jobs fill two thirds of nine workers, and three random workers
 // crash at the same moment every 2.5 s, as racks do that lose power. A job may be
 // given up only if two workers have crashed under one of its tasks.
