--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -22,6 +22,10 @@
 	// be given up because of failures of its instances that are weeks apart.
 	harmlessAfter = 5 * time.Second
 
+	// maxKeepTime is how long a worker is kept for a task that needs isolation. The task
+	// may also wait for something else, such as its customer's limit.
+	maxKeepTime = 3 * time.Second
+
 	coincidenceTime = 100 * time.Millisecond // workers that stop responding within this time have probably failed for one reason
 	crashMemory     = 15 * time.Second       // a crash is assessed within this time
 
@@ -100,7 +104,7 @@
 	found := slices.ContainsFunc(e.recentCrashes, func(c recentCrash) bool { return c.worker != w.ID && coincides(c.at) })
 	e.recentCrashes = append(e.recentCrashes, recentCrash{w.ID, at})
 	for _, other := range e.workersByID {
-		found = found || other != w && !other.reachable && other.polled && coincides(other.unreachableSince)
+		found = found || other != w && !other.reachable && other.polled && coincides(other.unreachableSince) && !e.mayHaveEndedAsPlanned(other)
 	}
 	return found
 }
@@ -176,8 +180,8 @@
 }
 
 // keepFor excludes all other tasks from the worker until the task is placed.
-func (w *worker) keepFor(t *task) {
-	w.keptFor, t.keptWorker = t, w
+func (w *worker) keepFor(t *task, now time.Time) {
+	w.keptFor, w.keptSince, t.keptWorker = t, now, w
 }
 
 // releaseKeptWorker lets other tasks use the worker that is kept for the task.
@@ -258,6 +262,6 @@
 		return
 	}
 	w := view.workers[i]
-	w.keepFor(t)
+	w.keepFor(t, p.now)
 	p.engine.log.Info("worker kept for a task that may crash it", "task", t.id.String(), "worker", w.ID, "tasks", len(w.tasks), "crashes", t.suspicion.Crashes, "unconfirmed", t.suspicion.Unconfirmed, "sole-suspect", t.suspicion.SoleSuspect)
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -510,6 +510,9 @@
 	}
 	slices.SortFunc(v.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 	for _, w := range v.workers {
+		if w.keptFor != nil && p.now.Sub(w.keptSince) > maxKeepTime {
+			w.keptFor.releaseKeptWorker()
+		}
 		view := w.assignerView()
 		view.EvacuationDue = p.engine.isMaintenanceDue(w.Instance)
 		v.assignerViews = append(v.assignerViews, view)
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -40,16 +40,17 @@
 		longRunningCPU     int64 // CPU that long-running tasks use, in thousandths of a core
 		tasks              map[modeler.TaskID]*task
 		clockSample        clockSample
-		leaseDeadline      int64                  // latest lease expiry sent, on the worker's clock
-		acknowledgedEnd    int64                  // number of the last ended run that the worker need not list again
-		pendingEnds        []reportedEnd          // ended runs reported by the worker and not acknowledged yet
-		startsInFlight     int                    // starts that are queued or await a response
-		polling            bool                   // a poll is queued or in flight
-		lastPollAt         time.Time              // when the last poll was queued
-		failedPolls        int                    // failed polls in a row
-		cordonReason       string                 // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task                // tasks that have resources reserved here
-		keptFor            *task                  // only this task may be placed here; nil for any
+		leaseDeadline      int64         // latest lease expiry sent, on the worker's clock
+		acknowledgedEnd    int64         // number of the last ended run that the worker need not list again
+		pendingEnds        []reportedEnd // ended runs reported by the worker and not acknowledged yet
+		startsInFlight     int           // starts that are queued or await a response
+		polling            bool          // a poll is queued or in flight
+		lastPollAt         time.Time     // when the last poll was queued
+		failedPolls        int           // failed polls in a row
+		cordonReason       string        // kind of plan that excludes the worker from new tasks; empty if there is none
+		reservedFor        []*task       // tasks that have resources reserved here
+		keptFor            *task         // only this task may be placed here; nil for any
+		keptSince          time.Time
 		idleCPUPacePercent int                    // speed of the tasks that use idle CPU, in percent of full speed
 		paceChangedAt      time.Time              // when idleCPUPacePercent last changed
 		orphanedRuns       map[runID]*orphanedRun // runs without an assigned task that have not certainly ended
