--- a/soaker/site.go
+++ b/soaker/site.go
@@ -75,6 +75,7 @@
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
 	p.fleet.CapacityGrace = capacityGrace
 	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
+	// About half of the workers keep their ID when they start again.
 	p.fleet.OnCrash = func(worker string) { p.instanceService.CrashWorker(worker, crashDowntime, len(worker)%2 == 0) }
 	proxyByInstance := make(map[string]*Proxy)
 	p.instanceService.WorkerAddress = func(name string) string { return proxyByInstance[name].Address() }
