--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -187,6 +187,21 @@
 	}
 }
 
+// The crashes come so late that neither the leader nor an operator can tell them from
+// failures of the instances.
+func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
+	runScenario(t, 4, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.crashes(12*time.Second, false, "deadly")
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("deadly", 2))
+		time.Sleep(2 * time.Minute)
+		s.requireState(modeler.Failed, "deadly")
+		e.stopGracefully()
+	})
+}
+
 // The load: short jobs fill two thirds of nine workers, and three random workers
 // crash at the same moment every 2.5 s, as racks do that lose power. A job may be
 // given up only if two workers have crashed under one of its tasks.
