--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -187,8 +187,7 @@
 	}
 }
 
-// The crashes come so late that neither the leader nor an operator can tell them from
-// failures of the instances.
+// A crash after so much work does not count, see harmlessAfter.
 func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
 	runScenario(t, 4, func(s *deployment) {
 		s.taskFleet.RunOutcome = neverEnds
