Prepare pools for surges that recur at regular intervals

Cause: the forecast extrapolates growth that has begun, while an instance takes two seconds to change its pool, so the first jobs of each surge are late although queues surge at regular intervals.

Change: sizer.Recurrence learns onsets, intervals and courses of a pool's surges. After three at regular intervals the leader sizes the pool by what they had reached at this time after their onset, less one standard deviation. A surge that doesn't come is forgotten after two deviations. Without regular surges sizes are as before. A log line and a metric tell when a pool prepares.

A stabilization window for returned instances and a damped trend were tried and not kept, see docs/design/pool-sizes.md.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -103,6 +103,15 @@
 	setGauge(fmt.Sprintf(`coltsfootlever_jobs_waiting{queue=%q}`, queue), float64(n))
 }
 
+// SetSurgeExpected sets whether a pool prepares for a recurring surge of its demand.
+func SetSurgeExpected(pool string, expected bool) {
+	value := 0.0
+	if expected {
+		value = 1
+	}
+	setGauge(fmt.Sprintf(`coltsfootlever_surge_expected{pool=%q}`, pool), value)
+}
+
 // SetLeaderToken sets the fencing token of this entry's term as leader. It is 0
 // while this entry is not the leader.
 func SetLeaderToken(token int64) {
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/sizer"
 )
@@ -30,6 +31,8 @@
 	// poolHistory is what must be remembered about a pool to size it.
 	poolHistory struct {
 		arrivals       []sizer.Arrival
+		surges         sizer.Recurrence
+		surgeExpected  bool      // a surge is expected before an instance ordered now would be ready
 		oversizedSince time.Time // since when the pool has had more instances than it needs
 		lastNoRoom     time.Time // when a long-running task last found no worker
 	}
@@ -103,7 +106,7 @@
 	}
 	for pool, d := range e.demandByPool() {
 		e.log.Info("load of a pool", "starts-in-flight", e.startsInFlight, "starts-limit", e.throttle.Limit(), "awaiting-start", len(e.awaitingStart), "pool", pool, "instances", instances[pool], "capacity", d.capacity, "lasting", d.longRunning, "running", d.running, "waiting", d.waiting,
-			"rate", e.forecastArrivalRate(e.poolHistoryOf(pool), now))
+			"rate", e.forecastArrivalRate(pool, now))
 	}
 }
 
@@ -125,7 +128,9 @@
 		return
 	}
 	h := e.poolHistoryOf(q.Pool)
-	h.arrivals = append(h.arrivals, sizer.Arrival{At: now, Work: j.occurrenceWork() * e.estimateFactor(j.Queue)})
+	work := j.occurrenceWork() * e.estimateFactor(j.Queue)
+	h.arrivals = append(h.arrivals, sizer.Arrival{At: now, Work: work})
+	h.surges.Record(now, work)
 }
 
 // occurrenceWork returns the estimated work of one occurrence, in core-seconds.
@@ -193,9 +198,16 @@
 
 // forecastArrivalRate returns the forecast rate at which work arrives, in
 // cores, for the time at which an instance ordered now would be ready.
-func (e *Engine) forecastArrivalRate(h *poolHistory, now time.Time) float64 {
+func (e *Engine) forecastArrivalRate(pool string, now time.Time) float64 {
+	h, horizon := e.poolHistoryOf(pool), e.cfg.MoveTime+joinDelayAfterMove
 	h.arrivals = sizer.RecentArrivals(h.arrivals, now)
-	return sizer.ForecastRate(h.arrivals, now, e.cfg.MoveTime+joinDelayAfterMove)
+	rate, expected := sizer.ForecastRate(h.arrivals, now, horizon), h.surges.Expected(now, horizon)
+	if isExpected := expected > rate; isExpected != h.surgeExpected {
+		h.surgeExpected = isExpected
+		e.log.Info("pool prepares for a recurring surge, or no longer", "pool", pool, "expected", isExpected, "cores", expected, "arriving", rate)
+		meter.SetSurgeExpected(pool, isExpected)
+	}
+	return max(rate, expected)
 }
 
 // planMovesBetweenPools plans moves of instances so that pool sizes follow the
@@ -313,7 +325,7 @@
 		index[p.Name] = len(pools)
 		d := demands[p.Name]
 		pools = append(pools, sizer.Pool{
-			Name: p.Name, Spare: p.Spare, LongRunningCores: d.longRunning, DemandCores: d.running + d.waiting, ArrivalRate: e.forecastArrivalRate(e.poolHistoryOf(p.Name), now), MinWorkers: d.minWorkers,
+			Name: p.Name, Spare: p.Spare, LongRunningCores: d.longRunning, DemandCores: d.running + d.waiting, ArrivalRate: e.forecastArrivalRate(p.Name, now), MinWorkers: d.minWorkers,
 		})
 	}
 	for _, i := range e.planner.instances {
--- a/sizer/turns_test.go
+++ b/sizer/turns_test.go
@@ -28,7 +28,7 @@
 	packedShare      = 0.7  // of the idle cores that are on instances without tasks
 	allowedStretch   = 1.6
 	allowedDelay     = 600 * time.Millisecond
-	loadedTurns      = 4
+	queues           = 4
 	longRunningCores = 300.0
 )
 
@@ -67,6 +67,14 @@
 		runs     []simulatedRun
 		arrivals []sizer.Arrival
 		surplus  time.Time
+		surges   *sizer.Recurrence // nil to forecast without it
+	}
+
+	// turns are the times at which the queues rise.
+	turns struct {
+		cycles  int // times that each queue rises
+		shift   func(queue, cycle int) time.Duration
+		skipped func(queue, cycle int) bool
 	}
 
 	// turnsResult is what a played load cost.
@@ -84,13 +92,25 @@
 	{4.67, 2, 8, 2.1, 9.8},
 }
 
-// rate returns how many jobs of the queue arrive per second.
-func (l queueLoad) rate(queue int, at time.Duration) float64 {
-	since := (at - time.Duration(queue)*turnLength).Seconds() / turnLength.Seconds()
-	if since < 0 || since > 1 {
-		return l.jobsPerSecond * turnTrough
+// regularTurns are turns without any irregularity.
+func regularTurns(cycles int) turns {
+	return turns{cycles, func(int, int) time.Duration { return 0 }, func(int, int) bool { return false }}
+}
+
+// length returns how long the load lasts.
+func (r turns) length() time.Duration {
+	return time.Duration(r.cycles*queues) * turnLength
+}
+
+// level returns the rate of a queue's jobs as a multiple of the mean.
+func (r turns) level(queue int, at time.Duration) float64 {
+	for cycle := range r.cycles {
+		since := (at - time.Duration(cycle*queues+queue)*turnLength - r.shift(queue, cycle)).Seconds() / turnLength.Seconds()
+		if since >= 0 && since <= 1 && !r.skipped(queue, cycle) {
+			return max(turnTrough, turnPeak*math.Sin(math.Pi*since))
+		}
 	}
-	return l.jobsPerSecond * max(turnTrough, turnPeak*math.Sin(math.Pi*since))
+	return turnTrough
 }
 
 // drawJob draws a job of the queue.
@@ -178,9 +198,13 @@
 	}
 	p.arrivals = sizer.RecentArrivals(p.arrivals, now)
 	idle := float64(p.ready)*instanceCores - p.used - longRunningCores
+	rate := forecast(p.arrivals, now, joinTime)
+	if p.surges != nil {
+		rate = max(rate, p.surges.Expected(now, joinTime))
+	}
 	in := sizer.Pool{
 		Name: name, Instances: p.ready + len(p.joining), Movable: max(0, int(packedShare*idle/instanceCores)), CoresPerInstance: instanceCores,
-		LongRunningCores: longRunningCores, DemandCores: p.used + waiting, ArrivalRate: forecast(p.arrivals, now, joinTime),
+		LongRunningCores: longRunningCores, DemandCores: p.used + waiting, ArrivalRate: rate,
 	}
 	if sizer.DesiredInstances(in) >= in.Instances {
 		p.surplus = now
@@ -199,11 +223,14 @@
 }
 
 // arrive lets the jobs of one step of time arrive at a pool.
-func (f *simulatedFleet) arrive(p *simulatedPool, queue int, rng *rand.Rand, at time.Duration, now time.Time) {
-	for t := rng.ExpFloat64(); at < loadedTurns*turnLength && t < p.load.rate(queue, at)*loadStep.Seconds(); t += rng.ExpFloat64() {
+func (f *simulatedFleet) arrive(p *simulatedPool, level float64, rng *rand.Rand, now time.Time) {
+	for t := rng.ExpFloat64(); t < p.load.jobsPerSecond*level*loadStep.Seconds(); t += rng.ExpFloat64() {
 		j := p.load.drawJob(rng, now)
 		f.result.jobs++
 		p.arrivals = append(p.arrivals, sizer.Arrival{At: now, Work: j.work()})
+		if p.surges != nil {
+			p.surges.Record(now, j.work())
+		}
 		p.jobs = append(p.jobs, j)
 	}
 }
@@ -227,16 +254,20 @@
 	}
 }
 
-// playTurns plays one turn of each queue.
-func playTurns(seed uint64, forecast forecaster) turnsResult {
+// playTurns plays the turns of the queues. If learning is set, the pools forecast
+// surges from earlier ones too.
+func playTurns(seed uint64, r turns, forecast forecaster, learning bool) turnsResult {
 	rng := rand.New(rand.NewPCG(seed, 0))
 	start := time.Unix(0, 0)
 	f := &simulatedFleet{names: []string{"a", "b", "c", "d"}, pools: map[string]*simulatedPool{}, spare: poolInstances}
 	for i, l := range turnsOfLargeFleet {
 		f.pools[f.names[i]] = &simulatedPool{load: l, ready: initialInstances, surplus: start}
+		if learning {
+			f.pools[f.names[i]].surges = &sizer.Recurrence{}
+		}
 		f.spare -= initialInstances
 	}
-	for at := time.Duration(0); at < loadedTurns*turnLength+10*time.Second; at += loadStep {
+	for at := time.Duration(0); at < r.length()+10*time.Second; at += loadStep {
 		now := start.Add(at)
 		for len(f.returning) > 0 && !now.Before(f.returning[0]) {
 			f.returning = f.returning[1:]
@@ -245,7 +276,9 @@
 		var inputs []sizer.Pool
 		for i, name := range f.names {
 			p := f.pools[name]
-			f.arrive(p, i, rng, at, now)
+			if at < r.length() {
+				f.arrive(p, r.level(i, at), rng, now)
+			}
 			_, late := p.advance(now)
 			f.result.late += late
 			f.result.poolSeconds += float64(p.ready+len(p.joining)) * loadStep.Seconds()
@@ -260,13 +293,12 @@
 }
 
 // meanOfTurns returns the mean result of several days.
-func meanOfTurns(t *testing.T, name string, forecast forecaster) (poolSeconds, moves, lateShare float64) {
-	const days = 20
+func meanOfTurns(t *testing.T, name string, days uint64, r turns, forecast forecaster, learning bool) (poolSeconds, moves, lateShare float64) {
 	jobs, late := 0, 0
-	for seed := range uint64(days) {
-		r := playTurns(seed, forecast)
-		poolSeconds += r.poolSeconds / days
-		moves += float64(r.moves) / days
+	for seed := range days {
+		r := playTurns(seed, r, forecast, learning)
+		poolSeconds += r.poolSeconds / float64(days)
+		moves += float64(r.moves) / float64(days)
 		jobs, late = jobs+r.jobs, late+r.late
 	}
 	lateShare = float64(late) / float64(jobs)
@@ -274,15 +306,50 @@
 	return poolSeconds, moves, lateShare
 }
 
+func arrivalRate(arrivals []sizer.Arrival, now time.Time, _ time.Duration) float64 {
+	return sizer.ArrivalRate(arrivals, now)
+}
+
 // Compared with pools that follow the load as it is, the forecast must make at
 // most a third as many jobs late, for at most an eighth more instance-seconds and
 // moves.
 func TestPoolsFollowQueuesThatRiseInTurn(t *testing.T) {
-	poolSeconds, moves, late := meanOfTurns(t, "forecast", sizer.ForecastRate)
-	levelSeconds, levelMoves, levelLate := meanOfTurns(t, "no forecast", func(arrivals []sizer.Arrival, now time.Time, _ time.Duration) float64 {
-		return sizer.ArrivalRate(arrivals, now)
-	})
+	poolSeconds, moves, late := meanOfTurns(t, "forecast", 20, regularTurns(1), sizer.ForecastRate, false)
+	levelSeconds, levelMoves, levelLate := meanOfTurns(t, "no forecast", 20, regularTurns(1), arrivalRate, false)
 	require.Less(t, late, levelLate/3)
 	require.Less(t, poolSeconds, 1.125*levelSeconds)
 	require.Less(t, moves, 1.125*levelMoves)
 }
+
+// Learned surges make fewer jobs late where turns return regularly, and cost little
+// where a turn doesn't come, comes early or comes at any time.
+func TestPoolsPrepareForTurnsThatReturn(t *testing.T) {
+	const cycles = 7
+	early, irregular := regularTurns(cycles), regularTurns(cycles)
+	early.shift = func(queue, cycle int) time.Duration {
+		if queue == 1 && cycle == 5 {
+			return -3 * time.Second
+		}
+		return 0
+	}
+	skipped := regularTurns(cycles)
+	skipped.skipped = func(queue, cycle int) bool { return cycle == 4 && queue%2 == 0 }
+	irregular.shift = func(queue, cycle int) time.Duration {
+		return time.Duration((queue*7+cycle*11)%13-6) * 3 * time.Second
+	}
+	for _, c := range []struct {
+		name              string
+		turns             turns
+		maxLate, maxPrice float64 // relative to a forecast without learning
+	}{
+		{"regular", regularTurns(cycles), 0.8, 1.05},
+		{"one turn early", early, 0.8, 1.05},
+		{"two turns don't come", skipped, 0.85, 1.05},
+		{"irregular", irregular, 1.05, 1.05},
+	} {
+		poolSeconds, moves, late := meanOfTurns(t, c.name+", learned", 4, c.turns, sizer.ForecastRate, true)
+		plainSeconds, plainMoves, plainLate := meanOfTurns(t, c.name, 4, c.turns, sizer.ForecastRate, false)
+		require.LessOrEqual(t, late, c.maxLate*plainLate, c.name)
+		require.LessOrEqual(t, poolSeconds+moves, c.maxPrice*(plainSeconds+plainMoves), c.name)
+	}
+}
