Keep the sums by customer and the workers of a pool between passes

Each pass added up the resources of all tasks by customer, and for each pool it looked at all workers, sorted them and added up their tasks again. Now assigning a task updates the customer's sum and the pool's, pools keep their workers sorted, workers with orphaned runs are known, instances know their workers, and jobs their queue in the present manifest. TestPlacementsStayTheSame checks the sums against those over all workers after each pass.

--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -259,7 +259,7 @@
 	byPool := make(map[string]*poolBacklog)
 	now, m := e.cfg.WallClock(), e.cfg.Manifest()
 	for _, j := range e.jobs {
-		q := m.QueueOf(&j.Job)
+		q := j.settingsIn(m).queue
 		if q == nil || j.state.IsFinal() || j.IsLongRunning() {
 			continue
 		}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -136,7 +137,7 @@
 // attempts.
 func (e *Engine) failJobAfterTooManyAttempts(t *task) {
 	j := t.step.occurrence.job
-	q := e.cfg.Manifest().QueueOf(&j.Job)
+	q := j.settingsIn(e.cfg.Manifest()).queue
 	if q == nil || len(t.failedRuns) < q.MaxFailedRuns || j.state.IsFinal() {
 		return
 	}
@@ -242,6 +243,7 @@
 	}
 	r := &orphanedRun{task: t, since: now}
 	w.orphanedRuns[id] = r
+	e.workersWithOrphans[w] = true
 	e.unknownRunsFound = true
 	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
 	e.sendStop(w, id.task, id.number, &r.stop)
@@ -251,10 +253,7 @@
 // orphaned run.
 func (e *Engine) tasksWithOrphanedRuns() map[modeler.TaskID]bool {
 	var tasks map[modeler.TaskID]bool // nil as long as there is none, which is usual
-	for _, w := range e.workersByID {
-		if len(w.orphanedRuns) == 0 {
-			continue
-		}
+	for w := range e.orphanHolders() {
 		if tasks == nil {
 			tasks = make(map[modeler.TaskID]bool)
 		}
@@ -264,3 +263,16 @@
 	}
 	return tasks
 }
+
+// orphanHolders returns the workers that have orphaned runs.
+func (e *Engine) orphanHolders() iter.Seq[*worker] {
+	return func(yield func(*worker) bool) {
+		for w := range e.workersWithOrphans {
+			if len(w.orphanedRuns) == 0 {
+				delete(e.workersWithOrphans, w)
+			} else if !yield(w) {
+				return
+			}
+		}
+	}
+}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -105,6 +105,9 @@
 
 		jobs                 map[string]*job
 		workersByID          map[string]*worker
+		workersWithOrphans   map[*worker]bool // among others those that have orphaned runs, see orphanHolders
+		pools                map[string]*poolState
+		customers            map[string]*customerState
 		outcomes             map[string]outcome // of ended jobs, by job ID
 		nextOutcomeCleanup   time.Time
 		termStart            time.Time
@@ -159,9 +162,10 @@
 func New(cfg Config, store Store, workers Workers, directory Directory, term *elector.Term, opts ...Option) *Engine {
 	e := &Engine{
 		cfg: cfg, store: store, workers: workers, directory: directory, term: term, log: slog.New(slog.DiscardHandler), throttle: throttler.New(),
-		eventQueue:   supervisor.NewRing[func()](eventQueueSize),
-		jobs:         make(map[string]*job),
-		workersByID:  make(map[string]*worker),
+		eventQueue:  supervisor.NewRing[func()](eventQueueSize),
+		jobs:        make(map[string]*job),
+		workersByID: make(map[string]*worker),
+		pools:       make(map[string]*poolState), customers: make(map[string]*customerState), workersWithOrphans: make(map[*worker]bool),
 		outcomes:     make(map[string]outcome),
 		unstoredJobs: make(map[*job]bool),
 		meanJobWork:  make(map[string]workSum),
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -53,7 +53,7 @@
 		return
 	}
 	e.handling = &job{Job: *def}
-	j := newJob(*def)
+	j := newJob(*def, e.customerState(def.Customer))
 	e.handling = j
 	j.progressKey, j.loadedAt = progressKey, e.term.Now()
 	if progress := byKey[progressKey]; progress.Revision != 0 {
@@ -94,6 +94,7 @@
 		w = &worker{Worker: modeler.Worker{ID: id}, unreachableSince: time.Now(), idleCPUPacePercent: fullPace, tasks: make(map[modeler.TaskID]*task), orphanedRuns: make(map[runID]*orphanedRun)}
 		w.recorded = e.unresponsive.mayBeStored[id]
 		e.workersByID[id] = w
+		e.assignPool(w)
 	}
 	return w
 }
@@ -184,6 +185,7 @@
 		w.bootLearnedAt = e.term.Now()
 	}
 	w.Worker, w.registeredStartMs = info, info.StartTimeMs
+	e.assignPool(w)
 	if w.polled {
 		w.StartTimeMs = born // the worker's own report counts; the next poll updates it
 		if info.StartTimeMs > born {
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -389,7 +389,7 @@
 func (w *worker) hasTasksOfPool(pool string, e *Engine) bool {
 	m := e.cfg.Manifest()
 	for _, t := range w.tasks {
-		if q := m.QueueOf(&t.step.occurrence.job.Job); q != nil && slices.Contains(e.poolsOfQueue(q), pool) {
+		if q := t.step.occurrence.job.settingsIn(m).queue; q != nil && slices.Contains(e.poolsOfQueue(q), pool) {
 			return true
 		}
 	}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -51,6 +51,7 @@
 	// instance is the leader's view of an instance.
 	instance struct {
 		modeler.Instance
+		workers       []*worker // see Engine.allWorkersOn
 		plan          planKind
 		phase         planPhase
 		targetPool    string // destination pool of a move
@@ -123,7 +124,7 @@
 		seen[info.Name] = true
 		i := p.instances[info.Name]
 		if i == nil {
-			i = &instance{}
+			i = &instance{workers: p.workersByInstance[info.Name]}
 			p.instances[info.Name] = i
 		}
 		i.Instance = info
@@ -180,13 +181,16 @@
 	for _, w := range e.workersByID {
 		e.planner.workersByInstance[w.Instance] = append(e.planner.workersByInstance[w.Instance], w)
 	}
+	for name, i := range e.planner.instances {
+		i.workers = e.planner.workersByInstance[name]
+	}
 }
 
 // allWorkersOn returns all known workers of an instance, including earlier
 // ones. The instance list is updated later than the worker list and may still
 // name an earlier worker.
 func (e *Engine) allWorkersOn(i *instance) []*worker {
-	return e.planner.workersByInstance[i.Name]
+	return i.workers
 }
 
 // cordonPlannedInstances excludes the workers of instances with a plan from new
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -27,6 +27,8 @@
 	// job is an accepted job that has not ended.
 	job struct {
 		modeler.Job
+		customer        *customerState
+		settings        jobSettings
 		occurrences     []*occurrence
 		state           modeler.State
 		reason          string        // why the state is final
@@ -42,6 +44,13 @@
 		loadedAt        time.Duration // by elector.Term.Now
 	}
 
+	// jobSettings is what a manifest states about a job.
+	jobSettings struct {
+		manifest *modeler.Manifest
+		queue    *modeler.Queue    // see modeler.Manifest.QueueOf
+		customer *modeler.Customer // nil if the manifest doesn't contain it
+	}
+
 	// occurrence is one execution of all steps of a job. Only repeating jobs have
 	// more than one.
 	occurrence struct {
@@ -105,9 +114,9 @@
 	return [...]string{"waiting", "placed", "starting", "doubtful", "adopted", "running", "stopping", "done"}[p]
 }
 
-// newJob returns a job that has not started.
-func newJob(def modeler.Job) *job {
-	j := &job{Job: def, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
+// newJob returns a job of a customer that has not started.
+func newJob(def modeler.Job, customer *customerState) *job {
+	j := &job{Job: def, customer: customer, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
 	for k := range def.OccurrenceCount() {
 		o := &occurrence{job: j, number: k, due: def.DueTime(k)}
 		for i := range def.Steps {
@@ -124,6 +133,15 @@
 	return j
 }
 
+// settingsIn returns what a manifest, which doesn't change any more, states about the
+// job.
+func (j *job) settingsIn(m *modeler.Manifest) *jobSettings {
+	if j.settings.manifest != m {
+		j.settings = jobSettings{m, m.QueueOf(&j.Job), m.Customer(j.Customer)}
+	}
+	return &j.settings
+}
+
 // findTask returns a task of the job, or nil if there is no such task.
 func (j *job) findTask(id modeler.TaskID) *task {
 	if id.Occurrence >= len(j.occurrences) {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -31,7 +31,7 @@
 		now            time.Time
 		wallTime       time.Time // see Config.WallClock
 		manifest       *modeler.Manifest
-		customerUsage  map[string]modeler.Resources // resources in use, by customer
+		extraUsage     map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
 		pools          map[string]*poolView
 		customerShares map[string]customerShares // fair shares of customers, by pool
 		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
@@ -77,7 +77,7 @@
 	if e.shuttingDown {
 		return
 	}
-	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
+	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
 	p.addUnstoredUsage()
 	candidates := p.listCandidates()
 	p.customerShares = p.customerSharesByPool(candidates)
@@ -125,36 +125,31 @@
 
 // poolOf returns the pool in which a step of a candidate is placed.
 func (p *placementPass) poolOf(s *step) string {
-	return p.manifest.QueueOf(&s.occurrence.job.Job).Pool
+	return s.occurrence.job.settingsIn(p.manifest).queue.Pool
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
 // running and of orphaned runs whose task is known, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
-	byCustomer := make(map[string]*modeler.Resources)
-	add := func(t *task) {
-		customer := t.step.occurrence.job.Customer
-		u := byCustomer[customer]
-		if u == nil {
-			u = &modeler.Resources{}
-			byCustomer[customer] = u
-		}
-		*u = u.Add(t.resourcesTowardCustomerLimit())
+	usage := e.usageOfOrphanedRuns()
+	for name, c := range e.customers {
+		usage[name] = usage[name].Add(c.usage)
 	}
-	for _, w := range e.workersByID {
-		for _, t := range w.tasks {
-			add(t)
-		}
+	return usage
+}
+
+// usageOfOrphanedRuns returns the resources of orphaned runs whose task is known,
+// by customer.
+func (e *Engine) usageOfOrphanedRuns() map[string]modeler.Resources {
+	usage := make(map[string]modeler.Resources)
+	for w := range e.orphanHolders() {
 		for id, r := range w.orphanedRuns {
 			if r.task != nil && !r.task.isPlacedAs(w, id.number) { // a run adopted after its first stop is in w.tasks
-				add(r.task)
+				customer := r.task.step.occurrence.job.Customer
+				usage[customer] = usage[customer].Add(r.task.resourcesTowardCustomerLimit())
 			}
 		}
 	}
-	usage := make(map[string]modeler.Resources, len(byCustomer))
-	for customer, u := range byCustomer {
-		usage[customer] = *u
-	}
 	return usage
 }
 
@@ -164,7 +159,7 @@
 	var candidates []candidateStep
 	byPool := make(map[string][]*assigner.Candidate)
 	for _, j := range p.engine.jobs {
-		q := p.manifest.QueueOf(&j.Job)
+		q := j.settingsIn(p.manifest).queue
 		if q == nil || j.state.IsFinal() {
 			continue
 		}
@@ -266,7 +261,7 @@
 		return // no task is waiting, or the first round has already tried
 	}
 	j := s.occurrence.job
-	q := p.manifest.QueueOf(&j.Job)
+	q := j.settingsIn(p.manifest).queue
 	view := p.poolView(q.Pool)
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
@@ -370,8 +365,8 @@
 // isWithinCustomerLimit reports whether the customer stays within its limit if
 // the task runs.
 func (p *placementPass) isWithinCustomerLimit(t *task, j *job) bool {
-	c := p.manifest.Customer(j.Customer)
-	return c == nil || c.WithinLimit(p.customerUsage[j.Customer].Add(t.resourcesTowardCustomerLimit()))
+	c := j.settingsIn(p.manifest).customer
+	return c == nil || c.WithinLimit(j.customer.usage.Add(p.extraUsage[j.Customer]).Add(t.resourcesTowardCustomerLimit()))
 }
 
 // tryPlaceTask chooses a worker for a task and assigns the task to it. The
@@ -400,7 +395,6 @@
 		return false
 	}
 	customer := s.occurrence.job.Customer
-	p.customerUsage[customer] = p.customerUsage[customer].Add(t.resourcesTowardCustomerLimit())
 	t.assignTo(view.workers[i], placed)
 	view.updateWorkerView(i, s, 1)
 	view.probations[i] = view.workers[i].probationView()
@@ -469,7 +463,6 @@
 // undoPlacement reverts a placement of this pass.
 func (p *placementPass) undoPlacement(t *task, j *job, view *poolView) {
 	i := slices.Index(view.workers, t.worker)
-	p.customerUsage[j.Customer] = p.customerUsage[j.Customer].Sub(t.resourcesTowardCustomerLimit())
 	if share := p.customerShares[view.name][j.Customer]; share != nil && !t.step.LongRunning {
 		share.running -= t.step.ReservedResources().CPU
 	}
@@ -503,12 +496,11 @@
 		return v
 	}
 	v := &poolView{name: name}
-	for _, w := range p.engine.workersByID {
-		if w.Pool == name && w.acceptsTasks(p.now) {
+	for _, w := range p.engine.poolState(name).workers {
+		if w.acceptsTasks(p.now) {
 			v.workers = append(v.workers, w)
 		}
 	}
-	slices.SortFunc(v.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
 	for _, w := range v.workers {
 		if w.keptFor != nil && p.now.Sub(w.keptSince) > maxKeepTime {
 			w.keptFor.releaseKeptWorker()
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -72,6 +72,7 @@
 	capacity := modeler.Resources{CPU: 32_000 << (n % 2), Memory: 131_072 << (n % 2)}
 	w := f.findOrAddWorker(fmt.Sprintf("w%03d", n))
 	w.Worker = modeler.Worker{ID: w.ID, Instance: fmt.Sprintf("m%03d", n), Pool: pool, Capacity: capacity, Labels: []string{"kind", rack}, StartTimeMs: 1}
+	f.assignPool(w)
 	w.listed, w.reachable, w.polled, w.reported, w.registeredStartMs = true, true, true, true, 1
 	f.planner.instances[w.Instance] = &instance{Instance: modeler.Instance{
 		Name: w.Instance, Pool: pool, Worker: w.ID, State: modeler.InstanceUp, Capacity: capacity, Labels: w.Labels,
@@ -82,7 +83,8 @@
 // addJob adds a new job.
 func (f *fleet) addJob(queue string, steps ...modeler.Step) *job {
 	f.jobCount++
-	j := newJob(modeler.Job{ID: fmt.Sprintf("%06d", f.jobCount), Queue: queue, Customer: fmt.Sprintf("c%d", f.rng.IntN(fleetCustomers)), Accepted: f.now, Steps: steps})
+	customer := fmt.Sprintf("c%d", f.rng.IntN(fleetCustomers))
+	j := newJob(modeler.Job{ID: fmt.Sprintf("%06d", f.jobCount), Queue: queue, Customer: customer, Accepted: f.now, Steps: steps}, f.customerState(customer))
 	f.jobs[j.ID] = j
 	f.addToMeanJobWork(j)
 	return j
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -47,6 +47,7 @@
 				}
 			}
 			f.confirmStarts()
+			f.requireSums(t)
 		}
 		_, _ = fmt.Fprintf(&lines, "seed %d: %d placements, hash %016x\n", seed, placements, h.Sum64())
 	}
@@ -65,6 +66,32 @@
 func (l limitedStarts) Limit() int      { return int(l) }
 func (limitedStarts) IsCongested() bool { return true }
 
+// requireSums checks the sums that are kept against those over all workers.
+func (f *fleet) requireSums(t *testing.T) {
+	usage, cpu, workers := make(map[string]modeler.Resources), make(map[string]int64), make(map[string]int)
+	for _, w := range f.workersByID {
+		workers[w.Pool]++
+		for _, t := range w.tasks {
+			customer := t.step.occurrence.job.Customer
+			usage[customer] = usage[customer].Add(t.step.Need)
+			if !t.step.LongRunning {
+				cpu[w.Pool+" "+customer] += t.step.ReservedResources().CPU
+			}
+		}
+	}
+	for name, c := range f.customers {
+		require.Equal(t, usage[name], c.usage, name)
+		for pool, p := range f.pools {
+			if c.number < len(p.cpu) {
+				require.Equal(t, cpu[pool+" "+name], p.cpu[c.number], "%s %s", pool, name)
+			}
+		}
+	}
+	for name, p := range f.pools {
+		require.Len(t, p.workers, workers[name], name)
+	}
+}
+
 // newRandomFleet returns a small fleet with customers' limits.
 func newRandomFleet(seed uint64) *fleet {
 	f := newFleet(seed, 12+int(seed%5)*12)
@@ -230,6 +257,7 @@
 		f.planner.waves[1] = &waveState{pending: map[string]bool{w.Instance: true}}
 	case 7:
 		w.Pool = fmt.Sprintf("p%d", f.rng.IntN(fleetPools-1))
+		f.assignPool(w)
 		f.planner.instances[w.Instance].Pool = w.Pool
 	case 8:
 		w.hasUnknownStart = !w.hasUnknownStart
--- a/orchestrator/share.go
+++ b/orchestrator/share.go
@@ -30,7 +30,7 @@
 			continue
 		}
 		j := c.step.occurrence.job
-		pool := p.manifest.QueueOf(&j.Job).Pool
+		pool := p.poolOf(c.step)
 		if pools[pool] == nil {
 			pools[pool] = p.cpuInUseByCustomer(pool)
 		}
@@ -46,16 +46,10 @@
 // use, in the fields running and wanted. Long-running tasks do not count.
 func (p *placementPass) cpuInUseByCustomer(pool string) customerShares {
 	all := make(customerShares)
-	for _, w := range p.engine.workersByID {
-		if w.Pool != pool {
-			continue
-		}
-		for _, t := range w.tasks {
-			if !t.step.LongRunning {
-				s := all.getOrAdd(t.step.occurrence.job.Customer)
-				s.running += t.step.ReservedResources().CPU
-				s.wanted += t.step.ReservedResources().CPU
-			}
+	inUse := p.engine.poolState(pool).cpu
+	for name, c := range p.engine.customers {
+		if c.number < len(inUse) {
+			all[name] = &customerShare{running: inUse[c.number], wanted: inUse[c.number]}
 		}
 	}
 	return all
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -47,7 +47,7 @@
 	}
 	now, m := e.cfg.WallClock(), e.cfg.Manifest()
 	for _, j := range e.jobs {
-		q := m.QueueOf(&j.Job)
+		q := j.settingsIn(m).queue
 		if q == nil || j.state.IsFinal() {
 			continue
 		}
@@ -114,7 +114,7 @@
 	if m == nil || j.IsLongRunning() {
 		return
 	}
-	q := m.QueueOf(&j.Job)
+	q := j.settingsIn(m).queue
 	if q == nil {
 		return
 	}
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -85,5 +85,11 @@
 // resourcesTowardCustomerLimit returns the resources that count toward the
 // customer's limit while the task runs.
 func (t *task) resourcesTowardCustomerLimit() modeler.Resources {
-	return t.step.Need
+	return t.step.resourcesTowardCustomerLimit()
+}
+
+// resourcesTowardCustomerLimit returns the resources that count toward the
+// customer's limit while a task of the step runs.
+func (s *step) resourcesTowardCustomerLimit() modeler.Resources {
+	return s.Need
 }
--- a/orchestrator/unstored.go
+++ b/orchestrator/unstored.go
@@ -88,7 +88,7 @@
 			workers[cp.pool] = w
 		}
 		usage := w.roomFor(cp.customer, waiting.reserved).Add(waiting.unreserved)
-		p.customerUsage[cp.customer] = p.customerUsage[cp.customer].Add(usage)
+		p.extraUsage[cp.customer] = p.extraUsage[cp.customer].Add(usage)
 	}
 }
 
@@ -102,7 +102,7 @@
 		if c == nil || c.Limit == (modeler.Resources{}) {
 			continue
 		}
-		q := p.manifest.QueueOf(&j.Job)
+		q := j.settingsIn(p.manifest).queue
 		qp := queuePool{queue: j.Queue}
 		if q != nil {
 			qp.pool = q.Pool
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -22,6 +22,7 @@
 	// worker is the leader's view of a worker.
 	worker struct {
 		modeler.Worker
+		pool               *poolState    // of the registered pool
 		listed             bool          // in the current worker list
 		registeredStartMs  int64         // start time of the worker process to which Capacity and Labels belong
 		reachable          bool          // the last poll succeeded
@@ -123,13 +124,17 @@
 }
 
 // take takes up the resources of a task of the step for sign 1 and frees them for
-// sign -1.
+// sign -1, also in the sums for its pool and the customer.
 func (w *worker) take(s *step, sign int64) {
 	r := s.ReservedResources()
 	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
+	c := s.occurrence.job.customer
 	if s.LongRunning {
 		w.longRunningCPU += sign * r.CPU
+	} else {
+		w.pool.addCPU(c, sign*r.CPU)
 	}
+	c.usage = c.usage.Add(s.resourcesTowardCustomerLimit().Times(int(sign)))
 }
 
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
