List candidate steps without a sort of all waiting jobs

Each pass described all jobs anew, one allocation each, and sorted all waiting steps; half of a pass with 3,000 waiting jobs. Jobs are now kept in the order in which they were accepted, in which those that can't meet their objective any more start; only the others are sorted. Descriptions, critical paths and deadlines are kept with the job, customers' shares are indexed instead of looked up, and fair shares are divided only if not all demand fits. DeferJobs computes value densities once and returns at once if no job would be late.

--- a/assigner/order.go
+++ b/assigner/order.go
@@ -21,6 +21,9 @@
 	RelativeSize   float64       // total work of the job divided by the mean of its queue
 	Accepted       time.Time
 	Deferred       bool // jobs that are not deferred come first, see DeferJobs
+
+	hashFactor   float64 // see computeHashFactor; 0 before it is needed
+	valueDensity float64 // set by DeferJobs
 }
 
 // The platform's rules define the value of a job to its caller, in units of the
@@ -32,6 +35,9 @@
 	maxValue     = 4.0
 )
 
+// roundingMargin covers that a sum depends on the order of its parts.
+const roundingMargin = 1 + 1e-9
+
 // CannotMeetDeadline reports whether the job can no longer meet its objective.
 func (c *Candidate) CannotMeetDeadline() bool {
 	return !c.LongRunning && c.RemainingTime > c.TimeToDeadline
@@ -75,8 +81,8 @@
 	if cores <= 0 {
 		return
 	}
-	var unstarted []*Candidate
-	workAhead := 0.0 // core-seconds
+	unstarted := make([]*Candidate, 0, len(candidates))
+	workAhead, work, leastSlack := 0.0, 0.0, time.Duration(math.MaxInt64) // core-seconds
 	for _, c := range candidates {
 		switch {
 		case c.LongRunning || c.CannotMeetDeadline():
@@ -84,8 +90,16 @@
 			workAhead += c.RemainingWork
 		default:
 			unstarted = append(unstarted, c)
+			work += c.RemainingWork
+			leastSlack = min(leastSlack, c.slack())
 		}
 	}
+	if (workAhead+work)*roundingMargin <= leastSlack.Seconds()*cores {
+		return // none would be late
+	}
+	for _, c := range unstarted {
+		c.valueDensity = c.computeValueDensity()
+	}
 	slices.SortFunc(unstarted, func(a, b *Candidate) int {
 		return cmp.Or(cmp.Compare(a.slack(), b.slack()), cmp.Compare(a.ID, b.ID))
 	})
@@ -106,16 +120,19 @@
 	return c.TimeToDeadline - c.RemainingTime
 }
 
-// valueDensity returns the value of the job per core-second that is left. A
+// computeValueDensity returns the value of the job per core-second that is left. A
 // factor that differs from job to job puts some large jobs before small ones, so
 // that jobs of one size are not always served last.
-func (c *Candidate) valueDensity() float64 {
+func (c *Candidate) computeValueDensity() float64 {
 	worth := min(maxValue, baseValue+valuePerSize*c.RelativeSize)
-	return worth / max(c.RemainingWork, 0.001) * c.hashFactor()
+	if c.hashFactor == 0 {
+		c.hashFactor = c.computeHashFactor()
+	}
+	return worth / max(c.RemainingWork, 0.001) * c.hashFactor
 }
 
-// hashFactor returns a number from 0.5 to 1.5 that depends only on the job's ID.
-func (c *Candidate) hashFactor() float64 {
+// computeHashFactor returns a number from 0.5 to 1.5 that depends only on the job's ID.
+func (c *Candidate) computeHashFactor() float64 {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(c.ID)) // a hash's Write returns no error
 	return 0.5 + float64(h.Sum32())/math.MaxUint32
@@ -125,7 +142,7 @@
 type valueDensityHeap []*Candidate
 
 func (h valueDensityHeap) Len() int           { return len(h) }
-func (h valueDensityHeap) Less(i, j int) bool { return h[i].valueDensity() < h[j].valueDensity() }
+func (h valueDensityHeap) Less(i, j int) bool { return h[i].valueDensity < h[j].valueDensity }
 func (h valueDensityHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -113,11 +113,11 @@
 // recordNewJob records a new job for the decisions on the next ones.
 func (e *Engine) recordNewJob(j *job, q *modeler.Queue) {
 	s := &e.admission
-	s.admissionOf(admissionKey{j.Queue, j.Customer}).RecordAccepted(j.occurrenceWork() * e.estimateFactor(j.Queue))
+	s.admissionOf(admissionKey{j.Queue, j.Customer}).RecordAccepted(j.work * e.estimateFactor(j.Queue))
 	sums := s.objectives[j.Queue]
 	o := j.occurrences[0]
 	sums.objective += o.targetDuration(q)
-	sums.ideal += o.longestPath()
+	sums.ideal += j.criticalPath
 	sums.count++
 	s.objectives[j.Queue] = sums
 }
--- /dev/null
+++ b/orchestrator/candidate.go
@@ -0,0 +1,181 @@
+package orchestrator
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/coltsfootlever/coltsfootlever/assigner"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+type (
+	// candidateStep is a step with waiting tasks that may start, with the
+	// description by which its occurrence is ordered among others.
+	candidateStep struct {
+		*assigner.Candidate
+		step *step
+		pool *poolState
+	}
+
+	// candidateQueue contains the candidate steps of a priority. Most of the waiting jobs
+	// of a long backlog can't meet their objective any more and only wait for their
+	// turn, so that they need not be sorted in each pass.
+	candidateQueue struct {
+		priority int
+		urgent   []candidateStep // of long-running jobs and of those that can meet their objective
+		late     []candidateStep // the others, by the time at which they were due
+		unsorted bool            // late contains occurrences of repeating jobs, which are not in the order of Engine.jobOrder
+	}
+
+	// occurrenceObjective is the time by which an occurrence should be completed
+	// according to a manifest.
+	occurrenceObjective struct {
+		manifest *modeler.Manifest
+		deadline time.Time
+	}
+)
+
+// compareJobs sorts jobs by the time at which they were accepted.
+func compareJobs(a, b *job) int {
+	return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+}
+
+// addJob adds a job that has not ended.
+func (e *Engine) addJob(j *job) {
+	e.jobs[j.ID] = j
+	i, _ := slices.BinarySearchFunc(e.jobOrder, j, compareJobs)
+	e.jobOrder = slices.Insert(e.jobOrder, i, j)
+}
+
+// removeJob removes a job whose outcome is stored.
+func (e *Engine) removeJob(j *job) {
+	delete(e.jobs, j.ID)
+	if i, ok := slices.BinarySearchFunc(e.jobOrder, j, compareJobs); ok {
+		e.jobOrder = slices.Delete(e.jobOrder, i, i+1)
+	}
+}
+
+// listCandidates lists the steps with waiting tasks that may start in p.queues, the
+// most urgent first.
+func (p *placementPass) listCandidates() {
+	e := p.engine
+	p.resetCandidates()
+	for _, j := range e.jobOrder {
+		q := j.settingsIn(p.manifest).queue
+		if q == nil || j.state.IsFinal() {
+			continue
+		}
+		e.handling = j
+		if j.pool == nil || j.pool.name != q.Pool {
+			j.pool = e.poolState(q.Pool)
+		}
+		for _, o := range j.occurrences {
+			if p.mayRun(o) {
+				p.describeOccurrence(o, q)
+			}
+		}
+	}
+	e.handling = nil
+	for _, pool := range e.pools {
+		if pool.mayDefer {
+			assigner.DeferJobs(pool.inTime, p.availableCores(pool.name))
+		}
+	}
+	for _, j := range e.jobOrder {
+		if q := j.settings.queue; q == nil || j.state.IsFinal() {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if !p.mayRun(o) {
+				continue
+			}
+			for _, s := range o.steps {
+				if s.waitingTasks > 0 && s.dependenciesDone() {
+					p.addCandidate(candidateStep{&o.candidate, s, j.pool})
+				}
+			}
+		}
+	}
+	for _, q := range p.queues {
+		slices.SortFunc(q.urgent, compareCandidateSteps)
+		if q.unsorted {
+			slices.SortFunc(q.late, compareCandidateSteps)
+		}
+	}
+}
+
+// mayRun reports whether the occurrence is due and has tasks that are not done.
+func (p *placementPass) mayRun(o *occurrence) bool {
+	return o.finishedSteps < len(o.steps) && (o.job.Repeat == 0 || !p.wallTime.Before(o.due.Add(-p.engine.cfg.EarlyStart)))
+}
+
+// resetCandidates empties the lists of candidates of the last pass.
+func (p *placementPass) resetCandidates() {
+	for _, pool := range p.engine.pools {
+		clear(pool.inTime)
+		pool.inTime, pool.mayDefer, pool.hasCandidates, pool.awaitingStart = pool.inTime[:0], false, false, 0
+	}
+	p.queues = p.engine.candidateQueues
+	for _, q := range p.queues {
+		clear(q.urgent)
+		clear(q.late)
+		q.urgent, q.late, q.unsorted = q.urgent[:0], q.late[:0], false
+	}
+}
+
+// addCandidate adds a step to the candidates of its priority.
+func (p *placementPass) addCandidate(c candidateStep) {
+	c.pool.hasCandidates = true
+	i, ok := slices.BinarySearchFunc(p.queues, c.Priority, func(q *candidateQueue, priority int) int { return cmp.Compare(q.priority, priority) })
+	if !ok {
+		p.queues = slices.Insert(p.queues, i, &candidateQueue{priority: c.Priority})
+		p.engine.candidateQueues = p.queues
+	}
+	q := p.queues[i]
+	if !c.Deferred && !c.CannotMeetDeadline() {
+		q.urgent = append(q.urgent, c)
+		return
+	}
+	q.late = append(q.late, c)
+	q.unsorted = q.unsorted || c.step.occurrence.job.Repeat > 0
+}
+
+// forEachCandidate calls fn for the candidates, the most urgent first.
+func (p *placementPass) forEachCandidate(fn func(c *candidateStep)) {
+	for _, q := range p.queues {
+		for i := range q.urgent {
+			fn(&q.urgent[i])
+		}
+		for i := range q.late {
+			fn(&q.late[i])
+		}
+	}
+}
+
+func compareCandidateSteps(a, b candidateStep) int {
+	return cmp.Or(assigner.CompareCandidates(a.Candidate, b.Candidate), cmp.Compare(a.step.number, b.step.number))
+}
+
+// describeOccurrence describes an occurrence as the assigner orders it among others,
+// and adds it to those that can meet their objective if it is one of them.
+func (p *placementPass) describeOccurrence(o *occurrence, q *modeler.Queue) {
+	j, c := o.job, &o.candidate
+	if o.objective.manifest != p.manifest {
+		o.objective = occurrenceObjective{p.manifest, o.due.Add(o.targetDuration(q))}
+		*c = assigner.Candidate{ID: j.ID, Priority: q.Priority, LongRunning: j.IsLongRunning(), Accepted: o.due}
+	}
+	c.Deferred, c.Started, c.TimeToDeadline = false, o.hasStarted(), o.objective.deadline.Sub(p.wallTime)
+	c.RemainingTime, c.RemainingWork = j.criticalPath, j.work
+	if c.Started {
+		c.RemainingTime, c.RemainingWork = o.remainingCriticalPath(p.now), o.remainingWork()
+	}
+	if c.LongRunning || c.CannotMeetDeadline() {
+		return
+	}
+	j.pool.inTime = append(j.pool.inTime, c)
+	if !c.Started {
+		c.RelativeSize = p.engine.workRelativeToQueueMean(j, q)
+		j.pool.mayDefer = true
+	}
+}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -104,6 +104,8 @@
 		callCtx         context.Context // context of background calls; stays valid after the end of the term so that calls in flight can finish
 
 		jobs                 map[string]*job
+		jobOrder             []*job            // the jobs sorted with compareJobs
+		candidateQueues      []*candidateQueue // of the last placement pass, sorted by priority
 		workersByID          map[string]*worker
 		workersWithOrphans   map[*worker]bool // among others those that have orphaned runs, see orphanHolders
 		pools                map[string]*poolState
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -218,7 +218,7 @@
 		}
 		return
 	}
-	delete(e.jobs, j.ID)
+	e.removeJob(j)
 	e.keepEndedJob(j)
 	e.outcomes[j.ID] = outcome{j.state, time.Now()}
 	meter.RecordEndedJob(j.Queue, string(j.state), time.Since(j.Accepted))
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -67,7 +67,7 @@
 		}
 		j.revision = progress.Revision
 	}
-	e.jobs[id] = j
+	e.addJob(j)
 	e.log.Info("job loaded from the store", "job", id, "queue", j.Queue, "customer", j.Customer, "revision", r.Revision, "state", j.state, "active", j.activeTasks)
 	e.addToMeanJobWork(j)
 	e.recordJobArrival(j, time.Now())
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/assigner"
 	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
@@ -28,6 +29,9 @@
 	job struct {
 		modeler.Job
 		customer        *customerState
+		pool            *poolState    // of its queue in the last placement pass
+		work            float64       // of one occurrence, in core-seconds
+		criticalPath    time.Duration // longest path of estimated work through the dependent steps of an occurrence
 		settings        jobSettings
 		occurrences     []*occurrence
 		state           modeler.State
@@ -55,6 +59,8 @@
 	// more than one.
 	occurrence struct {
 		job           *job
+		objective     occurrenceObjective
+		candidate     assigner.Candidate // description in the last placement pass
 		number        int
 		due           time.Time
 		steps         []*step
@@ -130,6 +136,7 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
+	j.work, j.criticalPath = j.occurrences[0].remainingWork(), j.occurrences[0].longestPath()
 	return j
 }
 
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -27,20 +27,19 @@
 type (
 	// placementPass is the state of one pass that places waiting tasks.
 	placementPass struct {
-		engine         *Engine
-		now            time.Time
-		wallTime       time.Time // see Config.WallClock
-		manifest       *modeler.Manifest
-		extraUsage     map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
-		pools          map[string]*poolView
-		customerShares map[string]customerShares // fair shares of customers, by pool
-		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
-		cores          *coreCounts               // nil until it is needed
-		startsOfAll    int                       // number of placed tasks that may await their start
-		startsPerPool  int                       // number of them in one pool
-		awaitingStart  map[string]int            // number of placed tasks that await their start, by pool
-
-		allAwaitingStart int // sum of awaitingStart
+		engine        *Engine
+		now           time.Time
+		wallTime      time.Time // see Config.WallClock
+		manifest      *modeler.Manifest
+		extraUsage    map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
+		pools         map[string]*poolView
+		queues        []*candidateQueue       // steps that may start, by priority
+		orphaned      map[modeler.TaskID]bool // see Engine.tasksWithOrphanedRuns
+		cores         *coreCounts             // nil until it is needed
+		startsOfAll   int                     // number of placed tasks that may await their start
+		startsPerPool int                     // number of them in one pool
+
+		allAwaitingStart int // number of placed tasks that await their start
 	}
 
 	// coreCounts is the CPU, in thousandths of a core, that tasks which are not
@@ -55,7 +54,7 @@
 	// poolView is the state of one pool in a placement pass: its workers that
 	// accept tasks and, for each of them, the view that the assigner chooses from.
 	poolView struct {
-		name                  string
+		pool                  *poolState
 		workers               []*worker
 		assignerViews         []*assigner.Worker
 		probations            []probationView
@@ -63,13 +62,6 @@
 		keptFree              int                 // number of workers kept free for tasks that wait for room
 		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
 	}
-
-	// candidateStep is a step with waiting tasks that may start, with the
-	// description by which its occurrence is ordered among others.
-	candidateStep struct {
-		*assigner.Candidate
-		step *step
-	}
 )
 
 // runPlacement assigns waiting tasks to workers with enough free resources.
@@ -79,18 +71,18 @@
 	}
 	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
 	p.addUnstoredUsage()
-	candidates := p.listCandidates()
-	p.customerShares = p.customerSharesByPool(candidates)
-	p.shareStarts(candidates)
+	p.listCandidates()
+	p.computeShares()
+	p.shareStarts()
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
-		for _, c := range candidates {
-			if !c.step.LongRunning && !p.startsAvailable(c.step) {
-				e.admission.startsLacked[p.poolOf(c.step)] = true
-				continue // a task that can't be started soon may be placed better later
+		p.forEachCandidate(func(c *candidateStep) {
+			if !c.step.LongRunning && !p.startsAvailable(c.pool) {
+				e.admission.startsLacked[c.pool.name] = true
+				return // a task that can't be started soon may be placed better later
 			}
 			e.handling = c.step.occurrence.job
 			p.placeStep(c.step, fair)
-		}
+		})
 	}
 	e.handling = nil
 }
@@ -99,11 +91,10 @@
 // started soon may be placed better later. While they pile up, it divides the
 // number among the pools that have candidates, so that a pool with a long backlog
 // leaves the others their part.
-func (p *placementPass) shareStarts(candidates []candidateStep) {
-	p.awaitingStart = make(map[string]int)
+func (p *placementPass) shareStarts() {
 	for _, t := range p.engine.awaitingStart {
 		if t.phase == placed {
-			p.awaitingStart[t.worker.Pool]++
+			t.worker.pool.awaitingStart++
 			p.allAwaitingStart++
 		}
 	}
@@ -111,21 +102,18 @@
 	if p.startsPerPool = math.MaxInt; !p.engine.throttle.IsCongested() && p.allAwaitingStart < p.startsOfAll/2 {
 		return
 	}
-	pools := make(map[string]bool)
-	for _, c := range candidates {
-		pools[p.poolOf(c.step)] = true
+	pools := 0
+	for _, pool := range p.engine.pools {
+		if pool.hasCandidates {
+			pools++
+		}
 	}
-	p.startsPerPool = max(1, p.startsOfAll/max(1, len(pools)))
+	p.startsPerPool = max(1, p.startsOfAll/max(1, pools))
 }
 
-// startsAvailable reports whether further tasks of the step's pool may be placed.
-func (p *placementPass) startsAvailable(s *step) bool {
-	return p.allAwaitingStart < p.startsOfAll && p.awaitingStart[p.poolOf(s)] < p.startsPerPool
-}
-
-// poolOf returns the pool in which a step of a candidate is placed.
-func (p *placementPass) poolOf(s *step) string {
-	return s.occurrence.job.settingsIn(p.manifest).queue.Pool
+// startsAvailable reports whether further tasks may be placed in a pool.
+func (p *placementPass) startsAvailable(pool *poolState) bool {
+	return p.allAwaitingStart < p.startsOfAll && pool.awaitingStart < p.startsPerPool
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
@@ -153,56 +141,6 @@
 	return usage
 }
 
-// listCandidates returns the steps with waiting tasks that may start, the most
-// urgent first.
-func (p *placementPass) listCandidates() []candidateStep {
-	var candidates []candidateStep
-	byPool := make(map[string][]*assigner.Candidate)
-	for _, j := range p.engine.jobs {
-		q := j.settingsIn(p.manifest).queue
-		if q == nil || j.state.IsFinal() {
-			continue
-		}
-		p.engine.handling = j
-		for _, o := range j.occurrences {
-			if o.finishedSteps == len(o.steps) || p.wallTime.Before(o.due.Add(-p.engine.cfg.EarlyStart)) && j.Repeat > 0 {
-				continue
-			}
-			c := p.describeOccurrence(o, q)
-			byPool[q.Pool] = append(byPool[q.Pool], c)
-			for _, s := range o.steps {
-				if s.waitingTasks > 0 && s.dependenciesDone() {
-					candidates = append(candidates, candidateStep{c, s})
-				}
-			}
-		}
-	}
-	p.engine.handling = nil
-	for pool, list := range byPool {
-		assigner.DeferJobs(list, p.availableCores(pool))
-	}
-	slices.SortStableFunc(candidates, func(a, b candidateStep) int {
-		return cmp.Or(assigner.CompareCandidates(a.Candidate, b.Candidate), cmp.Compare(a.step.number, b.step.number))
-	})
-	return candidates
-}
-
-// describeOccurrence returns the description of an occurrence by which the
-// assigner orders it among others.
-func (p *placementPass) describeOccurrence(o *occurrence, q *modeler.Queue) *assigner.Candidate {
-	return &assigner.Candidate{
-		ID:             o.job.ID,
-		Priority:       q.Priority,
-		LongRunning:    o.job.IsLongRunning(),
-		Started:        o.hasStarted(),
-		TimeToDeadline: o.due.Add(o.targetDuration(q)).Sub(p.wallTime),
-		RemainingTime:  o.remainingCriticalPath(p.now),
-		RemainingWork:  o.remainingWork(),
-		RelativeSize:   p.engine.workRelativeToQueueMean(o.job, q),
-		Accepted:       o.due,
-	}
-}
-
 // availableCores returns the number of cores that the pool has or can soon get
 // for tasks that are not long-running: its own workers, instances that are
 // moving to it and idle instances that could move to it.
@@ -236,7 +174,7 @@
 
 // targetDuration returns the time within which the occurrence should complete.
 func (o *occurrence) targetDuration(q *modeler.Queue) time.Duration {
-	return time.Duration(q.ObjectiveFactor*float64(o.longestPath())) + q.ObjectiveOffset
+	return time.Duration(q.ObjectiveFactor*float64(o.job.criticalPath)) + q.ObjectiveOffset
 }
 
 // longestPath returns the longest path of estimated work through the dependent
@@ -273,7 +211,7 @@
 	tasks := p.placeTasks(s, j, view, fair)
 	if s.Gang && len(tasks) < s.Count {
 		for _, t := range tasks {
-			p.undoPlacement(t, j, view)
+			p.undoPlacement(t, view)
 		}
 		return
 	}
@@ -326,7 +264,7 @@
 		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) {
 			continue
 		}
-		if !p.isWithinCustomerLimit(t, j) || fair && p.exceedsFairShare(s, view.name) {
+		if !p.isWithinCustomerLimit(t, j) || fair && view.pool.shares.isExceededBy(s) {
 			break
 		}
 		if p.tryPlaceTask(t, view) {
@@ -339,7 +277,7 @@
 		if !s.LongRunning {
 			break
 		}
-		p.engine.poolHistoryOf(view.name).lastNoRoom = p.now
+		p.engine.poolHistoryOf(view.pool.name).lastNoRoom = p.now
 		if !p.keepWorkerFreeFor(s, view) {
 			break
 		}
@@ -394,13 +332,10 @@
 		}
 		return false
 	}
-	customer := s.occurrence.job.Customer
 	t.assignTo(view.workers[i], placed)
 	view.updateWorkerView(i, s, 1)
 	view.probations[i] = view.workers[i].probationView()
-	if share := p.customerShares[view.name][customer]; share != nil && !s.LongRunning {
-		share.running += s.ReservedResources().CPU
-	}
+	view.pool.shares.addRunning(s, 1)
 	return true
 }
 
@@ -461,11 +396,9 @@
 }
 
 // undoPlacement reverts a placement of this pass.
-func (p *placementPass) undoPlacement(t *task, j *job, view *poolView) {
+func (p *placementPass) undoPlacement(t *task, view *poolView) {
 	i := slices.Index(view.workers, t.worker)
-	if share := p.customerShares[view.name][j.Customer]; share != nil && !t.step.LongRunning {
-		share.running -= t.step.ReservedResources().CPU
-	}
+	view.pool.shares.addRunning(t.step, -1)
 	view.updateWorkerView(i, t.step, -1)
 	t.requeue()
 	view.probations[i] = view.workers[i].probationView()
@@ -486,7 +419,7 @@
 	t.placementBoot = t.worker.StartTimeMs
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
-	p.awaitingStart[t.worker.Pool]++
+	t.worker.pool.awaitingStart++
 	p.allAwaitingStart++
 }
 
@@ -495,8 +428,8 @@
 	if v := p.pools[name]; v != nil {
 		return v
 	}
-	v := &poolView{name: name}
-	for _, w := range p.engine.poolState(name).workers {
+	v := &poolView{pool: p.engine.poolState(name)}
+	for _, w := range v.pool.workers {
 		if w.acceptsTasks(p.now) {
 			v.workers = append(v.workers, w)
 		}
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -80,12 +80,12 @@
 	return w
 }
 
-// addJob adds a new job.
-func (f *fleet) addJob(queue string, steps ...modeler.Step) *job {
+// submit adds a new job.
+func (f *fleet) submit(queue string, steps ...modeler.Step) *job {
 	f.jobCount++
 	customer := fmt.Sprintf("c%d", f.rng.IntN(fleetCustomers))
 	j := newJob(modeler.Job{ID: fmt.Sprintf("%06d", f.jobCount), Queue: queue, Customer: customer, Accepted: f.now, Steps: steps}, f.customerState(customer))
-	f.jobs[j.ID] = j
+	f.Engine.addJob(j)
 	f.addToMeanJobWork(j)
 	return j
 }
@@ -101,7 +101,7 @@
 		}
 		steps = append(steps, s)
 	}
-	return f.addJob(fmt.Sprintf("qp%d", f.rng.IntN(fleetPools-1)), steps...)
+	return f.submit(fmt.Sprintf("qp%d", f.rng.IntN(fleetPools-1)), steps...)
 }
 
 // pass runs a placement pass and confirms the starts of the placed tasks. It
@@ -160,12 +160,7 @@
 					f := newFleet(1, workers)
 					f.fill(waiting)
 					if waiting == 0 {
-						for _, w := range f.workersByID { // room for the next jobs
-							for _, t := range w.tasks {
-								t.markDone()
-							}
-						}
-						clear(f.jobs)
+						f.benchNewJobs(0) // leaves room for the next jobs
 					}
 					b.ReportAllocs()
 					placed := 0
@@ -189,9 +184,9 @@
 
 // benchNewJobs adds jobs and removes those of the previous pass.
 func (f *fleet) benchNewJobs(n int) {
-	for id, j := range f.jobs {
+	for _, j := range f.jobs {
 		j.forEachTask((*task).markDone)
-		delete(f.jobs, id)
+		f.removeJob(j)
 	}
 	for range n {
 		f.randomJob()
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -195,7 +195,7 @@
 				t.requeue()
 			}
 		})
-		delete(f.jobs, j.ID)
+		f.removeJob(j)
 	}
 }
 
@@ -221,7 +221,7 @@
 		f.randomJob().fromEarlierTerm = f.rng.IntN(3) == 0
 		return
 	}
-	j := f.addJob(fmt.Sprintf("%sp%d", queue, f.rng.IntN(fleetPools-1)), s)
+	j := f.submit(fmt.Sprintf("%sp%d", queue, f.rng.IntN(fleetPools-1)), s)
 	if f.rng.IntN(10) == 0 {
 		tickets := make(map[string]ticket)
 		for range 5 {
--- a/orchestrator/pool.go
+++ b/orchestrator/pool.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strings"
 
+	"github.com/coltsfootlever/coltsfootlever/assigner"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -15,6 +16,13 @@
 		name    string
 		workers []*worker // that are registered in the pool, sorted by ID
 		cpu     []int64   // in use by tasks that are not long-running, by customerState.number, in thousandths of a core
+
+		// State of a placement pass.
+		inTime        []*assigner.Candidate // occurrences that can meet their objective
+		mayDefer      bool                  // some of them have not started
+		hasCandidates bool                  // some step of the pool may start
+		shares        customerShares        // of the pool; empty if only long-running steps may start
+		awaitingStart int                   // placed tasks that await their start
 	}
 
 	// customerState is what the leader keeps of a customer.
--- a/orchestrator/share.go
+++ b/orchestrator/share.go
@@ -1,17 +1,18 @@
 package orchestrator
 
 import (
+	"slices"
+
 	"github.com/coltsfootlever/coltsfootlever/granter"
-	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
 const weightScale = 100 // turns weights, which have at most two decimals, into integers
 
 type (
-	// customerShares contains, by customer, how much of a pool's CPU the customer
-	// uses and its fair share, in thousandths of a core. Long-running tasks don't
-	// count.
-	customerShares map[string]*customerShare
+	// customerShares contains, by customerState.number, how much of a pool's CPU the
+	// customer uses and its fair share, in thousandths of a core. Long-running tasks
+	// don't count.
+	customerShares []customerShare
 
 	// customerShare is the CPU that a customer uses in a pool, the CPU that its
 	// running and waiting tasks want, and its fair share.
@@ -21,69 +22,79 @@
 	}
 )
 
-// customerSharesByPool computes the customers' shares of all pools for which
-// there are candidate steps.
-func (p *placementPass) customerSharesByPool(candidates []candidateStep) map[string]customerShares {
-	pools := make(map[string]customerShares)
-	for _, c := range candidates {
+// computeShares computes the customers' shares of all pools for which there are
+// candidate steps that are not long-running.
+func (p *placementPass) computeShares() {
+	for _, pool := range p.engine.pools {
+		pool.shares = pool.shares[:0]
+	}
+	p.forEachCandidate(func(c *candidateStep) {
 		if c.step.LongRunning {
-			continue
+			return
 		}
-		j := c.step.occurrence.job
-		pool := p.poolOf(c.step)
-		if pools[pool] == nil {
-			pools[pool] = p.cpuInUseByCustomer(pool)
+		if len(c.pool.shares) == 0 {
+			c.pool.resetShares(len(p.engine.customers))
 		}
-		pools[pool].getOrAdd(j.Customer).wanted += int64(c.step.waitingTasks) * c.step.ReservedResources().CPU
-	}
-	for pool, all := range pools {
-		all.computeFairShares(int64(p.availableCores(pool)*milliCoresPerCore), p.manifest)
-	}
-	return pools
-}
-
-// cpuInUseByCustomer returns, by customer, the CPU that the running tasks of a pool
-// use, in the fields running and wanted. Long-running tasks do not count.
-func (p *placementPass) cpuInUseByCustomer(pool string) customerShares {
-	all := make(customerShares)
-	inUse := p.engine.poolState(pool).cpu
-	for name, c := range p.engine.customers {
-		if c.number < len(inUse) {
-			all[name] = &customerShare{running: inUse[c.number], wanted: inUse[c.number]}
+		c.pool.shares[c.step.occurrence.job.customer.number].wanted += int64(c.step.waitingTasks) * c.step.ReservedResources().CPU
+	})
+	for _, pool := range p.engine.pools {
+		if len(pool.shares) > 0 {
+			p.computeFairShares(pool)
 		}
 	}
-	return all
 }
 
-// getOrAdd returns the share of a customer and adds it if it is missing.
-func (all customerShares) getOrAdd(customer string) *customerShare {
-	s := all[customer]
-	if s == nil {
-		s = &customerShare{}
-		all[customer] = s
+// resetShares sets what the running tasks of each customer use in the pool.
+// Long-running tasks do not count.
+func (p *poolState) resetShares(customers int) {
+	p.shares = slices.Grow(p.shares, customers)[:customers]
+	clear(p.shares)
+	for i, cpu := range p.cpu {
+		p.shares[i] = customerShare{running: cpu, wanted: cpu}
 	}
-	return s
 }
 
 // computeFairShares sets each customer's weighted max-min fair share of the
-// capacity.
-func (all customerShares) computeFairShares(capacity int64, m *modeler.Manifest) {
-	demands := make([]granter.Demand, 0, len(all))
-	for customer, s := range all {
+// pool's capacity.
+func (p *placementPass) computeFairShares(pool *poolState) {
+	capacity, wanted := int64(p.availableCores(pool.name)*milliCoresPerCore), int64(0)
+	for _, s := range pool.shares {
+		wanted += s.wanted
+	}
+	if wanted <= capacity {
+		for i := range pool.shares {
+			pool.shares[i].fairShare = pool.shares[i].wanted
+		}
+		return
+	}
+	demands := make([]granter.Demand, 0, len(pool.shares))
+	for name, c := range p.engine.customers {
 		weight := 1.0
-		if c := m.Customer(customer); c != nil {
-			weight = c.Weight
+		if m := p.manifest.Customer(name); m != nil {
+			weight = m.Weight
+		}
+		if n := int(pool.shares[c.number].wanted); n > 0 {
+			demands = append(demands, granter.Demand{Team: name, Weight: int(weight * weightScale), Limit: n, Demand: n})
 		}
-		demands = append(demands, granter.Demand{Team: customer, Weight: int(weight * weightScale), Limit: int(s.wanted), Demand: int(s.wanted)})
 	}
-	for customer, fair := range granter.Shares(int(capacity), demands) {
-		all[customer].fairShare = int64(fair)
+	for name, fair := range granter.Shares(int(capacity), demands) {
+		pool.shares[p.engine.customers[name].number].fairShare = int64(fair)
 	}
 }
 
-// exceedsFairShare reports whether another task of the step would exceed its
-// customer's fair share of the pool.
-func (p *placementPass) exceedsFairShare(s *step, pool string) bool {
-	share := p.customerShares[pool][s.occurrence.job.Customer]
-	return !s.LongRunning && share != nil && share.running+s.ReservedResources().CPU > share.fairShare
+// addRunning adds n tasks of a step to what its customer uses.
+func (all customerShares) addRunning(s *step, n int64) {
+	if len(all) > 0 && !s.LongRunning {
+		all[s.occurrence.job.customer.number].running += n * s.ReservedResources().CPU
+	}
+}
+
+// isExceededBy reports whether another task of the step would exceed its customer's
+// fair share of the pool.
+func (all customerShares) isExceededBy(s *step) bool {
+	if len(all) == 0 || s.LongRunning {
+		return false
+	}
+	share := &all[s.occurrence.job.customer.number]
+	return share.running+s.ReservedResources().CPU > share.fairShare
 }
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -125,16 +125,7 @@
 		return
 	}
 	h := e.poolHistoryOf(q.Pool)
-	h.arrivals = append(h.arrivals, sizer.Arrival{At: now, Work: j.occurrenceWork() * e.estimateFactor(j.Queue)})
-}
-
-// occurrenceWork returns the estimated work of one occurrence, in core-seconds.
-func (j *job) occurrenceWork() float64 {
-	work := 0.0
-	for _, s := range j.occurrences[0].steps {
-		work += float64(s.Count) * s.taskWork()
-	}
-	return work
+	h.arrivals = append(h.arrivals, sizer.Arrival{At: now, Work: j.work * e.estimateFactor(j.Queue)})
 }
 
 // recordTaskDuration records the actual and estimated duration of a task.
@@ -166,7 +157,7 @@
 	if m.count == 0 || m.sum == 0 {
 		return 1
 	}
-	return j.occurrenceWork() / (m.sum / m.count)
+	return j.work / (m.sum / m.count)
 }
 
 // workSum contains the sum of the work of a queue's jobs in this term and their
@@ -178,7 +169,7 @@
 // addToMeanJobWork adds a job to the mean work of its queue.
 func (e *Engine) addToMeanJobWork(j *job) {
 	m := e.meanJobWork[j.Queue]
-	e.meanJobWork[j.Queue] = workSum{m.sum + j.occurrenceWork(), m.count + 1}
+	e.meanJobWork[j.Queue] = workSum{m.sum + j.work, m.count + 1}
 }
 
 // poolHistoryOf returns the history of a pool and adds it if it is missing.
