Keep what a pass sees of the workers, and choose workers by an index

Each pass built the view of each worker from its tasks, and each choice of a worker looked at all of them. The views are kept and rebuilt after a change or a poll; an index by capacity and free CPU (assigner.Index) finds the worker for a task without further requirements. Once no worker has room for the least request of a pool's waiting steps, the steps that need nothing but room are passed over without a visit.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -9,6 +9,7 @@
 type (
 	// Worker is the state of a worker that placement decisions depend on.
 	Worker struct {
+		Name             string // workers of equal cost are preferred in this order
 		Free             modeler.Resources
 		Capacity         modeler.Resources
 		Retained         modeler.Resources // used by long-running tasks or reserved for them
@@ -20,6 +21,9 @@
 		LongRunningTasks int  // tasks that run until they are cancelled
 		EvacuationDue    bool // its tasks will soon be moved to other workers
 		Suspects         int  // tasks whose earlier workers have crashed
+
+		indexed                      bool  // in an Index
+		indexedCapacity, indexedFree int64 // when it was put into the Index
 	}
 
 	// Request describes a task that needs a worker.
@@ -34,6 +38,12 @@
 	}
 )
 
+// NeedsOnlyResources reports whether ChooseWorker compares workers for the request only
+// by the CPU that they have free.
+func (r *Request) NeedsOnlyResources() bool {
+	return *r == Request{Resources: r.Resources}
+}
+
 // ChooseWorker returns the index of the best worker for a task, or -1 if none
 // can run it. sameStepTasks returns the number of tasks of the same step that
 // worker i runs already; a negative number excludes the worker.
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -106,7 +106,7 @@
 // handlePollResult processes the result of a poll.
 func (e *Engine) handlePollResult(w *worker, sentAt time.Time, report modeler.Report, err error) {
 	now := time.Now()
-	w.polling = false
+	w.polling, w.view.upToDate = false, false
 	meter.RecordWorkerPoll(workerCallOutcome(err), now.Sub(sentAt))
 	switch {
 	case errors.Is(err, modeler.ErrFenced):
--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -16,6 +16,10 @@
 		*assigner.Candidate
 		step *step
 		pool *poolState
+
+		// needsOnlyRoom tells that the tasks have no requirements besides their resources,
+		// so that a visit to the step does nothing while the pool is full.
+		needsOnlyRoom bool
 	}
 
 	// candidateQueue contains the candidate steps of a priority. Most of the waiting jobs
@@ -92,7 +96,7 @@
 			}
 			for _, s := range o.steps {
 				if s.waitingTasks > 0 && s.dependenciesDone() {
-					p.addCandidate(candidateStep{&o.candidate, s, j.pool})
+					p.addCandidate(candidateStep{&o.candidate, s, j.pool, s.needsOnlyRoom(j.settings.queue)})
 				}
 			}
 		}
@@ -126,7 +130,11 @@
 
 // addCandidate adds a step to the candidates of its priority.
 func (p *placementPass) addCandidate(c candidateStep) {
-	c.pool.hasCandidates = true
+	if need := c.step.ReservedResources(); c.pool.hasCandidates {
+		c.pool.leastNeed = c.pool.leastNeed.Min(need)
+	} else {
+		c.pool.hasCandidates, c.pool.leastNeed = true, need
+	}
 	i, ok := slices.BinarySearchFunc(p.queues, c.Priority, func(q *candidateQueue, priority int) int { return cmp.Compare(q.priority, priority) })
 	if !ok {
 		p.queues = slices.Insert(p.queues, i, &candidateQueue{priority: c.Priority})
@@ -141,6 +149,20 @@
 	q.unsorted = q.unsorted || c.step.occurrence.job.Repeat > 0
 }
 
+// needsOnlyRoom reports whether the tasks of the step, which is in a queue, have no
+// requirements besides their resources. Tasks of jobs that have started may be suspected
+// of crashing their workers, inherited ones may have to wait.
+func (s *step) needsOnlyRoom(q *modeler.Queue) bool {
+	j := s.occurrence.job
+	return !j.hasStarted && !j.fromEarlierTerm && q.Advice == nil && !s.LongRunning && s.hasPlainRequirements()
+}
+
+// hasPlainRequirements reports whether any worker with enough room may take a task of
+// the step, however many others it has.
+func (s *step) hasPlainRequirements() bool {
+	return s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil
+}
+
 // forEachCandidate calls fn for the candidates, the most urgent first.
 func (p *placementPass) forEachCandidate(fn func(c *candidateStep)) {
 	for _, q := range p.queues {
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -198,6 +198,11 @@
 	anyUncleared bool  // some run is not cleared
 }
 
+// isIsolating reports whether the worker takes no further task.
+func (v *probationView) isIsolating() bool {
+	return v.suspect != nil && v.suspect.needsIsolation()
+}
+
 // add adds a task of the worker to the view.
 func (v *probationView) add(t *task) {
 	if t.isCleared() {
@@ -263,5 +268,7 @@
 	}
 	w := view.workers[i]
 	w.keepFor(t, p.now)
+	view.anyKept, view.full = true, false
+	view.updateIndex(i)
 	p.engine.log.Info("worker kept for a task that may crash it", "task", t.id.String(), "worker", w.ID, "tasks", len(w.tasks), "crashes", t.suspicion.Crashes, "unconfirmed", t.suspicion.Unconfirmed, "sole-suspect", t.suspicion.SoleSuspect)
 }
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -185,6 +185,7 @@
 		w.bootLearnedAt = e.term.Now()
 	}
 	w.Worker, w.registeredStartMs = info, info.StartTimeMs
+	w.view.upToDate = false
 	e.assignPool(w)
 	if w.polled {
 		w.StartTimeMs = born // the worker's own report counts; the next poll updates it
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -32,12 +32,11 @@
 		wallTime      time.Time // see Config.WallClock
 		manifest      *modeler.Manifest
 		extraUsage    map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
-		pools         map[string]*poolView
-		queues        []*candidateQueue       // steps that may start, by priority
-		orphaned      map[modeler.TaskID]bool // see Engine.tasksWithOrphanedRuns
-		cores         *coreCounts             // nil until it is needed
-		startsOfAll   int                     // number of placed tasks that may await their start
-		startsPerPool int                     // number of them in one pool
+		queues        []*candidateQueue            // steps that may start, by priority
+		orphaned      map[modeler.TaskID]bool      // see Engine.tasksWithOrphanedRuns
+		cores         *coreCounts                  // nil until it is needed
+		startsOfAll   int                          // number of placed tasks that may await their start
+		startsPerPool int                          // number of them in one pool
 
 		allAwaitingStart int // number of placed tasks that await their start
 	}
@@ -59,6 +58,8 @@
 		assignerViews         []*assigner.Worker
 		probations            []probationView
 		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
+		full                  bool                // no step that needsOnlyRoom can be placed
+		anyKept               bool                // some worker is kept for a task that needs isolation
 		keptFree              int                 // number of workers kept free for tasks that wait for room
 		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
 	}
@@ -69,7 +70,7 @@
 	if e.shuttingDown {
 		return
 	}
-	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
+	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), orphaned: e.tasksWithOrphanedRuns()}
 	p.addUnstoredUsage()
 	p.listCandidates()
 	p.computeShares()
@@ -80,8 +81,11 @@
 				e.admission.startsLacked[c.pool.name] = true
 				return // a task that can't be started soon may be placed better later
 			}
+			if c.needsOnlyRoom && c.pool.viewedIn == p && c.pool.view.full {
+				return
+			}
 			e.handling = c.step.occurrence.job
-			p.placeStep(c.step, fair)
+			p.placeStep(c.step, c.pool, fair)
 		})
 	}
 	e.handling = nil
@@ -194,13 +198,13 @@
 
 // placeStep places the waiting tasks of a step. If fair is set, it stops at the
 // customer's fair share.
-func (p *placementPass) placeStep(s *step, fair bool) {
+func (p *placementPass) placeStep(s *step, pool *poolState, fair bool) {
 	if s.waitingTasks == 0 || s.LongRunning && !fair {
 		return // no task is waiting, or the first round has already tried
 	}
 	j := s.occurrence.job
 	q := j.settingsIn(p.manifest).queue
-	view := p.poolView(q.Pool)
+	view := p.poolView(pool)
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
 	}
@@ -208,8 +212,10 @@
 		return
 	}
 	s.choosePreferredRack(view)
+	wasFull := view.full
 	tasks := p.placeTasks(s, j, view, fair)
 	if s.Gang && len(tasks) < s.Count {
+		view.full = wasFull // the tasks that were placed leave their room again
 		for _, t := range tasks {
 			p.undoPlacement(t, view)
 		}
@@ -293,7 +299,7 @@
 // mustWaitInPool reports whether inherited tasks of a pool must wait. It calls
 // Engine.mustWaitForWorkers once per pool and pass.
 func (p *placementPass) mustWaitInPool(pool string) bool {
-	v := p.poolView(pool)
+	v := p.poolView(p.engine.poolState(pool))
 	if !v.waitChecked {
 		v.waitChecked, v.mustWait = true, p.engine.mustWaitForWorkers(pool, p.now)
 	}
@@ -315,30 +321,47 @@
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
 		t.releaseKeptWorker()
 	}
-	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion == investigator.Suspicion{}
+	plain := s.hasPlainRequirements() && t.suspicion == investigator.Suspicion{}
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
-	i := assigner.ChooseWorker(view.assignerViews, t.assignerRequest(), func(i int) int {
-		if !view.admits(t, i) {
-			return -1
-		}
-		return s.countSameStepTasks(view.workers[i])
-	})
+	i := view.chooseWorker(t, plain)
 	if i < 0 {
 		p.keepWorkerForIsolation(t, view)
 		if plain {
-			view.unplaceable = append(view.unplaceable, s.ReservedResources())
+			view.addUnplaceable(s.ReservedResources())
 		}
 		return false
 	}
+	kept := t.keptWorker
 	t.assignTo(view.workers[i], placed)
 	view.updateWorkerView(i, s, 1)
-	view.probations[i] = view.workers[i].probationView()
+	if k := slices.Index(view.workers, kept); k >= 0 {
+		view.updateIndex(k) // other tasks may use it now
+	}
 	view.pool.shares.addRunning(s, 1)
 	return true
 }
 
+// chooseWorker returns the index of the worker for a task, or -1 if no worker can take
+// it. plain tells that any worker with room may.
+func (v *poolView) chooseWorker(t *task, plain bool) int {
+	s, request := t.step, t.assignerRequest()
+	if plain && request.NeedsOnlyResources() {
+		if w := v.pool.index.Choose(request.Resources); w != nil {
+			i, _ := slices.BinarySearchFunc(v.assignerViews, w.Name, func(w *assigner.Worker, name string) int { return strings.Compare(w.Name, name) })
+			return i
+		}
+		return -1
+	}
+	return assigner.ChooseWorker(v.assignerViews, request, func(i int) int {
+		if !v.admits(t, i) {
+			return -1
+		}
+		return s.countSameStepTasks(v.workers[i])
+	})
+}
+
 // keepWorkerFreeFor keeps less urgent tasks, for the rest of the pass, off the
 // worker that will have room for a task of the step soonest. Otherwise small
 // tasks would fill each gap and a large task would never find room. It returns
@@ -352,6 +375,7 @@
 		return false
 	}
 	view.assignerViews[i].Unavailable = true
+	view.updateIndex(i)
 	view.keptFree++
 	return true
 }
@@ -399,9 +423,8 @@
 func (p *placementPass) undoPlacement(t *task, view *poolView) {
 	i := slices.Index(view.workers, t.worker)
 	view.pool.shares.addRunning(t.step, -1)
-	view.updateWorkerView(i, t.step, -1)
 	t.requeue()
-	view.probations[i] = view.workers[i].probationView()
+	view.updateWorkerView(i, t.step, -1)
 }
 
 // commitPlacement gives the placed task a new run number and queues the
@@ -424,39 +447,63 @@
 }
 
 // poolView returns the state of a pool in this pass.
-func (p *placementPass) poolView(name string) *poolView {
-	if v := p.pools[name]; v != nil {
+func (p *placementPass) poolView(pool *poolState) *poolView {
+	v := &pool.view
+	if pool.viewedIn == p {
 		return v
 	}
-	v := &poolView{pool: p.engine.poolState(name)}
-	for _, w := range v.pool.workers {
-		if w.acceptsTasks(p.now) {
-			v.workers = append(v.workers, w)
+	pool.viewedIn = p
+	*v = poolView{pool: pool, workers: v.workers[:0], assignerViews: v.assignerViews[:0], probations: v.probations[:0], unplaceable: v.unplaceable[:0]}
+	for _, w := range pool.workers {
+		if !w.acceptsTasks(p.now) {
+			pool.index.Remove(&w.view.Worker)
+			continue
 		}
-	}
-	for _, w := range v.workers {
 		if w.keptFor != nil && p.now.Sub(w.keptSince) > maxKeepTime {
 			w.keptFor.releaseKeptWorker()
 		}
-		view := w.assignerView()
-		view.EvacuationDue = p.engine.isMaintenanceDue(w.Instance)
-		v.assignerViews = append(v.assignerViews, view)
-		v.probations = append(v.probations, w.probationView())
+		v.anyKept = v.anyKept || w.keptFor != nil
+		if !w.view.upToDate {
+			w.updateView()
+		}
+		w.view.Unavailable, w.view.EvacuationDue = false, p.engine.isMaintenanceDue(w.Instance)
+		v.workers, v.assignerViews, v.probations = append(v.workers, w), append(v.assignerViews, &w.view.Worker), append(v.probations, w.view.probation)
+		v.updateIndex(len(v.workers) - 1)
 	}
-	p.pools[name] = v
 	return v
 }
 
-// assignerView describes the worker to the assigner.
-func (w *worker) assignerView() *assigner.Worker {
-	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Retained: w.reservedResources(), Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
+// updateView updates the view of the worker for placement passes.
+func (w *worker) updateView() {
+	v := &w.view
+	v.upToDate, v.probation = true, w.probationView()
+	v.Name, v.Free, v.Capacity, v.Retained, v.Labels, v.Rack = w.ID, w.unreservedResources(), w.Capacity, w.reservedResources(), w.Labels, modeler.RackLabel(w.Labels)
+	v.LatencyTasks, v.IdleCPUTasks, v.LongRunningTasks, v.Suspects = 0, 0, 0, 0
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
 		if t.suspicion.Score() > 0 {
 			v.Suspects++
 		}
 	}
-	return v
+}
+
+// updateIndex updates the index of the pool after a change of worker i. It contains
+// the workers that take tasks without further requirements, see admits.
+func (v *poolView) updateIndex(i int) {
+	if w := v.workers[i]; v.assignerViews[i].Unavailable || w.keptFor != nil || v.probations[i].isIsolating() {
+		v.pool.index.Remove(&w.view.Worker)
+	} else {
+		v.pool.index.Put(&w.view.Worker)
+	}
+}
+
+// addUnplaceable records that no worker has room for a request of a task without
+// further requirements, and whether none has for the least request of the pool's
+// waiting tasks. The latter doesn't hold for the rest of the pass if the task that a
+// worker is kept for is placed elsewhere.
+func (v *poolView) addUnplaceable(request modeler.Resources) {
+	v.unplaceable = append(v.unplaceable, request)
+	v.full = !v.anyKept && v.pool.index.Choose(v.pool.leastNeed) == nil
 }
 
 // isKnownUnplaceable reports whether a request for at most these resources has
@@ -465,12 +512,14 @@
 	return slices.ContainsFunc(v.unplaceable, func(failed modeler.Resources) bool { return failed.Fits(request) })
 }
 
-// updateWorkerView adds n tasks of a step to the assigner's view of worker
-// i; n may be negative.
+// updateWorkerView updates the views of worker i after n tasks of a step have been
+// added; n may be negative.
 func (v *poolView) updateWorkerView(i int, s *step, n int) {
 	view := v.assignerViews[i]
 	view.Free = view.Free.Sub(s.ReservedResources().Times(n))
 	view.AddTasks(s.Step, n)
+	v.probations[i] = v.workers[i].probationView()
+	v.updateIndex(i)
 }
 
 // releaseReservation releases the resources that a worker has reserved for a
@@ -485,6 +534,7 @@
 		view := v.assignerViews[i]
 		view.Free = view.Free.Add(t.step.ReservedResources())
 		view.Retained = view.Retained.Sub(t.step.ReservedResources())
-		v.unplaceable = nil
+		v.unplaceable, v.full = nil, false
+		v.updateIndex(i)
 	}
 }
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -183,7 +183,7 @@
 		t.suspicion = investigator.Suspicion{Crashes: 1, SoleSuspect: f.rng.IntN(2), Probation: time.Second}
 		f.requeueTask(t)
 	case n < 44:
-		t.listedFor = f.now.Sub(t.phaseSince)
+		t.listedFor, t.worker.view.upToDate = f.now.Sub(t.phaseSince), false
 	case n < 46 && t.step.LongRunning:
 		if to, _ := f.findMoveTarget(t, f.now); to != nil {
 			f.requeueTask(t)
@@ -234,6 +234,7 @@
 // changeWorker changes what a worker accepts.
 func (f *fleet) changeWorker(n int) {
 	w := f.randomWorker()
+	w.view.upToDate = false
 	switch n % 10 {
 	case 0:
 		w.reachable = !w.reachable
--- a/orchestrator/pool.go
+++ b/orchestrator/pool.go
@@ -17,10 +17,15 @@
 		workers []*worker // that are registered in the pool, sorted by ID
 		cpu     []int64   // in use by tasks that are not long-running, by customerState.number, in thousandths of a core
 
+		index assigner.Index // of the workers that accept tasks without further requirements, as of the last poolView
+		view  poolView       // of the last pass that needed it
+
 		// State of a placement pass.
+		viewedIn      *placementPass        // pass to which view belongs
 		inTime        []*assigner.Candidate // occurrences that can meet their objective
 		mayDefer      bool                  // some of them have not started
 		hasCandidates bool                  // some step of the pool may start
+		leastNeed     modeler.Resources     // of the steps that may start and are not long-running, each component by itself
 		shares        customerShares        // of the pool; empty if only long-running steps may start
 		awaitingStart int                   // placed tasks that await their start
 	}
@@ -72,6 +77,7 @@
 		return
 	}
 	w.pool.addTasksOf(w, -1)
+	w.pool.index.Remove(&w.view.Worker)
 	if i, ok := w.pool.find(w); ok {
 		w.pool.workers = slices.Delete(w.pool.workers, i, i+1)
 	}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/assigner"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -23,6 +24,7 @@
 	worker struct {
 		modeler.Worker
 		pool               *poolState    // of the registered pool
+		view               workerView    // for placement passes
 		listed             bool          // in the current worker list
 		registeredStartMs  int64         // start time of the worker process to which Capacity and Labels belong
 		reachable          bool          // the last poll succeeded
@@ -61,6 +63,15 @@
 		cancel       context.CancelFunc
 	}
 
+	// workerView is what placement passes see of a worker. It must be marked as changed
+	// whenever the worker's registration, tasks, reservations or the suspicions of its
+	// tasks change; polls do that for what they may change.
+	workerView struct {
+		assigner.Worker
+		probation probationView
+		upToDate  bool
+	}
+
 	// runID identifies a run on one worker. Leaders of two terms may give the same
 	// number to runs on different workers.
 	runID struct {
@@ -127,6 +138,7 @@
 // sign -1, also in the sums for its pool and the customer.
 func (w *worker) take(s *step, sign int64) {
 	r := s.ReservedResources()
+	w.view.upToDate = false
 	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
 	c := s.occurrence.job.customer
 	if s.LongRunning {
