Pass over the backlog without looking at its jobs

Each pass looked at all steps of each waiting job. A job that has not started and can't meet its objective any more keeps its candidate steps until it starts or the manifest changes, so that a pass only appends them. BenchmarkPlacement spreads the waiting jobs over the last 20 s instead of letting all arrive at once.

--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -16,6 +16,7 @@
 		*assigner.Candidate
 		step *step
 		pool *poolState
+		need modeler.Resources // of one task on its worker
 
 		// needsOnlyRoom tells that the tasks have no requirements besides their resources,
 		// so that a visit to the step does nothing while the pool is full.
@@ -27,9 +28,16 @@
 	// turn, so that they need not be sorted in each pass.
 	candidateQueue struct {
 		priority int
-		urgent   []candidateStep // of long-running jobs and of those that can meet their objective
-		late     []candidateStep // the others, by the time at which they were due
-		unsorted bool            // late contains occurrences of repeating jobs, which are not in the order of Engine.jobOrder
+		urgent   []*candidateStep // of long-running jobs and of those that can meet their objective
+		late     []*candidateStep // the others, by the time at which they were due
+		unsorted bool             // late contains occurrences of repeating jobs, which are not in the order of Engine.jobOrder
+	}
+
+	// backlogEntry contains the candidate steps of a job that has not started and can't meet
+	// its objective any more. They stay the same until it starts, or the manifest changes.
+	backlogEntry struct {
+		manifest   *modeler.Manifest
+		candidates []*candidateStep
 	}
 
 	// occurrenceObjective is the time by which an occurrence should be completed
@@ -71,6 +79,9 @@
 			continue
 		}
 		e.handling = j
+		if j.isBacklog() {
+			continue
+		}
 		if j.pool == nil || j.pool.name != q.Pool {
 			j.pool = e.poolState(q.Pool)
 		}
@@ -87,18 +98,14 @@
 		}
 	}
 	for _, j := range e.jobOrder {
-		if q := j.settings.queue; q == nil || j.state.IsFinal() {
-			continue
-		}
-		for _, o := range j.occurrences {
-			if !p.mayRun(o) {
-				continue
-			}
-			for _, s := range o.steps {
-				if s.waitingTasks > 0 && s.dependenciesDone() {
-					p.addCandidate(candidateStep{&o.candidate, s, j.pool, s.needsOnlyRoom(j.settings.queue)})
-				}
+		switch {
+		case j.settings.queue == nil || j.state.IsFinal():
+		case j.isBacklog():
+			for _, c := range j.backlog.candidates {
+				p.addCandidate(c)
 			}
+		default:
+			p.addCandidatesOf(j)
 		}
 	}
 	for _, q := range p.queues {
@@ -109,6 +116,36 @@
 	}
 }
 
+// addCandidatesOf adds the steps of a job that may start to the candidates. If they stay
+// the same until the job starts, it becomes part of the backlog.
+func (p *placementPass) addCandidatesOf(j *job) {
+	var candidates []*candidateStep
+	becomesBacklog := j.Repeat == 0 && !j.hasStarted && j.occurrences[0].candidate.CannotMeetDeadline()
+	for _, o := range j.occurrences {
+		if !p.mayRun(o) {
+			continue
+		}
+		for _, s := range o.steps {
+			if s.waitingTasks == 0 || !s.dependenciesDone() {
+				continue
+			}
+			s.candidate = candidateStep{&o.candidate, s, j.pool, s.ReservedResources(), s.needsOnlyRoom(j.settings.queue)}
+			p.addCandidate(&s.candidate)
+			if becomesBacklog {
+				candidates = append(candidates, &s.candidate)
+			}
+		}
+	}
+	if becomesBacklog {
+		j.backlog = backlogEntry{p.manifest, candidates}
+	}
+}
+
+// isBacklog reports whether the job's candidates are those in j.backlog.
+func (j *job) isBacklog() bool {
+	return !j.hasStarted && j.backlog.manifest != nil && j.backlog.manifest == j.settings.manifest
+}
+
 // mayRun reports whether the occurrence is due and has tasks that are not done.
 func (p *placementPass) mayRun(o *occurrence) bool {
 	return o.finishedSteps < len(o.steps) && (o.job.Repeat == 0 || !p.wallTime.Before(o.due.Add(-p.engine.cfg.EarlyStart)))
@@ -129,11 +166,11 @@
 }
 
 // addCandidate adds a step to the candidates of its priority.
-func (p *placementPass) addCandidate(c candidateStep) {
-	if need := c.step.ReservedResources(); c.pool.hasCandidates {
-		c.pool.leastNeed = c.pool.leastNeed.Min(need)
+func (p *placementPass) addCandidate(c *candidateStep) {
+	if c.pool.hasCandidates {
+		c.pool.leastNeed = c.pool.leastNeed.Min(c.need)
 	} else {
-		c.pool.hasCandidates, c.pool.leastNeed = true, need
+		c.pool.hasCandidates, c.pool.leastNeed = true, c.need
 	}
 	i, ok := slices.BinarySearchFunc(p.queues, c.Priority, func(q *candidateQueue, priority int) int { return cmp.Compare(q.priority, priority) })
 	if !ok {
@@ -166,16 +203,16 @@
 // forEachCandidate calls fn for the candidates, the most urgent first.
 func (p *placementPass) forEachCandidate(fn func(c *candidateStep)) {
 	for _, q := range p.queues {
-		for i := range q.urgent {
-			fn(&q.urgent[i])
+		for _, c := range q.urgent {
+			fn(c)
 		}
-		for i := range q.late {
-			fn(&q.late[i])
+		for _, c := range q.late {
+			fn(c)
 		}
 	}
 }
 
-func compareCandidateSteps(a, b candidateStep) int {
+func compareCandidateSteps(a, b *candidateStep) int {
 	return cmp.Or(assigner.CompareCandidates(a.Candidate, b.Candidate), cmp.Compare(a.step.number, b.step.number))
 }
 
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -35,15 +35,16 @@
 		settings        jobSettings
 		occurrences     []*occurrence
 		state           modeler.State
-		reason          string        // why the state is final
-		hasStarted      bool          // some task has been placed
-		version         int64         // incremented on each change that must be stored
-		storedVersion   int64         // last version in the store
-		commitInFlight  bool          // a transaction with the job is in flight
-		dirtyOrder      int64         // sequence number of the change that made the job unstored; older ones are stored first
-		progressKey     string        // key of the progress record
-		revision        int64         // store revision of the progress record, 0 if there is none
-		activeTasks     int           // tasks that are or may be running
+		reason          string // why the state is final
+		hasStarted      bool   // some task has been placed
+		version         int64  // incremented on each change that must be stored
+		storedVersion   int64  // last version in the store
+		commitInFlight  bool   // a transaction with the job is in flight
+		dirtyOrder      int64  // sequence number of the change that made the job unstored; older ones are stored first
+		progressKey     string // key of the progress record
+		revision        int64  // store revision of the progress record, 0 if there is none
+		activeTasks     int    // tasks that are or may be running
+		backlog         backlogEntry
 		fromEarlierTerm bool          // the job was loaded at the start of the term
 		loadedAt        time.Duration // by elector.Term.Now
 	}
@@ -78,7 +79,8 @@
 		tickets       map[string]ticket // decisions of the advice service by worker ID; nil before its first response
 		adviceRetryAt time.Time         // no tickets are requested before this time
 		advicePending bool
-		preferredRack string // rack for a step whose tasks should run on one rack
+		candidate     candidateStep // in the last placement pass in which it was one
+		preferredRack string        // rack for a step whose tasks should run on one rack
 	}
 
 	// failedRun identifies a failed run of a task.
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -30,6 +30,7 @@
 	now      time.Time
 	manifest *modeler.Manifest
 	jobCount int
+	oldest   time.Duration // jobs are accepted up to this long ago
 }
 
 // newFleet returns a fleet without jobs. A tenth of the workers is in the spare pool.
@@ -83,8 +84,12 @@
 // submit adds a new job.
 func (f *fleet) submit(queue string, steps ...modeler.Step) *job {
 	f.jobCount++
+	accepted := f.now
+	if f.oldest > 0 {
+		accepted = accepted.Add(-time.Duration(f.rng.Int64N(int64(f.oldest))))
+	}
 	customer := fmt.Sprintf("c%d", f.rng.IntN(fleetCustomers))
-	j := newJob(modeler.Job{ID: fmt.Sprintf("%06d", f.jobCount), Queue: queue, Customer: customer, Accepted: f.now, Steps: steps}, f.customerState(customer))
+	j := newJob(modeler.Job{ID: fmt.Sprintf("%06d", f.jobCount), Queue: queue, Customer: customer, Accepted: accepted, Steps: steps}, f.customerState(customer))
 	f.Engine.addJob(j)
 	f.addToMeanJobWork(j)
 	return j
@@ -158,6 +163,7 @@
 			for _, ended := range []int{0, 1, 20} {
 				b.Run(fmt.Sprintf("workers=%d/waiting=%d/ended=%d", workers, waiting, ended), func(b *testing.B) {
 					f := newFleet(1, workers)
+					f.oldest = 20 * time.Second
 					f.fill(waiting)
 					if waiting == 0 {
 						f.benchNewJobs(0) // leaves room for the next jobs
@@ -166,7 +172,7 @@
 					placed := 0
 					for b.Loop() {
 						f.now = f.now.Add(10 * time.Millisecond)
-						if waiting == 0 {
+						if f.oldest = 0; waiting == 0 {
 							f.benchNewJobs(ended)
 						} else {
 							for range ended {
--- a/orchestrator/share.go
+++ b/orchestrator/share.go
@@ -35,7 +35,7 @@
 		if len(c.pool.shares) == 0 {
 			c.pool.resetShares(len(p.engine.customers))
 		}
-		c.pool.shares[c.step.occurrence.job.customer.number].wanted += int64(c.step.waitingTasks) * c.step.ReservedResources().CPU
+		c.pool.shares[c.step.occurrence.job.customer.number].wanted += int64(c.step.waitingTasks) * c.need.CPU
 	})
 	for _, pool := range p.engine.pools {
 		if len(pool.shares) > 0 {
