Count the cores of idle instances only after a change

Now a pass adds up the workers of the pools that it needs, and the cores of instances that move or could move are counted after a change of an instance or plan, or when a worker has become idle or busy. TestLargeFleet prints how long jobs wait for their first start and has a load in which one queue after the other gets all jobs.

--- a/launcher/large_fleet_test.go
+++ b/launcher/large_fleet_test.go
@@ -38,11 +38,13 @@
 	largeFleetJobRate   = 63 // jobs a second in all queues
 	largeFleetWarmUp    = 3 * time.Second
 	largeFleetTaskTime  = 800 * time.Millisecond
-	largeFleetStepCount = 8 // mean number of tasks in a step
+	largeFleetStepCount = 8               // mean number of tasks in a step
+	largeFleetTurn      = 3 * time.Second // of a queue that gets all jobs
 )
 
 var (
 	largeFleetTime    = flag.Duration("large-fleet", 0, "how long TestLargeFleet runs; 0 skips it")
+	largeFleetSurge   = flag.Float64("large-fleet-surge", 0, "the queues get all jobs in turn, at this multiple of the usual rate; 0 gives each queue its part of the usual rate")
 	largeFleetProfile = flag.String("large-fleet-profile", "", "file for the CPU profile of TestLargeFleet; samples of the leader have the label role=leader")
 )
 
@@ -120,12 +122,50 @@
 	instances                    *emulator.InstanceService
 	workerCalls, storeCalls      atomic.Int64
 	bytes                        bytesByPath
+	firstStarts                  firstStarts
 	storeAddress, instancesAddrs string
 }
 
+// firstStarts measures how long jobs wait for the start of their first task.
+type firstStarts struct {
+	mu        sync.Mutex
+	submitted map[string]time.Time // by ID of jobs of which no task has started
+	waits     []time.Duration
+}
+
+func (s *firstStarts) submit(job string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.submitted[job] = time.Now()
+}
+
+func (s *firstStarts) start(job string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.submitted[job]; ok {
+		delete(s.submitted, job)
+		s.waits = append(s.waits, time.Since(at))
+	}
+}
+
+// String returns the quantiles of the waits.
+func (s *firstStarts) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waits) == 0 {
+		return "no job has started"
+	}
+	slices.Sort(s.waits)
+	quantile := func(q float64) string {
+		return s.waits[int(q*float64(len(s.waits)-1))].Round(time.Millisecond).String()
+	}
+	return fmt.Sprintf("first starts of %d jobs after %s (tenth), %s (half), %s (nine tenths); %d not started", len(s.waits), quantile(0.1), quantile(0.5), quantile(0.9), len(s.submitted))
+}
+
 func newLargeFleet(t *testing.T) *largeFleet {
-	f := &largeFleet{store: emulator.NewMetaStore(), bytes: bytesByPath{counts: make(map[string]int64)}}
+	f := &largeFleet{store: emulator.NewMetaStore(), bytes: bytesByPath{counts: make(map[string]int64)}, firstStarts: firstStarts{submitted: make(map[string]time.Time)}}
 	f.tasks = emulator.NewTaskFleet(func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+		f.firstStarts.start(id.Job)
 		h := fnv.New32a()
 		_, _ = h.Write([]byte(id.String()))
 		return largeFleetTaskTime/2 + time.Duration(h.Sum32())%largeFleetTaskTime, modeler.EndDone
@@ -163,16 +203,21 @@
 func (f *largeFleet) submitJobs(ctx context.Context) int {
 	client := f.store.ClientFor("callers")
 	rng := rand.New(rand.NewPCG(1, 2))
-	ticker := time.NewTicker(time.Second / largeFleetJobRate)
+	ticker := time.NewTicker(time.Duration(float64(time.Second) / largeFleetJobRate / cmp.Or(*largeFleetSurge, 1)))
 	defer ticker.Stop()
+	began := time.Now()
 	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return n
 		case <-ticker.C:
 		}
+		queue := rng.IntN(largeFleetPools)
+		if *largeFleetSurge > 0 {
+			queue = int(time.Since(began)/largeFleetTurn) % largeFleetPools
+		}
 		j := modeler.Job{
-			ID: fmt.Sprintf("%016x", n), Queue: fmt.Sprintf("qp%d", rng.IntN(largeFleetPools)), Customer: "c", Spec: strings.Repeat("s", 500), Accepted: time.Now(),
+			ID: fmt.Sprintf("%016x", n), Queue: fmt.Sprintf("qp%d", queue), Customer: "c", Spec: strings.Repeat("s", 500), Accepted: time.Now(),
 			QueueSettings: &modeler.QueueSettings{},
 		}
 		for i := range 1 + rng.IntN(2) {
@@ -182,6 +227,7 @@
 			}
 			j.Steps = append(j.Steps, s)
 		}
+		f.firstStarts.submit(j.ID)
 		_, _, _ = client.Commit(ctx, keeper.Txn{
 			Expect: []keeper.Expectation{{Key: orchestrator.JobKey(j.ID)}},
 			Put:    []keeper.Put{{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)}},
@@ -203,8 +249,8 @@
 }
 
 // TestLargeFleet runs one entry node, which leads, at the size and load of a
-// large deployment and prints what the platform's side saw, and what shares of the
-// leader's bytes each kind of call has. With a profile it
+// large deployment and prints what the platform's side saw, how long jobs waited for
+// their first start, and what shares of the leader's bytes each kind of call has. With a profile it
 // shows where the leader's processor time goes:
 //
 //	go test ./launcher -run TestLargeFleet -large-fleet 20s -large-fleet-profile leader.prof -v
@@ -241,6 +287,7 @@
 	w.Close(time.Second)
 	t.Logf("a second: %.0f jobs, %.0f calls to workers, %.0f calls to the store; %.0f KB of log lines, %.0f lines",
 		float64(jobs)/took, float64(calls)/took, float64(storeCalls)/took, float64(lines.Len())/1024/took, float64(bytes.Count(lines.Bytes(), []byte("\n")))/took)
+	t.Log(f.firstStarts.String())
 	t.Logf("bytes of bodies:%s", f.bytes.shares(took))
 	require.Empty(t, f.tasks.Violations())
 }
--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -135,6 +135,7 @@
 	w.polled, w.replaced, w.ended, w.hasUnknownStart, w.failedPolls = true, false, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
 	if firstPoll {
+		e.instanceCores.known = false
 		e.replacementDue = true
 		w.leaseDeadline = max(w.leaseDeadline, report.ClockMs+e.cfg.RunLease.Milliseconds()) // an earlier leader may have extended the leases this far
 	}
--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -94,7 +94,7 @@
 	e.handling = nil
 	for _, pool := range e.pools {
 		if pool.mayDefer {
-			assigner.DeferJobs(pool.inTime, p.availableCores(pool.name))
+			assigner.DeferJobs(pool.inTime, p.availableCores(pool))
 		}
 	}
 	for _, j := range e.jobOrder {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -109,6 +109,7 @@
 		workersByID          map[string]*worker
 		workersWithOrphans   map[*worker]bool // among others those that have orphaned runs, see orphanHolders
 		pools                map[string]*poolState
+		instanceCores        instanceCores
 		customers            map[string]*customerState
 		outcomes             map[string]outcome // of ended jobs, by job ID
 		nextOutcomeCleanup   time.Time
--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -137,13 +137,13 @@
 	}
 	t.reservedOn = w
 	w.reservedFor = append(w.reservedFor, t)
-	w.view.upToDate = false
+	w.view.upToDate, w.pool.idle.known = false, false
 }
 
 // cancelReservation releases the resources reserved for a task.
 func (w *worker) cancelReservation(t *task) {
 	t.reservedOn = nil
-	w.view.upToDate = false
+	w.view.upToDate, w.pool.idle.known = false, false
 	w.reservedFor = slices.DeleteFunc(w.reservedFor, func(other *task) bool { return other == t })
 }
 
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -118,6 +118,7 @@
 // requested at requestedAt.
 func (e *Engine) applyInstanceList(list []modeler.Instance, requestedAt time.Time) {
 	p := &e.planner
+	e.instanceCores.known = false
 	e.rememberWorkersAtStart(list)
 	seen := make(map[string]bool, len(list))
 	for _, info := range list {
@@ -156,6 +157,7 @@
 // clearPlan removes the plan of an instance.
 func (e *Engine) clearPlan(i *instance) {
 	i.plan, i.wave = noPlan, 0
+	e.instanceCores.known = false
 	e.planner.orders.changed = true
 }
 
@@ -177,6 +179,7 @@
 
 // indexWorkersByInstance rebuilds the index of workers by instance.
 func (e *Engine) indexWorkersByInstance() {
+	e.instanceCores.known = false
 	e.planner.workersByInstance = make(map[string][]*worker, len(e.workersByID))
 	for _, w := range e.workersByID {
 		e.planner.workersByInstance[w.Instance] = append(e.planner.workersByInstance[w.Instance], w)
@@ -244,6 +247,7 @@
 // startPlan starts a plan for an instance.
 func (e *Engine) startPlan(i *instance, kind planKind, now time.Time) {
 	i.plan, i.phase, i.phaseSince, i.retryAfter = kind, evacuating, now, now
+	e.instanceCores.known = false
 	e.planner.anyPlanned.Store(true)
 	e.log.Info("move or maintenance of an instance planned", "instance", i.Name, "pool", i.Pool, "kind", kind.String(), "to", i.targetPool)
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -34,7 +35,6 @@
 		extraUsage    map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
 		queues        []*candidateQueue            // steps that may start, by priority
 		orphaned      map[modeler.TaskID]bool      // see Engine.tasksWithOrphanedRuns
-		cores         *coreCounts                  // nil until it is needed
 		startsOfAll   int                          // number of placed tasks that may await their start
 		startsPerPool int                          // number of them in one pool
 
@@ -50,11 +50,21 @@
 		movableOf map[string]int64 // by the pool in which they are
 	}
 
+	// instanceCores is the CPU, in thousandths of a core, of instances that move or could
+	// move.
+	instanceCores struct {
+		known     bool             // nothing has changed since they were counted
+		moving    map[string]int64 // by the pool to which they move
+		movable   int64            // of the idle instances that could move
+		movableOf map[string]int64 // by the pool in which they are
+	}
+
 	// poolView is the state of one pool in a placement pass: its workers that
 	// accept tasks and, for each of them, the view that the assigner chooses from.
 	poolView struct {
 		pool                  *poolState
 		workers               []*worker
+		usable                int64 // CPU for tasks that are not long-running, in thousandths of a core
 		assignerViews         []*assigner.Worker
 		probations            []probationView
 		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
@@ -148,26 +158,41 @@
 // availableCores returns the number of cores that the pool has or can soon get
 // for tasks that are not long-running: its own workers, instances that are
 // moving to it and idle instances that could move to it.
-func (p *placementPass) availableCores(pool string) float64 {
-	if p.cores == nil {
-		p.cores = p.engine.countCores(p.now)
-	}
-	return float64(p.cores.usable[pool]+p.cores.movable-p.cores.movableOf[pool]) / milliCoresPerCore
+func (p *placementPass) availableCores(pool *poolState) float64 {
+	i := p.engine.idleCores()
+	return float64(p.poolView(pool).usable+i.moving[pool.name]+i.movable-i.movableOf[pool.name]) / milliCoresPerCore
 }
 
 // countCores counts the CPU of all pools.
 func (e *Engine) countCores(now time.Time) *coreCounts {
-	c := &coreCounts{usable: make(map[string]int64), movableOf: make(map[string]int64)}
+	i := e.idleCores()
+	c := &coreCounts{usable: maps.Clone(i.moving), movable: i.movable, movableOf: i.movableOf}
 	for _, w := range e.workersByID {
-		if !w.acceptsTasks(now) {
-			continue
+		if w.acceptsTasks(now) {
+			c.usable[w.Pool] += w.usableCPU()
 		}
-		c.usable[w.Pool] += max(0, w.Capacity.CPU-w.longRunningCPU) // long-running tasks stay on a worker whose capacity has shrunk
 	}
+	return c
+}
+
+// usableCPU returns the CPU that tasks which are not long-running can use.
+func (w *worker) usableCPU() int64 {
+	return max(0, w.Capacity.CPU-w.longRunningCPU) // long-running tasks stay on a worker whose capacity has shrunk
+}
+
+// idleCores returns the CPU of the instances that move or could move. It counts
+// them again after a change of an instance or a plan, or when a worker has become idle
+// or busy; in any case once in a planning round.
+func (e *Engine) idleCores() *instanceCores {
+	c := &e.instanceCores
+	if c.known {
+		return c
+	}
+	*c = instanceCores{known: true, moving: make(map[string]int64), movableOf: make(map[string]int64)}
 	for _, i := range e.planner.instances {
 		switch {
 		case i.plan == movePlan:
-			c.usable[i.targetPool] += i.Capacity.CPU
+			c.moving[i.targetPool] += i.Capacity.CPU
 		case e.isMovable(i):
 			c.movable += i.Capacity.CPU
 			c.movableOf[i.Pool] += i.Capacity.CPU
@@ -463,6 +488,7 @@
 			w.keptFor.releaseKeptWorker()
 		}
 		v.anyKept = v.anyKept || w.keptFor != nil
+		v.usable += w.usableCPU()
 		if !w.view.upToDate {
 			w.updateView()
 		}
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -87,6 +87,9 @@
 			}
 		}
 	}
+	kept := *f.idleCores()
+	f.instanceCores.known = false
+	require.Equal(t, *f.idleCores(), kept)
 	for name, p := range f.pools {
 		require.Len(t, p.workers, workers[name], name)
 	}
@@ -234,7 +237,7 @@
 // changeWorker changes what a worker accepts.
 func (f *fleet) changeWorker(n int) {
 	w := f.randomWorker()
-	w.view.upToDate = false
+	w.view.upToDate, f.instanceCores.known = false, false
 	switch n % 10 {
 	case 0:
 		w.reachable = !w.reachable
--- a/orchestrator/pool.go
+++ b/orchestrator/pool.go
@@ -14,8 +14,9 @@
 	// date.
 	poolState struct {
 		name    string
-		workers []*worker // that are registered in the pool, sorted by ID
-		cpu     []int64   // in use by tasks that are not long-running, by customerState.number, in thousandths of a core
+		idle    *instanceCores // of all pools
+		workers []*worker      // that are registered in the pool, sorted by ID
+		cpu     []int64        // in use by tasks that are not long-running, by customerState.number, in thousandths of a core
 
 		index assigner.Index // of the workers that accept tasks without further requirements, as of the last poolView
 		view  poolView       // of the last pass that needed it
@@ -42,7 +43,7 @@
 func (e *Engine) poolState(name string) *poolState {
 	p := e.pools[name]
 	if p == nil {
-		p = &poolState{name: name}
+		p = &poolState{name: name, idle: &e.instanceCores}
 		e.pools[name] = p
 	}
 	return p
@@ -61,6 +62,7 @@
 // assignPool moves a worker to the state of the pool that it is registered in. It
 // must be called after each change of the worker's registration.
 func (e *Engine) assignPool(w *worker) {
+	e.instanceCores.known = false
 	if w.pool != nil && w.pool.name == w.Pool {
 		return
 	}
@@ -76,6 +78,7 @@
 	if w.pool == nil {
 		return
 	}
+	e.instanceCores.known = false
 	w.pool.addTasksOf(w, -1)
 	w.pool.index.Remove(&w.view.Worker)
 	if i, ok := w.pool.find(w); ok {
--- a/orchestrator/share.go
+++ b/orchestrator/share.go
@@ -57,7 +57,7 @@
 // computeFairShares sets each customer's weighted max-min fair share of the
 // pool's capacity.
 func (p *placementPass) computeFairShares(pool *poolState) {
-	capacity, wanted := int64(p.availableCores(pool.name)*milliCoresPerCore), int64(0)
+	capacity, wanted := int64(p.availableCores(pool)*milliCoresPerCore), int64(0)
 	for _, s := range pool.shares {
 		wanted += s.wanted
 	}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -139,6 +139,7 @@
 func (w *worker) take(s *step, sign int64) {
 	r := s.ReservedResources()
 	w.view.upToDate = false
+	w.pool.idle.known = w.pool.idle.known && len(w.tasks) > 1 // otherwise the worker has become idle or busy
 	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
 	c := s.occurrence.job.customer
 	if s.LongRunning {
