--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -106,7 +106,7 @@
 // handlePollResult processes the result of a poll.
 func (e *Engine) handlePollResult(w *worker, sentAt time.Time, report modeler.Report, err error) {
 	now := time.Now()
-	w.polling = false
+	w.polling, w.view.upToDate = false, false
 	meter.RecordWorkerPoll(workerCallOutcome(err), now.Sub(sentAt))
 	switch {
 	case errors.Is(err, modeler.ErrFenced):
@@ -135,6 +135,7 @@
 	w.polled, w.replaced, w.ended, w.hasUnknownStart, w.failedPolls = true, false, false, false, 0
 	w.clockSample = clockSample{now, report.ClockMs}
 	if firstPoll {
+		e.instanceCores.known = false
 		e.replacementDue = true
 		w.leaseDeadline = max(w.leaseDeadline, report.ClockMs+e.cfg.RunLease.Milliseconds()) // an earlier leader may have extended the leases this far
 	}
@@ -290,6 +291,7 @@
 			w.cancel()
 		}
 		delete(e.workersByID, w.ID)
+		e.removeFromPool(w)
 		e.forgetStartsInFlight(w)
 		e.log.Info("worker gone: no longer listed and its leases have expired", "worker", w.ID, "pool", w.Pool)
 		e.clearUnresponsiveWorker(w.ID)
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -51,6 +51,7 @@
 	// instance is the leader's view of an instance.
 	instance struct {
 		modeler.Instance
+		workers       []*worker // see Engine.allWorkersOn
 		plan          planKind
 		phase         planPhase
 		targetPool    string // destination pool of a move
@@ -117,13 +118,14 @@
 // requested at requestedAt.
 func (e *Engine) applyInstanceList(list []modeler.Instance, requestedAt time.Time) {
 	p := &e.planner
+	e.instanceCores.known = false
 	e.rememberWorkersAtStart(list)
 	seen := make(map[string]bool, len(list))
 	for _, info := range list {
 		seen[info.Name] = true
 		i := p.instances[info.Name]
 		if i == nil {
-			i = &instance{}
+			i = &instance{workers: p.workersByInstance[info.Name]}
 			p.instances[info.Name] = i
 		}
 		i.Instance = info
@@ -155,6 +157,7 @@
 // clearPlan removes the plan of an instance.
 func (e *Engine) clearPlan(i *instance) {
 	i.plan, i.wave = noPlan, 0
+	e.instanceCores.known = false
 	e.planner.orders.changed = true
 }
 
@@ -176,17 +179,21 @@
 
 // indexWorkersByInstance rebuilds the index of workers by instance.
 func (e *Engine) indexWorkersByInstance() {
+	e.instanceCores.known = false
 	e.planner.workersByInstance = make(map[string][]*worker, len(e.workersByID))
 	for _, w := range e.workersByID {
 		e.planner.workersByInstance[w.Instance] = append(e.planner.workersByInstance[w.Instance], w)
 	}
+	for name, i := range e.planner.instances {
+		i.workers = e.planner.workersByInstance[name]
+	}
 }
 
 // allWorkersOn returns all known workers of an instance, including earlier
 // ones. The instance list is updated later than the worker list and may still
 // name an earlier worker.
 func (e *Engine) allWorkersOn(i *instance) []*worker {
-	return e.planner.workersByInstance[i.Name]
+	return i.workers
 }
 
 // cordonPlannedInstances excludes the workers of instances with a plan from new
@@ -240,6 +247,7 @@
 // startPlan starts a plan for an instance.
 func (e *Engine) startPlan(i *instance, kind planKind, now time.Time) {
 	i.plan, i.phase, i.phaseSince, i.retryAfter = kind, evacuating, now, now
+	e.instanceCores.known = false
 	e.planner.anyPlanned.Store(true)
 	e.log.Info("move or maintenance of an instance planned", "instance", i.Name, "pool", i.Pool, "kind", kind.String(), "to", i.targetPool)
 }
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/assigner"
 	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
@@ -27,25 +28,40 @@
 	// job is an accepted job that has not ended.
 	job struct {
 		modeler.Job
+		customer        *customerState
+		pool            *poolState    // of its queue in the last placement pass
+		work            float64       // of one occurrence, in core-seconds
+		criticalPath    time.Duration // longest path of estimated work through the dependent steps of an occurrence
+		settings        jobSettings
 		occurrences     []*occurrence
 		state           modeler.State
-		reason          string        // why the state is final
-		hasStarted      bool          // some task has been placed
-		version         int64         // incremented on each change that must be stored
-		storedVersion   int64         // last version in the store
-		commitInFlight  bool          // a transaction with the job is in flight
-		dirtyOrder      int64         // sequence number of the change that made the job unstored; older ones are stored first
-		progressKey     string        // key of the progress record
-		revision        int64         // store revision of the progress record, 0 if there is none
-		activeTasks     int           // tasks that are or may be running
+		reason          string // why the state is final
+		hasStarted      bool   // some task has been placed
+		version         int64  // incremented on each change that must be stored
+		storedVersion   int64  // last version in the store
+		commitInFlight  bool   // a transaction with the job is in flight
+		dirtyOrder      int64  // sequence number of the change that made the job unstored; older ones are stored first
+		progressKey     string // key of the progress record
+		revision        int64  // store revision of the progress record, 0 if there is none
+		activeTasks     int    // tasks that are or may be running
+		backlog         backlogEntry
 		fromEarlierTerm bool          // the job was loaded at the start of the term
 		loadedAt        time.Duration // by elector.Term.Now
 	}
 
+	// jobSettings is what a manifest states about a job.
+	jobSettings struct {
+		manifest *modeler.Manifest
+		queue    *modeler.Queue    // see modeler.Manifest.QueueOf
+		customer *modeler.Customer // nil if the manifest doesn't contain it
+	}
+
 	// occurrence is one execution of all steps of a job. Only repeating jobs have
 	// more than one.
 	occurrence struct {
 		job           *job
+		objective     occurrenceObjective
+		candidate     assigner.Candidate // description in the last placement pass
 		number        int
 		due           time.Time
 		steps         []*step
@@ -63,7 +79,8 @@
 		tickets       map[string]ticket // decisions of the advice service by worker ID; nil before its first response
 		adviceRetryAt time.Time         // no tickets are requested before this time
 		advicePending bool
-		preferredRack string // rack for a step whose tasks should run on one rack
+		candidate     candidateStep // in the last placement pass in which it was one
+		preferredRack string        // rack for a step whose tasks should run on one rack
 	}
 
 	// failedRun identifies a failed run of a task.
@@ -105,9 +122,9 @@
 	return [...]string{"waiting", "placed", "starting", "doubtful", "adopted", "running", "stopping", "done"}[p]
 }
 
-// newJob returns a job that has not started.
-func newJob(def modeler.Job) *job {
-	j := &job{Job: def, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
+// newJob returns a job of a customer that has not started.
+func newJob(def modeler.Job, customer *customerState) *job {
+	j := &job{Job: def, customer: customer, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
 	for k := range def.OccurrenceCount() {
 		o := &occurrence{job: j, number: k, due: def.DueTime(k)}
 		for i := range def.Steps {
@@ -121,9 +138,19 @@
 		}
 		j.occurrences = append(j.occurrences, o)
 	}
+	j.work, j.criticalPath = j.occurrences[0].remainingWork(), j.occurrences[0].longestPath()
 	return j
 }
 
+// settingsIn returns what a manifest, which doesn't change any more, states about the
+// job.
+func (j *job) settingsIn(m *modeler.Manifest) *jobSettings {
+	if j.settings.manifest != m {
+		j.settings = jobSettings{m, m.QueueOf(&j.Job), m.Customer(j.Customer)}
+	}
+	return &j.settings
+}
+
 // findTask returns a task of the job, or nil if there is no such task.
 func (j *job) findTask(id modeler.TaskID) *task {
 	if id.Occurrence >= len(j.occurrences) {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -27,20 +28,17 @@
 type (
 	// placementPass is the state of one pass that places waiting tasks.
 	placementPass struct {
-		engine         *Engine
-		now            time.Time
-		wallTime       time.Time // see Config.WallClock
-		manifest       *modeler.Manifest
-		customerUsage  map[string]modeler.Resources // resources in use, by customer
-		pools          map[string]*poolView
-		customerShares map[string]customerShares // fair shares of customers, by pool
-		orphaned       map[modeler.TaskID]bool   // see Engine.tasksWithOrphanedRuns
-		cores          *coreCounts               // nil until it is needed
-		startsOfAll    int                       // number of placed tasks that may await their start
-		startsPerPool  int                       // number of them in one pool
-		awaitingStart  map[string]int            // number of placed tasks that await their start, by pool
-
-		allAwaitingStart int // sum of awaitingStart
+		engine        *Engine
+		now           time.Time
+		wallTime      time.Time // see Config.WallClock
+		manifest      *modeler.Manifest
+		extraUsage    map[string]modeler.Resources // by customer, resources that may be in use besides customerState.usage
+		queues        []*candidateQueue            // steps that may start, by priority
+		orphaned      map[modeler.TaskID]bool      // see Engine.tasksWithOrphanedRuns
+		startsOfAll   int                          // number of placed tasks that may await their start
+		startsPerPool int                          // number of them in one pool
+
+		allAwaitingStart int // number of placed tasks that await their start
 	}
 
 	// coreCounts is the CPU, in thousandths of a core, that tasks which are not
@@ -52,24 +50,29 @@
 		movableOf map[string]int64 // by the pool in which they are
 	}
 
+	// instanceCores is the CPU, in thousandths of a core, of instances that move or could
+	// move.
+	instanceCores struct {
+		known     bool             // nothing has changed since they were counted
+		moving    map[string]int64 // by the pool to which they move
+		movable   int64            // of the idle instances that could move
+		movableOf map[string]int64 // by the pool in which they are
+	}
+
 	// poolView is the state of one pool in a placement pass: its workers that
 	// accept tasks and, for each of them, the view that the assigner chooses from.
 	poolView struct {
-		name                  string
+		pool                  *poolState
 		workers               []*worker
+		usable                int64 // CPU for tasks that are not long-running, in thousandths of a core
 		assignerViews         []*assigner.Worker
 		probations            []probationView
 		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
+		full                  bool                // no step that needsOnlyRoom can be placed
+		anyKept               bool                // some worker is kept for a task that needs isolation
 		keptFree              int                 // number of workers kept free for tasks that wait for room
 		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
 	}
-
-	// candidateStep is a step with waiting tasks that may start, with the
-	// description by which its occurrence is ordered among others.
-	candidateStep struct {
-		*assigner.Candidate
-		step *step
-	}
 )
 
 // runPlacement assigns waiting tasks to workers with enough free resources.
@@ -77,20 +80,23 @@
 	if e.shuttingDown {
 		return
 	}
-	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
+	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), orphaned: e.tasksWithOrphanedRuns()}
 	p.addUnstoredUsage()
-	candidates := p.listCandidates()
-	p.customerShares = p.customerSharesByPool(candidates)
-	p.shareStarts(candidates)
+	p.listCandidates()
+	p.computeShares()
+	p.shareStarts()
 	for _, fair := range []bool{true, false} { // the second round gives customers what others left of their fair shares
-		for _, c := range candidates {
-			if !c.step.LongRunning && !p.startsAvailable(c.step) {
-				e.admission.startsLacked[p.poolOf(c.step)] = true
-				continue // a task that can't be started soon may be placed better later
+		p.forEachCandidate(func(c *candidateStep) {
+			if !c.step.LongRunning && !p.startsAvailable(c.pool) {
+				e.admission.startsLacked[c.pool.name] = true
+				return // a task that can't be started soon may be placed better later
+			}
+			if c.needsOnlyRoom && c.pool.viewedIn == p && c.pool.view.full {
+				return
 			}
 			e.handling = c.step.occurrence.job
-			p.placeStep(c.step, fair)
-		}
+			p.placeStep(c.step, c.pool, fair)
+		})
 	}
 	e.handling = nil
 }
@@ -99,11 +105,10 @@
 // started soon may be placed better later. While they pile up, it divides the
 // number among the pools that have candidates, so that a pool with a long backlog
 // leaves the others their part.
-func (p *placementPass) shareStarts(candidates []candidateStep) {
-	p.awaitingStart = make(map[string]int)
+func (p *placementPass) shareStarts() {
 	for _, t := range p.engine.awaitingStart {
 		if t.phase == placed {
-			p.awaitingStart[t.worker.Pool]++
+			t.worker.pool.awaitingStart++
 			p.allAwaitingStart++
 		}
 	}
@@ -111,126 +116,83 @@
 	if p.startsPerPool = math.MaxInt; !p.engine.throttle.IsCongested() && p.allAwaitingStart < p.startsOfAll/2 {
 		return
 	}
-	pools := make(map[string]bool)
-	for _, c := range candidates {
-		pools[p.poolOf(c.step)] = true
+	pools := 0
+	for _, pool := range p.engine.pools {
+		if pool.hasCandidates {
+			pools++
+		}
 	}
-	p.startsPerPool = max(1, p.startsOfAll/max(1, len(pools)))
-}
-
-// startsAvailable reports whether further tasks of the step's pool may be placed.
-func (p *placementPass) startsAvailable(s *step) bool {
-	return p.allAwaitingStart < p.startsOfAll && p.awaitingStart[p.poolOf(s)] < p.startsPerPool
+	p.startsPerPool = max(1, p.startsOfAll/max(1, pools))
 }
 
-// poolOf returns the pool in which a step of a candidate is placed.
-func (p *placementPass) poolOf(s *step) string {
-	return p.manifest.QueueOf(&s.occurrence.job.Job).Pool
+// startsAvailable reports whether further tasks may be placed in a pool.
+func (p *placementPass) startsAvailable(pool *poolState) bool {
+	return p.allAwaitingStart < p.startsOfAll && pool.awaitingStart < p.startsPerPool
 }
 
 // usageByCustomer returns the resources of all tasks that are or may be
 // running and of orphaned runs whose task is known, by customer.
 func (e *Engine) usageByCustomer() map[string]modeler.Resources {
-	byCustomer := make(map[string]*modeler.Resources)
-	add := func(t *task) {
-		customer := t.step.occurrence.job.Customer
-		u := byCustomer[customer]
-		if u == nil {
-			u = &modeler.Resources{}
-			byCustomer[customer] = u
-		}
-		*u = u.Add(t.resourcesTowardCustomerLimit())
-	}
-	for _, w := range e.workersByID {
-		for _, t := range w.tasks {
-			add(t)
-		}
-		for id, r := range w.orphanedRuns {
-			if r.task != nil && !r.task.isPlacedAs(w, id.number) { // a run adopted after its first stop is in w.tasks
-				add(r.task)
-			}
-		}
-	}
-	usage := make(map[string]modeler.Resources, len(byCustomer))
-	for customer, u := range byCustomer {
-		usage[customer] = *u
+	usage := e.usageOfOrphanedRuns()
+	for name, c := range e.customers {
+		usage[name] = usage[name].Add(c.usage)
 	}
 	return usage
 }
 
-// listCandidates returns the steps with waiting tasks that may start, the most
-// urgent first.
-func (p *placementPass) listCandidates() []candidateStep {
-	var candidates []candidateStep
-	byPool := make(map[string][]*assigner.Candidate)
-	for _, j := range p.engine.jobs {
-		q := p.manifest.QueueOf(&j.Job)
-		if q == nil || j.state.IsFinal() {
-			continue
-		}
-		p.engine.handling = j
-		for _, o := range j.occurrences {
-			if o.finishedSteps == len(o.steps) || p.wallTime.Before(o.due.Add(-p.engine.cfg.EarlyStart)) && j.Repeat > 0 {
-				continue
-			}
-			c := p.describeOccurrence(o, q)
-			byPool[q.Pool] = append(byPool[q.Pool], c)
-			for _, s := range o.steps {
-				if s.waitingTasks > 0 && s.dependenciesDone() {
-					candidates = append(candidates, candidateStep{c, s})
-				}
+// usageOfOrphanedRuns returns the resources of orphaned runs whose task is known,
+// by customer.
+func (e *Engine) usageOfOrphanedRuns() map[string]modeler.Resources {
+	usage := make(map[string]modeler.Resources)
+	for w := range e.orphanHolders() {
+		for id, r := range w.orphanedRuns {
+			if r.task != nil && !r.task.isPlacedAs(w, id.number) { // a run adopted after its first stop is in w.tasks
+				customer := r.task.step.occurrence.job.Customer
+				usage[customer] = usage[customer].Add(r.task.resourcesTowardCustomerLimit())
 			}
 		}
 	}
-	p.engine.handling = nil
-	for pool, list := range byPool {
-		assigner.DeferJobs(list, p.availableCores(pool))
-	}
-	slices.SortStableFunc(candidates, func(a, b candidateStep) int {
-		return cmp.Or(assigner.CompareCandidates(a.Candidate, b.Candidate), cmp.Compare(a.step.number, b.step.number))
-	})
-	return candidates
-}
-
-// describeOccurrence returns the description of an occurrence by which the
-// assigner orders it among others.
-func (p *placementPass) describeOccurrence(o *occurrence, q *modeler.Queue) *assigner.Candidate {
-	return &assigner.Candidate{
-		ID:             o.job.ID,
-		Priority:       q.Priority,
-		LongRunning:    o.job.IsLongRunning(),
-		Started:        o.hasStarted(),
-		TimeToDeadline: o.due.Add(o.targetDuration(q)).Sub(p.wallTime),
-		RemainingTime:  o.remainingCriticalPath(p.now),
-		RemainingWork:  o.remainingWork(),
-		RelativeSize:   p.engine.workRelativeToQueueMean(o.job, q),
-		Accepted:       o.due,
-	}
+	return usage
 }
 
 // availableCores returns the number of cores that the pool has or can soon get
 // for tasks that are not long-running: its own workers, instances that are
 // moving to it and idle instances that could move to it.
-func (p *placementPass) availableCores(pool string) float64 {
-	if p.cores == nil {
-		p.cores = p.engine.countCores(p.now)
-	}
-	return float64(p.cores.usable[pool]+p.cores.movable-p.cores.movableOf[pool]) / milliCoresPerCore
+func (p *placementPass) availableCores(pool *poolState) float64 {
+	i := p.engine.idleCores()
+	return float64(p.poolView(pool).usable+i.moving[pool.name]+i.movable-i.movableOf[pool.name]) / milliCoresPerCore
 }
 
 // countCores counts the CPU of all pools.
 func (e *Engine) countCores(now time.Time) *coreCounts {
-	c := &coreCounts{usable: make(map[string]int64), movableOf: make(map[string]int64)}
+	i := e.idleCores()
+	c := &coreCounts{usable: maps.Clone(i.moving), movable: i.movable, movableOf: i.movableOf}
 	for _, w := range e.workersByID {
-		if !w.acceptsTasks(now) {
-			continue
+		if w.acceptsTasks(now) {
+			c.usable[w.Pool] += w.usableCPU()
 		}
-		c.usable[w.Pool] += max(0, w.Capacity.CPU-w.longRunningCPU) // long-running tasks stay on a worker whose capacity has shrunk
 	}
+	return c
+}
+
+// usableCPU returns the CPU that tasks which are not long-running can use.
+func (w *worker) usableCPU() int64 {
+	return max(0, w.Capacity.CPU-w.longRunningCPU) // long-running tasks stay on a worker whose capacity has shrunk
+}
+
+// idleCores returns the CPU of the instances that move or could move. It counts
+// them again after a change of an instance or a plan, or when a worker has become idle
+// or busy; in any case once in a planning round.
+func (e *Engine) idleCores() *instanceCores {
+	c := &e.instanceCores
+	if c.known {
+		return c
+	}
+	*c = instanceCores{known: true, moving: make(map[string]int64), movableOf: make(map[string]int64)}
 	for _, i := range e.planner.instances {
 		switch {
 		case i.plan == movePlan:
-			c.usable[i.targetPool] += i.Capacity.CPU
+			c.moving[i.targetPool] += i.Capacity.CPU
 		case e.isMovable(i):
 			c.movable += i.Capacity.CPU
 			c.movableOf[i.Pool] += i.Capacity.CPU
@@ -241,7 +203,7 @@
 
 // targetDuration returns the time within which the occurrence should complete.
 func (o *occurrence) targetDuration(q *modeler.Queue) time.Duration {
-	return time.Duration(q.ObjectiveFactor*float64(o.longestPath())) + q.ObjectiveOffset
+	return time.Duration(q.ObjectiveFactor*float64(o.job.criticalPath)) + q.ObjectiveOffset
 }
 
 // longestPath returns the longest path of estimated work through the dependent
@@ -261,13 +223,13 @@
 
 // placeStep places the waiting tasks of a step. If fair is set, it stops at the
 // customer's fair share.
-func (p *placementPass) placeStep(s *step, fair bool) {
+func (p *placementPass) placeStep(s *step, pool *poolState, fair bool) {
 	if s.waitingTasks == 0 || s.LongRunning && !fair {
 		return // no task is waiting, or the first round has already tried
 	}
 	j := s.occurrence.job
-	q := p.manifest.QueueOf(&j.Job)
-	view := p.poolView(q.Pool)
+	q := j.settingsIn(p.manifest).queue
+	view := p.poolView(pool)
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
 	}
@@ -275,10 +237,12 @@
 		return
 	}
 	s.choosePreferredRack(view)
+	wasFull := view.full
 	tasks := p.placeTasks(s, j, view, fair)
 	if s.Gang && len(tasks) < s.Count {
+		view.full = wasFull // the tasks that were placed leave their room again
 		for _, t := range tasks {
-			p.undoPlacement(t, j, view)
+			p.undoPlacement(t, view)
 		}
 		return
 	}
@@ -331,7 +295,7 @@
 		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) {
 			continue
 		}
-		if !p.isWithinCustomerLimit(t, j) || fair && p.exceedsFairShare(s, view.name) {
+		if !p.isWithinCustomerLimit(t, j) || fair && view.pool.shares.isExceededBy(s) {
 			break
 		}
 		if p.tryPlaceTask(t, view) {
@@ -344,7 +308,7 @@
 		if !s.LongRunning {
 			break
 		}
-		p.engine.poolHistoryOf(view.name).lastNoRoom = p.now
+		p.engine.poolHistoryOf(view.pool.name).lastNoRoom = p.now
 		if !p.keepWorkerFreeFor(s, view) {
 			break
 		}
@@ -360,7 +324,7 @@
 // mustWaitInPool reports whether inherited tasks of a pool must wait. It calls
 // Engine.mustWaitForWorkers once per pool and pass.
 func (p *placementPass) mustWaitInPool(pool string) bool {
-	v := p.poolView(pool)
+	v := p.poolView(p.engine.poolState(pool))
 	if !v.waitChecked {
 		v.waitChecked, v.mustWait = true, p.engine.mustWaitForWorkers(pool, p.now)
 	}
@@ -370,8 +334,8 @@
 // isWithinCustomerLimit reports whether the customer stays within its limit if
 // the task runs.
 func (p *placementPass) isWithinCustomerLimit(t *task, j *job) bool {
-	c := p.manifest.Customer(j.Customer)
-	return c == nil || c.WithinLimit(p.customerUsage[j.Customer].Add(t.resourcesTowardCustomerLimit()))
+	c := j.settingsIn(p.manifest).customer
+	return c == nil || c.WithinLimit(j.customer.usage.Add(p.extraUsage[j.Customer]).Add(t.resourcesTowardCustomerLimit()))
 }
 
 // tryPlaceTask chooses a worker for a task and assigns the task to it. The
@@ -382,34 +346,47 @@
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
 		t.releaseKeptWorker()
 	}
-	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion == investigator.Suspicion{}
+	plain := s.hasPlainRequirements() && t.suspicion == investigator.Suspicion{}
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
-	i := assigner.ChooseWorker(view.assignerViews, t.assignerRequest(), func(i int) int {
-		if !view.admits(t, i) {
-			return -1
-		}
-		return s.countSameStepTasks(view.workers[i])
-	})
+	i := view.chooseWorker(t, plain)
 	if i < 0 {
 		p.keepWorkerForIsolation(t, view)
 		if plain {
-			view.unplaceable = append(view.unplaceable, s.ReservedResources())
+			view.addUnplaceable(s.ReservedResources())
 		}
 		return false
 	}
-	customer := s.occurrence.job.Customer
-	p.customerUsage[customer] = p.customerUsage[customer].Add(t.resourcesTowardCustomerLimit())
+	kept := t.keptWorker
 	t.assignTo(view.workers[i], placed)
 	view.updateWorkerView(i, s, 1)
-	view.probations[i] = view.workers[i].probationView()
-	if share := p.customerShares[view.name][customer]; share != nil && !s.LongRunning {
-		share.running += s.ReservedResources().CPU
+	if k := slices.Index(view.workers, kept); k >= 0 {
+		view.updateIndex(k) // other tasks may use it now
 	}
+	view.pool.shares.addRunning(s, 1)
 	return true
 }
 
+// chooseWorker returns the index of the worker for a task, or -1 if no worker can take
+// it. plain tells that any worker with room may.
+func (v *poolView) chooseWorker(t *task, plain bool) int {
+	s, request := t.step, t.assignerRequest()
+	if plain && request.NeedsOnlyResources() {
+		if w := v.pool.index.Choose(request.Resources); w != nil {
+			i, _ := slices.BinarySearchFunc(v.assignerViews, w.Name, func(w *assigner.Worker, name string) int { return strings.Compare(w.Name, name) })
+			return i
+		}
+		return -1
+	}
+	return assigner.ChooseWorker(v.assignerViews, request, func(i int) int {
+		if !v.admits(t, i) {
+			return -1
+		}
+		return s.countSameStepTasks(v.workers[i])
+	})
+}
+
 // keepWorkerFreeFor keeps less urgent tasks, for the rest of the pass, off the
 // worker that will have room for a task of the step soonest. Otherwise small
 // tasks would fill each gap and a large task would never find room. It returns
@@ -423,6 +400,7 @@
 		return false
 	}
 	view.assignerViews[i].Unavailable = true
+	view.updateIndex(i)
 	view.keptFree++
 	return true
 }
@@ -467,15 +445,11 @@
 }
 
 // undoPlacement reverts a placement of this pass.
-func (p *placementPass) undoPlacement(t *task, j *job, view *poolView) {
+func (p *placementPass) undoPlacement(t *task, view *poolView) {
 	i := slices.Index(view.workers, t.worker)
-	p.customerUsage[j.Customer] = p.customerUsage[j.Customer].Sub(t.resourcesTowardCustomerLimit())
-	if share := p.customerShares[view.name][j.Customer]; share != nil && !t.step.LongRunning {
-		share.running -= t.step.ReservedResources().CPU
-	}
-	view.updateWorkerView(i, t.step, -1)
+	view.pool.shares.addRunning(t.step, -1)
 	t.requeue()
-	view.probations[i] = view.workers[i].probationView()
+	view.updateWorkerView(i, t.step, -1)
 }
 
 // commitPlacement gives the placed task a new run number and queues the
@@ -493,45 +467,69 @@
 	t.placementBoot = t.worker.StartTimeMs
 	t.ticket = t.step.tickets[t.worker.ID].value
 	e.awaitingStart = append(e.awaitingStart, t)
-	p.awaitingStart[t.worker.Pool]++
+	t.worker.pool.awaitingStart++
 	p.allAwaitingStart++
 }
 
 // poolView returns the state of a pool in this pass.
-func (p *placementPass) poolView(name string) *poolView {
-	if v := p.pools[name]; v != nil {
+func (p *placementPass) poolView(pool *poolState) *poolView {
+	v := &pool.view
+	if pool.viewedIn == p {
 		return v
 	}
-	v := &poolView{name: name}
-	for _, w := range p.engine.workersByID {
-		if w.Pool == name && w.acceptsTasks(p.now) {
-			v.workers = append(v.workers, w)
+	pool.viewedIn = p
+	*v = poolView{pool: pool, workers: v.workers[:0], assignerViews: v.assignerViews[:0], probations: v.probations[:0], unplaceable: v.unplaceable[:0]}
+	for _, w := range pool.workers {
+		if !w.acceptsTasks(p.now) {
+			pool.index.Remove(&w.view.Worker)
+			continue
 		}
-	}
-	slices.SortFunc(v.workers, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
-	for _, w := range v.workers {
 		if w.keptFor != nil && p.now.Sub(w.keptSince) > maxKeepTime {
 			w.keptFor.releaseKeptWorker()
 		}
-		view := w.assignerView()
-		view.EvacuationDue = p.engine.isMaintenanceDue(w.Instance)
-		v.assignerViews = append(v.assignerViews, view)
-		v.probations = append(v.probations, w.probationView())
+		v.anyKept = v.anyKept || w.keptFor != nil
+		v.usable += w.usableCPU()
+		if !w.view.upToDate {
+			w.updateView()
+		}
+		w.view.Unavailable, w.view.EvacuationDue = false, p.engine.isMaintenanceDue(w.Instance)
+		v.workers, v.assignerViews, v.probations = append(v.workers, w), append(v.assignerViews, &w.view.Worker), append(v.probations, w.view.probation)
+		v.updateIndex(len(v.workers) - 1)
 	}
-	p.pools[name] = v
 	return v
 }
 
-// assignerView describes the worker to the assigner.
-func (w *worker) assignerView() *assigner.Worker {
-	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Retained: w.reservedResources(), Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
+// updateView updates the view of the worker for placement passes.
+func (w *worker) updateView() {
+	v := &w.view
+	v.upToDate, v.probation = true, w.probationView()
+	v.Name, v.Free, v.Capacity, v.Retained, v.Labels, v.Rack = w.ID, w.unreservedResources(), w.Capacity, w.reservedResources(), w.Labels, modeler.RackLabel(w.Labels)
+	v.LatencyTasks, v.IdleCPUTasks, v.LongRunningTasks, v.Suspects = 0, 0, 0, 0
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
 		if t.suspicion.Score() > 0 {
 			v.Suspects++
 		}
 	}
-	return v
+}
+
+// updateIndex updates the index of the pool after a change of worker i. It contains
+// the workers that take tasks without further requirements, see admits.
+func (v *poolView) updateIndex(i int) {
+	if w := v.workers[i]; v.assignerViews[i].Unavailable || w.keptFor != nil || v.probations[i].isIsolating() {
+		v.pool.index.Remove(&w.view.Worker)
+	} else {
+		v.pool.index.Put(&w.view.Worker)
+	}
+}
+
+// addUnplaceable records that no worker has room for a request of a task without
+// further requirements, and whether none has for the least request of the pool's
+// waiting tasks. The latter doesn't hold for the rest of the pass if the task that a
+// worker is kept for is placed elsewhere.
+func (v *poolView) addUnplaceable(request modeler.Resources) {
+	v.unplaceable = append(v.unplaceable, request)
+	v.full = !v.anyKept && v.pool.index.Choose(v.pool.leastNeed) == nil
 }
 
 // isKnownUnplaceable reports whether a request for at most these resources has
@@ -540,12 +538,14 @@
 	return slices.ContainsFunc(v.unplaceable, func(failed modeler.Resources) bool { return failed.Fits(request) })
 }
 
-// updateWorkerView adds n tasks of a step to the assigner's view of worker
-// i; n may be negative.
+// updateWorkerView updates the views of worker i after n tasks of a step have been
+// added; n may be negative.
 func (v *poolView) updateWorkerView(i int, s *step, n int) {
 	view := v.assignerViews[i]
 	view.Free = view.Free.Sub(s.ReservedResources().Times(n))
 	view.AddTasks(s.Step, n)
+	v.probations[i] = v.workers[i].probationView()
+	v.updateIndex(i)
 }
 
 // releaseReservation releases the resources that a worker has reserved for a
@@ -560,6 +560,7 @@
 		view := v.assignerViews[i]
 		view.Free = view.Free.Add(t.step.ReservedResources())
 		view.Retained = view.Retained.Sub(t.step.ReservedResources())
-		v.unplaceable = nil
+		v.unplaceable, v.full = nil, false
+		v.updateIndex(i)
 	}
 }
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/assigner"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -22,6 +23,8 @@
 	// worker is the leader's view of a worker.
 	worker struct {
 		modeler.Worker
+		pool               *poolState    // of the registered pool
+		view               workerView    // for placement passes
 		listed             bool          // in the current worker list
 		registeredStartMs  int64         // start time of the worker process to which Capacity and Labels belong
 		reachable          bool          // the last poll succeeded
@@ -60,6 +63,15 @@
 		cancel       context.CancelFunc
 	}
 
+	// workerView is what placement passes see of a worker. It must be marked as changed
+	// whenever the worker's registration, tasks, reservations or the suspicions of its
+	// tasks change; polls do that for what they may change.
+	workerView struct {
+		assigner.Worker
+		probation probationView
+		upToDate  bool
+	}
+
 	// runID identifies a run on one worker. Leaders of two terms may give the same
 	// number to runs on different workers.
 	runID struct {
@@ -123,13 +135,19 @@
 }
 
 // take takes up the resources of a task of the step for sign 1 and frees them for
-// sign -1.
+// sign -1, also in the sums for its pool and the customer.
 func (w *worker) take(s *step, sign int64) {
 	r := s.ReservedResources()
+	w.view.upToDate = false
+	w.pool.idle.known = w.pool.idle.known && len(w.tasks) > 1 // otherwise the worker has become idle or busy
 	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
+	c := s.occurrence.job.customer
 	if s.LongRunning {
 		w.longRunningCPU += sign * r.CPU
+	} else {
+		w.pool.addCPU(c, sign*r.CPU)
 	}
+	c.usage = c.usage.Add(s.resourcesTowardCustomerLimit().Times(int(sign)))
 }
 
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
