--- a/launcher/board.go
+++ b/launcher/board.go
@@ -17,7 +17,7 @@
 
 const (
 	maxLoadAge       = 3 * time.Second        // longer than the interval at which the leader publishes the load plus the time of a change of leader
-	unreachableAfter = 400 * time.Millisecond // time without a successful call, while calls fail
+	unreachableAfter = 400 * time.Millisecond // time without a successful call, while calls fail or have no answer; a slow store answers within 200 ms
 	probeInterval    = 300 * time.Millisecond // interval and time-out of probes while the store is unreachable
 	neverAnswered    = 24 * time.Hour         // stands for the time since the last answer if there has been none
 	maxReadySilence  = 3 * time.Second        // the platform's contact time; the store must have answered within it
@@ -50,21 +50,33 @@
 		transport    http.RoundTripper
 		lastAnswer   atomic.Int64 // time of the last answer, in ns since processStart
 		failedInARow atomic.Int64 // calls without an answer since then
+		unansweredAt atomic.Int64 // when the first call after the last answer was sent, in ns since processStart; 0 if there has been none
 	}
 )
 
 // RoundTrip implements http.RoundTripper.
 func (h *storeHealth) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !platform.IsWatch(r) {
+		h.unansweredAt.CompareAndSwap(0, int64(time.Since(processStart)))
+	}
 	res, err := h.transport.RoundTrip(r)
 	if err != nil || res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests {
 		h.failedInARow.Add(1)
 		return res, err
 	}
 	h.failedInARow.Store(0)
+	h.unansweredAt.Store(0)
 	h.lastAnswer.Store(int64(time.Since(processStart)))
 	return res, nil
 }
 
+// isSilent reports whether a call has had no answer for longer than unreachableAfter,
+// nor any call since.
+func (h *storeHealth) isSilent() bool {
+	at := h.unansweredAt.Load()
+	return at > 0 && time.Since(processStart)-time.Duration(at) > unreachableAfter
+}
+
 func (h *storeHealth) sinceLastAnswer() time.Duration {
 	last := h.lastAnswer.Load()
 	if last == 0 {
@@ -101,9 +113,11 @@
 }
 
 // StoreIsUnreachable reports whether calls to the key-value store have
-// failed for longer than unreachableAfter.
+// failed or had no answer for longer than unreachableAfter. A silent store is noticed
+// before the first call has run into its time limit: the outcome of a write that was
+// sent to it stays unknown, whereas a call that is refused has certainly not run.
 func (s *fleetState) StoreIsUnreachable() bool {
-	return s.store.failedInARow.Load() > 0 && s.store.sinceLastAnswer() > unreachableAfter
+	return s.store.isSilent() || s.store.failedInARow.Load() > 0 && s.store.sinceLastAnswer() > unreachableAfter
 }
 
 // SinceStoreAnswer returns the time since the last answer of the key-value
--- a/launcher/board_test.go
+++ b/launcher/board_test.go
@@ -110,3 +110,41 @@
 		require.False(t, s.isReady())
 	})
 }
+
+// blockingTransport answers a request once a value is received from answers.
+type blockingTransport struct {
+	answers chan struct{}
+}
+
+func (t *blockingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	select {
+	case <-r.Context().Done():
+		return nil, r.Context().Err()
+	case <-t.answers:
+		return &http.Response{StatusCode: http.StatusNotFound, Header: http.Header{}, Body: http.NoBody, Request: r}, nil
+	}
+}
+
+// A write that is sent to a silent store has an unknown outcome, so the silence must
+// be noticed before the first of them has run into its time limit.
+func TestSilentStoreIsUnreachableBeforeACallFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFleetState()
+		transport := &blockingTransport{answers: make(chan struct{})}
+		s.store.transport = transport
+		time.Sleep(time.Second)
+		store := platform.NewStore(func() string { return "127.0.0.1:1" }, &http.Client{Transport: &s.store})
+		go func() { _ = store.Watch(t.Context(), platform.OperatorPrefix, 0, func(keeper.Event) {}) }()
+		time.Sleep(time.Second)
+		require.False(t, s.StoreIsUnreachable(), "a watch has no answer while nothing changes")
+		go func() { _, _, _ = store.Commit(t.Context(), keeper.Txn{}) }()
+		time.Sleep(unreachableAfter)
+		require.False(t, s.StoreIsUnreachable(), "a slow store may still answer")
+		time.Sleep(time.Millisecond)
+		require.True(t, s.StoreIsUnreachable())
+		transport.answers <- struct{}{}
+		synctest.Wait()
+		require.False(t, s.StoreIsUnreachable(), "any answer ends the silence")
+		close(transport.answers)
+	})
+}
