Run later steps of a job whose first step ended before its leader knew of it

Cause: the new leader learns only by reported ends that tasks of the first step had run. Such an end didn't mark the job as started, and a job that hasn't started and is late keeps the candidate steps that it had at first, so that its second step was never placed.

Change: a reported end marks the job as started, as placing and adopting a run do. The test failed before (state queued) and passes now.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -43,6 +43,7 @@
 		result.job, result.jobVersion = j, j.version
 		return result
 	}
+	j.markStarted() // also if no record tells of the run
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
@@ -207,10 +208,7 @@
 	t.run = run
 	t.assignTo(w, adopted)
 	e.unknownRunsFound = true
-	j.hasStarted = true
-	if j.state == modeler.Queued {
-		j.state = modeler.Running
-	}
+	j.markStarted()
 	e.markUnstored(j)
 	t.placementVersion = j.version
 	return true
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -278,6 +278,14 @@
 	return left
 }
 
+// markStarted records that some task of the job has been placed.
+func (j *job) markStarted() {
+	j.hasStarted = true
+	if j.state == modeler.Queued {
+		j.state = modeler.Running
+	}
+}
+
 // hasStarted reports whether any task of the occurrence is placed, running or
 // done.
 func (o *occurrence) hasStarted() bool {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -458,10 +458,7 @@
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
 	t.phaseSince = p.now
-	if !j.hasStarted {
-		j.hasStarted = true
-		j.state = modeler.Running
-	}
+	j.markStarted()
 	e.markUnstored(j)
 	t.placementVersion = j.version
 	t.placementBoot = t.worker.StartTimeMs
--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -321,3 +321,37 @@
 		e.stopGracefully()
 	})
 }
+
+// The new leader learns of the runs only by their ends, after the job has become too
+// late to meet its objective.
+func TestLaterStepsOfAJobRunWhoseFirstStepWasNotStored(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) {
+			return 500 * time.Millisecond, modeler.EndDone
+		}
+		first := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.loseWritesOf(orchestrator.ProgressKey("j1"))
+		s.submit(shortJob("j1",
+			modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Estimate: 500 * time.Millisecond},
+			modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Estimate: 500 * time.Millisecond, After: []int{0}},
+		))
+		time.Sleep(300 * time.Millisecond)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		for _, instance := range []string{"a", "b"} {
+			s.cutOff(s.instances.WorkerOf(instance), true)
+		}
+		first.crash()
+		time.Sleep(3 * time.Second)
+		s.loseNoWrites()
+		second := s.startEntry("two")
+		time.Sleep(2 * time.Second)
+		for _, instance := range []string{"a", "b"} {
+			s.cutOff(s.instances.WorkerOf(instance), false)
+		}
+		time.Sleep(8 * time.Second)
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		second.stopGracefully()
+	})
+}
