--- a/launcher/board.go
+++ b/launcher/board.go
@@ -74,7 +74,7 @@
 // nor any call since.
 func (h *storeHealth) isSilent() bool {
 	at := h.unansweredAt.Load()
-	return at > 0 && time.Since(processStart)-time.Duration(at) > unreachableAfter
+	return at != 0 && time.Since(processStart)-time.Duration(at) > unreachableAfter
 }
 
 func (h *storeHealth) sinceLastAnswer() time.Duration {
