--- a/excluder/excluder_test.go
+++ b/excluder/excluder_test.go
@@ -18,10 +18,12 @@
 type (
 	// testPeers connects the entries of a test by function calls.
 	testPeers struct {
-		self   string
-		all    map[string]*Excluder
-		cut    map[string]bool // entries that answer no other
-		outage bool
+		self    string
+		all     map[string]*Excluder
+		cut     map[string]bool // entries that answer no other
+		outage  bool
+		joining *Excluder // entry "c", which shows when the membership is read anew
+		silent  []string  // entries that are heard from and answer no request
 	}
 
 	// racingStore runs afterSwap after the next write, whose answer is lost.
@@ -31,10 +33,15 @@
 	}
 )
 
-func (p *testPeers) Self() string            { return p.self }
-func (p *testPeers) Refresh(context.Context) {}
-func (p *testPeers) Outage() bool            { return p.outage }
-func (p *testPeers) Heard() []string         { return p.Registered() }
+func (p *testPeers) Self() string    { return p.self }
+func (p *testPeers) Outage() bool    { return p.outage }
+func (p *testPeers) Heard() []string { return append(p.Registered(), p.silent...) }
+
+func (p *testPeers) Refresh(context.Context) {
+	if p.joining != nil {
+		p.all["c"] = p.joining
+	}
+}
 
 func (p *testPeers) Registered() []string {
 	var ids []string
@@ -205,10 +212,12 @@
 		b.Refresh(t.Context())
 		require.Equal(t, classifier.Isolated, classifier.As(b.CheckStart("z2")).Code, "b does not know that z2 is evacuated")
 
-		peersOfB.outage = true
+		peersOfB.outage, peersOfB.silent = true, []string{"c"}
+		cut["b"] = false
+		a.provedAt = time.Time{}
 		b.Refresh(t.Context())
 		require.Error(t, b.Check(), "outage, and a peer that is heard from did not answer")
-		cut["b"] = false
+		peersOfB.silent = nil
 		b.Refresh(t.Context())
 		require.Equal(t, classifier.NoCapacity, classifier.As(b.CheckStart("z2")).Code)
 		require.NoError(t, b.CheckStart("z1"))
@@ -219,15 +228,17 @@
 }
 
 // Guards against an entry that goes back to an older record: when it learns of an
-// evacuation after its restore, and when the service has lost changes.
+// evacuation after its restore, and when the service has lost changes. Also guards
+// against an entry that registers during a change and is not asked.
 func TestRecordNeverGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store, a, b, _, _ := newEntries(t)
-		evacuate(t, a, "z1")
+		a.peers.(*testPeers).joining = New(store, &testPeers{}, nil)
+		require.Equal(t, []string{"a", "b", "c"}, evacuate(t, a, "z1").Confirmed, "an entry that registers meanwhile must confirm as well")
 		old := a.Record()
 		c, err := a.Restore(t.Context(), request("z1"))
 		require.NoError(t, err)
-		require.Equal(t, []string{"a", "b"}, c.Confirmed)
+		require.Empty(t, c.Missing)
 		b.adopt(old, time.Now())
 		require.Empty(t, b.Record().Zones)
 
--- a/mover/fleet_test.go
+++ b/mover/fleet_test.go
@@ -23,14 +23,15 @@
 type (
 	// testCluster is a fleet in one process: a store, a platform and members.
 	testCluster struct {
-		t        *testing.T
-		store    *emulator.Store
-		platform *fakePlatform
-		rules    *parser.Rules
-		mu       sync.Mutex
-		view     registrar.View
-		members  map[string]*member
-		cleanups []func()
+		evacuated atomic.Value // the evacuated zone, a string; nil for none
+		t         *testing.T
+		store     *emulator.Store
+		platform  *fakePlatform
+		rules     *parser.Rules
+		mu        sync.Mutex
+		view      registrar.View
+		members   map[string]*member
+		cleanups  []func()
 	}
 
 	member struct {
@@ -178,7 +179,8 @@
 func (c *testCluster) startMember(id, zone string, opts ...Option) *member {
 	m := &member{port: c.store.ClientFor(id), fleet: scheduler.NewFleet(), done: make(chan struct{})}
 	m.holdsLeadership.Store(len(c.members) == 0)
-	opts = append([]Option{WithAssert(panicOnFailure), WithLog(slog.New(slog.DiscardHandler))}, opts...)
+	isEvacuated := func(zone string) bool { return c.evacuated.Load() == zone }
+	opts = append([]Option{WithAssert(panicOnFailure), WithLog(slog.New(slog.DiscardHandler)), WithEvacuations(isEvacuated)}, opts...)
 	m.mover = New(m.port, id, m.fleet, c.platform, opts...)
 	m.budget = budgeter.New(m.port, c.currentRules, budgeter.WithAssert(panicOnFailure))
 	m.coord = NewCoordinator(m.mover, m, c.currentView, c.currentRules, m.budget, WithRecordRetention(10*time.Minute))
--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -235,6 +235,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	absent = absent.WithEvacuated(c.coordinator.mover.EvacuatedAbsences())
 	rules := c.coordinator.rules()
 	if rules == nil {
 		return nil
@@ -283,7 +284,7 @@
 // is still active is included because it may have returned since the
 // roll-out's record was updated.
 func (c *RolloutController) absencesWithUnverified(r Rollout, absent budgeter.Absences) budgeter.Absences {
-	list := slices.Clone(absent.WithEvacuated(c.coordinator.mover.EvacuatedAbsences()).List)
+	list := slices.Clone(absent.List)
 	for _, i := range c.coordinator.mover.table.All() {
 		s, _ := r.Step(i.ID)
 		begun := s.State == StepActive || s.State == StepVerifying
--- a/mover/owner_test.go
+++ b/mover/owner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
 	"github.com/coltsfootlever/coltsfootlever/lister"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
@@ -66,6 +67,29 @@
 	return false
 }
 
+// Guards against workers in an evacuated zone that still get work when
+// DisableEvacuated has returned, or that get it again without a restore, and
+// against instances there that do not count as absent.
+func TestWorkersInEvacuatedZoneAreDisabledAtOnce(t *testing.T) {
+	runWithCluster(t, 3, nil, func(s *testCluster, m map[string]*member) {
+		inst := s.instanceRecord("b01")
+		owner := m[inst.Owner]
+		require.Contains(t, owner.enabledInstances(), "b01")
+		s.evacuated.Store(inst.Zone)
+		owner.mover.DisableEvacuated()
+		require.NotContains(t, owner.enabledInstances(), "b01")
+		time.Sleep(10 * time.Second)
+		require.NotContains(t, owner.enabledInstances(), "b01")
+		require.True(t, owner.mover.MustGetNoNewWork("b01"))
+		require.True(t, slices.ContainsFunc(owner.mover.EvacuatedAbsences(), func(x budgeter.Absence) bool {
+			return x.Instance == "b01" && x.Kind == budgeter.Evacuated
+		}))
+		s.evacuated.Store("")
+		time.Sleep(time.Second)
+		require.Contains(t, owner.enabledInstances(), "b01")
+	})
+}
+
 func TestRefusalDisablesWorkerUntilReboot(t *testing.T) {
 	runWithCluster(t, 3, nil, func(s *testCluster, m map[string]*member) {
 		owner := m[s.instanceRecord("b01").Owner]
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/router"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
 )
 
 // Variant turns off features of an entry, to measure what they contribute.
@@ -27,6 +28,12 @@
 	return e, e.register()
 }
 
+// CheckWorkerStart is the check that is made before a task is sent to a worker.
+func (e *Entry) CheckWorkerStart(w scheduler.Worker) error { return e.checkWorkerStart(w) }
+
+// AcquireSlot reserves a slot of the team, as before each start.
+func (e *Entry) AcquireSlot(team string) bool { return e.slotQuota.Acquire(team, 1) }
+
 // dropTeamLoads removes the teams' loads from the heartbeats, so that demand has no
 // influence on grants and weights.
 func dropTeamLoads(loads []messenger.Heartbeat) []messenger.Heartbeat {
--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -21,6 +21,7 @@
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/lister"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
@@ -51,6 +52,7 @@
 		entries     []*server.Entry
 		unreachable sync.Map // addresses of entries that peers cannot reach
 		executions  sync.Map // emulator.Execution by task ID
+		unreadable  sync.Map // keys that no entry can read
 
 		stopRestarted []func() // stop the processes that tests have started
 	}
@@ -59,6 +61,19 @@
 	peers struct{ f *fleet }
 )
 
+// entryStore is an entry's client of the store.
+type entryStore struct {
+	*emulator.StoreClient
+	f *fleet
+}
+
+func (s entryStore) Get(ctx context.Context, key string) (keeper.Record, error) {
+	if _, ok := s.f.unreadable.Load(key); ok {
+		return keeper.Record{}, keeper.ErrUnavailable
+	}
+	return s.StoreClient.Get(ctx, key)
+}
+
 // handlerAt returns the handler of the entry at an address, or an error if it
 // cannot be reached.
 func (p peers) handlerAt(address string) (messenger.Handler, error) {
@@ -156,7 +171,7 @@
 	cfg.OperatorHash = authenticator.Hash(operatorKey)
 	cfg.Log = slog.New(slog.DiscardHandler)
 	cfg.Assert = func(ok bool, format string, args ...any) { require.True(t, ok, format, args) }
-	e, err := server.New(cfg, server.Platform{Store: f.store.ClientFor(cfg.Instance), Instances: f.platform, Workers: f.workers, Peers: peers{f}})
+	e, err := server.New(cfg, server.Platform{Store: entryStore{f.store.ClientFor(cfg.Instance), f}, Instances: f.platform, Workers: f.workers, Peers: peers{f}})
 	require.NoError(t, err)
 	return e
 }
--- a/server/zones_test.go
+++ b/server/zones_test.go
@@ -12,8 +12,10 @@
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/lister"
 	"github.com/coltsfootlever/coltsfootlever/operator"
+	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/server"
 )
 
@@ -92,6 +94,9 @@
 		require.NoError(t, err)
 		require.Equal(t, []int{1, 1}, []int{pools[0].Serving, pools[0].Absent})
 
+		require.NoError(t, f.entries[0].CheckWorkerStart(scheduler.Worker{ID: "i-0", Zone: "a"}))
+		require.ErrorContains(t, f.entries[0].CheckWorkerStart(scheduler.Worker{ID: "i-1", Zone: "b"}), `zone "b" is evacuated by bootstrap`)
+		require.Equal(t, "1", metric(f.entries[0], `coltsfootlever_starts_withheld_total{zone="b"}`))
 		f.submitAll(t, 20)
 		require.Zero(t, f.startsOn(evacuated)["i-1"])
 		require.Equal(t, 20, f.startsOn(evacuated)["i-0"])
@@ -147,6 +152,24 @@
 	})
 }
 
+// Guards against an entry that starts work although it cannot read the record,
+// while its membership and its rules are current.
+func TestUnreadableRecordStopsStarts(t *testing.T) {
+	withPreparedFleet(t, putInZoneB, func(t *testing.T, f *fleet) {
+		e := f.entries[0]
+		require.True(t, e.AcquireSlot("leads"))
+		f.unreadable.Store(keeper.EvacuationsKey, true)
+		time.Sleep(server.DefaultStaleness + 2*time.Second)
+		require.NoError(t, e.Ready())
+		require.False(t, e.AcquireSlot("leads"))
+		require.Zero(t, e.OwnedSlots())
+		f.unreadable.Clear()
+		time.Sleep(2 * time.Second)
+		require.True(t, e.AcquireSlot("leads"))
+		require.Positive(t, e.OwnedSlots())
+	})
+}
+
 // Guards against an entry that restarts and starts work in a zone that was
 // evacuated before.
 func TestRestartedEntryKeepsToEvacuation(t *testing.T) {
