--- a/commander/command.go
+++ b/commander/command.go
@@ -24,6 +24,7 @@
   6  no operator key, or one that is not in force
   7  no entry could be reached
   8  the outcome is unknown: look before another attempt
+  9  the rules are valid, but there are warnings about them
 `
 
 type (
--- a/commander/exit.go
+++ b/commander/exit.go
@@ -22,6 +22,7 @@
 	ExitUnauthorized   = 6
 	ExitUnreachable    = 7
 	ExitOutcomeUnknown = 8
+	ExitWarnings       = 9
 )
 
 // UnconfirmedError reports that a change is accepted, but that some registered
@@ -38,12 +39,25 @@
 		e.Accepted, strings.Join(e.Missing, ", "), e.Command)
 }
 
+// WarningsError reports that a rules file is valid, but that there are warnings
+// about it.
+type WarningsError struct {
+	File  string
+	Count int
+}
+
+// Error implements error.
+func (e *WarningsError) Error() string {
+	return fmt.Sprintf("%s is valid; warnings: %d", e.File, e.Count)
+}
+
 // ExitCode returns the exit code for the error of a command.
 func ExitCode(err error) int {
 	var usage *UsageError
 	var faults parser.Errors
 	var conflict *distributor.ConflictError
 	var unconfirmed *UnconfirmedError
+	var warnings *WarningsError
 	var classified *classifier.Error
 	switch {
 	case err == nil:
@@ -56,6 +70,8 @@
 		return ExitConflict
 	case errors.As(err, &unconfirmed):
 		return ExitUnconfirmed
+	case errors.As(err, &warnings):
+		return ExitWarnings
 	case errors.As(err, &classified):
 		return exitCodeOfClassified(classified)
 	default:
--- a/commander/file.go
+++ b/commander/file.go
@@ -22,6 +22,7 @@
 	Name    string
 	Text    []byte
 	Rules   *parser.Rules
+	Lines   parser.Lines
 	Base    uint64 // number of the rules that the file was edited from, from the first line
 	HasBase bool   // whether the first line has such a number
 }
@@ -35,11 +36,11 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	rules, err := parser.Parse(name, bytes.NewReader(text))
+	rules, lines, err := parser.ParseWithLines(name, bytes.NewReader(text))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	file := &RulesFile{Name: name, Text: text, Rules: rules}
+	file := &RulesFile{Name: name, Text: text, Rules: rules, Lines: lines}
 	n, _ := fmt.Sscanf(string(firstLine(text)), numberLineFormat, &file.Base)
 	file.HasBase = n == 1
 	return file, nil
--- a/commander/rules/check/check.go
+++ b/commander/rules/check/check.go
@@ -13,8 +13,10 @@
 type (
 	// Options holds the options of the command "rules check".
 	Options struct {
+		commander.Connection
 		commander.Output
-		File string `arg:"positional,required" help:"rules file, or - for the standard input"`
+		File           string `arg:"positional,required" help:"rules file, or - for the standard input"`
+		AgainstInForce bool   `arg:"--against-in-force" help:"also review the file against the rules in force and the instances, which are read from an entry"`
 
 		factory *commander.Factory
 	}
@@ -39,21 +41,28 @@
 func New(f *commander.Factory) *commander.Command {
 	opts := &Options{factory: f}
 	return &commander.Command{
-		Name:    "check",
-		Short:   "check a rules file without calling an entry",
-		Long:    "Checks each rule and the set as a whole, and reports all faults at once with file, line and column.",
-		Example: "$ coltsfootlever rules check fleet.rules\n$ coltsfootlever rules check --json - < fleet.rules",
+		Name:  "check",
+		Short: "check a rules file without calling an entry",
+		Long: "Checks each rule and the set as a whole, and reports all faults at once with file, line and column.\n" +
+			"With --against-in-force, reads the rules in force and the instances from an entry and also reports, with file\n" +
+			"and line, rules that can never match, limits that contradict each other, and what the file would change. The\n" +
+			"file itself is never sent; if it has faults, no entry is called.",
+		Example: "$ coltsfootlever rules check fleet.rules\n$ coltsfootlever rules check --json - < fleet.rules\n" +
+			"$ coltsfootlever rules check --against-in-force fleet.rules",
 		Options: opts,
 		Run:     func(ctx context.Context) error { return run(ctx, opts) },
 	}
 }
 
-func run(_ context.Context, opts *Options) error {
+func run(ctx context.Context, opts *Options) error {
 	file, err := opts.factory.ReadRules(opts.File)
 	var faults parser.Errors
 	if err != nil && !errors.As(err, &faults) {
 		return errors.Trace(err)
 	}
+	if err == nil && opts.AgainstInForce {
+		return reviewAgainstInForce(ctx, file, opts)
+	}
 	if opts.JSON {
 		r := result{File: opts.File, Faults: append(parser.Errors{}, faults...)}
 		if file != nil {
--- a/parser/parse.go
+++ b/parser/parse.go
@@ -52,6 +52,9 @@
 		name string
 	}
 
+	// Lines holds the line of each rule of a file.
+	Lines map[objectKey]int
+
 	// reference is a position at which a rule refers to an object.
 	reference struct {
 		objectKey
@@ -63,9 +66,15 @@
 // is used in messages only. All errors in the rules are returned together as
 // Errors; an error of any other type comes from reading r.
 func Parse(file string, r io.Reader) (*Rules, error) {
+	rules, _, err := ParseWithLines(file, r)
+	return rules, err
+}
+
+// ParseWithLines is like Parse, and also returns the lines of the rules.
+func ParseWithLines(file string, r io.Reader) (*Rules, Lines, error) {
 	data, err := io.ReadAll(io.LimitReader(r, MaxFileBytes+1))
 	if err != nil {
-		return nil, errors.Annotatef(err, "reading %s", file)
+		return nil, nil, errors.Annotatef(err, "reading %s", file)
 	}
 	f := &fileParser{file: file, defined: map[objectKey]position{}}
 	if f.checkWholeFile(data) {
@@ -73,9 +82,19 @@
 		f.checkReferences()
 	}
 	if len(f.errs) > 0 {
-		return nil, f.sortedErrors()
+		return nil, nil, f.sortedErrors()
 	}
-	return &f.rules, nil
+	lines := Lines{}
+	for key, at := range f.defined {
+		lines[key] = at.line
+	}
+	return &f.rules, lines, nil
+}
+
+// Of returns the line of the rule with the kind and the name that a Difference has,
+// or 0 if the file has no such rule.
+func (l Lines) Of(kind, name string) int {
+	return l[objectKey{kind, name}]
 }
 
 // checkWholeFile reports whether the file can be parsed line by line. It
