Count an entry of an older release as one without a record

Cause: in an outage of the key-value service during an upgrade, an entry of an older release did not answer the request for its record, so the others would have started nothing after 3 s. Change: the answer not-found counts as an answer without a record. Result: TestEntryOfOlderRelease passes and fails without the change.

--- a/server/operators_test.go
+++ b/server/operators_test.go
@@ -53,6 +53,7 @@
 		unreachable sync.Map // addresses of entries that peers cannot reach
 		executions  sync.Map // emulator.Execution by task ID
 		unreadable  sync.Map // keys that no entry can read
+		oldRelease  sync.Map // addresses of entries that do not know the report on zones
 
 		stopRestarted []func() // stop the processes that tests have started
 	}
@@ -137,6 +138,9 @@
 }
 
 func (p peers) FetchReport(ctx context.Context, address string, r messenger.ReportRequest) (messenger.ReportReply, error) {
+	if _, old := p.f.oldRelease.Load(address); old && r.Kind == "zones" {
+		return messenger.ReportReply{}, classifier.Refuse(classifier.NotFound, "no report of kind %q", r.Kind)
+	}
 	return callPeer(ctx, p, address, r, messenger.Handler.FetchReport)
 }
 
--- a/server/zones.go
+++ b/server/zones.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -10,8 +11,10 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/collector"
 	"github.com/coltsfootlever/coltsfootlever/excluder"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/operator"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
@@ -159,15 +162,32 @@
 	return p.e.members.Connectivity() == registrar.Outage
 }
 
-// Reports implements excluder.Peers.
+// Reports implements excluder.Peers. An entry of a release without evacuations
+// knows no record and cannot have changed one, so it counts as an answer with no
+// record.
 func (p evacuationPeers) Reports(ctx context.Context, number uint64) map[string]excluder.Report {
-	parts, _ := collector.Collect[zoneReport](ctx, p.e.reports, zonesReport, strconv.FormatUint(number, 10))
-	reports := make(map[string]excluder.Report, len(parts))
-	for _, part := range parts {
-		if part.Entry != p.Self() {
-			reports[part.Entry] = part.Body.Report
-		}
+	ctx, cancel := context.WithTimeout(ctx, collector.DefaultTimeout)
+	defer cancel()
+	request := messenger.ReportRequest{Kind: zonesReport, Subject: strconv.FormatUint(number, 10)}
+	reports := map[string]excluder.Report{}
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	for _, m := range p.e.members.View().Others(p.Self()) {
+		calls.Go(func() {
+			var report zoneReport
+			reply, err := p.e.platform.Peers.FetchReport(ctx, m.Address, request)
+			if err == nil {
+				err = json.Unmarshal(reply.Payload, &report)
+			}
+			if err != nil && classifier.As(err).Code != classifier.NotFound {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			reports[m.ID] = report.Report
+		})
 	}
+	calls.Wait()
 	return reports
 }
 
--- a/server/zones_test.go
+++ b/server/zones_test.go
@@ -170,6 +170,23 @@
 	})
 }
 
+// Guards against entries that stop all work in an outage of the store because an
+// entry of an older release knows no record of zones, and against a change that
+// such an entry appears to have confirmed.
+func TestEntryOfOlderRelease(t *testing.T) {
+	withPreparedFleet(t, putInZoneB, func(t *testing.T, f *fleet) {
+		f.oldRelease.Store(entryAddress(1), true)
+		change, err := f.client(0).EvacuateZone(t.Context(), "b", operator.EvacuateRequest{Comment: "flood"})
+		require.NoError(t, err)
+		require.Equal(t, []string{f.entries[1].Status().Entry}, change.Missing)
+		f.store.SetHung(true)
+		time.Sleep(10 * time.Second)
+		require.True(t, f.entries[0].AcquireSlot("leads"))
+		f.store.SetHung(false)
+		time.Sleep(settleDelay)
+	})
+}
+
 // Guards against an entry that restarts and starts work in a zone that was
 // evacuated before.
 func TestRestartedEntryKeepsToEvacuation(t *testing.T) {
