Evacuate zones in the random plans of the prover

Cause: the tests of an evacuation used two entries and one fault at a time. A retried task with a checkpoint lost its progress when its entry had no worker. Change: step evacuate and the invariant that no task starts in a zone after its evacuation was acknowledged; tasks with a checkpoint wait for a worker. TestCheckpointedTaskWaitsForWorker fails without its change.

--- a/placer/loop.go
+++ b/placer/loop.go
@@ -42,6 +42,7 @@
 	withdraw struct {
 		task               string
 		onlyIfNeverStarted bool // withdraw only if no attempt was ever made
+		onlyIfRestartable  bool // withdraw only if another member may start the task from its beginning
 		cause              *classifier.Error
 	}
 	// cancel is the event that withdraws a waiting task or stops a running one.
@@ -137,10 +138,19 @@
 	if e.onlyIfNeverStarted && j.attempts > 0 {
 		return
 	}
+	if e.onlyIfRestartable && !j.mayRestart() {
+		return
+	}
 	p.waiting.Cancel(e.task)
 	p.respond(j, result{err: e.withdrawalError(j)})
 }
 
+// mayRestart reports whether the task may be started from its beginning. A task that
+// may have run must be idempotent, and its progress must not be lost.
+func (j *job) mayRestart() bool {
+	return !j.mayHaveRun || (j.task.Idempotent && j.checkpoint == nil)
+}
+
 // withdrawalError returns the error for a job that is withdrawn while it waits.
 // The verdict is MayHaveRun if the outcome of an earlier attempt is unknown.
 func (e withdraw) withdrawalError(j *job) *classifier.Error {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -129,8 +129,8 @@
 		CheckInterval  time.Duration // how often ShouldWithdraw is called
 		ShouldWithdraw func() bool   // whether another member would start the task sooner
 		// CannotRun reports whether no worker of this member can run the task. A
-		// task that waits to be started again is then withdrawn as well. nil
-		// stands for false.
+		// task that waits to be started again is then withdrawn as well, if it may
+		// start from its beginning. nil stands for false.
 		CannotRun func() bool
 	}
 
@@ -255,7 +255,7 @@
 			return r.answer, r.err
 		case <-ask:
 			if cause := policy.withdrawalCause(); cause != nil {
-				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: cause == errFreeElsewhere, cause: cause})
+				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: cause == errFreeElsewhere, onlyIfRestartable: true, cause: cause})
 			}
 		case <-done:
 			done = nil
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -254,3 +254,29 @@
 		require.Equal(t, classifier.MayHaveRun, classifier.VerdictOf(err))
 	})
 }
+
+// Guards against the loss of a checkpoint when the member has no worker for some
+// seconds.
+func TestCheckpointedTaskWaitsForWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tp := newTestPlacer(t, 1, 1)
+		task := scheduler.Task{
+			ID: "t1", Team: "leads", Pool: "match", Slots: 1, Idempotent: true, Class: scheduler.Background,
+			Accepted: time.Now(), Deadline: time.Now().Add(time.Minute), Body: []byte(`{"sleep-ms":5000}`),
+		}
+		time.AfterFunc(time.Second, func() {
+			tp.fleet.DisableWorker("worker-0")
+			tp.placer.CheckpointWorker("worker-0")
+		})
+		time.AfterFunc(10*time.Second, func() {
+			tp.fleet.EnableWorker(scheduler.Worker{ID: "worker-0", Address: "worker-0", Pool: "match", Slots: 1})
+			tp.placer.Wake()
+		})
+		answer, err := tp.placer.Submit(t.Context(), task, placer.WithdrawPolicy{
+			CheckInterval: 100 * time.Millisecond,
+			CannotRun:     func() bool { return tp.fleet.TotalFreeSlots("match") == 0 },
+		})
+		require.NoError(t, err)
+		require.Equal(t, 2, answer.Attempt)
+	})
+}
--- a/prover/operation.go
+++ b/prover/operation.go
@@ -46,6 +46,8 @@
 		w.changeRulesConcurrently(s)
 	case WithdrawKey:
 		w.withdrawKey(s)
+	case Evacuate:
+		w.evacuateZone(s)
 	}
 }
 
--- a/prover/plan.go
+++ b/prover/plan.go
@@ -41,6 +41,7 @@
 	ChangeLimit       Kind = "change-limit"   // an operator changes the limit of one team
 	ConcurrentChanges Kind = "race-operators" // two operators change the same version of the rules
 	WithdrawKey       Kind = "withdraw-key"   // an operator withdraws an API key and adds it again later
+	Evacuate          Kind = "evacuate"       // an operator evacuates a zone and restores it later
 	Burst             Kind = "burst"          // callers submit many requests at once
 	CancelRequests    Kind = "cancel-wave"    // many callers cancel their requests at about the same time
 )
@@ -55,7 +56,7 @@
 	CrashEntry, LoseEntry, PauseEntry, StopEntry, CutPeers, CutStore, CutList, StoreDown, StoreHung, StoreSlow,
 	LoseWrites, ExpireLeases, LoseRequests, LoseReplies, SlowNetwork, CrashWorker, PauseWorker, SlowWorker, FailWorker,
 	CorruptAnswers, RemoveWorker, LoseRack, LoseZone, ListDown, Drain, Move, Reboot, RebootAll, ChangeLimit, ConcurrentChanges,
-	WithdrawKey, Burst, CancelRequests,
+	WithdrawKey, Burst, CancelRequests, Evacuate,
 }
 
 type (
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -70,6 +70,23 @@
 	}
 }
 
+// Runs random plans with many evacuations beside faults of the store, the entries and
+// their network, under load. Guards against a start in a zone after its evacuation
+// was acknowledged, and against work that is lost or run twice because of it.
+func TestEvacuationsBesideFaults(t *testing.T) {
+	plans := prover.Plans(prover.Evacuate, prover.Evacuate, prover.Evacuate, prover.CutStore, prover.CutPeers, prover.StoreDown, prover.StoreHung,
+		prover.LoseWrites, prover.LoseReplies, prover.PauseEntry, prover.CrashEntry, prover.StopEntry, prover.LoseZone, prover.Drain)
+	for n := range 6 {
+		t.Run(fmt.Sprint(n+1), func(t *testing.T) {
+			p := plans.Example(n + 1)
+			w := run(t, p, options())
+			t.Log(w.Counts())
+			require.Empty(t, report(n+1, p, w))
+			require.Zero(t, w.Count("zones left evacuated"))
+		})
+	}
+}
+
 // Runs the random plan of the one seed given by the flag -seed.
 func TestSeed(t *testing.T) {
 	if *seed == 0 {
--- a/prover/switched_test.go
+++ b/prover/switched_test.go
@@ -34,6 +34,10 @@
 	// nameDroppingPeers removes the request names from every handover.
 	nameDroppingPeers struct{ server.Peers }
 
+	// emptyRecordStore returns no record of evacuations, so that entries do not
+	// see those of others.
+	emptyRecordStore struct{ server.Store }
+
 	// longLeaseWorkers extends the lease and the latest start time of every task
 	// by so much that they have no effect.
 	longLeaseWorkers struct{ server.Workers }
@@ -64,6 +68,14 @@
 	return p.Peers.HandOver(ctx, address, r)
 }
 
+func (s emptyRecordStore) Get(ctx context.Context, key string) (keeper.Record, error) {
+	record, err := s.Store.Get(ctx, key)
+	if key == keeper.EvacuationsKey && err == nil {
+		return keeper.Record{Key: key}, nil
+	}
+	return record, err
+}
+
 func (w longLeaseWorkers) Start(ctx context.Context, address string, s dispatcher.Start) (dispatcher.Finish, error) {
 	s.Lease = time.Hour
 	s.StartBy = s.StartBy.Add(time.Hour)
@@ -85,6 +97,17 @@
 	}}
 }
 
+// isolatedStarterPlan separates one of three entries from the store and its peers
+// while each zone is evacuated in turn.
+func isolatedStarterPlan(run int) prover.Plan {
+	p := isolatedEntryPlan(run)
+	p.Steps = p.Steps[:3]
+	for zone := range 3 {
+		p.Steps = append(p.Steps, prover.Step{Kind: prover.Evacuate, Target: zone, Parameter: 1, Delay: time.Second, Duration: 30 * time.Second})
+	}
+	return p
+}
+
 // limitChangesPlan changes the limits of all teams repeatedly on a slow store
 // under load, so that holders of slots and the coordinator write the same
 // accounts at the same time.
@@ -147,6 +170,14 @@
 			"staleness bound", prover.Options{Settings: func(s *server.Settings) { s.Staleness = 24 * time.Hour }},
 			isolatedEntryPlan, checker.WithdrawnKey,
 		},
+		{
+			"staleness bound of evacuations", prover.Options{Settings: func(s *server.Settings) { s.Staleness = 24 * time.Hour }},
+			isolatedStarterPlan, prover.Evacuation,
+		},
+		{
+			"record of evacuations", prover.Options{Store: func(s server.Store) server.Store { return emptyRecordStore{s} }},
+			randomPlansOf(prover.Evacuate), prover.Evacuation,
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/prover/world.go
+++ b/prover/world.go
@@ -58,6 +58,7 @@
 		rules           *rulesFile
 		events          eventCounter
 		trace           *trace
+		evacuated       *evacuatedZones
 
 		mu           sync.Mutex
 		nodes        map[string]*Node // latest process by instance ID
@@ -102,6 +103,7 @@
 		boots:           make(map[string]int),
 		rules:           newRulesFile(),
 		trace:           newTrace(),
+		evacuated:       newEvacuatedZones(),
 		nodes:           make(map[string]*Node),
 	}
 	if w.opts.Log == nil {
@@ -183,6 +185,7 @@
 // it, the worker is repaired after repairDelay.
 func (w *World) handleExecution(x emulator.Execution) {
 	w.audit.reportExecution(x)
+	w.checkEvacuation(x)
 	if !x.End.IsZero() && x.Outcome == "" {
 		time.AfterFunc(repairDelay, func() { w.repairWorker(x.Worker) })
 	}
--- a/server/zones.go
+++ b/server/zones.go
@@ -128,6 +128,22 @@
 	return zoneReport{Report: e.evacuations.HandleReport(ctx, subject), Usage: e.fleet.UsageByZone()}, nil
 }
 
+// EvacuateZone takes a zone out of use on all entries; see
+// excluder.Excluder.Evacuate.
+func (e *Entry) EvacuateZone(ctx context.Context, req excluder.Request) (excluder.Change, error) {
+	return e.evacuations.Evacuate(ctx, req)
+}
+
+// RestoreZone returns an evacuated zone to use on all entries.
+func (e *Entry) RestoreZone(ctx context.Context, req excluder.Request) (excluder.Change, error) {
+	return e.evacuations.Restore(ctx, req)
+}
+
+// IsEvacuated reports whether this entry knows that the zone is evacuated.
+func (e *Entry) IsEvacuated(zone string) bool {
+	return e.evacuations.IsEvacuated(zone)
+}
+
 // Self implements excluder.Peers.
 func (p evacuationPeers) Self() string {
 	return p.e.self().ID
@@ -193,12 +209,12 @@
 
 // Evacuate implements operator.Zones.
 func (z zones) Evacuate(ctx context.Context, req excluder.Request) (excluder.Change, error) {
-	return z.e.evacuations.Evacuate(ctx, req)
+	return z.e.EvacuateZone(ctx, req)
 }
 
 // Restore implements operator.Zones.
 func (z zones) Restore(ctx context.Context, req excluder.Request) (excluder.Change, error) {
-	return z.e.evacuations.Restore(ctx, req)
+	return z.e.RestoreZone(ctx, req)
 }
 
 // List implements operator.Zones. It returns the record that this entry knows and
