--- a/commander/exit.go
+++ b/commander/exit.go
@@ -22,19 +22,33 @@
 	ExitUnauthorized   = 6
 	ExitUnreachable    = 7
 	ExitOutcomeUnknown = 8
+	ExitWarnings       = 9
 )
 
 // UnconfirmedError reports that a change is accepted, but that some registered
 // entries have not confirmed that it is in force there.
 type UnconfirmedError struct {
-	Number  uint64
-	Missing []string
+	Accepted string // what is accepted, such as "rules 3 are accepted"
+	Command  string // command that shows when all have confirmed
+	Missing  []string
 }
 
 // Error implements error.
 func (e *UnconfirmedError) Error() string {
-	return fmt.Sprintf("rules %d are accepted, but not yet confirmed by %s; run status to see when they are",
-		e.Number, strings.Join(e.Missing, ", "))
+	return fmt.Sprintf("%s, but not yet confirmed by %s; run %s to see when they are",
+		e.Accepted, strings.Join(e.Missing, ", "), e.Command)
+}
+
+// WarningsError reports that a rules file is valid, but that there are warnings
+// about it.
+type WarningsError struct {
+	File  string
+	Count int
+}
+
+// Error implements error.
+func (e *WarningsError) Error() string {
+	return fmt.Sprintf("%s is valid; warnings: %d", e.File, e.Count)
 }
 
 // ExitCode returns the exit code for the error of a command.
@@ -43,6 +57,7 @@
 	var faults parser.Errors
 	var conflict *distributor.ConflictError
 	var unconfirmed *UnconfirmedError
+	var warnings *WarningsError
 	var classified *classifier.Error
 	switch {
 	case err == nil:
@@ -55,6 +70,8 @@
 		return ExitConflict
 	case errors.As(err, &unconfirmed):
 		return ExitUnconfirmed
+	case errors.As(err, &warnings):
+		return ExitWarnings
 	case errors.As(err, &classified):
 		return exitCodeOfClassified(classified)
 	default:
@@ -92,5 +109,9 @@
 	if len(applied.Missing) == 0 {
 		return nil
 	}
-	return &UnconfirmedError{Number: applied.Number, Missing: applied.Missing}
+	return &UnconfirmedError{
+		Accepted: fmt.Sprintf("rules %d are accepted", applied.Number),
+		Command:  "status",
+		Missing:  applied.Missing,
+	}
 }
--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -235,6 +235,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	absent = absent.WithEvacuated(c.coordinator.mover.EvacuatedAbsences())
 	rules := c.coordinator.rules()
 	if rules == nil {
 		return nil
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -92,9 +92,10 @@
 		retries         RetryBudgets
 		failedTasks     FailedTaskTracker
 		shares          Shares
-		onWorkerLeaving func(instance string)   // called when a worker refuses a task because it is leaving
-		checkFreshness  func() error            // returns an error while the membership and rules may be out of date
-		journal         func(recorder.Decision) // records a decision for later explanation
+		onWorkerLeaving func(instance string)        // called when a worker refuses a task because it is leaving
+		checkStart      func(scheduler.Worker) error // returns an error while no task may be started on the worker
+		checkFreshness  func() error                 // returns an error while the membership and rules may be out of date
+		journal         func(recorder.Decision)      // records a decision for later explanation
 		observeStart    func(StartObservation)
 		lease           time.Duration
 		startTimeout    time.Duration
@@ -127,6 +128,10 @@
 	WithdrawPolicy struct {
 		CheckInterval  time.Duration // how often ShouldWithdraw is called
 		ShouldWithdraw func() bool   // whether another member would start the task sooner
+		// CannotRun reports whether no worker of this member can run the task. A
+		// task that waits to be started again is then withdrawn as well, if it may
+		// start from its beginning. nil stands for false.
+		CannotRun func() bool
 	}
 
 	// Option configures a Placer.
@@ -172,6 +177,12 @@
 	return func(p *Placer) { p.checkFreshness = fresh }
 }
 
+// WithStartCheck sets the check that is made immediately before a task is sent to
+// a worker. When it returns an error, the task is not sent and waits again.
+func WithStartCheck(check func(scheduler.Worker) error) Option {
+	return func(p *Placer) { p.checkStart = check }
+}
+
 // WithJournal sets the function that records decisions, so that they can be
 // explained later.
 func WithJournal(journal func(recorder.Decision)) Option {
@@ -198,6 +209,7 @@
 		failedTasks:     scheduler.NewFailedTaskTracker(scheduler.DefaultFailedWorkerLimit, scheduler.DefaultTrackedTasks),
 		shares:          func(string, map[string]int) map[string]int { return nil },
 		onWorkerLeaving: func(string) {},
+		checkStart:      func(scheduler.Worker) error { return nil },
 		checkFreshness:  func() error { return nil },
 		journal:         func(recorder.Decision) {},
 		observeStart:    func(StartObservation) {},
@@ -231,7 +243,7 @@
 		return messenger.Answer{}, classifier.Refuse(classifier.QueueFull, "the entry takes no more events: come back later").WithRetryAfter(time.Second)
 	}
 	var ask <-chan time.Time
-	if policy.ShouldWithdraw != nil {
+	if policy.CheckInterval > 0 {
 		ticker := time.NewTicker(policy.CheckInterval)
 		defer ticker.Stop()
 		ask = ticker.C
@@ -242,8 +254,8 @@
 		case r := <-reply:
 			return r.answer, r.err
 		case <-ask:
-			if policy.ShouldWithdraw() {
-				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: true, cause: classifier.Refuse(classifier.NoCapacity, "another member has a free slot")})
+			if cause := policy.withdrawalCause(); cause != nil {
+				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: cause == errFreeElsewhere, onlyIfRestartable: true, cause: cause})
 			}
 		case <-done:
 			done = nil
@@ -254,6 +266,23 @@
 	}
 }
 
+// Causes for which a waiting task is withdrawn.
+var (
+	errFreeElsewhere = classifier.Refuse(classifier.NoCapacity, "another member has a free slot")
+	errNoWorker      = classifier.Refuse(classifier.NoCapacity, "no worker of this member takes work of the pool")
+)
+
+// withdrawalCause returns why the task should be withdrawn now, or nil.
+func (w WithdrawPolicy) withdrawalCause() *classifier.Error {
+	switch {
+	case w.CannotRun != nil && w.CannotRun():
+		return errNoWorker
+	case w.ShouldWithdraw != nil && w.ShouldWithdraw():
+		return errFreeElsewhere
+	}
+	return nil
+}
+
 // resultAfterStop returns a result that was sent before the loop stopped. If
 // there is none, it is unknown whether the task ran.
 func (p *Placer) resultAfterStop(reply <-chan result) (messenger.Answer, error) {
