Let strong entries carry the leader's calls to workers

The leader's processor binds in surges, and calls to workers take a third to a half of its time.

A worker whose call has timed out at its relay, or that its relay can't reach, is called directly for 10 s, so that an unknown outcome is resolved on another way.

--- a/commander/run/run.go
+++ b/commander/run/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"os"
 	"os/signal"
@@ -25,6 +26,7 @@
 type Options struct {
 	Settings string     `arg:"--settings,env:COLTSFOOTLEVER_NODE_SETTINGS" placeholder:"FILE" help:"settings file [default: the one that the platform names]"`
 	LogLevel slog.Level `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
+	Relays   string     `arg:"--relays,env:COLTSFOOTLEVER_RELAYS" default:"on" placeholder:"on|off" help:"whether entries carry the leader's calls to workers"`
 
 	factory *commander.Factory
 }
@@ -46,6 +48,9 @@
 }
 
 func run(ctx context.Context, opts *Options) error {
+	if opts.Relays != "on" && opts.Relays != "off" {
+		return &commander.UsageError{Program: "coltsfootlever run", Message: fmt.Sprintf("--relays %q: want on or off", opts.Relays)}
+	}
 	path := opts.Settings
 	if path == "" {
 		var err error
@@ -56,7 +61,7 @@
 	log, writer := logger.New(opts.factory.Out, opts.LogLevel)
 	defer writer.Close(logFlushTimeout)
 	meter.ExportDroppedLines(writer.Dropped)
-	entry, err := launcher.New(path, launcher.WithLog(log))
+	entry, err := launcher.New(path, launcher.WithLog(log), launcher.WithRelays(opts.Relays == "on"))
 	if err != nil {
 		return errors.Annotate(err, "entry not started")
 	}
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -53,6 +53,7 @@
 		stopping     atomic.Bool
 		reload       chan struct{}
 		clock        *timekeeper.Clock
+		relays       bool
 	}
 
 	// Option configures a Launcher.
@@ -66,7 +67,7 @@
 
 // New returns the entry node that the settings file at path describes.
 func New(path string, opts ...Option) (*Launcher, error) {
-	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1), clock: timekeeper.New(time.Now, func() time.Duration { return time.Since(processStart) }, elector.BootClock)}
+	l := &Launcher{settingsPath: path, log: slog.New(slog.DiscardHandler), reload: make(chan struct{}, 1), relays: true, clock: timekeeper.New(time.Now, func() time.Duration { return time.Since(processStart) }, elector.BootClock)}
 	for _, opt := range opts {
 		opt(l)
 	}
@@ -124,6 +125,7 @@
 		{"load", l.fleet.watchPublishedLoad(store)},
 		{"probe", l.fleet.probeStore(store)},
 		{"callers", callers},
+		{"relay", l.newRelayService(ctx, s, store)},
 		{"leadership", l.newElector(s, store).Run},
 	} {
 		if err := services.Register(service.name, supervisor.Func(service.run)); err != nil {
@@ -159,7 +161,14 @@
 	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
 		engineStore := store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput), platform.WithOnPage(term.ReportProgress))
-		orchestrator.New(cfg, engineStore, workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
+		newEngine := func(workers orchestrator.Workers, directory orchestrator.Directory) *orchestrator.Engine {
+			return orchestrator.New(cfg, engineStore, workers, directory, term, append(opts, orchestrator.WithLog(l.log))...)
+		}
+		if !l.relays {
+			newEngine(workers, directory).Run(ctx)
+			return
+		}
+		l.leadWithRelays(ctx, s, store, term, throttle, cfg.MaxWorkerListAge, workers, directory, newEngine)
 	}
 	delays := newDelayCalculator(s, store, l.log)
 	return elector.New(store, s.Instance, runTerm, l.log, elector.WithClock(elector.BootClock), elector.WithDelay(delays.candidateDelay), elector.WithBetterSuited(delays.isBetter))
--- a/relayer/assign.go
+++ b/relayer/assign.go
@@ -14,9 +14,10 @@
 	mbpsPerWorker   = 0.05   // that a relay sends or receives for a worker, both sides together
 	slowLinkMbps    = 50.0   // a relay with a slower link would delay starts behind the answers to its callers
 	workersPerRelay = 180    // fewer workers on each of more relays would make batches smaller
+	keptPerRelay    = 135    // a relay stays in use while the others would have more than this
 	maxRelayWorkers = 256    // that a relay takes when others are lost
-	relayOnWorkers  = 200    // number of workers from which relays are used, see docs/design/relays.md
-	relayOffWorkers = 160    // number below which relays are no longer used
+	relayOnWorkers  = 120    // number of workers from which relays are used: there they save half of the time for calls, at half the number a third; see docs/design/relays.md
+	relayOffWorkers = 90     // number below which relays are no longer used; the number of workers follows the demand
 )
 
 type (
@@ -103,7 +104,7 @@
 	var chosen []Relay
 	zones := make(map[string]bool)
 	capacity := 0
-	for len(rest) > 0 && (len(chosen)*workersPerRelay < workers || capacity < workers) {
+	for len(rest) > 0 {
 		i := 0
 		for n, r := range rest {
 			best := rest[i]
@@ -112,6 +113,13 @@
 				i = n
 			}
 		}
+		perRelay := workersPerRelay
+		if inUse[rest[i].Name] {
+			perRelay = keptPerRelay
+		}
+		if len(chosen)*perRelay >= workers && capacity >= workers {
+			break
+		}
 		chosen = append(chosen, rest[i])
 		zones[rest[i].Zone] = true
 		capacity += rest[i].Capacity()
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -55,6 +55,10 @@
 		usesRelays func(workers int, inUse bool) bool
 		log        *slog.Logger
 
+		maxListAge time.Duration // see WithMaxListAge; 0 for no limit
+		listCounts func() bool
+		listAsOf   atomic.Int64 // when the newest list of workers that counts was requested, on the clock of the client
+
 		routes atomic.Pointer[map[string]*path] // by worker ID
 
 		mu            sync.Mutex
@@ -102,6 +106,14 @@
 	return func(c *Client) { c.log = log }
 }
 
+// WithMaxListAge sets the maximum age of the list of workers with which a start
+// may reach its worker, and a function that reports whether the leader uses the list that it
+// has just received. A start that a relay might still send after that age is sent
+// directly.
+func WithMaxListAge(maxAge time.Duration, counts func() bool) ClientOption {
+	return func(c *Client) { c.maxListAge, c.listCounts = maxAge, counts }
+}
+
 // NewClient returns the client of the leader with the fencing token. name is the name of its
 // entry node. It sends calls through direct, and through the relays that the
 // function relays lists once Run has assigned workers to them.
@@ -122,7 +134,7 @@
 // Start implements orchestrator.Workers. A call that could not be given to a relay
 // is sent directly.
 func (c *Client) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
-	if p := c.pathTo(w.ID, o.FencingToken); p != nil {
+	if p := c.pathTo(w.ID, o.FencingToken); p != nil && c.listIsNew() {
 		res, sent, err := c.do(ctx, p, &call{
 			kind: callStart, worker: w.ID, address: w.Address, task: o.Task, run: o.Run,
 			spec: o.Spec, checkpoint: o.Checkpoint, ticket: o.Ticket, leaseDeadline: o.DeadlineMs,
@@ -189,6 +201,12 @@
 	return p
 }
 
+// listIsNew reports whether the list of workers is new enough for a start that a
+// relay delays as long as it may.
+func (c *Client) listIsNew() bool {
+	return c.maxListAge == 0 || c.now()+maxCallAge-time.Duration(c.listAsOf.Load()) < c.maxListAge
+}
+
 // do sends a call through a relay and records how long it took.
 func (c *Client) do(ctx context.Context, p *path, l *call) (result, bool, error) {
 	l.limit = c.throttle.TimeLimit()
@@ -209,12 +227,14 @@
 			c.throttle.RecordLate(now)
 		}
 		c.callDirectly(l.worker)
+	case errors.Is(err, errTimedOut):
+		c.callDirectly(l.worker) // its outcome is resolved on another way
 	}
 	return res, true, err
 }
 
-// callDirectly makes the client call a worker directly for some time, because its
-// relay may be the one that can't reach it.
+// callDirectly makes the client call a worker directly for some time, because the
+// fault may lie with its relay.
 func (c *Client) callDirectly(worker string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -244,9 +264,13 @@
 
 // Workers implements Directory.
 func (d observedDirectory) Workers(ctx context.Context) ([]modeler.Worker, error) {
+	asOf := d.client.now()
 	workers, err := d.Directory.Workers(ctx)
 	if err == nil {
 		d.client.SetWorkers(workers)
+		if d.client.listCounts == nil || d.client.listCounts() {
+			d.client.listAsOf.Store(int64(asOf))
+		}
 	}
 	return workers, err
 }
