--- a/relayer/assign.go
+++ b/relayer/assign.go
@@ -9,14 +9,14 @@
 const (
 	reservedShare   = 0.25   // of a core, which an entry node needs for callers and for running for leadership; weak ones have less
 	relayingShare   = 0.2    // part of the rest that relaying may take
-	corePerWorker   = 0.0004 // cores that a relay spends on a worker, see docs/design/relays.md
+	corePerWorker   = 0.0004 // cores that a relay spends on a worker: 3.2 calls a second, each at most twice the cost of a direct one
 	linkShare       = 0.1    // part of the link that relaying may take
 	mbpsPerWorker   = 0.05   // that a relay sends or receives for a worker, both sides together
 	slowLinkMbps    = 50.0   // a relay with a slower link would delay starts behind the answers to its callers
 	workersPerRelay = 180    // fewer workers on each of more relays would make batches smaller
 	keptPerRelay    = 135    // a relay stays in use while the others would have more than this
 	maxRelayWorkers = 256    // that a relay takes when others are lost
-	relayOnWorkers  = 120    // number of workers from which relays are used: there they save half of the time for calls, at half the number a third; see docs/design/relays.md
+	relayOnWorkers  = 120    // number of workers from which relays are used: at 60 they save less than a third of the time for calls, see docs/design/relays.md
 	relayOffWorkers = 90     // number below which relays are no longer used; the number of workers follows the demand
 )
 
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -64,6 +64,8 @@
 		mu            sync.Mutex
 		workers       []AssignedWorker         // from the last list
 		directWorkers map[string]time.Duration // workers that are called directly until then
+		blamed        map[string]*path         // paths by which a worker was not reached; a direct poll shows whether the relay is at fault
+		blamedCount   atomic.Int64             // length of blamed
 
 		// The rest belongs to Run.
 		registrations map[string]Registration
@@ -121,8 +123,8 @@
 	c := &Client{
 		direct: direct, token: token, throttle: throttle, relays: relays, name: name,
 		dial: Dial, now: elector.BootClock, usesRelays: UsesRelays, log: slog.New(slog.DiscardHandler),
-		directWorkers: make(map[string]time.Duration),
-		assignment:    make(map[string]string), paths: make(map[string]*path), avoided: make(map[string]avoidance),
+		directWorkers: make(map[string]time.Duration), blamed: make(map[string]*path),
+		assignment: make(map[string]string), paths: make(map[string]*path), avoided: make(map[string]avoidance),
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -189,7 +191,24 @@
 		}
 	}
 	meter.CountWorkerCall(meter.DirectPath)
-	return c.direct.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
+	report, err := c.direct.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
+	if c.blamedCount.Load() > 0 {
+		c.settleBlame(w.ID, err == nil)
+	}
+	return report, err
+}
+
+// settleBlame counts a worker against its relay if it was reached directly and not by
+// the relay.
+func (c *Client) settleBlame(worker string, reached bool) {
+	c.mu.Lock()
+	p := c.blamed[worker]
+	delete(c.blamed, worker)
+	c.blamedCount.Store(int64(len(c.blamed)))
+	c.mu.Unlock()
+	if p != nil && reached {
+		p.penalize()
+	}
 }
 
 // pathTo returns the path to a worker, or nil if it is called directly.
@@ -226,21 +245,26 @@
 		if took >= l.limit {
 			c.throttle.RecordLate(now)
 		}
-		c.callDirectly(l.worker)
+		c.callDirectly(l.worker, p)
 	case errors.Is(err, errTimedOut):
-		c.callDirectly(l.worker) // its outcome is resolved on another way
+		c.callDirectly(l.worker, nil) // its outcome is resolved on another way
 	}
 	return res, true, err
 }
 
 // callDirectly makes the client call a worker directly for some time, because the
-// fault may lie with its relay.
-func (c *Client) callDirectly(worker string) {
+// fault may lie with its relay. blamed is the path by which it was not reached, or
+// nil.
+func (c *Client) callDirectly(worker string, blamed *path) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.directWorkers) < maxDirectWorkers {
 		c.directWorkers[worker] = c.now() + directPause
 	}
+	if blamed != nil && len(c.blamed) < maxDirectWorkers {
+		c.blamed[worker] = blamed
+		c.blamedCount.Store(int64(len(c.blamed)))
+	}
 	routes := *c.routes.Load()
 	if routes[worker] == nil {
 		return
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -121,6 +121,7 @@
 	relayPause      atomic.Int64 // time that the relay's clock has gained while it was paused
 	streams         atomic.Int64
 	maxListAge      time.Duration
+	losesLists      atomic.Bool                        // the relays can't be listed
 	cut             atomic.Pointer[context.CancelFunc] // breaks the stream
 }
 
@@ -140,6 +141,9 @@
 func (s *site) newClient(ctx context.Context, token int64) *relayer.Client {
 	start := time.Now()
 	list := func(context.Context) ([]relayer.Registration, error) {
+		if s.losesLists.Load() {
+			return nil, errors.New("store unavailable")
+		}
 		return []relayer.Registration{{Name: "r", Address: "r:1", ProcessorShare: 0.8}}, nil
 	}
 	c := relayer.NewClient(s.direct, token, "leader", throttler.New(), list, relayer.WithDialer(s.dial),
@@ -231,6 +235,18 @@
 	})
 }
 
+// While the store doesn't respond, the known relays must stay in use.
+func TestRelaysStayWithoutTheStore(t *testing.T) {
+	runSite(t, func(t *testing.T, ctx context.Context, s *site) {
+		s.losesLists.Store(true)
+		time.Sleep(12 * time.Second)
+		require.NoError(t, s.start(ctx, 1))
+		starts, _ := s.byRelay.counts()
+		require.Equal(t, 1, starts)
+		require.EqualValues(t, 1, s.streams.Load())
+	})
+}
+
 // A start that waited on a stalled stream, or in a relay or leader that was
 // paused, may have been given up: it must not be sent any more.
 func TestOldStartsAreNotSent(t *testing.T) {
@@ -357,6 +373,27 @@
 	})
 }
 
+// A relay that is cut off from its workers must not make each of them unresponsive
+// again and again.
+func TestRelayThatReachesNoWorkerIsReplaced(t *testing.T) {
+	runSite(t, func(t *testing.T, ctx context.Context, s *site) {
+		for i := range 10 {
+			s.byRelay.unreachable.Store(fmt.Sprint("w", i), true)
+		}
+		for i := range 6 {
+			s.worker.ID = fmt.Sprint("w", i)
+			_, err := s.poll(ctx, 1)
+			requireUnknown(t, err)
+			_, err = s.poll(ctx, 1)
+			require.NoError(t, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.worker.ID = "w9"
+		_, err := s.poll(ctx, 1)
+		require.NoError(t, err)
+	})
+}
+
 // A relay must not serve a leader that has been silent for as long as one without
 // its lease may extend leases: the next leader counts on the end of the leases.
 func TestRelayDropsASilentLeader(t *testing.T) {
