Call workers directly whose calls a relay does not send

A relay that refused each poll as too old, or because it was full, kept its workers: each poll was repeated directly without a lease, so the leases would have expired while the leader counted them as extended. TestRelayThatSendsNothingKeepsNoWorker fails without the change.

Streams to relays use no proxy from the environment, like other calls to the platform.

--- a/relayer/client.go
+++ b/relayer/client.go
@@ -248,6 +248,9 @@
 		c.callDirectly(l.worker, p)
 	case errors.Is(err, errTimedOut):
 		c.callDirectly(l.worker, nil) // its outcome is resolved on another way
+	case errors.Is(err, ErrNotSent):
+		c.callDirectly(l.worker, nil) // otherwise a relay that sends no polls would let the leases of the worker expire
+		p.penalize()
 	}
 	return res, true, err
 }
--- a/relayer/path.go
+++ b/relayer/path.go
@@ -16,7 +16,7 @@
 	sweepInterval  = 50 * time.Millisecond  // between two checks for calls that have timed out
 	maxFrameGap    = 3 * time.Second        // without a frame from a relay, which sends one a second at least
 	retireTime     = 3 * time.Second        // for open calls of a relay that is no longer used
-	latePenalty    = 10                     // of a time-out, or a worker that only the relay can't reach; each result takes off one, so a tenth of the calls may time out
+	latePenalty    = 10                     // of a time-out, a call that was not sent, or a worker that only the relay can't reach; each result takes off one, so a tenth of the calls may time out
 	maxLatePenalty = 50                     // a relay with more is too slow
 	stampDrift     = 50                     // the relay's clock advances by at least 1 - 1/50 of this one, as workers' clocks do
 )
@@ -206,7 +206,8 @@
 	}
 }
 
-// penalize counts a worker that the relay could not reach though others can.
+// penalize counts a call that the relay did not send, or a worker that it could not
+// reach though others can.
 func (p *path) penalize() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -267,6 +267,7 @@
 		require.Equal(t, 1, starts)
 
 		time.Sleep(2 * time.Second) // the leader has a newer stamp by then
+		s.worker.ID = "w1"
 		s.held.Store(true)
 		go func() { result <- s.start(ctx, 3) }()
 		time.Sleep(time.Second)
@@ -277,6 +278,20 @@
 	})
 }
 
+// A relay that sends no polls, here because its clock runs ahead, must not let the
+// leases of its workers expire.
+func TestRelayThatSendsNothingKeepsNoWorker(t *testing.T) {
+	runSite(t, func(t *testing.T, ctx context.Context, s *site) {
+		for deadline := range int64(3) {
+			s.relayPause.Add(int64(600 * time.Millisecond))
+			_, err := s.poll(ctx, 1+deadline)
+			require.NoError(t, err)
+		}
+		require.Equal(t, []int64{0, 2, 3}, s.direct.polls)
+		require.Empty(t, s.byRelay.polls)
+	})
+}
+
 // When a stream is lost, a start that was under way may have been carried out, and
 // its workers must not look unresponsive.
 func TestLostStreamLeavesStartsUnknownAndRepeatsPolls(t *testing.T) {
--- a/relayer/stream.go
+++ b/relayer/stream.go
@@ -97,7 +97,7 @@
 // Dial opens a stream over a new gRPC connection, which is closed when ctx ends.
 func Dial(ctx context.Context, address string) (Stream, error) {
 	conn, err := grpc.NewClient("passthrough:///"+address,
-		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
+		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0), grpc.WithNoProxy(),
 		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(frameCodec{}), grpc.MaxCallRecvMsgSize(maxFrameBytes), grpc.MaxCallSendMsgSize(maxFrameBytes)),
 		grpc.WithStaticStreamWindowSize(windowBytes), grpc.WithStaticConnWindowSize(windowBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithReadBufferSize(bufferBytes),
 	)
