Start no task in an evacuated zone

The operator's record op/evacuate/ZONE was ignored, so nothing took a zone out of use except the loss of its workers.

Each entry now follows these records and knows when they were last current: the time, on the boot-time clock, at which the confirming call of the watch was sent. The watch is called ten times within evacuation_ms. The leader places nothing in an evacuated zone, withdraws placed and queued starts, moves long-running tasks away and sizes pools without the zone; a restored zone returns to use in steps. It starts nothing while the records are too old, nor before it has read them. Each start carries a lease that ends when it would come too late, so that the worker refuses one that a slow link or a paused process delays. A gang continues only if the rest of it can follow within a second. acceptsTasks and mayBeUsed report false for workers of the zone. Without evacuation_ms in the settings nothing changes.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -42,8 +42,12 @@
 		OnCrash    func(worker string)
 		// Need returns what a task needs on its worker. Nil means that workers have
 		// room for any number of tasks.
-		Need               func(id modeler.TaskID) modeler.Resources
-		CapacityGrace      time.Duration             // how long starts may rely on the capacity that a worker had before it shrank
+		Need          func(id modeler.TaskID) modeler.Resources
+		CapacityGrace time.Duration // how long starts may rely on the capacity that a worker had before it shrank
+		// EvacuationTime is how long after the evacuation of a zone tasks may still start
+		// there.
+		EvacuationTime     time.Duration
+		evacuatedSince     map[string]time.Time      // evacuated zones
 		lostRuns           map[modeler.TaskID]int    // runs of a task that ended with their worker
 		crashCounts        map[modeler.TaskID]int    // workers that a task has crashed
 		startsAfterCrashes map[modeler.TaskID]int    // starts of a task after it has crashed maxCrashes workers
@@ -95,7 +99,8 @@
 func NewTaskFleet(runOutcome func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)) *TaskFleet {
 	return &TaskFleet{
 		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
-		startCounts: make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
+		evacuatedSince: make(map[string]time.Time),
+		startCounts:    make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
 		unacknowledgedDone: make(map[modeler.TaskID]int), crashCounts: make(map[modeler.TaskID]int), lostRuns: make(map[modeler.TaskID]int), startsAfterCrashes: make(map[modeler.TaskID]int),
 	}
 }
@@ -171,6 +176,17 @@
 	f.workers[id].unregistered = !registered
 }
 
+// SetEvacuated sets whether the operator has evacuated a zone. A start there after
+// EvacuationTime is a violation.
+func (f *TaskFleet) SetEvacuated(zone string, evacuated bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.evacuatedSince, zone)
+	if evacuated {
+		f.evacuatedSince[zone] = time.Now()
+	}
+}
+
 // SetDraining makes a worker report that it is about to leave.
 func (f *TaskFleet) SetDraining(id string) {
 	f.mu.Lock()
@@ -418,6 +434,9 @@
 			f.addViolation("task %s starts on %s while it runs on %s", o.Task, w.ID, other.ID)
 		}
 	}
+	if since, ok := f.evacuatedSince[w.Zone]; ok && time.Since(since) > f.EvacuationTime {
+		f.addViolation("task %s starts on %s in zone %s, which was evacuated %s ago", o.Task, w.ID, w.Zone, time.Since(since).Round(time.Millisecond))
+	}
 	f.checkCrashes(o.Task)
 	f.checkCapacity(w, o.Task)
 }
--- a/keeper/follower.go
+++ b/keeper/follower.go
@@ -27,6 +27,7 @@
 		store        Watcher
 		prefix       string
 		maxWatchTime time.Duration
+		maxPause     time.Duration // see WithMaxRetryDelay
 		onReset      func([]Record)
 		onEvent      func(Event)
 		log          *slog.Logger
@@ -53,6 +54,12 @@
 	return func(f *Follower) { f.maxWatchTime = d }
 }
 
+// WithMaxRetryDelay sets the longest delay after a failed call, for records that must
+// be known again soon after an outage.
+func WithMaxRetryDelay(d time.Duration) FollowerOption {
+	return func(f *Follower) { f.maxPause = d }
+}
+
 // WithFollowerLog sets the logger for failed lists and watches.
 func WithFollowerLog(log *slog.Logger) FollowerOption {
 	return func(f *Follower) { f.log = log }
@@ -65,6 +72,7 @@
 		store:        store,
 		prefix:       prefix,
 		maxWatchTime: defaultMaxWatchTime,
+		maxPause:     maxRetryDelay,
 		onReset:      func([]Record) {},
 		onEvent:      func(Event) {},
 		log:          slog.New(slog.DiscardHandler),
@@ -76,7 +84,7 @@
 }
 
 // Run follows the records until ctx ends and returns the error of ctx. It retries
-// failed calls after a random delay of at most 2 s, which grows with each failure.
+// failed calls after a random delay of at most 2 s or that of WithMaxRetryDelay, which grows with each failure.
 func (f *Follower) Run(ctx context.Context) error {
 	revision, listed, failures := int64(0), false, 0
 	for ctx.Err() == nil {
@@ -98,7 +106,7 @@
 		}
 		failures++
 		f.log.Warn("records not listed or watched, another attempt follows", "prefix", f.prefix, "failures", failures, "err", err)
-		if pause(ctx, backoff(failures, minRetryDelay, maxRetryDelay)) != nil {
+		if pause(ctx, backoff(failures, minRetryDelay, f.maxPause)) != nil {
 			break
 		}
 	}
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/evacuator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -21,6 +22,9 @@
 	probeInterval    = 300 * time.Millisecond // interval and time-out of probes while the store is unreachable
 	neverAnswered    = 24 * time.Hour         // stands for the time since the last answer if there has been none
 	maxReadySilence  = 3 * time.Second        // the platform's contact time; the store must have answered within it
+
+	watchesPerEvacuationTime    = 10                     // calls of the watch of the operator's records within platform.Bounds.EvacuationTime, so that a lost one doesn't stop starts
+	maxOperatorRecordRetryDelay = 300 * time.Millisecond // no task starts while the operator's records are out of date
 )
 
 // processStart is the origin of times on the monotonic clock, which does not jump.
@@ -36,6 +40,25 @@
 		waves    atomic.Pointer[[]modeler.Wave]
 		load     atomic.Pointer[receivedLoad]
 		store    storeHealth
+
+		evacuationTime time.Duration // see platform.Bounds; 0 if zones can't be evacuated
+		now            func() time.Duration
+		evacuations    atomic.Pointer[knownEvacuations] // nil before the operator's records have been read
+	}
+
+	// knownEvacuations are the evacuated zones and those restored lately, with the time
+	// at which they were last known to be current.
+	knownEvacuations struct {
+		zones []modeler.Evacuation
+		asOf  time.Duration
+	}
+
+	// operatorStore is the client of the key-value store for following the operator's
+	// records. It remembers when the last list was requested.
+	operatorStore struct {
+		*platform.Store
+		now             func() time.Duration
+		listRequestedAt time.Duration
 	}
 
 	// receivedLoad is a published load with the local time of its arrival.
@@ -117,25 +140,40 @@
 	return s.Manifest() != nil && s.store.sinceLastAnswer() < maxReadySilence
 }
 
-// followOperatorRecords returns a service that keeps the manifest and the
-// requested maintenance waves up to date.
+// List implements keeper.Watcher.
+func (s *operatorStore) List(ctx context.Context, prefix string) ([]keeper.Record, int64, error) {
+	s.listRequestedAt = s.now()
+	return s.Store.List(ctx, prefix)
+}
+
+// followOperatorRecords returns a service that keeps the manifest, the requested
+// maintenance waves and the evacuations up to date.
 func (s *fleetState) followOperatorRecords(store *platform.Store) func(ctx context.Context) error {
-	return keeper.NewFollower(store, platform.OperatorPrefix,
+	opts := []keeper.FollowerOption{keeper.WithFollowerLog(s.log)}
+	if s.evacuationTime > 0 {
+		store = store.WithOptions(platform.WithWatchWait(s.evacuationTime/watchesPerEvacuationTime), platform.WithWatchConfirmation(s.confirmEvacuations))
+		opts = append(opts, keeper.WithMaxRetryDelay(maxOperatorRecordRetryDelay))
+	}
+	client := &operatorStore{Store: store, now: s.now}
+	return keeper.NewFollower(client, platform.OperatorPrefix, append(opts,
 		keeper.OnReset(func(records []keeper.Record) {
 			for _, r := range records {
 				s.applyOperatorRecord(r)
 			}
+			s.replaceEvacuations(records, client.listRequestedAt)
 		}),
 		keeper.OnEvent(func(ev keeper.Event) {
-			if !ev.Deleted {
+			switch {
+			case !ev.Deleted:
 				s.applyOperatorRecord(ev.Record)
+			case platform.IsEvacuationKey(ev.Key):
+				s.removeEvacuation(ev.Record)
 			}
-		}),
-		keeper.WithFollowerLog(s.log)).Run
+		}))...).Run
 }
 
-// applyOperatorRecord stores the manifest or the maintenance wave that a record
-// contains. It ignores a manifest that is not newer than the stored one.
+// applyOperatorRecord stores the manifest, the maintenance wave or the evacuation that
+// a record contains. It ignores a manifest that is not newer than the stored one.
 func (s *fleetState) applyOperatorRecord(r keeper.Record) {
 	switch {
 	case r.Key == platform.ManifestKey:
@@ -157,7 +195,93 @@
 			return
 		}
 		s.setWave(wave)
+	case platform.IsEvacuationKey(r.Key):
+		s.addEvacuation(r)
+	}
+}
+
+// Evacuations returns the evacuated zones and those restored lately, and when they
+// were last known to be current, on the boot-time clock. That time is negative before
+// the operator's records have been read.
+func (s *fleetState) Evacuations() (zones []modeler.Evacuation, asOf time.Duration) {
+	if known := s.evacuations.Load(); known != nil {
+		return known.zones, known.asOf
+	}
+	return nil, -1
+}
+
+// operatorRecordAge returns how long ago the operator's records were known to be
+// current. Before they have been read this is the time since the machine booted.
+func (s *fleetState) operatorRecordAge() time.Duration {
+	_, asOf := s.Evacuations()
+	return s.now() - max(0, asOf)
+}
+
+// setEvacuations stores the evacuations. Only the service that follows the operator's
+// records calls it.
+func (s *fleetState) setEvacuations(zones []modeler.Evacuation, asOf time.Duration) {
+	s.evacuations.Store(&knownEvacuations{zones, asOf})
+	meter.SetEvacuatedZones(len(evacuator.Zones{Evacuations: zones}.Evacuated()))
+}
+
+// confirmEvacuations is called before each call of the watch, and the function that it
+// returns when the response has been applied: what is known was current when the call
+// was sent.
+func (s *fleetState) confirmEvacuations() func() {
+	sentAt := s.now()
+	return func() {
+		if known := s.evacuations.Load(); known != nil {
+			s.evacuations.Store(&knownEvacuations{known.zones, sentAt})
+		}
+	}
+}
+
+// replaceEvacuations replaces the evacuations by those in a list of all operator's
+// records that was requested at requestedAt.
+func (s *fleetState) replaceEvacuations(records []keeper.Record, requestedAt time.Duration) {
+	var listed []modeler.Evacuation
+	for _, r := range records {
+		if !platform.IsEvacuationKey(r.Key) {
+			continue
+		}
+		if e, err := platform.ParseEvacuation(r); err == nil { // addEvacuation has logged an error
+			listed = append(listed, e)
+		}
+	}
+	known, asOf := s.Evacuations()
+	zones := evacuator.Replace(known, listed, asOf, s.now())
+	for _, zone := range (evacuator.Zones{Evacuations: known}).Evacuated() {
+		if !(evacuator.Zones{Evacuations: zones}).IsEvacuated(zone) {
+			s.log.Info("zone restored: its evacuation is no longer listed", "zone", zone)
+		}
+	}
+	s.setEvacuations(zones, requestedAt)
+}
+
+// addEvacuation adds the evacuation that a record requests. It leaves the age of what
+// is known as it is.
+func (s *fleetState) addEvacuation(r keeper.Record) {
+	e, err := platform.ParseEvacuation(r)
+	if err != nil {
+		s.log.Error("record of an evacuation cannot be parsed and is ignored", "key", r.Key, "revision", r.Revision, "error", err)
+		return
+	}
+	known, asOf := s.Evacuations()
+	if !(evacuator.Zones{Evacuations: known}).IsEvacuated(e.Zone) {
+		s.log.Info("evacuation of a zone requested by the operator", "zone", e.Zone, "revision", r.Revision)
+	}
+	s.setEvacuations(evacuator.Add(known, e, asOf, s.now()), asOf)
+}
+
+// removeEvacuation removes the evacuation whose record has been deleted.
+func (s *fleetState) removeEvacuation(r keeper.Record) {
+	e, err := platform.ParseEvacuation(r)
+	if err != nil {
+		return // it was never added
 	}
+	known, asOf := s.Evacuations()
+	s.log.Info("zone restored by the operator", "zone", e.Zone, "revision", r.Revision)
+	s.setEvacuations(evacuator.Remove(known, e.Zone, s.now()), asOf)
 }
 
 // setWave stores a maintenance wave and replaces an earlier one with the same
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -79,7 +79,7 @@
 		return nil, err
 	}
 	l.settings.Store(&s)
-	l.fleet = &fleetState{log: l.log}
+	l.fleet = &fleetState{log: l.log, evacuationTime: s.Bounds.EvacuationTime, now: elector.BootClock}
 	return l, nil
 }
 
@@ -100,6 +100,9 @@
 	l.fleet.store.transport = platform.NewTransport(storeIdleConns)
 	store := platform.NewStore(func() string { return l.settings.Load().StoreAddress }, requester.NewClient(&l.fleet.store))
 
+	if s.Bounds.EvacuationTime > 0 {
+		meter.ExportOperatorRecordAge(l.fleet.operatorRecordAge)
+	}
 	services := supervisor.NewGroup(l.log)
 	metrics, err := l.newMetricsService(ctx, s)
 	if err != nil {
@@ -157,6 +160,9 @@
 		SlowLink: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, MaxWorkerListAge: max(0, s.Bounds.ContactTime-startTravelTime), OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime,
 		StoreWritesPerSecond: s.StoreWritesPerSecond, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
+	if s.Bounds.EvacuationTime > 0 {
+		cfg.EvacuationTime, cfg.Evacuations = s.Bounds.EvacuationTime, l.fleet.Evacuations
+	}
 	runTerm := func(ctx context.Context, term *elector.Term) {
 		engineStore := store.WithOptions(platform.WithMinWatchInterval(minWatchInterval), platform.WithWatchedValues(orchestrator.IsJobInput), platform.WithOnPage(term.ReportProgress))
 		orchestrator.New(cfg, engineStore, workers, directory, term, append(opts, orchestrator.WithLog(l.log))...).Run(ctx)
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -114,6 +114,24 @@
 	setGauge(`coltsfootlever_manifest_version`, float64(version))
 }
 
+// SetEvacuatedZones sets the number of evacuated zones that this entry knows of.
+func SetEvacuatedZones(n int) {
+	setGauge(`coltsfootlever_evacuated_zones`, float64(n))
+}
+
+// CountWithheldStart counts a start of a task that was withdrawn or held back because
+// of the evacuation of a zone. zone is that of the worker.
+func CountWithheldStart(zone string) {
+	incrementCounter(`coltsfootlever_starts_withheld_total{zone=%q}`, zone)
+}
+
+// ExportOperatorRecordAge adds a metric for the time since the operator's records were
+// last known to be current, in seconds, which is read from fn each time the metrics
+// are written.
+func ExportOperatorRecordAge(fn func() time.Duration) {
+	metrics.GetOrCreateGauge(`coltsfootlever_operator_records_age_seconds`, func() float64 { return fn().Seconds() })
+}
+
 // ExportDroppedLines adds a metric for the number of dropped log lines, whose value
 // is read from fn each time the metrics are written.
 func ExportDroppedLines(fn func() uint64) {
--- a/modeler/fleet.go
+++ b/modeler/fleet.go
@@ -61,6 +61,17 @@
 		MaxConcurrent int
 	}
 
+	// Evacuation is an operator's request to take an availability zone out of use. Its
+	// times are on the boot-time clock of the process that has read it.
+	Evacuation struct {
+		Zone       string
+		Revision   int64         // of the operator's record
+		Since      time.Duration // when the process learned of the request
+		InUseAsOf  time.Duration // when the zone was last known not to be evacuated; negative if it never was
+		Restored   bool          // the operator has restored the zone
+		RestoredAt time.Duration // when the process learned that, if Restored
+	}
+
 	// RunningTask is an entry in a worker's list of current runs.
 	RunningTask struct {
 		Task       TaskID
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -223,9 +223,7 @@
 	case starting, outcomeUnknown, adopted:
 		t.phase = running
 		t.phaseSince = now
-		if t.step.occurrence.job.state.IsFinal() {
-			e.requestStop(t)
-		}
+		e.stopIfUnwanted(t)
 	}
 	if t.phase == running {
 		t.listedFor = now.Sub(t.phaseSince)
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -77,9 +77,16 @@
 		// SlowLink saves bytes at the price of processor time: progress records are
 		// compressed, and a new leader reads the fleet's records in small lists, so that
 		// the renewals of its lease don't wait for a large one.
-		SlowLink       bool
-		WallClock      func() time.Time // time of day for due times; nil selects the machine's clock
-		Manifest       func() *modeler.Manifest
+		SlowLink  bool
+		WallClock func() time.Time // time of day for due times; nil selects the machine's clock
+		Manifest  func() *modeler.Manifest
+		// EvacuationTime is how long after the acknowledgement of a zone's evacuation
+		// tasks may still start there. Evacuations returns the evacuated zones and those
+		// restored lately, and when they were last known to be current by
+		// elector.Term.Now, or a negative time if they have not been read; it may be
+		// called concurrently. Without it zones can't be evacuated.
+		EvacuationTime time.Duration
+		Evacuations    func() (zones []modeler.Evacuation, asOf time.Duration)
 		RequestedWaves func() []modeler.Wave // maintenance waves that the operator has requested
 		// WaveStatus returns the record that tells the operator whether a wave is
 		// running or completed.
@@ -134,7 +141,9 @@
 		handover             handoverState
 		workerListRequested  atomic.Bool  // the worker list should be read soon
 		workersAsOf          atomic.Int64 // when the last worker list was requested, by elector.Term.Now
-		mostUnreachableSince time.Time    // since when most workers have not responded to this entry node; zero if they do
+		zoneState            zoneState
+		anyWorkerOutOfUse    bool      // the zone of a worker is evacuated, or the worker has not returned to use after a restore
+		mostUnreachableSince time.Time // since when most workers have not responded to this entry node; zero if they do
 	}
 )
 
@@ -240,6 +249,7 @@
 	e.handling = nil
 	if !now.Before(e.nextTick) {
 		e.term.ReportProgress()
+		e.updateZones(now)
 		e.nextTick = now.Add(tickInterval)
 		e.runPeriodicWork(ctx, now)
 	}
@@ -331,6 +341,8 @@
 		e.replacementDue = false
 		e.requeueTasksOfReplacedWorkers()
 	}
+	e.withdrawIncompleteGangs(now)
+	e.moveTasksOffEvacuatedZones(now)
 	e.publishLoad(ctx, now)
 	e.runPlanRound(ctx, now)
 	e.storeUnresponsiveWorkers(ctx, now)
--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -1,6 +1,7 @@
 package orchestrator
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,7 +15,7 @@
 const evacuationDelayAfterTermStart = 1500 * time.Millisecond
 
 // evacuateWorker moves long-running tasks off a worker whose instance is
-// about to be moved or maintained. Other tasks are left to finish.
+// about to be moved or maintained, or whose zone is evacuated. Other tasks are left to finish.
 func (e *Engine) evacuateWorker(w *worker, now time.Time) {
 	if now.Sub(e.termStart) < evacuationDelayAfterTermStart {
 		return
@@ -34,7 +35,7 @@
 		if obstacle != "" {
 			continue
 		}
-		e.log.Info("task moves to another worker, stopping its run", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", w.cordonReason,
+		e.log.Info("task moves to another worker, stopping its run", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", cmp.Or(w.cordonReason, "evacuation"),
 			"absent", t.step.countUnavailable(t), "may-miss", t.step.MaxAbsent)
 		e.requestStop(t)
 		e.requestPlacement()
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/evacuator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 )
@@ -286,9 +287,14 @@
 		j := t.step.occurrence.job
 		switch {
 		case t.phase != placed:
+		case e.zoneState.outdated:
+			e.noteWithheld(t.worker, t, evacuator.ErrOutdated, now)
+			remaining = append(remaining, t)
 		case e.shuttingDown || !e.maySendStart(t, now) || e.startsInFlight >= limit && !t.step.startsBeyondLimit():
 			remaining = append(remaining, t)
-		case j.state.IsFinal() || !t.worker.mayBeUsed() || t.worker.StartTimeMs != t.placementBoot || orphanedTasks()[t.id] || t.step.Gang && t.step.hasTaskIn(orphanedTasks()):
+		case t.worker.evacuated && t.step.Gang && !e.mayFinishGang(t):
+			e.withdrawGang(t.step, t.worker, evacuator.ErrEvacuated, now)
+		case j.state.IsFinal() || !t.worker.mayBeUsed() && !e.mayFinishGang(t) || t.worker.StartTimeMs != t.placementBoot || orphanedTasks()[t.id] || t.step.Gang && t.step.hasTaskIn(orphanedTasks()):
 			e.requeueTask(t)
 			e.requestPlacement()
 		default:
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -195,6 +195,9 @@
 		w.registeredInTerm = e.startedAfterFirstListRequest(w, requestedAt)
 		e.log.Info("worker listed", "worker", info.ID, "instance", info.Instance, "pool", info.Pool, "born", info.StartTimeMs)
 	}
+	if e.cfg.Evacuations != nil {
+		e.updateZoneOf(w, e.zones(), e.term.Now())
+	}
 	if w.pollRequests == nil {
 		e.startWorkerCallers(ctx, w)
 	}
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -63,7 +63,8 @@
 		tickets       map[string]ticket // decisions of the advice service by worker ID; nil before its first response
 		adviceRetryAt time.Time         // no tickets are requested before this time
 		advicePending bool
-		preferredRack string // rack for a step whose tasks should run on one rack
+		gangStarts    *gangStarts // of the last placement if the step is a gang, nil before the first start
+		preferredRack string      // rack for a step whose tasks should run on one rack
 	}
 
 	// failedRun identifies a failed run of a task.
@@ -88,6 +89,7 @@
 		worker           *worker       // assigned worker, nil while waiting or done
 		ticket           string        // permission from the advice service
 		permit           *startPermit  // to send the start, in phase starting
+		withheldRun      int           // number of the last run whose start was withheld, see noteWithheld
 		placementVersion int64         // job version that contains the placement
 		placementBoot    int64         // start time of the worker for which the placement was made
 		phaseSince       time.Time     // start of the phase
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/evacuator"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/requester"
@@ -37,11 +38,23 @@
 	startWithdrawn
 )
 
-// startPermit is the permission to send a queued start. The event loop withdraws it
-// when the task must no longer start.
-type startPermit struct {
-	state atomic.Int32
-}
+type (
+	// startPermit is the permission to send a queued start. The event loop withdraws it
+	// when the task must no longer start.
+	startPermit struct {
+		state atomic.Int32
+	}
+
+	// queuedStart is a start in the queue of its worker's calls.
+	queuedStart struct {
+		order    modeler.StartOrder
+		permit   *startPermit
+		queuedAt time.Time
+		zone     string      // of the worker
+		gang     *gangStarts // nil unless the task belongs to a gang
+		clock    clockSample // of the worker
+	}
+)
 
 // withdraw withdraws the permission and reports whether the start will not be sent.
 // If it has been sent, its result shows what to do.
@@ -49,19 +62,30 @@
 	return p.state.CompareAndSwap(startQueued, startWithdrawn) || p.state.Load() == startWithdrawn
 }
 
-// checkPermit returns an error if a start that was queued at queuedAt may not be
-// sent any more. Otherwise the permission is used up, and the caller must send it.
-func (e *Engine) checkPermit(permit *startPermit, queuedAt time.Time) error {
-	switch {
-	case permit.state.Load() == startWithdrawn:
+// checkPermit returns an error if a queued start may not be sent any more. Otherwise
+// the permission is used up, and the caller must send the order.
+func (e *Engine) checkPermit(s *queuedStart) error {
+	if s.permit.state.Load() == startWithdrawn {
 		return errStartWithdrawn
-	case time.Since(queuedAt) > maxStartQueueTime || !e.term.MayExtend():
+	}
+	if s.gang != nil {
+		s.gang.mu.Lock()
+		defer s.gang.mu.Unlock()
+	}
+	if err := e.checkZone(s); err != nil {
+		return err
+	}
+	switch {
+	case time.Since(s.queuedAt) > maxStartQueueTime || !e.term.MayExtend():
 		return errStartTooLate
 	case !e.knowsCapacities():
 		return errListTooOld
-	case !permit.state.CompareAndSwap(startQueued, startSent):
+	case !s.permit.state.CompareAndSwap(startQueued, startSent):
 		return errStartWithdrawn
 	}
+	if s.gang != nil {
+		s.gang.markSent(e.term.Now())
+	}
 	return nil
 }
 
@@ -108,12 +132,12 @@
 		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint, FencingToken: e.term.Token,
 		DeadlineMs: w.clockSample.workerTimeAfter(now, e.cfg.RunLease), Ticket: t.ticket,
 	}
-	info, permit := w.Worker, &startPermit{}
-	t.permit = permit
+	info, start := w.Worker, &queuedStart{order: o, permit: &startPermit{}, queuedAt: now, zone: w.Zone, gang: t.gangStartsOf(), clock: w.clockSample}
+	t.permit = start.permit
 	queued := e.queueCall(w, func(ctx context.Context) {
-		clock, err := int64(0), e.checkPermit(permit, now)
+		clock, err := int64(0), e.checkPermit(start)
 		if err == nil {
-			clock, err = e.workers.Start(ctx, info, o)
+			clock, err = e.workers.Start(ctx, info, start.order)
 		}
 		e.runInEventLoop(ctx, func() {
 			e.countStartResult(w)
@@ -174,9 +198,7 @@
 		}
 		t.phase, t.phaseSince = running, now
 		e.admission.starts[w.Pool]++
-		if t.step.occurrence.job.state.IsFinal() {
-			e.requestStop(t)
-		}
+		e.stopIfUnwanted(t)
 	case errors.Is(err, errStartWithdrawn), errors.Is(err, errListTooOld):
 		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "reason", err)
 		e.requeueTask(t)
@@ -184,6 +206,13 @@
 	case errors.Is(err, modeler.ErrFenced):
 		e.log.Warn("term superseded: worker has seen a higher fencing token, ending the term", "worker", w.ID)
 		e.term.Depose()
+	case errors.Is(err, evacuator.ErrEvacuated), errors.Is(err, evacuator.ErrOutdated), w.evacuated && t.step.Gang && wasNotExecuted(err):
+		e.noteWithheld(w, t, err, now)
+		if t.step.Gang {
+			e.withdrawGang(t.step, w, err, now)
+		}
+		e.requeueTask(t)
+		e.requestPlacement()
 	case wasNotExecuted(err):
 		e.log.Info("start of a run refused by its worker, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
 		e.handleRefusedStart(w, t, now, err)
@@ -293,9 +322,7 @@
 	if started {
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", report.ClockMs, "settled", true)
 		t.phase, t.phaseSince = running, time.Now()
-		if t.step.occurrence.job.state.IsFinal() {
-			e.requestStop(t)
-		}
+		e.stopIfUnwanted(t)
 		return
 	}
 	for _, ended := range report.Ended {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -74,7 +74,7 @@
 
 // runPlacement assigns waiting tasks to workers with enough free resources.
 func (e *Engine) runPlacement(now time.Time) {
-	if e.shuttingDown {
+	if e.shuttingDown || e.zoneState.outdated {
 		return
 	}
 	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), customerUsage: e.usageByCustomer(), pools: make(map[string]*poolView), orphaned: e.tasksWithOrphanedRuns()}
@@ -229,6 +229,7 @@
 	}
 	for _, i := range e.planner.instances {
 		switch {
+		case !e.isInUse(i):
 		case i.plan == movePlan:
 			c.usable[i.targetPool] += i.Capacity.CPU
 		case e.isMovable(i):
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/evacuator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
@@ -46,9 +47,12 @@
 	storeBytesPerSecond     int                   // of each entry node's link to the store, see storeLink; 0 if it is fast
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	wallClock               func() time.Time      // see orchestrator.Config.WallClock
-	rejectedJob             string                // ID of a job whose starts all workers reject as malformed
-	outcomeQueryTime        time.Duration         // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
-	steps                   sync.Map              // steps of the submitted jobs, by job ID
+	evacuationTime          time.Duration         // see orchestrator.Config.EvacuationTime; 0 if zones can't be evacuated
+	evacuations             atomic.Pointer[[]modeler.Evacuation]
+	began                   time.Time
+	rejectedJob             string        // ID of a job whose starts all workers reject as malformed
+	outcomeQueryTime        time.Duration // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
+	steps                   sync.Map      // steps of the submitted jobs, by job ID
 }
 
 // needOf returns what a task of a submitted job needs on its worker.
@@ -61,6 +65,54 @@
 	return step.ReservedResources()
 }
 
+// clock returns the time on the clock of all entry nodes.
+func (d *deployment) clock() time.Duration {
+	return time.Since(d.began)
+}
+
+// evacuate replaces the evacuations that the operator requests, and returns the
+// acknowledgement: from now on the workers check what starts in these zones.
+func (d *deployment) evacuate(zones ...string) {
+	var requested []modeler.Evacuation
+	for _, zone := range zones {
+		requested = append(requested, modeler.Evacuation{Zone: zone, Revision: 1})
+	}
+	for _, zone := range []string{"z", "y", "x"} {
+		if evacuated := slices.Contains(zones, zone); evacuated != d.isEvacuated(zone) {
+			d.taskFleet.SetEvacuated(zone, evacuated)
+		}
+	}
+	d.evacuations.Store(&requested)
+}
+
+func (d *deployment) isEvacuated(zone string) bool {
+	requested := d.evacuations.Load()
+	return requested != nil && slices.ContainsFunc(*requested, func(e modeler.Evacuation) bool { return e.Zone == zone })
+}
+
+// addInstanceInZone adds an instance of pool p in a zone.
+func (d *deployment) addInstanceInZone(name, zone string) {
+	d.instances.Add(modeler.Instance{
+		Name: name, Pool: "p", Zone: zone, Labels: []string{"k", "r1"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000},
+	}, true)
+}
+
+// readEvacuations returns what the entry node knows of the evacuations, which it reads
+// anew unless it is cut off from the operator's records.
+func (e *entryNode) readEvacuations() ([]modeler.Evacuation, time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.losesOperatorRecords.Load() {
+		var listed []modeler.Evacuation
+		if requested := e.deployment.evacuations.Load(); requested != nil {
+			listed = *requested
+		}
+		now := e.deployment.clock()
+		e.knownEvacuations, e.evacuationsAsOf = evacuator.Replace(e.knownEvacuations, listed, e.evacuationsAsOf, now), now
+	}
+	return e.knownEvacuations, e.evacuationsAsOf
+}
+
 // requestWaves replaces the maintenance waves that the operator requests.
 func (d *deployment) requestWaves(waves ...modeler.Wave) {
 	d.waves.Store(&waves)
@@ -188,12 +240,17 @@
 	losesWorkerLists   atomic.Bool                      // the list of workers can't be read
 	manifest           atomic.Pointer[modeler.Manifest] // replaces the deployment's manifest; nil if it applies
 	unreachableWorkers sync.Map                         // IDs of workers whose polls get no response
+
+	losesOperatorRecords atomic.Bool // the operator's records can't be read
+	mu                   sync.Mutex
+	knownEvacuations     []modeler.Evacuation
+	evacuationsAsOf      time.Duration // when they were read, negative if never
 }
 
 // newDeployment returns a deployment with workers on running instances a, b and
 // so on, all in pool p.
 func newDeployment(t *testing.T, workers int) *deployment {
-	s := &deployment{t: t, store: emulator.NewMetaStore(), log: slog.New(slog.DiscardHandler)}
+	s := &deployment{t: t, store: emulator.NewMetaStore(), log: slog.New(slog.DiscardHandler), began: time.Now()}
 	if os.Getenv("COLTSFOOTLEVER_TEST_LOG") != "" {
 		s.log = slog.New(slog.NewJSONHandler(os.Stdout, nil))
 	}
@@ -224,7 +281,7 @@
 // startEntry starts an entry node.
 func (d *deployment) startEntry(name string) *entryNode {
 	client := storeLink{MetaStoreClient: d.store.ClientFor(name), bytesPerSecond: d.storeBytesPerSecond, busy: make(chan struct{}, 1)}
-	e := &entryNode{deployment: d, name: name, done: make(chan struct{})}
+	e := &entryNode{deployment: d, name: name, done: make(chan struct{}), evacuationsAsOf: -1}
 	cfg := orchestrator.Config{
 		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, MaxWorkerListAge: 2800 * time.Millisecond, OutcomeQueryTime: cmp.Or(d.outcomeQueryTime, 20*time.Second), MoveTime: 1500 * time.Millisecond,
 		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
@@ -243,6 +300,10 @@
 			return keeper.Put{Key: "status", Value: []byte(value)}
 		},
 	}
+	if d.evacuationTime > 0 {
+		cfg.EvacuationTime, cfg.Evacuations = d.evacuationTime, e.readEvacuations
+		d.taskFleet.EvacuationTime = d.evacuationTime
+	}
 	opts := []orchestrator.Option{orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))}
 	if d.throttle != nil {
 		opts = append(opts, orchestrator.WithThrottle(d.throttle))
@@ -255,7 +316,7 @@
 	d.t.Cleanup(e.stopGracefully) // also after a failed check, which else would leave goroutines in the bubble
 	go func() {
 		defer close(e.done)
-		_ = elector.New(client, name, lead, d.log).Run(ctx)
+		_ = elector.New(client, name, lead, d.log, elector.WithClock(d.clock)).Run(ctx)
 	}()
 	return e
 }
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -66,12 +66,14 @@
 
 // addWorker adds a worker's capacity and its running tasks.
 func (d *poolDemand) addWorker(w *worker) {
-	d.capacity += float64(w.Capacity.CPU) / milliCoresPerCore
+	if !w.outOfUse {
+		d.capacity += float64(w.Capacity.CPU) / milliCoresPerCore
+	}
 	for _, t := range w.tasks {
 		cores := float64(t.step.ReservedResources().CPU) / milliCoresPerCore
 		if t.step.LongRunning {
 			d.longRunning += cores
-		} else {
+		} else if !w.outOfUse { // other tasks end on their worker
 			d.running += cores
 		}
 	}
@@ -278,10 +280,11 @@
 	}
 }
 
-// isMovable reports whether an instance can be moved at once: it is up, has no
-// tasks, reservations or plan, and its worker is known and not draining.
+// isMovable reports whether an instance can be moved at once: it is up, its zone is
+// in use, it has no tasks, reservations or plan, and its worker is known and not
+// draining.
 func (e *Engine) isMovable(i *instance) bool {
-	if i.plan != noPlan || i.State != modeler.InstanceUp {
+	if i.plan != noPlan || i.State != modeler.InstanceUp || !e.isInUse(i) {
 		return false
 	}
 	for _, w := range e.allWorkersOn(i) {
@@ -294,10 +297,10 @@
 }
 
 // countsTowardPoolSize reports whether an instance counts toward the size of
-// its pool, now or after its move. It doesn't if it is down or due for
-// maintenance, or if its worker is draining or unresponsive.
+// its pool, now or after its move. It doesn't if it is down, due for maintenance or
+// in an evacuated zone, or if its worker is draining or unresponsive.
 func (e *Engine) countsTowardPoolSize(i *instance) bool {
-	if i.State == modeler.InstanceDown || i.plan == maintenancePlan {
+	if i.State == modeler.InstanceDown || i.plan == maintenancePlan || !e.isInUse(i) {
 		return false
 	}
 	w := e.currentWorkerOn(i)
@@ -325,7 +328,7 @@
 			continue
 		}
 		p := &pools[n]
-		hasIncomingMoves[p.Name] = hasIncomingMoves[p.Name] || i.plan == movePlan
+		hasIncomingMoves[p.Name] = hasIncomingMoves[p.Name] || i.plan == movePlan && e.isInUse(i)
 		if e.countsTowardPoolSize(i) {
 			p.Instances++
 		}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -48,8 +48,11 @@
 		lastPollAt         time.Time     // when the last poll was queued
 		failedPolls        int           // failed polls in a row
 		cordonReason       string        // kind of plan that excludes the worker from new tasks; empty if there is none
-		reservedFor        []*task       // tasks that have resources reserved here
-		keptFor            *task         // only this task may be placed here; nil for any
+		evacuated          bool          // its zone is evacuated
+		outOfUse           bool          // its zone is evacuated, or has been restored and the worker has not returned to use yet
+		withheld           withheldStarts
+		reservedFor        []*task // tasks that have resources reserved here
+		keptFor            *task   // only this task may be placed here; nil for any
 		keptSince          time.Time
 		idleCPUPacePercent int                    // speed of the tasks that use idle CPU, in percent of full speed
 		paceChangedAt      time.Time              // when idleCPUPacePercent last changed
@@ -135,7 +138,7 @@
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
-	return w.listed && w.polled && w.hasKnownCapacity() && w.mayBeUsed() && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
+	return w.listed && w.polled && w.hasKnownCapacity() && w.mayBeUsed() && !w.outOfUse && !w.Draining && w.cordonReason == "" && len(w.orphanedRuns) == 0 && !w.hasUnknownStart && !now.Before(w.suspectUntil)
 }
 
 // hasKnownCapacity reports whether the present process of the worker has registered
@@ -146,7 +149,7 @@
 
 // mayBeUsed reports whether tasks may be started on the worker.
 func (w *worker) mayBeUsed() bool {
-	return w.reachable && !w.recorded
+	return w.reachable && !w.recorded && !w.evacuated
 }
 
 // markSuspect excludes the worker from new tasks for suspectTime.
--- /dev/null
+++ b/orchestrator/zone.go
@@ -0,0 +1,279 @@
+package orchestrator
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/evacuator"
+	"github.com/coltsfootlever/coltsfootlever/meter"
+)
+
+const withheldLogInterval = time.Second // between two log lines on withheld starts of a worker
+
+type (
+	// zoneState is what the event loop has last seen of the evacuated zones.
+	zoneState struct {
+		evacuated     []string  // names of the evacuated zones
+		outdated      bool      // no start may be sent, because the operator's records may be out of date
+		nextMoveRound time.Time // when long-running tasks are next moved off evacuated workers
+	}
+
+	// gangStarts tells for one placement of a gang whether any of its starts has been
+	// sent. Either the rest follows or all are withdrawn. Its methods may be called
+	// concurrently, by the callers of several workers.
+	gangStarts struct {
+		run       int // run number of all members
+		mu        sync.Mutex
+		sent      bool
+		firstSent time.Duration // by elector.Term.Now
+		withdrawn bool
+	}
+
+	// withheldStarts counts the starts of a worker that were withdrawn or held back
+	// because of evacuations.
+	withheldStarts struct {
+		notLogged int
+		loggedAt  time.Time
+	}
+)
+
+// zones returns what this entry node knows of evacuated zones at present.
+func (e *Engine) zones() evacuator.Zones {
+	if e.cfg.Evacuations == nil {
+		return evacuator.Zones{}
+	}
+	zones, asOf := e.cfg.Evacuations()
+	return evacuator.Zones{Evacuations: zones, AsOf: asOf, Bound: e.cfg.EvacuationTime}
+}
+
+// updateZones applies changes of the evacuated zones to the workers and withdraws
+// starts that they forbid.
+func (e *Engine) updateZones(now time.Time) {
+	if e.cfg.Evacuations == nil {
+		return
+	}
+	z, at := e.zones(), e.term.Now()
+	if outdated := !z.IsCurrent(at); outdated != e.zoneState.outdated {
+		e.zoneState.outdated = outdated
+		if outdated {
+			e.log.Warn("no starts are sent: the operator's records may be out of date", "age", z.Age(at).String())
+		} else {
+			e.log.Info("starts are sent again: the operator's records are up to date", "age", z.Age(at).String())
+		}
+		e.requestPlacement()
+	}
+	changed := !slices.Equal(e.zoneState.evacuated, z.Evacuated())
+	if changed {
+		e.zoneState.evacuated = z.Evacuated()
+		e.log.Info("evacuated zones have changed", "evacuated", e.zoneState.evacuated, "age", z.Age(at).String())
+	}
+	if !changed && !e.anyWorkerOutOfUse && len(z.Evacuations) == 0 {
+		return
+	}
+	e.anyWorkerOutOfUse = false
+	for _, w := range e.workersByID {
+		e.updateZoneOf(w, z, at)
+	}
+	if changed {
+		e.withdrawStartsInEvacuatedZones(now)
+		e.requestPlacement()
+	}
+}
+
+// updateZoneOf updates whether the zone of a worker is in use.
+func (e *Engine) updateZoneOf(w *worker, z evacuator.Zones, at time.Duration) {
+	w.evacuated = z.IsEvacuated(w.Zone)
+	outOfUse := !z.Accepts(w.Zone, w.Instance, at)
+	if w.outOfUse && !outOfUse {
+		e.requestPlacement()
+	}
+	w.outOfUse = outOfUse
+	e.anyWorkerOutOfUse = e.anyWorkerOutOfUse || outOfUse
+}
+
+// isInUse reports whether the zone of an instance is in use and the instance has
+// returned to use after a restore.
+func (e *Engine) isInUse(i *instance) bool {
+	return e.cfg.Evacuations == nil || e.zones().Accepts(i.Zone, i.Name, e.term.Now())
+}
+
+// withdrawStartsInEvacuatedZones requeues the placed tasks of evacuated workers, and
+// gangs of which no start has been sent. checkZone withdraws other starts that wait in
+// the workers' queues.
+func (e *Engine) withdrawStartsInEvacuatedZones(now time.Time) {
+	for _, w := range e.workersByID {
+		if !w.evacuated {
+			continue
+		}
+		for _, t := range w.tasks {
+			switch {
+			case t.phase != placed && t.phase != starting:
+			case t.step.Gang && !e.mayFinishGang(t):
+				e.withdrawGang(t.step, w, evacuator.ErrEvacuated, now)
+			case t.step.Gang:
+			case t.phase == placed:
+				e.noteWithheld(w, t, evacuator.ErrEvacuated, now)
+				e.requeueTask(t)
+			}
+		}
+	}
+}
+
+// moveTasksOffEvacuatedZones moves long-running tasks off the workers of evacuated
+// zones, as before maintenance. The others end by themselves.
+func (e *Engine) moveTasksOffEvacuatedZones(now time.Time) {
+	if !e.anyWorkerOutOfUse || e.zoneState.outdated || now.Before(e.zoneState.nextMoveRound) {
+		return // a task that is stopped while no start may be sent would be absent
+	}
+	e.zoneState.nextMoveRound = now.Add(planRoundInterval)
+	for _, w := range e.workersByID {
+		if w.evacuated && w.longRunningTasks() > 0 {
+			e.evacuateWorker(w, now)
+		}
+	}
+}
+
+// longRunningTasks returns the number of long-running tasks on the worker.
+func (w *worker) longRunningTasks() int {
+	n := 0
+	for _, t := range w.tasks {
+		if t.step.LongRunning {
+			n++
+		}
+	}
+	return n
+}
+
+// checkZone returns an error if a start may not be sent because of evacuations, and
+// else limits the lease in its order so that the worker refuses a start that arrives too
+// late. The caller must hold the mutex of the gang.
+func (e *Engine) checkZone(s *queuedStart) error {
+	if e.cfg.Evacuations == nil {
+		return nil
+	}
+	if s.gang != nil && s.gang.withdrawn {
+		return evacuator.ErrEvacuated
+	}
+	now, at := time.Now(), e.term.Now() // in this order, so that a pause of the process makes the lease end earlier
+	latest, err := e.zones().StartBy(s.zone, s.gang != nil && s.gang.sent, at)
+	if err != nil {
+		if s.gang != nil && errors.Is(err, evacuator.ErrEvacuated) {
+			s.gang.withdrawn = true
+		}
+		return err
+	}
+	s.order.DeadlineMs = min(s.order.DeadlineMs, s.clock.workerTimeAfter(now, latest-at))
+	return nil
+}
+
+// markSent records that a start of the gang is sent. The caller must hold the mutex.
+func (g *gangStarts) markSent(at time.Duration) {
+	if !g.sent {
+		g.sent, g.firstSent = true, at
+	}
+}
+
+// gangStartsOf returns the state of the starts of a gang's present placement, or nil
+// if the step is no gang.
+func (t *task) gangStartsOf() *gangStarts {
+	if !t.step.Gang {
+		return nil
+	}
+	if g := t.step.gangStarts; g == nil || g.run != t.run {
+		t.step.gangStarts = &gangStarts{run: t.run}
+	}
+	return t.step.gangStarts
+}
+
+// mayFinishGang reports whether the start of a gang's member may be sent to an
+// evacuated worker because others of the gang have been sent.
+func (e *Engine) mayFinishGang(t *task) bool {
+	g := t.gangStartsOf()
+	if g == nil || !t.worker.reachable || t.worker.recorded {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, err := e.zones().StartBy(t.worker.Zone, g.sent, e.term.Now())
+	return !g.withdrawn && !errors.Is(err, evacuator.ErrEvacuated)
+}
+
+// isGangWithdrawn reports whether the task belongs to a gang whose present placement
+// has been withdrawn.
+func (t *task) isGangWithdrawn() bool {
+	g := t.step.gangStarts
+	if g == nil || g.run != t.run {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.withdrawn
+}
+
+// withdrawGang withdraws the starts of all members of a gang, and stops those that
+// have been sent.
+func (e *Engine) withdrawGang(s *step, w *worker, reason error, now time.Time) {
+	for _, t := range s.tasks {
+		if t.phase != placed && t.phase != starting {
+			continue
+		}
+		g := t.gangStartsOf()
+		g.mu.Lock()
+		g.withdrawn = true
+		g.mu.Unlock()
+		e.noteWithheld(w, t, reason, now)
+	}
+	for _, t := range s.tasks {
+		if t.isGangWithdrawn() {
+			e.requestStop(t)
+		}
+	}
+	e.requestPlacement()
+}
+
+// withdrawIncompleteGangs withdraws gangs of which some members have been started and
+// the rest has been held back too long.
+func (e *Engine) withdrawIncompleteGangs(now time.Time) {
+	if !e.zoneState.outdated {
+		return
+	}
+	for _, t := range e.awaitingStart {
+		if t.phase != placed || !t.step.Gang {
+			continue
+		}
+		g := t.gangStartsOf()
+		g.mu.Lock()
+		overdue := g.sent && !evacuator.MayWaitForGang(g.firstSent, e.term.Now())
+		g.mu.Unlock()
+		if overdue {
+			e.withdrawGang(t.step, t.worker, evacuator.ErrOutdated, now)
+		}
+	}
+}
+
+// stopIfUnwanted stops the run of a task that has just been found running if its job
+// has ended or its gang has been withdrawn.
+func (e *Engine) stopIfUnwanted(t *task) {
+	if t.step.occurrence.job.state.IsFinal() || t.isGangWithdrawn() {
+		e.requestStop(t)
+	}
+}
+
+// noteWithheld counts a start that is withdrawn or held back because of evacuations,
+// once for each placement, and logs it.
+func (e *Engine) noteWithheld(w *worker, t *task, reason error, now time.Time) {
+	if t.withheldRun == t.run {
+		return
+	}
+	t.withheldRun = t.run
+	meter.CountWithheldStart(w.Zone)
+	w.withheld.notLogged++
+	if now.Sub(w.withheld.loggedAt) < withheldLogInterval {
+		return
+	}
+	e.log.Info("starts withheld", "worker", w.ID, "zone", w.Zone, "starts", w.withheld.notLogged, "task", t.id.String(), "run", t.run, "reason", reason)
+	w.withheld = withheldStarts{loggedAt: now}
+}
