Refuse new jobs while all zones are evacuated, and test evacuations with other events

Jobs that were accepted while nothing can start waited without an answer. The leader now publishes the evacuated zones when there are no others, and entries refuse new jobs with no-capacity, not-run, the reason and a Retry-After; a zone that an entry knows to be restored ends this at once. A pool without cores gave a wait that is not a number. A change of the evacuated zones publishes the load at the next occasion, so that the limitations follow the smaller capacity.

Tests in virtual time cover the moves of long-running tasks, also across a change of leader, pools, a restored zone under a backlog, evacuation and restore in quick succession, all zones, a wave, and nine other events before, with and after an evacuation.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -39,6 +39,7 @@
 		// Limitation tells whether only a share of a customer's new jobs in a queue may be
 		// accepted.
 		Limitation(queue, customer string) (orchestrator.Limitation, bool)
+		EvacuatedZones() []string        // evacuated zones if all are, so that nothing can start; nil otherwise
 		StoreIsUnreachable() bool        // calls to the key-value service have failed for some time
 		SinceStoreAnswer() time.Duration // time since the last answer of the key-value service
 	}
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -29,6 +29,7 @@
 	manifest     *modeler.Manifest
 	pending      map[string]int
 	limited      map[string]orchestrator.Limitation // by customer
+	evacuated    []string
 	unreachable  bool
 	storeSilence time.Duration
 }
@@ -42,6 +43,8 @@
 	return l, ok
 }
 
+func (b *fleetState) EvacuatedZones() []string { return b.evacuated }
+
 func (b *fleetState) StoreIsUnreachable() bool { return b.unreachable }
 
 func (b *fleetState) SinceStoreAnswer() time.Duration { return b.storeSilence }
@@ -237,3 +240,22 @@
 	b.fleet.limited["c"] = orchestrator.Limitation{Accept: 0.6, WaitMs: 6000}
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/00000000000000a4", body, "secret").Code)
 }
+
+// Guards against jobs that are accepted and wait while all zones are evacuated: new jobs
+// of all kinds are refused as not run, with the reason, and are not stored. A job that
+// was accepted before its answer got lost stays accepted.
+func TestNewJobsAreRefusedWhileAllZonesAreEvacuated(t *testing.T) {
+	const other = "00000000000000a1"
+	b := newFixture(t)
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+	b.fleet.evacuated = []string{"a", "b"}
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+	w := b.call("POST", "/k/"+other, body, "secret")
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	require.Contains(t, w.Body.String(), `"verdict":"not-run"`)
+	require.Contains(t, w.Body.String(), "evacuated (a, b)")
+	require.Equal(t, http.StatusGone, b.call("GET", "/k/"+other, "", "secret").Code)
+	b.fleet.evacuated = nil
+	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+other, body, "secret").Code)
+}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -16,7 +17,10 @@
 	"github.com/coltsfootlever/coltsfootlever/postponer"
 )
 
-const cancelAttempts = 3 // a job's record changes at most once while a cancellation is stored
+const (
+	cancelAttempts = 3                // a job's record changes at most once while a cancellation is stored
+	evacuationWait = 10 * time.Second // stands for the time until a zone is restored, which is not known
+)
 
 // submit stores a job. Storing a job that is stored already changes nothing, so
 // that repeated calls create one job.
@@ -28,8 +32,14 @@
 	if a.fleet.StoreIsUnreachable() {
 		return answer{}, a.storeFailure(keeper.ErrUnavailable)
 	}
+	if zones := a.fleet.EvacuatedZones(); len(zones) > 0 {
+		return a.refuseUnlessStored(r, classifier.Refuse(classifier.NoCapacity, "all availability zones are evacuated (%s), so nothing can start; try again when one has been restored",
+			strings.Join(zones, ", ")).WithRetryAfter(postponer.OverloadDelay(evacuationWait, a.random())))
+	}
 	if l, ok := a.fleet.Limitation(r.queue.Name, r.customer); ok && !job.IsLongRunning() && job.Repeat == 0 && a.random() >= l.Accept {
-		return a.refuseUnlessStored(r, l)
+		wait := time.Duration(l.WaitMs) * time.Millisecond
+		return a.refuseUnlessStored(r, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later",
+			r.customer, r.queue.Name, wait, 100*l.Accept).WithRetryAfter(postponer.OverloadDelay(wait, a.random())))
 	}
 	job.Accepted = a.now()
 	_, _, err = a.store.Commit(r.Context(), keeper.Txn{
@@ -46,9 +56,10 @@
 	return a.readBack(r, err)
 }
 
-// refuseUnlessStored refuses a new job that can't be served in time. The call may
-// also repeat one whose answer was lost: a job that is stored stays accepted.
-func (a *Acceptor) refuseUnlessStored(r *request, l orchestrator.Limitation) (answer, error) {
+// refuseUnlessStored answers with the refusal of a new job that can't be served in time.
+// The call may also repeat one whose answer was lost: a job that is stored stays
+// accepted.
+func (a *Acceptor) refuseUnlessStored(r *request, refusal *classifier.Error) (answer, error) {
 	v, err := a.loadJob(r)
 	if err != nil {
 		return answer{}, a.storeFailure(err)
@@ -56,9 +67,7 @@
 	if v.Known {
 		return answer{status: http.StatusOK}, nil
 	}
-	wait := time.Duration(l.WaitMs) * time.Millisecond
-	return answer{}, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later",
-		r.customer, r.queue.Name, wait, 100*l.Accept).WithRetryAfter(postponer.OverloadDelay(wait, a.random()))
+	return answer{}, refusal
 }
 
 // readBack checks whether a submission whose write was not answered was stored.
--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -104,12 +104,6 @@
 	return min(e.Since+gangTime, e.InUseAsOf+z.Bound-startMargin)
 }
 
-// MayWaitForGang reports whether the members of a gang of which the first was sent at
-// firstSent may still wait for the rest of it.
-func MayWaitForGang(firstSent, now time.Duration) bool {
-	return now < firstSent+gangTime
-}
-
 // Evacuated returns the names of the evacuated zones, sorted.
 func (z Zones) Evacuated() []string {
 	var names []string
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -123,6 +123,24 @@
 	return limitation, ok
 }
 
+// EvacuatedZones returns the evacuated zones if all zones of the fleet are evacuated, so
+// that nothing can start, and nil otherwise. The last published load tells whether there
+// are others; an older one than maxLoadAge is ignored, and so is one with a zone that
+// has been restored since.
+func (s *fleetState) EvacuatedZones() []string {
+	l := s.load.Load()
+	if l == nil || time.Since(l.receivedAt) > maxLoadAge {
+		return nil
+	}
+	known, _ := s.Evacuations()
+	for _, zone := range l.EvacuatedZones {
+		if !(evacuator.Zones{Evacuations: known}).IsEvacuated(zone) {
+			return nil
+		}
+	}
+	return l.EvacuatedZones
+}
+
 // StoreIsUnreachable reports whether calls to the key-value store have
 // failed for longer than unreachableAfter.
 func (s *fleetState) StoreIsUnreachable() bool {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -341,7 +341,6 @@
 		e.replacementDue = false
 		e.requeueTasksOfReplacedWorkers()
 	}
-	e.withdrawIncompleteGangs(now)
 	e.moveTasksOffEvacuatedZones(now)
 	e.publishLoad(ctx, now)
 	e.runPlanRound(ctx, now)
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/keeper"
@@ -18,6 +19,8 @@
 // loadPublication is the state of the published job counts.
 type loadPublication struct {
 	lastPublished  map[string]int
+	lastEvacuated  []string // see Load.EvacuatedZones
+	zonesChanged   bool     // a zone has been evacuated or restored since the last publication, so the limitations may have to change
 	publishedAt    time.Time
 	commitInFlight bool
 }
@@ -69,14 +72,15 @@
 			meter.SetWaitingJobs(queue, 0)
 		}
 	}
-	if since < maxLoadPublishInterval && maps.Equal(pending, l.lastPublished) {
+	evacuated := e.allZonesEvacuated()
+	if since < maxLoadPublishInterval && !l.zonesChanged && maps.Equal(pending, l.lastPublished) && slices.Equal(evacuated, l.lastEvacuated) {
 		return
 	}
 	limited := e.updateAdmissions(now)
-	l.commitInFlight, l.publishedAt = true, now
+	l.commitInFlight, l.publishedAt, l.zonesChanged = true, now, false
 	txn := keeper.Txn{
 		Expect: []keeper.Expectation{e.termCondition()},
-		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending, Limited: limited})}},
+		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending, Limited: limited, EvacuatedZones: evacuated})}},
 	}
 	e.runInBackground(func() {
 		_, _, err := e.store.Commit(ctx, txn)
@@ -86,7 +90,7 @@
 				e.log.Warn("load record with the pending jobs not stored, trying again", "error", err)
 				return
 			}
-			l.lastPublished = pending
+			l.lastPublished, l.lastEvacuated = pending, evacuated
 		})
 	})
 }
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -84,7 +84,7 @@
 		return errStartWithdrawn
 	}
 	if s.gang != nil {
-		s.gang.markSent(e.term.Now())
+		s.gang.sent = true
 	}
 	return nil
 }
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -75,6 +75,9 @@
 	Load struct {
 		Pending map[string]int                   `json:"pending"`           // accepted jobs of which no task has started, by queue
 		Limited map[string]map[string]Limitation `json:"limited,omitempty"` // by queue and customer
+		// EvacuatedZones are the evacuated zones if there are no others, so that nothing
+		// can start.
+		EvacuatedZones []string `json:"evacuated-zones,omitempty"`
 	}
 )
 
--- a/orchestrator/zone.go
+++ b/orchestrator/zone.go
@@ -28,7 +28,6 @@
 		run       int // run number of all members
 		mu        sync.Mutex
 		sent      bool
-		firstSent time.Duration // by elector.Term.Now
 		withdrawn bool
 	}
 
@@ -79,6 +78,7 @@
 	}
 	if changed {
 		e.withdrawStartsInEvacuatedZones(now)
+		e.loadPublication.zonesChanged = true
 		e.requestPlacement()
 	}
 }
@@ -169,13 +169,6 @@
 	return nil
 }
 
-// markSent records that a start of the gang is sent. The caller must hold the mutex.
-func (g *gangStarts) markSent(at time.Duration) {
-	if !g.sent {
-		g.sent, g.firstSent = true, at
-	}
-}
-
 // gangStartsOf returns the state of the starts of a gang's present placement, or nil
 // if the step is no gang.
 func (t *task) gangStartsOf() *gangStarts {
@@ -234,26 +227,6 @@
 	e.requestPlacement()
 }
 
-// withdrawIncompleteGangs withdraws gangs of which some members have been started and
-// the rest has been held back too long.
-func (e *Engine) withdrawIncompleteGangs(now time.Time) {
-	if !e.zoneState.outdated {
-		return
-	}
-	for _, t := range e.awaitingStart {
-		if t.phase != placed || !t.step.Gang {
-			continue
-		}
-		g := t.gangStartsOf()
-		g.mu.Lock()
-		overdue := g.sent && !evacuator.MayWaitForGang(g.firstSent, e.term.Now())
-		g.mu.Unlock()
-		if overdue {
-			e.withdrawGang(t.step, t.worker, evacuator.ErrOutdated, now)
-		}
-	}
-}
-
 // stopIfUnwanted stops the run of a task that has just been found running if its job
 // has ended or its gang has been withdrawn.
 func (e *Engine) stopIfUnwanted(t *task) {
@@ -277,3 +250,30 @@
 	e.log.Info("starts withheld", "worker", w.ID, "zone", w.Zone, "starts", w.withheld.notLogged, "task", t.id.String(), "run", t.run, "reason", reason)
 	w.withheld = withheldStarts{loggedAt: now}
 }
+
+// allZonesEvacuated returns the names of the evacuated zones if no other zone has a worker
+// or an instance, so that nothing can start. Otherwise it returns nil.
+func (e *Engine) allZonesEvacuated() []string {
+	z := e.zones()
+	evacuated := z.Evacuated()
+	if len(evacuated) == 0 {
+		return nil
+	}
+	found := false
+	for _, w := range e.workersByID {
+		if w.listed && !z.IsEvacuated(w.Zone) {
+			return nil
+		}
+		found = found || w.listed
+	}
+	for _, i := range e.planner.instances {
+		if !z.IsEvacuated(i.Zone) {
+			return nil
+		}
+		found = true
+	}
+	if !found {
+		return nil
+	}
+	return evacuated
+}
--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -1,20 +1,26 @@
 package orchestrator_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
 // runEvacuationScenario runs a scenario with instances a and b in zone z, c and d in
 // zone y, and the bound that the platform sets for evacuations.
 func runEvacuationScenario(t *testing.T, fn func(s *deployment)) {
 	runScenario(t, 2, func(s *deployment) {
-		s.evacuationTime = 5 * time.Second
+		s.evacuationTime, s.outcomeQueryTime = 5*time.Second, time.Hour
 		s.keepInstances()
 		s.addInstanceInZone("c", "y")
 		s.addInstanceInZone("d", "y")
@@ -133,7 +139,11 @@
 		s.submit(shortJob("j1"))
 		second := s.startEntry("two")
 		second.losesOperatorRecords.Store(true)
-		time.Sleep(3 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
+		before := s.store.Commits()
+		time.Sleep(2 * time.Second)
+		require.Less(t, s.store.Commits()-before, 8, "tasks that can't be started are not placed over and over")
+		require.Equal(t, modeler.Queued, s.jobState("j1"))
 		require.Zero(t, s.startedRuns("j1", 4))
 		second.losesOperatorRecords.Store(false)
 		time.Sleep(3 * time.Second)
@@ -153,6 +163,7 @@
 		"the rest can be sent":        {500 * time.Millisecond, 100 * time.Millisecond, 4, 4},
 		"the rest comes too late":     {1300 * time.Millisecond, 100 * time.Millisecond, 4, 0},
 		"the last member is too late": {600 * time.Millisecond, 100 * time.Millisecond, 5, 0},
+		"the rest waited too long":    {1100 * time.Millisecond, 800 * time.Millisecond, 4, 0},
 		"none has been sent":          {0, -100 * time.Millisecond, 4, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -177,3 +188,308 @@
 		})
 	}
 }
+
+// absent returns how many tasks of a long-running job with one step of count tasks
+// don't run.
+func (d *deployment) absent(job string, count int) int {
+	return count - d.taskFleet.RunCountOfJob(job)
+}
+
+// Guards against long-running tasks that stay in an evacuated zone, that move in larger
+// numbers than their step allows, or that move back when the zone is restored. They move
+// on also if the leader changes meanwhile.
+func TestLongRunningTasksLeaveAnEvacuatedZone(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprint(leaderChanges), func(t *testing.T) {
+			runEvacuationScenario(t, func(s *deployment) {
+				s.taskFleet.RunOutcome = neverEnds
+				s.evacuate("y")
+				first := s.startEntry("one")
+				second := s.startEntry("two")
+				s.submit(longRunningJob("lasts", 4))
+				time.Sleep(3 * time.Second)
+				require.Equal(t, 4, s.runCountIn("a", "b"))
+				s.evacuate("z")
+				for n := range 200 {
+					time.Sleep(50 * time.Millisecond)
+					require.LessOrEqual(t, s.absent("lasts", 4), 1)
+					if leaderChanges && n == 30 {
+						s.replaceLeader(first, second)
+					}
+				}
+				require.Equal(t, 4, s.runCountIn("c", "d"))
+				s.evacuate()
+				time.Sleep(8 * time.Second)
+				require.Equal(t, 4, s.runCountIn("c", "d"), "tasks stay when the zone is restored")
+				first.stopGracefully()
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+// replaceLeader stops the leader, so that the other entry node leads.
+func (d *deployment) replaceLeader(entries ...*entryNode) {
+	r, err := d.store.ClientFor("observer").Get(d.t.Context(), elector.Key)
+	require.NoError(d.t, err)
+	for _, e := range entries {
+		if strings.HasPrefix(string(r.Value), e.name+"/") {
+			e.stopGracefully()
+		}
+	}
+}
+
+// Guards against a long-running task that is stopped although no start may be sent
+// because the operator's records are old: it would be absent until they are read.
+func TestTasksAreNotMovedWhileNoStartMayBeSent(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		s.taskFleet.RunOutcome = neverEnds
+		s.evacuate("y")
+		e := s.startEntry("one")
+		s.submit(longRunningJob("lasts", 6))
+		time.Sleep(3 * time.Second)
+		s.evacuate("z")
+		time.Sleep(150 * time.Millisecond)
+		e.losesOperatorRecords.Store(true)
+		time.Sleep(8 * time.Second)
+		require.Zero(t, s.absent("lasts", 6))
+		e.stopGracefully()
+	})
+}
+
+// Guards against a start in any zone while all are evacuated, against accepted work that
+// is lost then, and against runs whose leases are no longer extended. Entry nodes learn
+// that nothing can start.
+func TestNothingStartsWhileAllZonesAreEvacuated(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+			return 12 * time.Second, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(500 * time.Millisecond)
+		s.taskFleet.EvacuationTime = 150 * time.Millisecond
+		s.evacuate("z")
+		time.Sleep(time.Second)
+		require.Empty(t, s.publishedLoad().EvacuatedZones)
+		s.evacuate("z", "y")
+		s.submit(shortJob("j2", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(14 * time.Second)
+		s.requireDoneOnce("j1", 4)
+		require.Zero(t, s.startedRuns("j2", 4))
+		require.Equal(t, []string{"y", "z"}, s.publishedLoad().EvacuatedZones)
+		s.evacuate("y")
+		time.Sleep(time.Second)
+		require.Empty(t, s.publishedLoad().EvacuatedZones)
+		time.Sleep(20 * time.Second)
+		s.requireDoneOnce("j2", 4)
+		e.stopGracefully()
+	})
+}
+
+// publishedLoad returns the load that the leader has published.
+func (d *deployment) publishedLoad() orchestrator.Load {
+	r, err := d.store.ClientFor("observer").Get(d.t.Context(), orchestrator.LoadKey)
+	require.NoError(d.t, err)
+	var l orchestrator.Load
+	require.NoError(d.t, json.Unmarshal(r.Value, &l))
+	return l
+}
+
+// The load: more work waits than the zone that is in use can run. A restored zone must
+// not get all of it at once.
+func TestRestoredZoneGetsWaitingWorkInSteps(t *testing.T) {
+	runScenario(t, 0, func(s *deployment) {
+		const perZone = 20
+		s.evacuationTime = 5 * time.Second
+		s.keepInstances()
+		for i := range perZone {
+			s.addInstanceInZone(fmt.Sprintf("z%d", i), "z")
+			s.addInstanceInZone(fmt.Sprintf("y%d", i), "y")
+		}
+		used := func() (n int) {
+			for i := range perZone {
+				if s.runCountIn(fmt.Sprintf("z%d", i)) > 0 {
+					n++
+				}
+			}
+			return n
+		}
+		s.evacuate("z")
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(shortJob("backlog", modeler.Step{Count: 1500, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+		time.Sleep(2 * time.Second)
+		require.Zero(t, used())
+		s.evacuate()
+		time.Sleep(500 * time.Millisecond)
+		require.InDelta(t, perZone/5, used(), 4)
+		time.Sleep(2 * time.Second)
+		require.InDelta(t, perZone*3/5, used(), 5)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, perZone, used())
+		s.taskFleet.EvacuationTime = 150 * time.Millisecond
+		for n := range 40 { // in quick succession
+			if n%2 == 0 {
+				s.evacuate("z")
+			} else {
+				s.evacuate()
+			}
+			time.Sleep(time.Duration(50+20*n) * time.Millisecond)
+		}
+		time.Sleep(15 * time.Second)
+		s.requireState(modeler.Completed, "backlog")
+		e.stopGracefully()
+	})
+}
+
+// Guards against pools that count the instances of an evacuated zone, or get more of
+// them: the spare instances of the other zone must take over.
+func TestPoolGetsInstancesOfOtherZones(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.evacuationTime = 5 * time.Second
+		for _, name := range []string{"f", "g", "h"} {
+			s.instances.Add(modeler.Instance{Name: "z" + name, Pool: "spare", Zone: "z", Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, false)
+			s.instances.Add(modeler.Instance{Name: "y" + name, Pool: "spare", Zone: "y", Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, false)
+		}
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.evacuate("z")
+		moved := func() (n int) {
+			for _, name := range []string{"f", "g", "h"} {
+				require.Equal(t, "spare", s.instances.PoolOf("z"+name))
+				if s.instances.PoolOf("y"+name) == "p" {
+					n++
+				}
+			}
+			return n
+		}
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 1, moved(), "without load, for the first jobs")
+		ids := s.submitEvery(100*time.Millisecond, 8*time.Second, "j")
+		require.GreaterOrEqual(t, moved(), 2)
+		time.Sleep(5 * time.Second)
+		s.requireState(modeler.Completed, ids...)
+		e.stopGracefully()
+	})
+}
+
+// Guards against a wave that stops at an evacuated zone, exceeds its maximum, or makes
+// more long-running tasks absent than their step allows together with the evacuation.
+func TestWaveInAnEvacuatedZoneCompletes(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+			if id.Job == "lasts" {
+				return -1, modeler.EndDone
+			}
+			return time.Second, modeler.EndDone
+		}
+		e := s.startEntry("one")
+		s.submit(longRunningJob("lasts", 4))
+		time.Sleep(2 * time.Second)
+		s.requestWaves(modeler.Wave{Number: 1, Instances: []string{"a", "b", "c"}, Duration: 30 * time.Second, MaxConcurrent: 1})
+		time.Sleep(500 * time.Millisecond)
+		s.evacuate("z")
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			require.LessOrEqual(t, s.absent("lasts", 4), 1)
+			require.LessOrEqual(t, s.instances.InMaintenanceCount(), 1)
+		}
+		for _, name := range []string{"a", "b", "c"} {
+			require.Equal(t, 1, s.instances.MaintenanceCount(name), name)
+		}
+		e.stopGracefully()
+	})
+}
+
+// Guards against effects of an evacuation together with other events: draining workers,
+// a rack that can't be reached, workers that restart under their ID, a change of the
+// manifest, an unresponsive store, a change of leader, a second zone. No task starts late
+// in an evacuated zone or runs twice, and all jobs end once the zones are restored.
+func TestEvacuationTogetherWithOtherEvents(t *testing.T) {
+	events := map[string]func(s *deployment, leader *entryNode){
+		"draining worker":   func(s *deployment, _ *entryNode) { s.taskFleet.SetDraining(s.instances.WorkerOf("c")) },
+		"restarted workers": func(s *deployment, _ *entryNode) { s.instances.RestartWorkerWithSameID("a", "127.0.0.1:2") },
+		"second zone":       func(s *deployment, _ *entryNode) { s.evacuate("z", "y") },
+		"change of leader":  func(_ *deployment, leader *entryNode) { leader.stopGracefully() },
+		"leader is killed":  func(_ *deployment, leader *entryNode) { leader.crash() },
+		"unreachable rack": func(s *deployment, _ *entryNode) {
+			workers := []string{s.instances.WorkerOf("a"), s.instances.WorkerOf("c")}
+			for _, w := range workers {
+				s.taskFleet.SetUnresponsive(w, true)
+				time.AfterFunc(8*time.Second, func() { s.taskFleet.SetUnresponsive(w, false) })
+			}
+		},
+		"change of the manifest": func(s *deployment, leader *entryNode) {
+			m := *s.manifest
+			m.Version++
+			m.Customers = []modeler.Customer{{Name: "c", Weight: 1, Limit: modeler.Resources{CPU: 3000}}}
+			m.Index()
+			leader.manifest.Store(&m)
+		},
+		"unresponsive store": func(s *deployment, _ *entryNode) {
+			s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.Down = true })
+			time.AfterFunc(5*time.Second, func() { s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.Down = false }) })
+		},
+		"leader cut off from store and records": func(s *deployment, leader *entryNode) {
+			s.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.DisconnectedClients[leader.name] = true })
+			leader.losesOperatorRecords.Store(true)
+		},
+	}
+	for name, event := range events {
+		for _, before := range []time.Duration{300 * time.Millisecond, 0, -300 * time.Millisecond} { // the event comes so long before the evacuation
+			t.Run(fmt.Sprint(name, before), func(t *testing.T) {
+				runEvacuationScenario(t, func(s *deployment) {
+					first := s.startEntry("one")
+					time.Sleep(time.Second)
+					second := s.startEntry("two")
+					ids := s.submitEvery(50*time.Millisecond, time.Second, "j")
+					ids = append(ids, s.submitInBackground(4*time.Second, "k")...)
+					if before >= 0 {
+						event(s, first)
+						time.Sleep(before)
+					}
+					s.evacuate(append(s.evacuatedZones(), "z")...)
+					if before < 0 {
+						time.Sleep(-before)
+						event(s, first)
+					}
+					time.Sleep(10 * time.Second)
+					s.evacuate()
+					time.Sleep(45 * time.Second)
+					s.requireState(modeler.Completed, ids...)
+					first.stopGracefully()
+					second.stopGracefully()
+				})
+			})
+		}
+	}
+}
+
+// submitInBackground submits jobs ten times a second for some time. Faults of the store
+// don't affect it.
+func (d *deployment) submitInBackground(total time.Duration, prefix string) (ids []string) {
+	for n := range int(total / (100 * time.Millisecond)) {
+		ids = append(ids, fmt.Sprintf("%s-%d", prefix, n))
+	}
+	go func() {
+		for _, id := range ids {
+			j := shortJob(id, modeler.Step{Count: 1, Need: modeler.Resources{CPU: 500}, Estimate: time.Second})
+			j.Accepted, j.QueueSettings = time.Now(), d.manifest.Queue(j.Queue).Settings()
+			d.steps.Store(j.ID, j.Steps)
+			d.store.PutAsOperator(keeper.Put{Key: orchestrator.JobKey(j.ID), Value: orchestrator.EncodeJobRecord(&j)})
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	return ids
+}
+
+func (d *deployment) evacuatedZones() (zones []string) {
+	if requested := d.evacuations.Load(); requested != nil {
+		for _, e := range *requested {
+			zones = append(zones, e.Zone)
+		}
+	}
+	return zones
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -17,7 +17,8 @@
 	maxRise        = 1.5
 	smoothing      = 0.5 // weight of the last interval in the accepted work
 
-	minSharedCores = 0.1 // share of the cores that customers with waiting work get at least
+	minCores       = 0.01 // stands for the cores of a pool without any, in which tasks wait very long
+	minSharedCores = 0.1  // share of the cores that customers with waiting work get at least
 )
 
 type (
@@ -62,7 +63,7 @@
 		}
 	}
 	if wanted > p.Cores {
-		addSharingWaits(waits, waiting, max(cores, minSharedCores*p.Cores))
+		addSharingWaits(waits, waiting, max(cores, minSharedCores*p.Cores, minCores))
 	}
 	for _, b := range waiting {
 		if b.MaxCores > 0 && b.WantedCores > b.MaxCores {
--- a/refuser/refuser_test.go
+++ b/refuser/refuser_test.go
@@ -51,6 +51,13 @@
 	require.Equal(t, map[string]time.Duration{"limited": 5 * time.Second}, p.Waits())
 }
 
+// Guards against a wait that is not a number when a pool has no cores at all, for example
+// while its zones are evacuated.
+func TestJobsOfAPoolWithoutCoresWaitLong(t *testing.T) {
+	p := refuser.Pool{Backlogs: []refuser.Backlog{{Customer: "c", Weight: 1, WantedCores: 1, Work: 1, Tasks: 1}}}
+	require.Greater(t, p.Waits()["c"], time.Minute)
+}
+
 const (
 	cores         = 100.0
 	taskCores     = 2.0
