--- a/emulator/metastore.go
+++ b/emulator/metastore.go
@@ -98,6 +98,14 @@
 	_, _, _ = s.commit(keeper.Txn{Put: []keeper.Put{p}}) // a put without expected revision and without lease cannot fail
 }
 
+// DeleteAsOperator deletes a key in the name of the platform's operator. Faults do not
+// affect it.
+func (s *MetaStore) DeleteAsOperator(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, _, _ = s.commit(keeper.Txn{Delete: []string{key}}) // a deletion without expected revision cannot fail
+}
+
 // Commits returns the number of calls of Commit that reached the store, including
 // those that were not applied and those whose response was lost.
 func (s *MetaStore) Commits() int {
