--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	cancelAttempts = 3                // a job's record changes at most once while a cancellation is stored
-	evacuationWait = 10 * time.Second // stands for the time until a zone is restored, which is not known
+	cancelAttempts = 3               // a job's record changes at most once while a cancellation is stored
+	evacuationWait = 7 * time.Second // stands for the time until a zone is restored, which is not known; a caller with four retries then waits at least 12 s
 )
 
 // submit stores a job. Storing a job that is stored already changes nothing, so
--- a/orchestrator/zone.go
+++ b/orchestrator/zone.go
@@ -16,9 +16,11 @@
 type (
 	// zoneState is what the event loop has last seen of the evacuated zones.
 	zoneState struct {
-		evacuated     []string  // names of the evacuated zones
-		outdated      bool      // no start may be sent, because the operator's records may be out of date
-		nextMoveRound time.Time // when long-running tasks are next moved off evacuated workers
+		zones         evacuator.Zones
+		at            time.Duration // time of zones, by elector.Term.Now
+		evacuated     []string      // names of the evacuated zones
+		outdated      bool          // no start may be sent, because the operator's records may be out of date
+		nextMoveRound time.Time     // when long-running tasks are next moved off evacuated workers
 	}
 
 	// gangStarts tells for one placement of a gang whether any of its starts has been
@@ -55,6 +57,7 @@
 		return
 	}
 	z, at := e.zones(), e.term.Now()
+	e.zoneState.zones, e.zoneState.at = z, at
 	if outdated := !z.IsCurrent(at); outdated != e.zoneState.outdated {
 		e.zoneState.outdated = outdated
 		if outdated {
@@ -97,7 +100,8 @@
 // isInUse reports whether the zone of an instance is in use and the instance has
 // returned to use after a restore.
 func (e *Engine) isInUse(i *instance) bool {
-	return e.cfg.Evacuations == nil || e.zones().Accepts(i.Zone, i.Name, e.term.Now())
+	s := &e.zoneState
+	return len(s.zones.Evacuations) == 0 || s.zones.Accepts(i.Zone, i.Name, s.at)
 }
 
 // withdrawStartsInEvacuatedZones requeues the placed tasks of evacuated workers, and
--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -1,7 +1,6 @@
 package orchestrator_test
 
 import (
-	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -272,29 +271,41 @@
 		s.taskFleet.EvacuationTime = 150 * time.Millisecond
 		s.evacuate("z")
 		time.Sleep(time.Second)
-		require.Empty(t, s.publishedLoad().EvacuatedZones)
+		require.Empty(t, s.load().EvacuatedZones)
 		s.evacuate("z", "y")
 		s.submit(shortJob("j2", modeler.Step{Count: 4, Need: modeler.Resources{CPU: 1000}}))
 		time.Sleep(14 * time.Second)
 		s.requireDoneOnce("j1", 4)
 		require.Zero(t, s.startedRuns("j2", 4))
-		require.Equal(t, []string{"y", "z"}, s.publishedLoad().EvacuatedZones)
+		require.Equal(t, []string{"y", "z"}, s.load().EvacuatedZones)
 		s.evacuate("y")
 		time.Sleep(time.Second)
-		require.Empty(t, s.publishedLoad().EvacuatedZones)
+		require.Empty(t, s.load().EvacuatedZones)
 		time.Sleep(20 * time.Second)
 		s.requireDoneOnce("j2", 4)
 		e.stopGracefully()
 	})
 }
 
-// publishedLoad returns the load that the leader has published.
-func (d *deployment) publishedLoad() orchestrator.Load {
-	r, err := d.store.ClientFor("observer").Get(d.t.Context(), orchestrator.LoadKey)
-	require.NoError(d.t, err)
-	var l orchestrator.Load
-	require.NoError(d.t, json.Unmarshal(r.Value, &l))
-	return l
+// The load: work that both zones together can do and one of them can't. New jobs must be
+// limited soon after the evacuation of the other one, and not before.
+func TestCapacityForNewJobsIsThatOfTheZonesInUse(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		e := s.startEntry("one")
+		time.Sleep(6 * time.Second) // a new leader leaves limitations as they are
+		play := func(prefix string, seconds int) {
+			for n := range 2 * seconds {
+				s.submit(shortJob(fmt.Sprint(prefix, n), modeler.Step{Count: 7, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+				time.Sleep(500 * time.Millisecond)
+			}
+		}
+		play("both", 7)
+		require.Empty(t, s.load().Limited)
+		s.evacuate("z")
+		play("one", 7)
+		require.Contains(t, s.load().Limited["short"], "c")
+		e.stopGracefully()
+	})
 }
 
 // The load: more work waits than the zone that is in use can run. A restored zone must
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -25,6 +25,7 @@
 	WorkerStartsLate   Kind = "worker-late"     // workers carry out some starts late and lose the responses
 	WorkerShrinks      Kind = "worker-shrinks"  // a worker has room for less for a while
 	NewManifest        Kind = "manifest-change" // the operator changes the limits of the customers
+	ZoneEvacuated      Kind = "zone-evacuated"  // the operator evacuates a zone for a while
 	NewMaintenanceWave Kind = "wave"            // the operator orders the maintenance of some instances
 )
 
@@ -32,6 +33,8 @@
 	warmUp             = 2 * time.Second         // time without faults, in which the first jobs start
 	meanFaultInterval  = 1200 * time.Millisecond // mean time between the starts of two faults; faults overlap
 	meanShrinkInterval = 2 * time.Second         // mean time between two WorkerShrinks faults
+	meanZoneInterval   = 4 * time.Second         // mean time between two ZoneEvacuated faults; sometimes all zones are evacuated
+	maxEvacuation      = 12 * time.Second        // longest duration of a ZoneEvacuated fault; above the bound, so that late starts are seen
 	minFaultDuration   = 300 * time.Millisecond  // shortest duration of a fault whose kind is in kindsWithDuration
 	maxFaultDuration   = 5 * time.Second         // longest duration of such a fault; as long as outages of the platform
 )
@@ -75,6 +78,7 @@
 		faults = append(faults, f)
 	}
 	faults = append(faults, planShrinks(seed, duration)...)
+	faults = append(faults, planEvacuations(seed, duration)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -90,3 +94,18 @@
 	}
 	return faults
 }
+
+// planEvacuations draws the ZoneEvacuated faults of a run, from a source of its own as
+// in planShrinks. Half of them are shorter than the bound, some much shorter.
+func planEvacuations(seed uint64, duration time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var faults []Fault
+	for at := warmUp; at < duration; at += time.Duration(rng.ExpFloat64() * float64(meanZoneInterval)) {
+		d := time.Duration(rng.Int64N(int64(maxEvacuation)))
+		if rng.IntN(4) == 0 {
+			d /= 20
+		}
+		faults = append(faults, Fault{At: at.Truncate(time.Millisecond), Kind: ZoneEvacuated, Target: rng.IntN(1 << 16), Duration: d.Truncate(time.Millisecond)})
+	}
+	return faults
+}
--- a/soaker/site.go
+++ b/soaker/site.go
@@ -22,6 +22,8 @@
 const (
 	workerCores        = 4
 	workerMB           = 8000
+	zoneCount          = 2               // instances alternate between them
+	evacuationTime     = 5 * time.Second // no task starts in a zone later than this after its evacuation
 	poolName           = "pool"
 	spareName          = "spare"
 	queueName          = "queue"
@@ -65,6 +67,7 @@
 	mu                             sync.Mutex
 	manifestVersion                int64
 	waveCount                      int64
+	evacuationMu                   sync.Mutex // keeps records and checks consistent if faults begin and end at once
 }
 
 // newEmulatedPlatform starts the servers and proxies of the emulated platform and
@@ -73,7 +76,7 @@
 	p := &emulatedPlatform{metaStore: emulator.NewMetaStore()}
 	p.fleet = emulator.NewTaskFleet(runOutcome)
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
-	p.fleet.CapacityGrace = capacityGrace
+	p.fleet.CapacityGrace, p.fleet.EvacuationTime = capacityGrace, evacuationTime
 	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
 	// About half of the workers keep their ID when they start again.
 	p.fleet.OnCrash = func(worker string) { p.instanceService.CrashWorker(worker, crashDowntime, len(worker)%2 == 0) }
@@ -92,7 +95,7 @@
 		proxyByInstance[name] = proxy
 		p.instanceNames, p.workerProxies = append(p.instanceNames, name), append(p.workerProxies, proxy)
 		p.instanceService.Add(modeler.Instance{
-			Name: name, Pool: poolName, Zone: "zone", Labels: []string{"kind", fmt.Sprintf("rack-%d", i/4)},
+			Name: name, Pool: poolName, Zone: zoneName(i), Labels: []string{"kind", fmt.Sprintf("rack-%d", i/4)},
 			Capacity: workerCapacity,
 		}, true)
 	}
@@ -202,6 +205,25 @@
 	return nil
 }
 
+// zoneName returns the name of the zone of an instance.
+func zoneName(instance int) string {
+	return fmt.Sprintf("zone-%d", instance%zoneCount)
+}
+
+// setEvacuated evacuates or restores a zone. Workers in an evacuated zone check from the
+// acknowledgement on how late tasks start there.
+func (p *emulatedPlatform) setEvacuated(zone string, evacuated bool) {
+	p.evacuationMu.Lock()
+	defer p.evacuationMu.Unlock()
+	if !evacuated {
+		p.fleet.SetEvacuated(zone, false)
+		p.metaStore.DeleteAsOperator(platform.EvacuationKey(zone))
+		return
+	}
+	p.putAsOperator(platform.EvacuationKey(zone), []byte("{}"))
+	p.fleet.SetEvacuated(zone, true)
+}
+
 // putAsOperator writes a key in the name of the platform's operator. Store faults
 // do not affect it.
 func (p *emulatedPlatform) putAsOperator(key string, value []byte) {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -61,6 +61,7 @@
 		storeSlow        faultCounter
 		storeWritesLost  faultCounter
 		workerStartsLate faultCounter
+		evacuations      [zoneCount]faultCounter // by zone
 	}
 
 	// faultCounter counts the active faults of one kind.
@@ -211,6 +212,8 @@
 		if err := r.writeManifest(); err != nil {
 			r.checker.AddBreach("manifest not written: %v", err)
 		}
+	case ZoneEvacuated:
+		r.switchOnDuring(&r.evacuations[f.Target%zoneCount], waitDuration, func(on bool) { r.setEvacuated(zoneName(f.Target), on) })
 	case NewMaintenanceWave:
 		if err := r.orderMaintenance(f.Target); err != nil {
 			r.checker.AddBreach("wave not asked for: %v", err)
