--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -435,7 +435,7 @@
 		"change of the manifest": func(s *deployment, leader *entryNode) {
 			m := *s.manifest
 			m.Version++
-			m.Customers = []modeler.Customer{{Name: "c", Weight: 1, Limit: modeler.Resources{CPU: 3000}}}
+			m.Customers = []modeler.Customer{{Name: "c", Weight: 1, Limit: modeler.Resources{CPU: 12_000}}}
 			m.Index()
 			leader.manifest.Store(&m)
 		},
@@ -449,35 +449,39 @@
 		},
 	}
 	for name, event := range events {
-		for _, before := range []time.Duration{300 * time.Millisecond, 0, -300 * time.Millisecond} { // the event comes so long before the evacuation
+		for _, before := range []time.Duration{300 * time.Millisecond, 0, -300 * time.Millisecond} {
 			t.Run(fmt.Sprint(name, before), func(t *testing.T) {
-				runEvacuationScenario(t, func(s *deployment) {
-					first := s.startEntry("one")
-					time.Sleep(time.Second)
-					second := s.startEntry("two")
-					ids := s.submitEvery(50*time.Millisecond, time.Second, "j")
-					ids = append(ids, s.submitInBackground(4*time.Second, "k")...)
-					if before >= 0 {
-						event(s, first)
-						time.Sleep(before)
-					}
-					s.evacuate(append(s.evacuatedZones(), "z")...)
-					if before < 0 {
-						time.Sleep(-before)
-						event(s, first)
-					}
-					time.Sleep(10 * time.Second)
-					s.evacuate()
-					time.Sleep(45 * time.Second)
-					s.requireState(modeler.Completed, ids...)
-					first.stopGracefully()
-					second.stopGracefully()
-				})
+				runEvacuationScenario(t, func(s *deployment) { s.evacuateWithEvent(before, event) })
 			})
 		}
 	}
 }
 
+// evacuateWithEvent evacuates zone z under load for 12 s, with an event so long before
+// the evacuation, and checks that all jobs are completed afterwards.
+func (d *deployment) evacuateWithEvent(before time.Duration, event func(s *deployment, leader *entryNode)) {
+	first := d.startEntry("one")
+	time.Sleep(time.Second)
+	second := d.startEntry("two")
+	ids := append(d.submitEvery(50*time.Millisecond, time.Second, "j"), d.submitInBackground(12*time.Second, "k")...)
+	d.submit(shortJob("backlog", modeler.Step{Count: 150, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+	if before >= 0 {
+		event(d, first)
+		time.Sleep(before)
+	}
+	d.evacuate(append(d.evacuatedZones(), "z")...)
+	if before < 0 {
+		time.Sleep(-before)
+		event(d, first)
+	}
+	time.Sleep(12 * time.Second)
+	d.evacuate()
+	time.Sleep(time.Minute)
+	d.requireState(modeler.Completed, append(ids, "backlog")...)
+	first.stopGracefully()
+	second.stopGracefully()
+}
+
 // submitInBackground submits jobs ten times a second for some time. Faults of the store
 // don't affect it.
 func (d *deployment) submitInBackground(total time.Duration, prefix string) (ids []string) {
