Log withheld starts in one line a worker and second with their number

The first withheld start of a second was logged and the others only with a later one, so some were never told of. They are now counted and logged in the periodic work.

--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -191,3 +191,25 @@
 		require.Empty(t, left)
 	})
 }
+
+// Guards against a follower that waits for seconds after the end of an outage although
+// its records are needed sooner.
+func TestFollowerRetriesWithinItsMaxDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := emulator.NewStore()
+		store.SetDown(true)
+		listed := make(chan struct{}, 1)
+		follower := keeper.NewFollower(store.ClientFor("entry"), "a/", keeper.WithMaxRetryDelay(300*time.Millisecond),
+			keeper.OnReset(func([]keeper.Record) { listed <- struct{}{} }))
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		go func() { done <- follower.Run(ctx) }()
+		time.Sleep(20 * time.Second)
+		store.SetDown(false)
+		began := time.Now()
+		<-listed
+		require.LessOrEqual(t, time.Since(began), 300*time.Millisecond)
+		cancel()
+		<-done
+	})
+}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -249,7 +249,7 @@
 	e.handling = nil
 	if !now.Before(e.nextTick) {
 		e.term.ReportProgress()
-		e.updateZones(now)
+		e.updateZones()
 		e.nextTick = now.Add(tickInterval)
 		e.runPeriodicWork(ctx, now)
 	}
@@ -336,6 +336,7 @@
 		e.handleLeaseExpiry(w, now)
 		e.retryPoll(w, now)
 		e.repeatStops(w, now)
+		e.logWithheldStarts(w, now)
 	}
 	if e.replacementDue {
 		e.replacementDue = false
--- a/orchestrator/zone.go
+++ b/orchestrator/zone.go
@@ -9,6 +9,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/evacuator"
 	"github.com/coltsfootlever/coltsfootlever/meter"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
 const withheldLogInterval = time.Second // between two log lines on withheld starts of a worker
@@ -33,11 +34,13 @@
 		withdrawn bool
 	}
 
-	// withheldStarts counts the starts of a worker that were withdrawn or held back
-	// because of evacuations.
+	// withheldStarts describes the starts of a worker that were withdrawn or held back
+	// because of evacuations, and have not been logged.
 	withheldStarts struct {
-		notLogged int
-		loggedAt  time.Time
+		count    int
+		task     modeler.TaskID // of the last one
+		reason   error          // for which the last one was withheld
+		loggedAt time.Time      // when the last line was written
 	}
 )
 
@@ -52,7 +55,7 @@
 
 // updateZones applies changes of the evacuated zones to the workers and withdraws
 // starts that they forbid.
-func (e *Engine) updateZones(now time.Time) {
+func (e *Engine) updateZones() {
 	if e.cfg.Evacuations == nil {
 		return
 	}
@@ -80,7 +83,7 @@
 		e.updateZoneOf(w, z, at)
 	}
 	if changed {
-		e.withdrawStartsInEvacuatedZones(now)
+		e.withdrawStartsInEvacuatedZones()
 		e.loadPublication.zonesChanged = true
 		e.requestPlacement()
 	}
@@ -107,7 +110,7 @@
 // withdrawStartsInEvacuatedZones requeues the placed tasks of evacuated workers, and
 // gangs of which no start has been sent. checkZone withdraws other starts that wait in
 // the workers' queues.
-func (e *Engine) withdrawStartsInEvacuatedZones(now time.Time) {
+func (e *Engine) withdrawStartsInEvacuatedZones() {
 	for _, w := range e.workersByID {
 		if !w.evacuated {
 			continue
@@ -116,10 +119,10 @@
 			switch {
 			case t.phase != placed && t.phase != starting:
 			case t.step.Gang && !e.mayFinishGang(t):
-				e.withdrawGang(t.step, w, evacuator.ErrEvacuated, now)
+				e.withdrawGang(t.step, w, evacuator.ErrEvacuated)
 			case t.step.Gang:
 			case t.phase == placed:
-				e.noteWithheld(w, t, evacuator.ErrEvacuated, now)
+				e.noteWithheld(w, t, evacuator.ErrEvacuated)
 				e.requeueTask(t)
 			}
 		}
@@ -212,7 +215,7 @@
 
 // withdrawGang withdraws the starts of all members of a gang, and stops those that
 // have been sent.
-func (e *Engine) withdrawGang(s *step, w *worker, reason error, now time.Time) {
+func (e *Engine) withdrawGang(s *step, w *worker, reason error) {
 	for _, t := range s.tasks {
 		if t.phase != placed && t.phase != starting {
 			continue
@@ -221,7 +224,7 @@
 		g.mu.Lock()
 		g.withdrawn = true
 		g.mu.Unlock()
-		e.noteWithheld(w, t, reason, now)
+		e.noteWithheld(w, t, reason)
 	}
 	for _, t := range s.tasks {
 		if t.isGangWithdrawn() {
@@ -240,19 +243,26 @@
 }
 
 // noteWithheld counts a start that is withdrawn or held back because of evacuations,
-// once for each placement, and logs it.
-func (e *Engine) noteWithheld(w *worker, t *task, reason error, now time.Time) {
+// once for each placement.
+func (e *Engine) noteWithheld(w *worker, t *task, reason error) {
 	if t.withheldRun == t.run {
 		return
 	}
 	t.withheldRun = t.run
 	meter.CountWithheldStart(w.Zone)
-	w.withheld.notLogged++
-	if now.Sub(w.withheld.loggedAt) < withheldLogInterval {
+	w.withheld.count++
+	w.withheld.task, w.withheld.reason = t.id, reason
+}
+
+// logWithheldStarts logs the starts of a worker that have been withheld, in at most one
+// line per second.
+func (e *Engine) logWithheldStarts(w *worker, now time.Time) {
+	s := &w.withheld
+	if s.count == 0 || now.Sub(s.loggedAt) < withheldLogInterval {
 		return
 	}
-	e.log.Info("starts withheld", "worker", w.ID, "zone", w.Zone, "starts", w.withheld.notLogged, "task", t.id.String(), "run", t.run, "reason", reason)
-	w.withheld = withheldStarts{loggedAt: now}
+	e.log.Info("starts withheld", "worker", w.ID, "zone", w.Zone, "starts", s.count, "last-task", s.task.String(), "reason", s.reason)
+	*s = withheldStarts{loggedAt: now}
 }
 
 // allZonesEvacuated returns the names of the evacuated zones if no other zone has a worker
--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -1,8 +1,11 @@
 package orchestrator_test
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -508,3 +511,85 @@
 	}
 	return zones
 }
+
+// lineCounter is a log handler that counts the lines of each worker with one message and
+// sums up their attribute "starts".
+type lineCounter struct {
+	slog.Handler
+	message string
+	mu      sync.Mutex
+	lines   map[string]int
+	starts  int64
+}
+
+func (c *lineCounter) Handle(_ context.Context, r slog.Record) error {
+	if r.Message != c.message {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r.Attrs(func(a slog.Attr) bool {
+		switch a.Key {
+		case "worker":
+			c.lines[a.Value.String()]++
+		case "starts":
+			c.starts += a.Value.Int64()
+		}
+		return true
+	})
+	return nil
+}
+
+func (c *lineCounter) Enabled(context.Context, slog.Level) bool { return true }
+func (c *lineCounter) WithAttrs([]slog.Attr) slog.Handler       { return c }
+
+// Guards against a line for each of many withheld starts, and against starts that no line
+// tells of. The instance i of zone x returns to use at once when the zone is restored.
+func TestWithheldStartsAreLoggedOnceAWorkerAndSecond(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		c := &lineCounter{message: "starts withheld", lines: make(map[string]int)}
+		s.log = slog.New(c)
+		s.addInstanceInZone("i", "x")
+		s.evacuate("z", "y")
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		e.startDelay.Store(int64(100 * time.Millisecond))
+		s.submit(shortJob("j1", modeler.Step{Count: 100, Need: modeler.Resources{CPU: 10}}))
+		for range 13 {
+			time.Sleep(150 * time.Millisecond)
+			s.evacuate("z", "y", "x")
+			time.Sleep(150 * time.Millisecond)
+			s.evacuate("z", "y")
+		}
+		time.Sleep(2 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.LessOrEqual(t, c.lines[s.instances.WorkerOf("i")], 5, "in 4 s")
+		require.Greater(t, c.starts, int64(500))
+		e.stopGracefully()
+	})
+}
+
+// Guards against a start that is counted in each round of the event loop while it is held
+// back. The list of workers is too old first, so that tasks are placed and not sent.
+func TestStartThatIsHeldBackCountsOnce(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		c := &lineCounter{message: "starts withheld", lines: make(map[string]int)}
+		s.log = slog.New(c)
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		e.losesWorkerLists.Store(true)
+		e.losesOperatorRecords.Store(true)
+		time.Sleep(3500 * time.Millisecond)
+		s.submit(shortJob("j1", modeler.Step{Count: 12, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(5 * time.Second)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		require.EqualValues(t, 12, c.starts)
+		e.losesWorkerLists.Store(false)
+		e.losesOperatorRecords.Store(false)
+		time.Sleep(6 * time.Second)
+		s.requireDoneOnce("j1", 12)
+		e.stopGracefully()
+	})
+}
