End the call of a start when it may no longer be sent

The lease in a start is by the clock that the worker last reported. A worker that has restarted under its ID has another clock, so it accepted a start that a process sent after a pause, later than the bound after an evacuation. The call now ends at the same time as the lease would. Gang members that are withdrawn for an evacuation have no log line of their own any more, since the line of their worker counts them.

TestStartAfterAPauseIsNotSentToARestartedWorker fails without the limit of the call.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -53,6 +53,7 @@
 		zone     string      // of the worker
 		gang     *gangStarts // nil unless the task belongs to a gang
 		clock    clockSample // of the worker
+		sendBy   time.Time   // see checkZone; zero for no limit
 	}
 )
 
@@ -137,7 +138,7 @@
 	queued := e.queueCall(w, func(ctx context.Context) {
 		clock, err := int64(0), e.checkPermit(start)
 		if err == nil {
-			clock, err = e.workers.Start(ctx, info, start.order)
+			clock, err = e.callStart(ctx, info, start)
 		}
 		e.runInEventLoop(ctx, func() {
 			e.countStartResult(w)
@@ -156,6 +157,17 @@
 	t.phase, t.phaseSince = starting, now
 }
 
+// callStart sends a start to its worker, but not after the time until which it may be
+// sent.
+func (e *Engine) callStart(ctx context.Context, info modeler.Worker, s *queuedStart) (clock int64, err error) {
+	if !s.sendBy.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, s.sendBy)
+		defer cancel()
+	}
+	return e.workers.Start(ctx, info, s.order)
+}
+
 // countStartResult records that a start is no longer in flight.
 func (e *Engine) countStartResult(w *worker) {
 	if w.startsInFlight > 0 { // otherwise the worker is gone, and forgetStartsInFlight has counted the start
@@ -200,7 +212,9 @@
 		e.admission.starts[w.Pool]++
 		e.stopIfUnwanted(t)
 	case errors.Is(err, errStartWithdrawn), errors.Is(err, errListTooOld):
-		e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "reason", err)
+		if t.withheldRun != t.run { // otherwise logWithheldStarts logs it
+			e.log.Info("start of a run withdrawn before it was sent", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "reason", err)
+		}
 		e.requeueTask(t)
 		e.requestPlacement()
 	case errors.Is(err, modeler.ErrFenced):
--- a/orchestrator/zone.go
+++ b/orchestrator/zone.go
@@ -156,7 +156,9 @@
 
 // checkZone returns an error if a start may not be sent because of evacuations, and
 // else limits the lease in its order so that the worker refuses a start that arrives too
-// late. The caller must hold the mutex of the gang.
+// late. It also limits the time of the call, because the lease says nothing to a worker
+// that has restarted since its last report: its clock has another origin. The caller must
+// hold the mutex of the gang.
 func (e *Engine) checkZone(s *queuedStart) error {
 	if e.cfg.Evacuations == nil {
 		return nil
@@ -173,6 +175,7 @@
 		return err
 	}
 	s.order.DeadlineMs = min(s.order.DeadlineMs, s.clock.workerTimeAfter(now, latest-at))
+	s.sendBy = now.Add(latest - at)
 	return nil
 }
 
--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -107,6 +107,27 @@
 	})
 }
 
+// Guards against a start that is sent after the bound, by a process that was paused after
+// it had checked the evacuations, to a worker that has restarted under its ID meanwhile:
+// the lease in the start is by the clock of the earlier process.
+func TestStartAfterAPauseIsNotSentToARestartedWorker(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		s.evacuate("y")
+		e := s.startEntry("one")
+		time.Sleep(3 * time.Second)
+		e.startDelay.Store(int64(5500 * time.Millisecond))
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(50 * time.Millisecond)
+		for _, name := range []string{"a", "b"} {
+			s.instances.RestartWorkerWithSameID(name, "127.0.0.1:1")
+		}
+		s.evacuate("y", "z")
+		time.Sleep(7 * time.Second)
+		require.Zero(t, s.startedRuns("j1", 1))
+		e.stopGracefully()
+	})
+}
+
 // Guards against acting on what an entry node knew long ago: one that can't read the
 // operator's records starts nothing once they could hide an evacuation.
 func TestLeaderThatCannotReadTheRecordsStartsNothingAfterTheBound(t *testing.T) {
