Cancel the reservations of moves when a zone is restored

A long-running task in an evacuated zone that found no room had a reservation on another worker. When the zone was restored the task stayed and so did the reservation, as long as the task ran. Withheld starts of a gang now count for the zone of their own worker, and an engine without a bound for evacuations ignores them.

TestRestoreOfAZoneCancelsReservations fails without the cancellation.

--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -288,12 +288,12 @@
 		switch {
 		case t.phase != placed:
 		case e.zoneState.outdated:
-			e.noteWithheld(t.worker, t, evacuator.ErrOutdated)
+			e.noteWithheld(t, evacuator.ErrOutdated)
 			remaining = append(remaining, t)
 		case e.shuttingDown || !e.maySendStart(t, now) || e.startsInFlight >= limit && !t.step.startsBeyondLimit():
 			remaining = append(remaining, t)
 		case t.worker.evacuated && t.step.Gang && !e.mayFinishGang(t):
-			e.withdrawGang(t.step, t.worker, evacuator.ErrEvacuated)
+			e.withdrawGang(t.step, evacuator.ErrEvacuated)
 		case j.state.IsFinal() || !t.worker.mayBeUsed() && !e.mayFinishGang(t) || t.worker.StartTimeMs != t.placementBoot || orphanedTasks()[t.id] || t.step.Gang && t.step.hasTaskIn(orphanedTasks()):
 			e.requeueTask(t)
 			e.requestPlacement()
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -195,7 +195,7 @@
 		w.registeredInTerm = e.startedAfterFirstListRequest(w, requestedAt)
 		e.log.Info("worker listed", "worker", info.ID, "instance", info.Instance, "pool", info.Pool, "born", info.StartTimeMs)
 	}
-	if e.cfg.Evacuations != nil {
+	if e.canEvacuate() {
 		e.updateZoneOf(w, e.zones(), e.term.Now())
 	}
 	if w.pollRequests == nil {
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -221,9 +221,9 @@
 		e.log.Warn("term superseded: worker has seen a higher fencing token, ending the term", "worker", w.ID)
 		e.term.Depose()
 	case errors.Is(err, evacuator.ErrEvacuated), errors.Is(err, evacuator.ErrOutdated), w.evacuated && t.step.Gang && wasNotExecuted(err):
-		e.noteWithheld(w, t, err)
+		e.noteWithheld(t, err)
 		if t.step.Gang {
-			e.withdrawGang(t.step, w, err)
+			e.withdrawGang(t.step, err)
 		}
 		e.requeueTask(t)
 		e.requestPlacement()
--- a/orchestrator/zone.go
+++ b/orchestrator/zone.go
@@ -25,8 +25,8 @@
 	}
 
 	// gangStarts tells for one placement of a gang whether any of its starts has been
-	// sent. Either the rest follows or all are withdrawn. Its methods may be called
-	// concurrently, by the callers of several workers.
+	// sent. Either the rest follows or all are withdrawn. The callers of several workers
+	// send the starts, so mu guards it.
 	gangStarts struct {
 		run       int // run number of all members
 		mu        sync.Mutex
@@ -44,9 +44,14 @@
 	}
 )
 
+// canEvacuate reports whether zones can be evacuated.
+func (e *Engine) canEvacuate() bool {
+	return e.cfg.Evacuations != nil && e.cfg.EvacuationTime > 0
+}
+
 // zones returns what this entry node knows of evacuated zones at present.
 func (e *Engine) zones() evacuator.Zones {
-	if e.cfg.Evacuations == nil {
+	if !e.canEvacuate() {
 		return evacuator.Zones{}
 	}
 	zones, asOf := e.cfg.Evacuations()
@@ -56,7 +61,7 @@
 // updateZones applies changes of the evacuated zones to the workers and withdraws
 // starts that they forbid.
 func (e *Engine) updateZones() {
-	if e.cfg.Evacuations == nil {
+	if !e.canEvacuate() {
 		return
 	}
 	z, at := e.zones(), e.term.Now()
@@ -84,6 +89,7 @@
 	}
 	if changed {
 		e.withdrawStartsInEvacuatedZones()
+		e.cancelMovesInRestoredZones()
 		e.loadPublication.zonesChanged = true
 		e.requestPlacement()
 	}
@@ -119,10 +125,10 @@
 			switch {
 			case t.phase != placed && t.phase != starting:
 			case t.step.Gang && !e.mayFinishGang(t):
-				e.withdrawGang(t.step, w, evacuator.ErrEvacuated)
+				e.withdrawGang(t.step, evacuator.ErrEvacuated)
 			case t.step.Gang:
 			case t.phase == placed:
-				e.noteWithheld(w, t, evacuator.ErrEvacuated)
+				e.noteWithheld(t, evacuator.ErrEvacuated)
 				e.requeueTask(t)
 			}
 		}
@@ -143,6 +149,21 @@
 	}
 }
 
+// cancelMovesInRestoredZones cancels the reservations for running tasks that no longer
+// have to move. They would keep room free on another worker for as long as the tasks run.
+func (e *Engine) cancelMovesInRestoredZones() {
+	for _, w := range e.workersByID {
+		if w.evacuated || w.cordonReason != "" {
+			continue
+		}
+		for _, t := range w.tasks {
+			if t.phase == running && t.reservedOn != nil {
+				t.reservedOn.cancelReservation(t)
+			}
+		}
+	}
+}
+
 // longRunningTasks returns the number of long-running tasks on the worker.
 func (w *worker) longRunningTasks() int {
 	n := 0
@@ -160,7 +181,7 @@
 // that has restarted since its last report: its clock has another origin. The caller must
 // hold the mutex of the gang.
 func (e *Engine) checkZone(s *queuedStart) error {
-	if e.cfg.Evacuations == nil {
+	if !e.canEvacuate() {
 		return nil
 	}
 	if s.gang != nil && s.gang.withdrawn {
@@ -218,7 +239,7 @@
 
 // withdrawGang withdraws the starts of all members of a gang, and stops those that
 // have been sent.
-func (e *Engine) withdrawGang(s *step, w *worker, reason error) {
+func (e *Engine) withdrawGang(s *step, reason error) {
 	for _, t := range s.tasks {
 		if t.phase != placed && t.phase != starting {
 			continue
@@ -227,7 +248,7 @@
 		g.mu.Lock()
 		g.withdrawn = true
 		g.mu.Unlock()
-		e.noteWithheld(w, t, reason)
+		e.noteWithheld(t, reason)
 	}
 	for _, t := range s.tasks {
 		if t.isGangWithdrawn() {
@@ -247,11 +268,12 @@
 
 // noteWithheld counts a start that is withdrawn or held back because of evacuations,
 // once for each placement.
-func (e *Engine) noteWithheld(w *worker, t *task, reason error) {
+func (e *Engine) noteWithheld(t *task, reason error) {
 	if t.withheldRun == t.run {
 		return
 	}
 	t.withheldRun = t.run
+	w := t.worker
 	meter.CountWithheldStart(w.Zone)
 	w.withheld.count++
 	w.withheld.task, w.withheld.reason = t.id, reason
--- a/orchestrator/zone_test.go
+++ b/orchestrator/zone_test.go
@@ -262,6 +262,39 @@
 	}
 }
 
+// Guards against a reservation that outlasts the evacuation for which a long-running task
+// had to move and found no room: it would keep the room free as long as the task runs.
+func TestRestoreOfAZoneCancelsReservations(t *testing.T) {
+	runEvacuationScenario(t, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+			if id.Job == "lasts" {
+				return -1, modeler.EndDone
+			}
+			return 8 * time.Second, modeler.EndDone
+		}
+		s.evacuate("y")
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		s.submit(longRunningJob("lasts", 1))
+		time.Sleep(time.Second)
+		require.Equal(t, 1, s.runCountIn("a", "b"))
+		s.evacuate()
+		time.Sleep(6 * time.Second)
+		s.submit(shortJob("full", modeler.Step{Count: 15, Need: modeler.Resources{CPU: 1000}, Estimate: 8 * time.Second}))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 15, s.taskFleet.RunCountOfJob("full"))
+		s.evacuate("z")
+		time.Sleep(2 * time.Second)
+		s.evacuate()
+		time.Sleep(7 * time.Second)
+		require.Equal(t, 1, s.runCountIn("a", "b"), "only the long-running task is left")
+		s.submit(shortJob("again", modeler.Step{Count: 15, Need: modeler.Resources{CPU: 1000}, Estimate: 8 * time.Second}))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, 15, s.taskFleet.RunCountOfJob("again"))
+		e.stopGracefully()
+	})
+}
+
 // Guards against a long-running task that is stopped although no start may be sent
 // because the operator's records are old: it would be absent until they are read.
 func TestTasksAreNotMovedWhileNoStartMayBeSent(t *testing.T) {
