Let the lease in a start end in time on a slow clock

The margin of 100 ms did not cover a worker's clock that runs 2 % slower during the five seconds of the bound and the two seconds since its last report. It is 200 ms now. TestLeaseEndsInTimeOnASlowClock fails with 100 ms.

--- a/evacuator/evacuator.go
+++ b/evacuator/evacuator.go
@@ -25,10 +25,9 @@
 	// start that takes longer is refused by its worker, see StartBy.
 	startMargin = 300 * time.Millisecond
 
-	// clockMargin covers how far a worker's clock, as estimated from its last report,
-	// may be behind the real one: reports are up to some seconds old, and clocks differ
-	// by up to 2 %.
-	clockMargin = 100 * time.Millisecond
+	// clockMargin covers workers' clocks that run up to 2 % slower, during the bound and
+	// since the report from which the clock is estimated, which is up to 2 s old.
+	clockMargin = 200 * time.Millisecond
 )
 
 const (
--- a/evacuator/evacuator_test.go
+++ b/evacuator/evacuator_test.go
@@ -23,8 +23,8 @@
 	fmt.Println(z.StartBy("b", false, 16*time.Second))
 	// Output:
 	// 0s the zone is evacuated
-	// 12.2s <nil>
-	// 15.9s <nil>
+	// 12.1s <nil>
+	// 15.8s <nil>
 	// 0s the operator's records were last confirmed too long ago
 }
 
@@ -43,6 +43,17 @@
 	require.ErrorIs(t, err, evacuator.ErrEvacuated)
 }
 
+// A worker whose clock is 2 % slow, and was read 2 s ago, must still refuse a start that
+// arrives after the bound.
+func TestLeaseEndsInTimeOnASlowClock(t *testing.T) {
+	const rate = 0.98
+	z := evacuator.Zones{AsOf: 10 * time.Second, Bound: bound}
+	latest, err := z.StartBy("a", false, z.AsOf)
+	require.NoError(t, err)
+	ahead := (1 - rate) * 2 * float64(time.Second) // of the estimate
+	require.Less(t, (float64(latest-z.AsOf)+ahead)/rate, float64(bound))
+}
+
 // Without the operator's records nothing may start, also shortly after the machine has
 // booted. Where zones can't be evacuated everything may.
 func TestNothingStartsBeforeTheRecordsAreRead(t *testing.T) {
