Count a crash that breaks the connection before the start is answered

A start without a response is resolved by polls of its own. If the worker had crashed and was back under the same ID before its regular poll, these polls found a process without the run, stopped the run there and requeued the task as if the start had never arrived. Nothing counted the crash, so nothing was stored, and the leader after an outage of the store knew of no crash.

A start is now resolved only by a report of the process that the regular poll knows. That poll assesses the restart first, with all tasks of the worker.

--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -240,3 +240,32 @@
 		e.stopGracefully()
 	})
 }
+
+// The connection to a worker that a task crashes breaks before the start is answered,
+// and the worker is back within 0.2 s under its ID, before it is polled again. Such a
+// start was taken for one that never arrived, so no crash was counted, and the next
+// leader knew of none.
+func TestCrashBeforeTheStartIsAnsweredIsCounted(t *testing.T) {
+	for _, silent := range []time.Duration{0, 5 * time.Second} {
+		t.Run("store silent for "+silent.String(), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.outcomeQueryTime = time.Minute
+				s.crashes(0, true, "deadly")
+				s.taskFleet.OnCrash = func(worker string) { s.instances.CrashWorker(worker, 200*time.Millisecond, true) }
+				s.losesStartsOf = "deadly"
+				first, second := s.startEntry("one"), s.startEntry("two")
+				time.Sleep(time.Second)
+				s.submit(shortJob("deadly"))
+				for s.taskFleet.CrashCount(taskID("deadly", 0, 0)) < 2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				s.silenceStore(silent)
+				time.Sleep(40 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				first.stopGracefully()
+				second.stopGracefully()
+			})
+		})
+	}
+}
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -308,7 +308,7 @@
 		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
-	if !isComplete(report) {
+	if !isComplete(report) || report.StartTimeMs != w.StartTimeMs { // the worker's next poll assesses its restart with all its tasks
 		e.resolveUnknownStartLater(ctx, w, t, o, report.StartTimeMs)
 		return
 	}
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -47,6 +47,7 @@
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	wallClock               func() time.Time      // see orchestrator.Config.WallClock
 	rejectedJob             string                // ID of a job whose starts all workers reject as malformed
+	losesStartsOf           string                // ID of a job whose starts are carried out without a response
 	outcomeQueryTime        time.Duration         // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
 	steps                   sync.Map              // steps of the submitted jobs, by job ID
 }
@@ -103,7 +104,12 @@
 	if o.Ticket != "" && l.entry.refusedTickets.Add(-1) >= 0 {
 		return 0, modeler.ErrInvalidTicket
 	}
-	return l.TaskFleet.Start(ctx, w, o)
+	clock, err := l.TaskFleet.Start(ctx, w, o)
+	if err == nil && o.Task.Job == l.entry.deployment.losesStartsOf {
+		time.Sleep(time.Millisecond) // a task that crashes its worker at once does so before the connection breaks
+		return 0, &requester.Error{MaybeSent: true, Err: errors.New("connection reset")}
+	}
+	return clock, err
 }
 
 // Stop implements orchestrator.Workers.
@@ -353,6 +359,14 @@
 	})
 }
 
+// silenceStore makes all calls to the store fail for a while. The leader's lease ends
+// in that time if it is long enough.
+func (d *deployment) silenceStore(duration time.Duration) {
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.Down = duration > 0 })
+	time.Sleep(duration)
+	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.Down = false })
+}
+
 // loseNoWrites reverts loseWritesOf, delayWritesOf and delayNextWriteOf.
 func (d *deployment) loseNoWrites() {
 	d.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
