Assume a crash that the previous leader may not have stored

A task without known crashes may be started while the store does not respond. If it then crashes its worker, only the leader knows: the store has neither the start nor the crash, the worker reports nothing, and the next leader counts from zero. Five crashes whose starts were not answered became six.

A leader that takes over without a handover record now assumes one further crash for each inherited task without a count, unless the worker of its stored placement lists the run or has crashed. The assumed crash counts toward the maximum of five only; it neither isolates a task nor puts it on probation. A task with an assumed crash starts only once its placement is stored, so no second crash can get lost, and a planned handover stores what is assumed.

The cache of requests that fit nowhere is used for such tasks as before.

TestCrashUnderAStartThatWasNotStoredIsCounted failed before, 5 of 5 times in both cases (6 crashes instead of at most 5); its second case fails 5 of 5 times if the handover does not store the assumption.

--- a/investigator/investigator.go
+++ b/investigator/investigator.go
@@ -34,6 +34,7 @@
 		Crashes     int           // workers that have crashed while they ran the task
 		Unconfirmed int           // workers that have crashed and had not answered the start of the task
 		SoleSuspect int           // crashes of them that no other task can have caused
+		Unknown     int           // further crashes that may have been due to the task and are not known to be
 		Probation   time.Duration // how long the next run must work to be cleared; 0 for a task that isn't on probation
 	}
 
@@ -46,7 +47,8 @@
 	}
 )
 
-// Score measures the suspicion.
+// Score measures the suspicion. Unknown crashes don't add to it, so that they isolate
+// no task.
 func (s Suspicion) Score() int {
 	return s.Crashes + s.Unconfirmed + s.SoleSuspect
 }
@@ -65,7 +67,7 @@
 
 // IsConclusive reports whether the task must not be started again.
 func (s Suspicion) IsConclusive() bool {
-	return s.Score() >= MaxScore && s.Crashes >= MinCrashes && s.SoleSuspect >= minSoleSuspect || s.Crashes+s.Unconfirmed >= MaxScore
+	return s.Score() >= MaxScore && s.Crashes >= MinCrashes && s.SoleSuspect >= minSoleSuspect || s.Crashes+s.Unconfirmed+s.Unknown >= MaxScore
 }
 
 // Clearance returns how long a run must work to be cleared.
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -73,6 +73,7 @@
 	now := time.Now()
 	runs := make([]investigator.Run, len(tasks))
 	for i, t := range tasks {
+		t.dropAssumedCrash()
 		runs[i] = t.investigatedRun(now)
 	}
 	var suspects []string
@@ -158,6 +159,45 @@
 	return true
 }
 
+// assumeUnstoredCrashes assumes a crash for each task of an inherited job under which
+// the previous leader may have seen a worker crash without storing it. There is at most
+// one such crash: the task isn't started again before it is stored, see hasHistory.
+func (j *job) assumeUnstoredCrashes() {
+	j.forEachTask(func(t *task) {
+		if t.phase == done || t.hasHistory() {
+			return
+		}
+		t.suspicion.Unknown, t.crashAssumed, j.historyUnstored = 1, true, true
+	})
+}
+
+// dropAssumedCrash reverts assumeUnstoredCrashes for a task that the previous leader
+// placed, once its worker lists the run or has crashed: that is the crash, if there was
+// one.
+func (t *task) dropAssumedCrash() {
+	if t.crashAssumed && t.phase == adopted {
+		t.suspicion.Unknown--
+		t.crashAssumed = false
+	}
+}
+
+// hasHistory reports whether workers have or may have crashed under the task. It starts
+// only once its placement is stored with that, since a crashed worker tells the next
+// leader nothing.
+func (t *task) hasHistory() bool {
+	return t.suspicion.Score()+t.suspicion.Unknown > 0
+}
+
+// storeAssumedCrashes stores the jobs of which assumed crashes are not stored. The
+// next leader assumes none after a handover record.
+func (e *Engine) storeAssumedCrashes() {
+	for _, j := range e.jobs {
+		if j.historyUnstored {
+			e.markUnstored(j)
+		}
+	}
+}
+
 // forgetCrashes clears the suspicion of a long-running task that has worked for
 // harmlessAfter.
 func (e *Engine) forgetCrashes(t *task) {
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
 const crashDowntime = 3 * time.Second // from the crash of a worker to the start of the next one
@@ -269,3 +270,41 @@
 		})
 	}
 }
+
+// The first start is sent although the store doesn't respond, and the crash is known
+// to a leader that can't store it. No start is answered, so each crash counts least.
+// In the second case a leader without room for the task hands it over in between.
+func TestCrashUnderAStartThatWasNotStoredIsCounted(t *testing.T) {
+	for name, handsOver := range map[string]bool{"taken over": false, "handed over": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.outcomeQueryTime = time.Minute
+				s.keepInstancesInPool()
+				s.crashes(0, false, "deadly")
+				s.losesStartsOf = "deadly"
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.loseWritesOf(orchestrator.ProgressKey("deadly"))
+				s.submit(shortJob("deadly", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}))
+				time.Sleep(time.Millisecond)
+				s.silenceStore(5 * time.Second)
+				s.loseNoWrites()
+				first.crash()
+				second := s.startEntry("two")
+				if handsOver {
+					for _, name := range s.instances.Names() {
+						s.taskFleet.SetDraining(s.instances.WorkerOf(name))
+					}
+					time.Sleep(15 * time.Second)
+					second.stopGracefully()
+					s.addInstance("e")
+					second = s.startEntry("three")
+				}
+				time.Sleep(50 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				second.stopGracefully()
+			})
+		})
+	}
+}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -219,6 +219,7 @@
 func (e *Engine) confirmRun(t *task, r modeler.RunningTask, now time.Time) {
 	t.setCheckpoint(r.Checkpoint)
 	t.startupDone, t.reportedLoad = r.Percent >= fullPace, r.Metric
+	t.dropAssumedCrash()
 	switch t.phase {
 	case starting, outcomeUnknown, adopted:
 		t.phase = running
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -275,6 +275,7 @@
 // shutDown waits for calls in flight and stores their results.
 func (e *Engine) shutDown(ctx context.Context) {
 	e.shuttingDown = true
+	e.storeAssumedCrashes()
 	until := time.NewTimer(shutdownTimeout)
 	defer until.Stop()
 	for e.commitsInFlight > 0 || len(e.unstoredJobs) > 0 {
@@ -375,5 +376,8 @@
 	e.restoreLoad(byKind[LoadKey])
 	for _, j := range e.jobs {
 		j.fromEarlierTerm = true
+		if !e.handover.predecessorStoredAll {
+			j.assumeUnstoredCrashes()
+		}
 	}
 }
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -213,6 +213,7 @@
 	j.storedVersion = version
 	j.revision = revision
 	if !final {
+		j.historyUnstored = false
 		if j.version > version {
 			e.unstoredJobs[j] = true
 		}
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -192,8 +192,8 @@
 	if j.storedVersion >= t.placementVersion {
 		return true
 	}
-	if t.suspicion.Score() > 0 {
-		return false // the next leader must know of the crashes
+	if t.hasHistory() {
+		return false
 	}
 	return slices.Contains(e.handover.recordedPools[j.Queue], t.worker.Pool) && now.Sub(t.phaseSince) >= maxStoreWaitBeforeStart &&
 		e.term.WasValidAt(max(j.loadedAt, t.worker.bootLearnedAt))
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -40,6 +40,7 @@
 		activeTasks     int           // tasks that are or may be running
 		fromEarlierTerm bool          // the job was loaded at the start of the term
 		loadedAt        time.Duration // by elector.Term.Now
+		historyUnstored bool          // the record lacks crashes that are assumed, see assumeUnstoredCrashes
 	}
 
 	// occurrence is one execution of all steps of a job. Only repeating jobs have
@@ -81,6 +82,7 @@
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
 		suspicion        investigator.Suspicion
+		crashAssumed     bool      // suspicion contains a crash that the previous leader may not have stored
 		keptWorker       *worker   // worker that is kept for the next run, see keepWorkerForIsolation
 		rejections       int       // starts that workers have rejected as malformed
 		retryAt          time.Time // the task isn't placed before this time
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/assigner"
-	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -382,7 +381,7 @@
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
 		t.releaseKeptWorker()
 	}
-	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion == investigator.Suspicion{}
+	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion.Score() == 0
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -67,6 +67,7 @@
 		Crashes     int   `json:"crashes,omitempty"`             // see investigator.Suspicion
 		Unconfirmed int   `json:"unconfirmed-crashes,omitempty"` // see investigator.Suspicion
 		SoleSuspect int   `json:"sole-suspect,omitempty"`        // see investigator.Suspicion
+		Unknown     int   `json:"unknown-crashes,omitempty"`     // see investigator.Suspicion
 		ProbationMs int64 `json:"probation-ms,omitempty"`        // see investigator.Suspicion
 	}
 
@@ -151,7 +152,7 @@
 		}
 		tp := TaskProgress{
 			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint,
-			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, ProbationMs: t.suspicion.Probation.Milliseconds(),
+			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown, ProbationMs: t.suspicion.Probation.Milliseconds(),
 		}
 		for _, f := range t.failedRuns {
 			tp.Failed, tp.FailedOn = append(tp.Failed, f.number), append(tp.FailedOn, f.worker)
@@ -205,7 +206,7 @@
 		}
 		t := s.tasks[tp.Index]
 		t.run, t.failedRuns = tp.Run, tp.failedRuns()
-		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
+		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Unknown: tp.Unknown, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
 		t.placementBoot = tp.Born
 		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
