Count crashes of long-running tasks across leaders

A crash of a worker whose long-running task another leader had started did not count, since the task may have worked for long. A task that crashes its worker around each change of the leader was therefore started without end.

Such a crash is now counted as unknown: it counts toward the maximum of five crashes, and neither isolates the task nor makes it a sole suspect.

--- a/investigator/investigator.go
+++ b/investigator/investigator.go
@@ -42,6 +42,7 @@
 	Run struct {
 		Suspicion
 		StartUnconfirmed bool          // the worker has not answered the start, and may not have run the task
+		WorkUnknown      bool          // it may have worked too long for the crash to count
 		Listed           time.Duration // how long the run had worked when its worker last listed it
 		Worked           time.Duration // how long it can have worked at most
 	}
@@ -97,6 +98,11 @@
 	after := make([]Suspicion, len(runs))
 	for i, r := range runs {
 		s := r.Suspicion
+		if r.WorkUnknown {
+			s.Unknown++
+			after[i] = s
+			continue
+		}
 		s.Probation = 0
 		if r.StartUnconfirmed {
 			s.Unconfirmed++
@@ -119,7 +125,7 @@
 	sole, highest := -1, -1
 	for i, r := range runs {
 		switch score := r.Score(); {
-		case r.IsCleared() || score < highest:
+		case r.IsCleared() || r.WorkUnknown || score < highest:
 		case score == highest:
 			sole = -1
 		default:
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -42,7 +42,8 @@
 // investigatedRun describes the present run of the task to the investigator.
 func (t *task) investigatedRun(now time.Time) investigator.Run {
 	return investigator.Run{
-		Suspicion: t.suspicion, StartUnconfirmed: t.phase == starting || t.phase == outcomeUnknown, Listed: t.listedFor, Worked: t.worker.longestWorkOf(t, now),
+		Suspicion: t.suspicion, StartUnconfirmed: t.phase == starting || t.phase == outcomeUnknown, WorkUnknown: t.step.LongRunning && t.phase == adopted,
+		Listed: t.listedFor, Worked: t.worker.longestWorkOf(t, now),
 	}
 }
 
@@ -146,17 +147,9 @@
 		w.Pool != "" && i.Pool != w.Pool // the pool of a worker that was not listed in this term is not known
 }
 
-// mayHaveCrashedItsWorker reports whether a crash of the task's worker counts. That of
-// a long-running task whose start another leader has sent does not: it may have
-// worked for long.
+// mayHaveCrashedItsWorker reports whether a crash of the task's worker counts.
 func (t *task) mayHaveCrashedItsWorker() bool {
-	switch {
-	case t.phase == placed:
-		return false
-	case t.step.LongRunning:
-		return t.phase != adopted && t.listedFor < harmlessAfter
-	}
-	return true
+	return t.phase != placed && (!t.step.LongRunning || t.listedFor < harmlessAfter)
 }
 
 // assumeUnstoredCrashes assumes a crash for each task of an inherited job under which
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -308,3 +308,25 @@
 		})
 	}
 }
+
+func TestCrashesOfLongRunningTaskAreCountedAcrossLeaders(t *testing.T) {
+	for _, keepID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keeps ID %t", keepID), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.taskFleet.RunOutcome = neverEnds
+				s.crashes(10*time.Millisecond, keepID, "deadly")
+				leader := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(longRunningJob("deadly", 1))
+				for n := range 8 {
+					time.Sleep(2500 * time.Millisecond)
+					leader.crash()
+					leader = s.startEntry(fmt.Sprintf("next-%d", n))
+				}
+				time.Sleep(20 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				leader.stopGracefully()
+			})
+		})
+	}
+}
