--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -64,7 +64,7 @@
 func (e *Engine) assessCrash(w *worker, ended []*task, reason string) {
 	var tasks []*task
 	for _, t := range ended {
-		if t.mayHaveCrashedItsWorker() {
+		if e.mayHaveCrashedItsWorker(t) {
 			tasks = append(tasks, t)
 		}
 	}
@@ -147,9 +147,29 @@
 		w.Pool != "" && i.Pool != w.Pool // the pool of a worker that was not listed in this term is not known
 }
 
-// mayHaveCrashedItsWorker reports whether a crash of the task's worker counts.
-func (t *task) mayHaveCrashedItsWorker() bool {
-	return t.phase != placed && (!t.step.LongRunning || t.listedFor < harmlessAfter)
+// mayHaveCrashedItsWorker reports whether a crash of the task's worker counts. That of
+// a long-running task whose start another leader has sent counts only if the task was
+// placed so late that it can't have worked for harmlessAfter.
+func (e *Engine) mayHaveCrashedItsWorker(t *task) bool {
+	switch {
+	case t.phase == placed:
+		return false
+	case t.step.LongRunning && t.phase == adopted:
+		return !t.placedAt.IsZero() && e.latestCrash(t).Sub(t.placedAt) < harmlessAfter
+	}
+	return !t.step.LongRunning || t.listedFor < harmlessAfter
+}
+
+// latestCrash returns the latest time of day at which the worker of an inherited task
+// can have crashed: it was before a later process started on its instance.
+func (e *Engine) latestCrash(t *task) time.Time {
+	latest := e.cfg.WallClock()
+	for _, w := range e.workersByID {
+		if started := time.UnixMilli(w.StartTimeMs); w.Instance == t.worker.Instance && w.StartTimeMs > t.placementBoot && started.Before(latest) {
+			latest = started
+		}
+	}
+	return latest
 }
 
 // assumeUnstoredCrashes assumes a crash for each task of an inherited job under which
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -205,6 +205,7 @@
 	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
 	t.run = run
 	t.assignTo(w, adopted)
+	t.placedAt = time.Time{}
 	e.unknownRunsFound = true
 	j.hasStarted = true
 	if j.state == modeler.Queued {
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -91,6 +91,7 @@
 		ticket           string        // permission from the advice service
 		permit           *startPermit  // to send the start, in phase starting
 		placementVersion int64         // job version that contains the placement
+		placedAt         time.Time     // when the placement was made, by the clock of the leader's entry node; zero if not known
 		placementBoot    int64         // start time of the worker for which the placement was made
 		phaseSince       time.Time     // start of the phase
 		listedFor        time.Duration // how long the run had worked when its worker last listed it; 0 if it hasn't yet
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -482,7 +482,7 @@
 func (p *placementPass) commitPlacement(t *task) {
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
-	t.phaseSince = p.now
+	t.phaseSince, t.placedAt = p.now, p.wallTime
 	if !j.hasStarted {
 		j.hasStarted = true
 		j.state = modeler.Running
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -62,6 +62,7 @@
 		Worker     string   `json:"worker,omitempty"`    // worker on which the run exists or may exist
 		Instance   string   `json:"instance,omitempty"`  // instance of the worker
 		Born       int64    `json:"born,omitempty"`      // start time of the worker, see modeler.Worker.StartTimeMs
+		Placed     int64    `json:"placed,omitempty"`    // when a long-running task was placed, in ms of Unix time
 		Checkpoint string   `json:"checkpoint,omitempty"`
 
 		Crashes     int   `json:"crashes,omitempty"`             // see investigator.Suspicion
@@ -159,6 +160,9 @@
 		}
 		if t.worker != nil {
 			tp.Worker, tp.Instance, tp.Born = t.worker.ID, t.worker.Instance, t.worker.StartTimeMs
+			if s.LongRunning && !t.placedAt.IsZero() {
+				tp.Placed = t.placedAt.UnixMilli()
+			}
 		}
 		sp.Tasks = append(sp.Tasks, tp)
 	}
@@ -208,6 +212,9 @@
 		t.run, t.failedRuns = tp.Run, tp.failedRuns()
 		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Unknown: tp.Unknown, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
 		t.placementBoot = tp.Born
+		if tp.Placed != 0 {
+			t.placedAt = time.UnixMilli(tp.Placed)
+		}
 		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
 			t.assignTo(workerOf(tp), adopted)
