Give up a long-running task that crashes its workers late

A long-running task that crashes each worker after 12 s of work was started again without end: crashes after five seconds of work don't count, because the failures of machines that such a task outlasts must not add up.

Such crashes are now counted apart, and only in a row after equal work (within a tenth, at least a second; up to 30 s). Failures of machines come after work of different length. From the second one the task is isolated, which separates it from tasks that are started and lost together with it, and at the fourth its job fails. A crash that coincides with another worker's does not count. Work beyond the time of the late crashes clears the count.

TestNeighborsOfATaskThatCrashesItsWorkersLate AreNotGivenUp fails without the count (the task at fault is never given up) and without the isolation (its neighbors are given up, 10 of 10 times on two workers); both pass 10 of 10 times. The tests of orchestrator and investigator pass with -race.

--- a/investigator/investigator.go
+++ b/investigator/investigator.go
@@ -26,6 +26,21 @@
 
 	// maxProbation limits the probation of tasks that had worked long before the crash.
 	maxProbation = 5 * time.Second
+
+	// MaxLateCrashes is the number of crashes after equal work at which a long-running
+	// task is given up. Failures of machines hardly ever come after equal work.
+	MaxLateCrashes = 4
+
+	// MaxLateWork limits the work before such a crash. Longer work between crashes may be
+	// equal because something else happens at regular times.
+	MaxLateWork = 30 * time.Second
+
+	// lateIsolation is the number of such crashes from which a task is isolated. The tasks
+	// that were started with the one at fault have the same count until then.
+	lateIsolation = 2
+
+	lateWorkTolerance    = 0.1         // difference of equal work, as a part of it; polls tell it to half a second
+	minLateWorkTolerance = time.Second // smallest such difference
 )
 
 type (
@@ -34,6 +49,8 @@
 		Crashes     int           // workers that have crashed while they ran the task
 		Unconfirmed int           // workers that have crashed and had not answered the start of the task
 		SoleSuspect int           // crashes of them that no other task can have caused
+		LateCrashes int           // crashes of workers on which the long-running task had worked for LateWork, in a row
+		LateWork    time.Duration // work of the task before the last late crash
 		Unknown     int           // further crashes that may have been due to the task and are not known to be
 		Probation   time.Duration // how long the next run must work to be cleared; 0 for a task that isn't on probation
 	}
@@ -63,12 +80,47 @@
 // NeedsIsolation reports whether the task may start only on a worker on which all
 // runs are cleared, and nothing may start beside it before its own run is cleared.
 func (s Suspicion) NeedsIsolation() bool {
-	return s.Score() >= IsolationScore
+	return s.Score() >= IsolationScore || s.LateCrashes >= lateIsolation
+}
+
+// AfterLateCrash returns what is known about a long-running task after a worker has
+// crashed on which it had worked for longer than crashes at the start take.
+func (s Suspicion) AfterLateCrash(work time.Duration) Suspicion {
+	if !s.isLateWork(work) {
+		s.LateCrashes = 0
+	}
+	s.LateCrashes++
+	s.LateWork = work
+	s.Probation = 0
+	if s.NeedsIsolation() {
+		s.Probation = work + lateTolerance(work)
+	}
+	return s
+}
+
+// AfterLongWork returns what is known about a long-running task that has worked for
+// longer than crashes at the start take. Late crashes are forgotten once it has
+// worked longer than before them.
+func (s Suspicion) AfterLongWork(work time.Duration) Suspicion {
+	if s.LateCrashes == 0 || work > s.LateWork+lateTolerance(s.LateWork) {
+		return Suspicion{}
+	}
+	return Suspicion{LateCrashes: s.LateCrashes, LateWork: s.LateWork, Probation: s.Probation}
+}
+
+// isLateWork reports whether the work equals that before the last late crash.
+func (s Suspicion) isLateWork(work time.Duration) bool {
+	return s.LateCrashes > 0 && (work-s.LateWork).Abs() <= lateTolerance(s.LateWork)
+}
+
+// lateTolerance returns by how much equal work may differ.
+func lateTolerance(work time.Duration) time.Duration {
+	return max(minLateWorkTolerance, time.Duration(lateWorkTolerance*float64(work)))
 }
 
 // IsConclusive reports whether the task must not be started again.
 func (s Suspicion) IsConclusive() bool {
-	return s.Score() >= MaxScore && s.Crashes >= MinCrashes && s.SoleSuspect >= minSoleSuspect || s.Crashes+s.Unconfirmed+s.Unknown >= MaxScore
+	return s.Score() >= MaxScore && s.Crashes >= MinCrashes && s.SoleSuspect >= minSoleSuspect || s.Crashes+s.Unconfirmed+s.Unknown >= MaxScore || s.LateCrashes >= MaxLateCrashes
 }
 
 // Clearance returns how long a run must work to be cleared.
--- a/investigator/investigator_test.go
+++ b/investigator/investigator_test.go
@@ -100,3 +100,25 @@
 	require.Equal(t, investigator.Suspicion{Crashes: 1}, after[0])
 	require.Equal(t, investigator.Suspicion{Crashes: 1, Probation: 500 * time.Millisecond}, after[1])
 }
+
+// Failures of machines come after different work, and must not add up.
+func TestLateCrashesCountAfterEqualWorkOnly(t *testing.T) {
+	var s investigator.Suspicion
+	for range investigator.MaxLateCrashes {
+		require.False(t, s.IsConclusive())
+		s = s.AfterLateCrash(12 * time.Second)
+	}
+	require.True(t, s.IsConclusive())
+	s = investigator.Suspicion{}
+	for n := range 20 {
+		s = s.AfterLateCrash(time.Duration(6+3*(n%4)) * time.Second)
+		require.False(t, s.NeedsIsolation())
+	}
+}
+
+// A task that works on past the time of the late crashes did not cause them.
+func TestLateCrashesAreForgottenAfterLongerWork(t *testing.T) {
+	s := investigator.Suspicion{}.AfterLateCrash(12 * time.Second).AfterLateCrash(12 * time.Second)
+	require.Equal(t, s, s.AfterLongWork(12*time.Second))
+	require.Equal(t, investigator.Suspicion{}, s.AfterLongWork(14*time.Second))
+}
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -19,7 +19,8 @@
 
 	// harmlessAfter is how long a run of a long-running task must work for a crash of its
 	// worker not to count, and for earlier ones to be forgotten. Otherwise the task would
-	// be given up because of failures of its instances that are weeks apart.
+	// be given up because of failures of its instances that are weeks apart. Later crashes
+	// count if they come after equal work, see investigator.Suspicion.LateCrashes.
 	harmlessAfter = 5 * time.Second
 
 	// maxKeepTime is how long a worker is kept for a task that needs isolation. The task
@@ -68,7 +69,8 @@
 			tasks = append(tasks, t)
 		}
 	}
-	if len(tasks) == 0 || e.mayHaveEndedAsPlanned(w) {
+	late := lateSuspects(w, ended)
+	if len(tasks)+len(late) == 0 || e.mayHaveEndedAsPlanned(w) {
 		return
 	}
 	now := time.Now()
@@ -87,6 +89,10 @@
 			suspects = append(suspects, fmt.Sprintf("%s:%d", t.id, s.Score()))
 		}
 	}
+	if !coincides {
+		e.assessLateCrash(w, late, now)
+		tasks = append(tasks, late...)
+	}
 	meter.CountWorkerCrash()
 	e.log.Info("worker has crashed under its tasks", "worker", w.ID, "instance", w.Instance, "pool", w.Pool, "reason", reason, "tasks", len(tasks), "coincides", coincides, "suspects", strings.Join(suspects, " "))
 	for _, t := range tasks {
@@ -94,6 +100,27 @@
 	}
 }
 
+// lateSuspects returns those of the tasks of a crashed worker that are long-running and
+// had worked for longer than harmlessAfter, but not for long.
+func lateSuspects(w *worker, ended []*task) []*task {
+	var late []*task
+	for _, t := range ended {
+		if t.step.LongRunning && t.listedFor >= harmlessAfter && t.listedFor < investigator.MaxLateWork {
+			late = append(late, t)
+		}
+	}
+	return late
+}
+
+// assessLateCrash updates the suspicion of long-running tasks that had worked for some
+// time on a worker that has crashed.
+func (e *Engine) assessLateCrash(w *worker, late []*task, now time.Time) {
+	for _, t := range late {
+		t.suspicion = t.suspicion.AfterLateCrash(w.longestWorkOf(t, now))
+		e.markUnstored(t.step.occurrence.job)
+	}
+}
+
 // crashCoincides reports whether another worker stopped responding at the same time
 // as w, and records the time for the crashes that are assessed later.
 func (e *Engine) crashCoincides(w *worker) bool {
@@ -118,7 +145,7 @@
 		return
 	}
 	meter.CountTaskGivenUp()
-	e.endJob(j, modeler.Failed, fmt.Sprintf("task %s crashed its workers: %d have crashed under it", t.id.IDWithinJob(), t.suspicion.Crashes+t.suspicion.Unconfirmed))
+	e.endJob(j, modeler.Failed, fmt.Sprintf("task %s crashed its workers: %d have crashed under it", t.id.IDWithinJob(), t.suspicion.Crashes+t.suspicion.Unconfirmed+t.suspicion.LateCrashes))
 }
 
 // assessRestartBeforeTerm updates the suspicion of inherited tasks whose worker has
@@ -194,11 +221,16 @@
 	}
 }
 
+// isSuspect reports whether workers are known to have crashed under the task.
+func (t *task) isSuspect() bool {
+	return t.suspicion.Score()+t.suspicion.LateCrashes > 0
+}
+
 // hasHistory reports whether workers have or may have crashed under the task. It starts
 // only once its placement is stored with that, since a crashed worker tells the next
 // leader nothing.
 func (t *task) hasHistory() bool {
-	return t.suspicion.Score()+t.suspicion.Unknown > 0
+	return t.isSuspect() || t.suspicion.Unknown > 0
 }
 
 // storeAssumedCrashes stores the jobs of which assumed crashes are not stored. The
@@ -212,13 +244,15 @@
 }
 
 // forgetCrashes clears the suspicion of a long-running task that has worked for
-// harmlessAfter.
+// harmlessAfter, and longer than before the late crashes of its workers.
 func (e *Engine) forgetCrashes(t *task) {
 	if t.suspicion == (investigator.Suspicion{}) || !t.step.LongRunning || t.listedFor < harmlessAfter {
 		return
 	}
-	t.suspicion = investigator.Suspicion{}
-	e.markUnstored(t.step.occurrence.job)
+	if s := t.suspicion.AfterLongWork(t.listedFor); s != t.suspicion {
+		t.suspicion = s
+		e.markUnstored(t.step.occurrence.job)
+	}
 }
 
 // clearancePollWait returns how long the worker may hold the next poll, so that its
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -188,9 +189,11 @@
 	}
 }
 
-// A crash after so much work does not count, see harmlessAfter.
+// Such crashes don't count by themselves, see harmlessAfter, but by coming after equal
+// work each time.
 func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
 	runScenario(t, 4, func(s *deployment) {
+		s.outcomeQueryTime = 5 * time.Minute
 		s.taskFleet.RunOutcome = neverEnds
 		s.crashes(12*time.Second, false, "deadly")
 		e := s.startEntry("one")
@@ -202,6 +205,49 @@
 	})
 }
 
+// The load: long-running tasks that are started together with the one at fault fill a
+// third of six workers, two thirds of three or all of two, and short jobs come steadily.
+// Only the one at fault may be given up.
+func TestNeighborsOfATaskThatCrashesItsWorkersLateAreNotGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		workers int
+		after   time.Duration
+	}{{6, 6 * time.Second}, {6, 12 * time.Second}, {6, 25 * time.Second}, {3, 12 * time.Second}, {2, 12 * time.Second}} {
+		after := c.after
+		t.Run(fmt.Sprintf("%d workers, after %s", c.workers, after), func(t *testing.T) {
+			runScenario(t, c.workers, func(s *deployment) {
+				s.outcomeQueryTime = 10 * time.Minute
+				s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+					if strings.HasPrefix(id.Job, "short") {
+						return time.Second, modeler.EndDone
+					}
+					return neverEnds(id, 0)
+				}
+				s.crashes(after, false, "deadly")
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(longRunningJob("deadly", 2))
+				s.submit(longRunningJob("other-1", 3))
+				s.submit(longRunningJob("other-2", 3))
+				var short []string
+				if c.workers > 2 {
+					short = s.submitSteadily("short", 5*(after+5*time.Second), time.Second, c.workers-2)
+				} else {
+					time.Sleep(5 * (after + 5*time.Second))
+				}
+				time.Sleep(20 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				s.requireState(modeler.Running, "other-1", "other-2")
+				s.requireState(modeler.Completed, short...)
+				require.Equal(s.t, 3, s.taskFleet.RunCountOfJob("other-1"))
+				require.Equal(s.t, 3, s.taskFleet.RunCountOfJob("other-2"))
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
 // The load: short jobs fill two thirds of nine workers, and three random workers
 // crash at the same moment every 2.5 s, as racks do that lose power. A job may be
 // given up only if two workers have crashed under one of its tasks.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -381,7 +381,7 @@
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
 		t.releaseKeptWorker()
 	}
-	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && t.suspicion.Score() == 0
+	plain := s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil && !t.isSuspect()
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
@@ -451,7 +451,7 @@
 // assignerRequest describes the task to the assigner.
 func (t *task) assignerRequest() assigner.Request {
 	r := t.step.assignerRequest()
-	r.Suspect = t.suspicion.Score() > 0
+	r.Suspect = t.isSuspect()
 	return r
 }
 
@@ -526,7 +526,7 @@
 	v := &assigner.Worker{Free: w.unreservedResources(), Capacity: w.Capacity, Retained: w.reservedResources(), Labels: w.Labels, Rack: modeler.RackLabel(w.Labels)}
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
-		if t.suspicion.Score() > 0 {
+		if t.isSuspect() {
 			v.Suspects++
 		}
 	}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -69,6 +69,8 @@
 		Unconfirmed int   `json:"unconfirmed-crashes,omitempty"` // see investigator.Suspicion
 		SoleSuspect int   `json:"sole-suspect,omitempty"`        // see investigator.Suspicion
 		Unknown     int   `json:"unknown-crashes,omitempty"`     // see investigator.Suspicion
+		LateCrashes int   `json:"late-crashes,omitempty"`        // see investigator.Suspicion
+		LateWorkMs  int64 `json:"late-work-ms,omitempty"`        // see investigator.Suspicion
 		ProbationMs int64 `json:"probation-ms,omitempty"`        // see investigator.Suspicion
 	}
 
@@ -153,7 +155,8 @@
 		}
 		tp := TaskProgress{
 			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint,
-			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown, ProbationMs: t.suspicion.Probation.Milliseconds(),
+			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown,
+			LateCrashes: t.suspicion.LateCrashes, LateWorkMs: t.suspicion.LateWork.Milliseconds(), ProbationMs: t.suspicion.Probation.Milliseconds(),
 		}
 		for _, f := range t.failedRuns {
 			tp.Failed, tp.FailedOn = append(tp.Failed, f.number), append(tp.FailedOn, f.worker)
@@ -210,7 +213,10 @@
 		}
 		t := s.tasks[tp.Index]
 		t.run, t.failedRuns = tp.Run, tp.failedRuns()
-		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Unknown: tp.Unknown, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
+		t.suspicion = investigator.Suspicion{
+			Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Unknown: tp.Unknown,
+			LateCrashes: tp.LateCrashes, LateWork: time.Duration(tp.LateWorkMs) * time.Millisecond, Probation: time.Duration(tp.ProbationMs) * time.Millisecond,
+		}
 		t.placementBoot = tp.Born
 		if tp.Placed != 0 {
 			t.placedAt = time.UnixMilli(tp.Placed)
