Refuse no new jobs for lack of capacity while workers are free

After a burst the share of new jobs to accept rose by half each second, from 0.01 for more than ten seconds, though the workers were idle again. A new leader went on with its predecessor's shares for five seconds whatever the workers reported.

If nothing of a customer waits and workers have free cores by what they report, the share now rises at once to one by which the room fills; the room is divided among the customers that are limited. A new leader drops such a limitation as soon as all workers have reported and a quarter of the pool's cores is free.

--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -15,6 +15,7 @@
 	limitedIntervals = 3               // in so many of them placement stopped for lack of starts before the leader takes itself for the limit
 	minLimitation    = 0.99            // shares above this are not published
 	minWeight        = 0.01            // stands for the weight of a customer that has none
+	roomShare        = 0.25            // of a pool's cores; while so many are free, a new leader doesn't go on with limitations
 )
 
 type (
@@ -62,6 +63,7 @@
 	// poolBacklog is what waits and runs in a pool.
 	poolBacklog struct {
 		wantedCores float64
+		freeCores   float64 // of the workers that accept tasks, by what they report
 		byKey       map[backlogKey]refuser.Backlog
 		queueWork   map[admissionKey]float64 // core-seconds that wait
 	}
@@ -128,12 +130,14 @@
 	s := &e.admission
 	interval := now.Sub(s.updatedAt)
 	s.updatedAt = now
+	backlogs, cores := e.backlogsByPool(), e.countCores(now)
 	if now.Sub(e.termStart) < admissionDelay {
 		e.inheritAdmissions() // also forgets the jobs loaded so far, which are not new
-		return s.inherited
+		e.addFreeCores(backlogs, now)
+		return e.inheritedWithoutRoom(backlogs, cores, now)
 	}
-	backlogs, cores := e.backlogsByPool(), e.countCores(now)
 	s.updateStartRates(backlogs, interval)
+	e.addFreeCores(backlogs, now)
 	limits := make(map[string]map[string]Limitation)
 	for i := range e.cfg.Manifest().Queues {
 		q := &e.cfg.Manifest().Queues[i]
@@ -149,6 +153,50 @@
 	return limits
 }
 
+// addFreeCores adds the free cores of the workers that accept tasks.
+func (e *Engine) addFreeCores(backlogs map[string]*poolBacklog, now time.Time) {
+	for _, w := range e.workersByID {
+		if !w.acceptsTasks(now) {
+			continue
+		}
+		b := backlogs[w.Pool]
+		if b == nil {
+			b = &poolBacklog{}
+			backlogs[w.Pool] = b
+		}
+		b.freeCores += float64(max(0, w.freeResources().CPU)) / milliCoresPerCore
+	}
+}
+
+// inheritedWithoutRoom returns the limitations of the previous leader, without those of
+// customers that have nothing waiting while the workers of the pool have room. Before
+// all workers have reported, the room is not known.
+func (e *Engine) inheritedWithoutRoom(backlogs map[string]*poolBacklog, cores *coreCounts, now time.Time) map[string]map[string]Limitation {
+	if !e.knowsAllRuns(now) {
+		return e.admission.inherited
+	}
+	limits := make(map[string]map[string]Limitation)
+	for queue, byCustomer := range e.admission.inherited {
+		q := e.cfg.Manifest().Queue(queue)
+		for customer, l := range byCustomer {
+			if q != nil && backlogs[q.Pool].hasRoomFor(admissionKey{queue, customer}, float64(cores.usable[q.Pool])/milliCoresPerCore) {
+				continue
+			}
+			if limits[queue] == nil {
+				limits[queue] = make(map[string]Limitation)
+			}
+			limits[queue][customer] = l
+		}
+	}
+	return limits
+}
+
+// hasRoomFor reports whether nothing of the customer waits and roomShare of the pool's
+// cores is free.
+func (b *poolBacklog) hasRoomFor(k admissionKey, cores float64) bool {
+	return b != nil && b.freeCores > 0 && b.queueWork[k] == 0 && b.freeCores >= roomShare*cores
+}
+
 // coresInOverload returns the cores that a pool has or can get: its own and idle
 // ones, and also those that are in use by other pools and more than these want.
 func (e *Engine) coresInOverload(pool string, cores *coreCounts, backlogs map[string]*poolBacklog) float64 {
@@ -176,14 +224,18 @@
 	}
 	n := time.Duration(sums.count)
 	limit := refuser.Limit(sums.objective/n, sums.ideal/n)
-	waits := pool.Waits()
+	waits, room := pool.Waits(), b.freeCores/max(1, float64(e.admission.countLimited(q, e.cfg.Manifest())))
 	for k, a := range e.admission.admissions {
 		if k.queue != q.Name {
 			continue
 		}
 		limited := a.Share() < 1
 		wait := waits[k.customer]
-		a.Update(interval, wait, limit, b.queueWork[k])
+		if room > 0 && wait == 0 && b.queueWork[k] == 0 {
+			a.UpdateWithRoom(interval, limit, min(room, pool.UnusedCores(k.customer)))
+		} else {
+			a.Update(interval, wait, limit, b.queueWork[k])
+		}
 		if limited != (a.Share() < 1) {
 			e.log.Info("new jobs of a customer limited or free again", "queue", k.queue, "customer", k.customer, "accept", a.Share(),
 				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cores", pool.Cores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
@@ -198,6 +250,18 @@
 	}
 }
 
+// countLimited returns the number of decisions that limit new jobs of queues which
+// share the queue's pool.
+func (s *admissionState) countLimited(q *modeler.Queue, m *modeler.Manifest) int {
+	n := 0
+	for k, a := range s.admissions {
+		if other := m.Queue(k.queue); other != nil && other.Pool == q.Pool && a.Share() < 1 {
+			n++
+		}
+	}
+	return n
+}
+
 // startsPerSecond returns the highest recent rate of starts in a pool if that is what
 // its tasks wait for, and 0 otherwise.
 func (s *admissionState) startsPerSecond(pool string) float64 {
--- a/orchestrator/admit_test.go
+++ b/orchestrator/admit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
@@ -67,3 +68,39 @@
 		e.stopGracefully()
 	})
 }
+
+// The load: one customer sends eight times what the deployment can do for three seconds
+// and then nothing. Once the workers are idle again none of its jobs may be refused.
+func TestNoNewJobsAreLimitedWhileWorkersAreIdle(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.keepInstancesInPool()
+		e := s.startEntry("one")
+		time.Sleep(7 * time.Second)
+		for n := range 12 {
+			s.submit(shortJob(fmt.Sprintf("burst-%d", n), modeler.Step{Count: 16, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+			time.Sleep(250 * time.Millisecond)
+		}
+		require.NotEmpty(t, s.load().Limited)
+		for s.taskFleet.RunCountOfJobPrefix("burst") > 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		require.Empty(t, s.load().Limited)
+		e.stopGracefully()
+	})
+}
+
+// The workers of a leader that limited new jobs are idle when the next one takes over.
+// It went on with the limits for five seconds.
+func TestNextLeaderDoesNotLimitNewJobsWhileWorkersAreIdle(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		limited := map[string]map[string]orchestrator.Limitation{"short": {"c": {Accept: 0.1, WaitMs: 5000}}}
+		raw, err := json.Marshal(orchestrator.Load{Limited: limited})
+		require.NoError(t, err)
+		s.store.PutAsOperator(keeper.Put{Key: orchestrator.LoadKey, Value: raw})
+		e := s.startEntry("one")
+		time.Sleep(1500 * time.Millisecond)
+		require.Empty(t, s.load().Limited)
+		e.stopGracefully()
+	})
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -75,6 +76,16 @@
 	return waits
 }
 
+// UnusedCores returns how many cores the customer may use beyond those that it uses.
+func (p *Pool) UnusedCores(customer string) float64 {
+	for _, b := range p.Backlogs {
+		if b.Customer == customer && b.MaxCores > 0 {
+			return max(0, b.MaxCores-b.WantedCores)
+		}
+	}
+	return math.Inf(1)
+}
+
 // addSharingWaits adds the waits of customers that share cores by weight.
 func addSharingWaits(waits map[string]time.Duration, waiting []Backlog, cores float64) {
 	perWeight := func(b Backlog) float64 { return b.Work / b.Weight }
@@ -131,8 +142,7 @@
 // new jobs and not a yes or no: one by which as much is accepted as gets done, more
 // or less by what brings the wait to its target.
 func (a *Admission) Update(interval, wait, limit time.Duration, backlog float64) {
-	a.accepted += smoothing * (a.pending/interval.Seconds() - a.accepted)
-	a.pending = 0
+	a.smoothAccepted(interval)
 	target := time.Duration(targetShare * float64(limit))
 	if wait <= target && a.share == 1 {
 		return
@@ -146,6 +156,30 @@
 	a.share = min(max(a.share*factor, minAccepted), 1)
 }
 
+// UpdateWithRoom adapts the share after an interval at whose end nothing of the customer
+// waits and the given number of cores is free for it.
+//
+// Refusing a job then would waste the room, and raising the share by a factor each
+// time takes seconds. The share is raised to one by which as much more is accepted as
+// fills the room and lets new jobs wait for the target. If no new job was accepted,
+// nothing speaks against accepting all.
+func (a *Admission) UpdateWithRoom(interval, limit time.Duration, cores float64) {
+	a.smoothAccepted(interval)
+	if a.accepted < cores*minAccepted {
+		a.share = 1
+		return
+	}
+	target := targetShare * limit.Seconds()
+	wanted := a.accepted + cores*(1+target/correctionTime.Seconds())
+	a.share = min(a.share*max(wanted/a.accepted, maxRise), 1)
+}
+
+// smoothAccepted adds the work accepted in an interval to the smoothed one.
+func (a *Admission) smoothAccepted(interval time.Duration) {
+	a.accepted += smoothing * (a.pending/interval.Seconds() - a.accepted)
+	a.pending = 0
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/refuser/refuser_test.go
+++ b/refuser/refuser_test.go
@@ -60,22 +60,27 @@
 	tick          = 50 * time.Millisecond
 	publishPeriod = 500 * time.Millisecond
 	played        = 60 * time.Second
+	burstPeriod   = 10 * time.Second
+	burstLength   = 4 * time.Second
 )
 
 type (
 	// simulatedCustomer sends jobs of one task.
 	simulatedCustomer struct {
 		rate      float64 // jobs a second
+		lowRate   float64 // jobs a second between bursts; 0 if there are no bursts
 		admission *refuser.Admission
 		accepted  float64         // share of the new jobs that entry nodes accept
 		waiting   []time.Duration // when the waiting jobs were accepted
 		running   int
+		seesRoom  bool // a quarter of the pool is free, and was when the decision in force was made
 		got       callers
 	}
 
 	// callers is what the callers of a customer got.
 	callers struct {
 		jobs, refused, late int
+		refusedWithRoom     int
 		longest             time.Duration
 	}
 
@@ -84,15 +89,23 @@
 		customers []*simulatedCustomer
 		ends      map[time.Duration][]*simulatedCustomer // running tasks, by when they end
 		rng       *rand.Rand
+		free      int // places after the last advance
 	}
 )
 
 // arrive lets the customer's jobs of one tick arrive.
 func (c *simulatedCustomer) arrive(rng *rand.Rand, now time.Duration) {
-	for at := rng.ExpFloat64() / c.rate; at < tick.Seconds(); at += rng.ExpFloat64() / c.rate {
+	rate := c.rate
+	if c.lowRate > 0 && now%burstPeriod >= burstLength {
+		rate = c.lowRate
+	}
+	for at := rng.ExpFloat64() / rate; at < tick.Seconds(); at += rng.ExpFloat64() / rate {
 		c.got.jobs++
 		if rng.Float64() >= c.accepted {
 			c.got.refused++
+			if c.seesRoom {
+				c.got.refusedWithRoom++
+			}
 			continue
 		}
 		c.admission.RecordAccepted(taskCores * taskTime.Seconds())
@@ -150,7 +163,18 @@
 	}
 	var shares []float64
 	waits := pool.Waits()
+	limited := 0.0
+	for _, c := range p.customers {
+		if c.admission.Share() < 1 {
+			limited++
+		}
+	}
 	for i, c := range p.customers {
+		if p.free > 0 && len(c.waiting) == 0 {
+			c.admission.UpdateWithRoom(publishPeriod, refuser.Limit(objective, taskTime), float64(p.free)*taskCores/max(1, limited))
+			shares = append(shares, c.admission.Share())
+			continue
+		}
 		c.admission.Update(publishPeriod, waits[fmt.Sprint(i)], refuser.Limit(objective, taskTime), pool.Backlogs[i].Work)
 		shares = append(shares, c.admission.Share())
 	}
@@ -161,18 +185,35 @@
 // rates a second. Entry nodes use a decision recordAge after it was made. It returns
 // what the callers got and the mean share of cores in use.
 func playOverload(rates []float64, recordAge time.Duration) ([]callers, float64) {
+	return playBursts(rates, nil, recordAge)
+}
+
+// playBursts plays the same, but the rates fall to lowRates between bursts.
+func playBursts(rates, lowRates []float64, recordAge time.Duration) ([]callers, float64) {
 	p := &simulatedPool{ends: make(map[time.Duration][]*simulatedCustomer), rng: rand.New(rand.NewPCG(1, 2))}
-	for _, rate := range rates {
-		p.customers = append(p.customers, &simulatedCustomer{rate: rate, admission: refuser.NewAdmission(1), accepted: 1})
+	for i, rate := range rates {
+		c := &simulatedCustomer{rate: rate, admission: refuser.NewAdmission(1), accepted: 1}
+		if lowRates != nil {
+			c.lowRate = lowRates[i]
+		}
+		p.customers = append(p.customers, c)
 	}
-	published := make(map[time.Duration][]float64)
+	published, room := make(map[time.Duration][]float64), make(map[time.Duration]bool)
+	hadRoom := false
 	used := 0.0
 	for now := time.Duration(0); now < played; now += tick {
 		for i, share := range published[now] {
 			p.customers[i].accepted = share
+			hadRoom = room[now]
 		}
-		used += 1 - float64(p.advance(now))*taskCores/cores
+		hasRoom := float64(p.free)*taskCores >= cores/4
+		for _, c := range p.customers {
+			c.seesRoom = hadRoom && hasRoom
+		}
+		p.free = p.advance(now)
+		used += 1 - float64(p.free)*taskCores/cores
 		if now%publishPeriod == 0 {
+			room[now+recordAge] = float64(p.free)*taskCores >= cores/4
 			published[now+recordAge] = p.decide()
 		}
 	}
@@ -225,3 +266,19 @@
 		}
 	}
 }
+
+// The load: two customers send four times what the pool can do for four seconds, and
+// half of it for six. After each burst the pool has room before their shares
+// were back at 1, and jobs were refused for lack of capacity. While a quarter of it is
+// free, and was when the decision was made, none may be refused.
+func TestNobodyIsRefusedWhileThereIsRoom(t *testing.T) {
+	rates, lowRates := []float64{100, 100}, []float64{14, 14}
+	for _, age := range []time.Duration{tick, 500 * time.Millisecond} {
+		got, used := playBursts(rates, lowRates, age)
+		for c, g := range got {
+			t.Logf("decisions %v old: %.2f of the cores in use, customer %d %+v", age, used, c, g)
+			require.Zero(t, g.refusedWithRoom, "customer %d: %+v", c, g)
+			require.Less(t, g.late, g.jobs/4)
+		}
+	}
+}
