Name the figure that a refusal for overload is due to

A caller that was refused for overload, and the log line of the call, showed the wait and the share that is accepted, but not what made the jobs wait, nor how old the decision was. So a refusal while workers were free could not be told from one at the customer's maximum.

The published limitation now has its cause (maximum, cores, starts, or none while a share still rises) and the free cores that the workers reported; the entry adds how long ago it received it. The leader's line on limitations has both too.

TestCauseOfAWait and TestOnlyAShareOfTheNewJobsIsAcceptedInOverload guard this; neither could pass before, as the figures did not exist.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
+	"github.com/coltsfootlever/coltsfootlever/refuser"
 )
 
 const (
@@ -215,12 +216,13 @@
 	const other, lasting, timed = "00000000000000a1", "00000000000000a2", "00000000000000a3"
 	b := newFixture(t)
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
-	b.fleet.limited = map[string]orchestrator.Limitation{"c": {Accept: 0.4, WaitMs: 6000}}
+	b.fleet.limited = map[string]orchestrator.Limitation{"c": {Accept: 0.4, WaitMs: 6000, Cause: refuser.LackOfCores, FreeCores: 1.5, Age: 700 * time.Millisecond}}
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
 	w := b.call("POST", "/k/"+other, body, "secret")
 	require.Equal(t, http.StatusTooManyRequests, w.Code)
 	require.Equal(t, "3", w.Header().Get("Retry-After"))
 	require.Contains(t, w.Body.String(), `"verdict":"not-run"`)
+	require.Contains(t, w.Body.String(), "cause cores, free cores 1.5, decision received 700ms ago")
 	require.Equal(t, http.StatusGone, b.call("GET", "/k/"+other, "", "secret").Code)
 	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+other, body, "").Code, "another customer")
 	step := modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1, Memory: 1}, Estimate: time.Second}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"time"
@@ -57,8 +58,8 @@
 		return answer{status: http.StatusOK}, nil
 	}
 	wait := time.Duration(l.WaitMs) * time.Millisecond
-	return answer{}, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later",
-		r.customer, r.queue.Name, wait, 100*l.Accept).WithRetryAfter(postponer.OverloadDelay(wait, a.random()))
+	return answer{}, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later (cause %s, free cores %.1f, decision received %v ago)",
+		r.customer, r.queue.Name, wait, 100*l.Accept, cmp.Or(l.Cause, "unstated"), l.FreeCores, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(wait, a.random()))
 }
 
 // readBack checks whether a submission whose write was not answered was stored.
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -97,6 +97,7 @@
 		return orchestrator.Limitation{}, false
 	}
 	limitation, ok := l.Limited[queue][customer]
+	limitation.Age = time.Since(l.receivedAt)
 	return limitation, ok
 }
 
--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -24,6 +24,10 @@
 	Limitation struct {
 		Accept float64 `json:"accept"`  // share of the new jobs to accept, below 1
 		WaitMs int64   `json:"wait-ms"` // how long a new job waits at present, in ms
+
+		Cause     refuser.Cause `json:"cause,omitempty"`      // what the wait is due to
+		FreeCores float64       `json:"free-cores,omitempty"` // of the pool's workers, by what they report
+		Age       time.Duration `json:"-"`                    // how long ago the entry node received it
 	}
 
 	// admissionKey identifies the new jobs that share a decision.
@@ -238,7 +242,7 @@
 		}
 		if limited != (a.Share() < 1) {
 			e.log.Info("new jobs of a customer limited or free again", "queue", k.queue, "customer", k.customer, "accept", a.Share(),
-				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cores", pool.Cores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
+				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cause", string(pool.CauseOf(k.customer)), "cores", pool.Cores, "free-cores", b.freeCores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
 		}
 		if a.Share() >= minLimitation {
 			continue
@@ -246,7 +250,7 @@
 		if limits[k.queue] == nil {
 			limits[k.queue] = make(map[string]Limitation)
 		}
-		limits[k.queue][k.customer] = Limitation{Accept: a.Share(), WaitMs: wait.Milliseconds()}
+		limits[k.queue][k.customer] = Limitation{Accept: a.Share(), WaitMs: wait.Milliseconds(), Cause: pool.CauseOf(k.customer), FreeCores: b.freeCores}
 	}
 }
 
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -21,7 +21,19 @@
 	minSharedCores = 0.1 // share of the cores that customers with waiting work get at least
 )
 
+// Causes of a wait.
+const (
+	AtMaximum     Cause = "maximum" // the customer uses as many cores as it may
+	LackOfCores   Cause = "cores"   // customers want more cores than the pool has or can get
+	LackOfStarts  Cause = "starts"  // the leader can't start tasks any faster
+	NothingWaits  Cause = "none"
+	causeUnstated Cause = ""
+)
+
 type (
+	// Cause is the figure by which a customer's new jobs wait longest.
+	Cause string
+
 	// Backlog is what a customer has running and waiting in a pool.
 	Backlog struct {
 		Customer    string
@@ -50,7 +62,27 @@
 // customer does not delay the others. If tasks wait although there is room, the
 // leader can't start them any faster, and all customers wait for all tasks.
 func (p *Pool) Waits() map[string]time.Duration {
-	waits := make(map[string]time.Duration, len(p.Backlogs))
+	waits, _ := p.waitsWithCauses()
+	return waits
+}
+
+// CauseOf returns what the wait of a customer's new jobs is due to.
+func (p *Pool) CauseOf(customer string) Cause {
+	_, causes := p.waitsWithCauses()
+	if c := causes[customer]; c != causeUnstated {
+		return c
+	}
+	return NothingWaits
+}
+
+// waitsWithCauses returns the waits and their causes, by customer.
+func (p *Pool) waitsWithCauses() (map[string]time.Duration, map[string]Cause) {
+	waits, causes := make(map[string]time.Duration, len(p.Backlogs)), make(map[string]Cause)
+	raise := func(customer string, wait time.Duration, cause Cause) {
+		if wait > waits[customer] {
+			waits[customer], causes[customer] = wait, cause
+		}
+	}
 	tasks, wanted, cores := 0, 0.0, p.Cores
 	var waiting []Backlog
 	for _, b := range p.Backlogs {
@@ -63,17 +95,19 @@
 		}
 	}
 	if wanted > p.Cores {
-		addSharingWaits(waits, waiting, max(cores, minSharedCores*p.Cores))
+		for customer, wait := range sharingWaits(waiting, max(cores, minSharedCores*p.Cores)) {
+			raise(customer, wait, LackOfCores)
+		}
 	}
 	for _, b := range waiting {
 		if b.MaxCores > 0 && b.WantedCores > b.MaxCores {
-			waits[b.Customer] = max(waits[b.Customer], seconds(b.Work/b.MaxCores))
+			raise(b.Customer, seconds(b.Work/b.MaxCores), AtMaximum)
 		}
 		if p.StartsPerSecond > 0 {
-			waits[b.Customer] = max(waits[b.Customer], seconds(float64(tasks)/p.StartsPerSecond))
+			raise(b.Customer, seconds(float64(tasks)/p.StartsPerSecond), LackOfStarts)
 		}
 	}
-	return waits
+	return waits, causes
 }
 
 // UnusedCores returns how many cores the customer may use beyond those that it uses.
@@ -86,8 +120,9 @@
 	return math.Inf(1)
 }
 
-// addSharingWaits adds the waits of customers that share cores by weight.
-func addSharingWaits(waits map[string]time.Duration, waiting []Backlog, cores float64) {
+// sharingWaits returns the waits of customers that share cores by weight.
+func sharingWaits(waiting []Backlog, cores float64) map[string]time.Duration {
+	waits := make(map[string]time.Duration, len(waiting))
 	perWeight := func(b Backlog) float64 { return b.Work / b.Weight }
 	sorted := slices.SortedFunc(slices.Values(waiting), func(a, b Backlog) int {
 		return cmp.Or(cmp.Compare(perWeight(a), perWeight(b)), cmp.Compare(a.Customer, b.Customer))
@@ -103,6 +138,7 @@
 		weight -= b.Weight
 		waits[b.Customer] = seconds(at)
 	}
+	return waits
 }
 
 // Limit returns how long new jobs of a queue may wait and still be worth something
--- a/refuser/refuser_test.go
+++ b/refuser/refuser_test.go
@@ -282,3 +282,19 @@
 		}
 	}
 }
+
+// A refusal must name the figure that it is due to.
+func TestCauseOfAWait(t *testing.T) {
+	p := refuser.Pool{Cores: 100, Backlogs: []refuser.Backlog{
+		{Customer: "limited", Weight: 1, MaxCores: 10, WantedCores: 50, Work: 50, Tasks: 5},
+		{Customer: "other", Weight: 1, WantedCores: 30, Work: 1, Tasks: 1},
+		{Customer: "idle", Weight: 1},
+	}}
+	require.Equal(t, refuser.AtMaximum, p.CauseOf("limited"))
+	require.Equal(t, refuser.NothingWaits, p.CauseOf("other"))
+	p.Cores = 40
+	require.Equal(t, refuser.LackOfCores, p.CauseOf("other"))
+	p.StartsPerSecond = 1
+	require.Equal(t, refuser.LackOfStarts, p.CauseOf("limited"))
+	require.Equal(t, refuser.NothingWaits, p.CauseOf("idle"))
+}
