Guard that a planned stop does not wait for a silent store

TestPlannedStopEndsWithinTheGracePeriod covers the leader's part of a planned stop, with calls to the store that fail and with calls that hang.

--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -321,3 +321,27 @@
 		e.stopGracefully()
 	})
 }
+
+// A planned stop must not wait for a store that doesn't respond: the process is killed
+// after its grace period, and what it could hand over is lost then.
+func TestPlannedStopEndsWithinTheGracePeriod(t *testing.T) {
+	for name, hangs := range map[string]bool{"calls fail": false, "calls hang": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(shortJob("j1"))
+				s.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+					f.Down = true
+					if hangs {
+						f.Delay = time.Minute
+					}
+				})
+				time.Sleep(200 * time.Millisecond)
+				began := time.Now()
+				e.stopGracefully()
+				require.LessOrEqual(t, time.Since(began), 2*time.Second)
+			})
+		})
+	}
+}
