Do not take a young process for an outage of the store

An entry that had not yet had an answer from the store told callers to retry after four to five seconds, as in a long outage, also if no call had failed.

Without a failed call the time since the start of the process counts now. Once a call has failed, the length of the outage is not known and the longest delay applies as before.

TestEntryThatHasJustStartedTellsOfNoOutage failed before.

--- a/launcher/board.go
+++ b/launcher/board.go
@@ -107,9 +107,12 @@
 	return s.store.failedInARow.Load() > 0 && s.store.sinceLastAnswer() > unreachableAfter
 }
 
-// SinceStoreAnswer returns the time since the last answer of the key-value
-// store.
+// SinceStoreAnswer returns the time since the last answer of the key-value store. If
+// no call has failed yet, a process that has just started says nothing of an outage.
 func (s *fleetState) SinceStoreAnswer() time.Duration {
+	if s.store.lastAnswer.Load() == 0 && s.store.failedInARow.Load() == 0 {
+		return time.Since(processStart)
+	}
 	return s.store.sinceLastAnswer()
 }
 
--- a/launcher/board_test.go
+++ b/launcher/board_test.go
@@ -110,3 +110,22 @@
 		require.False(t, s.isReady())
 	})
 }
+
+// Callers that reach an entry which has just started were told to wait as in a long
+// outage, though no call to the store had failed.
+func TestEntryThatHasJustStartedTellsOfNoOutage(t *testing.T) {
+	s := newFleetState()
+	s.store.transport = failingTransport{}
+	require.Less(t, s.SinceStoreAnswer(), time.Hour)
+	_, err := s.store.RoundTrip(nil)
+	require.Error(t, err)
+	require.Equal(t, neverAnswered, s.SinceStoreAnswer())
+}
+
+// failingTransport is a connection to a store that doesn't respond.
+type failingTransport struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (failingTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no answer")
+}
