--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -1,6 +1,7 @@
 package acceptor
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"strings"
@@ -38,8 +39,8 @@
 	}
 	if l, ok := a.fleet.Limitation(r.queue.Name, r.customer); ok && !job.IsLongRunning() && job.Repeat == 0 && a.random() >= l.Accept {
 		wait := time.Duration(l.WaitMs) * time.Millisecond
-		return a.refuseUnlessStored(r, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later",
-			r.customer, r.queue.Name, wait, 100*l.Accept).WithRetryAfter(postponer.OverloadDelay(wait, a.random())))
+		return a.refuseUnlessStored(r, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later (cause %s, free cores %.1f, decision received %v ago)",
+			r.customer, r.queue.Name, wait, 100*l.Accept, cmp.Or(l.Cause, "unstated"), l.FreeCores, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(wait, a.random())))
 	}
 	job.Accepted = a.now()
 	_, _, err = a.store.Commit(r.Context(), keeper.Txn{
--- a/launcher/board_test.go
+++ b/launcher/board_test.go
@@ -148,3 +148,24 @@
 		close(transport.answers)
 	})
 }
+
+// Callers that reach an entry which has just started were told to wait as in a long
+// outage, though no call to the store had failed.
+func TestEntryThatHasJustStartedTellsOfNoOutage(t *testing.T) {
+	s := newFleetState()
+	s.store.transport = failingTransport{}
+	require.Less(t, s.SinceStoreAnswer(), time.Hour)
+	r, err := http.NewRequest(http.MethodGet, "http://127.0.0.1/", nil)
+	require.NoError(t, err)
+	_, err = s.store.RoundTrip(r)
+	require.Error(t, err)
+	require.Equal(t, neverAnswered, s.SinceStoreAnswer())
+}
+
+// failingTransport is a connection to a store that doesn't respond.
+type failingTransport struct{}
+
+// RoundTrip implements http.RoundTripper.
+func (failingTransport) RoundTrip(*http.Request) (*http.Response, error) {
+	return nil, errors.New("no answer")
+}
--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -19,7 +19,8 @@
 
 	// harmlessAfter is how long a run of a long-running task must work for a crash of its
 	// worker not to count, and for earlier ones to be forgotten. Otherwise the task would
-	// be given up because of failures of its instances that are weeks apart.
+	// be given up because of failures of its instances that are weeks apart. Later crashes
+	// count if they come after equal work, see investigator.Suspicion.LateCrashes.
 	harmlessAfter = 5 * time.Second
 
 	// maxKeepTime is how long a worker is kept for a task that needs isolation. The task
@@ -42,7 +43,8 @@
 // investigatedRun describes the present run of the task to the investigator.
 func (t *task) investigatedRun(now time.Time) investigator.Run {
 	return investigator.Run{
-		Suspicion: t.suspicion, StartUnconfirmed: t.phase == starting || t.phase == outcomeUnknown, Listed: t.listedFor, Worked: t.worker.longestWorkOf(t, now),
+		Suspicion: t.suspicion, StartUnconfirmed: t.phase == starting || t.phase == outcomeUnknown, WorkUnknown: t.step.LongRunning && t.phase == adopted,
+		Listed: t.listedFor, Worked: t.worker.longestWorkOf(t, now),
 	}
 }
 
@@ -63,16 +65,18 @@
 func (e *Engine) assessCrash(w *worker, ended []*task, reason string) {
 	var tasks []*task
 	for _, t := range ended {
-		if t.mayHaveCrashedItsWorker() {
+		if e.mayHaveCrashedItsWorker(t) {
 			tasks = append(tasks, t)
 		}
 	}
-	if len(tasks) == 0 || e.mayHaveEndedAsPlanned(w) {
+	late := lateSuspects(w, ended)
+	if len(tasks)+len(late) == 0 || e.mayHaveEndedAsPlanned(w) {
 		return
 	}
 	now := time.Now()
 	runs := make([]investigator.Run, len(tasks))
 	for i, t := range tasks {
+		t.dropAssumedCrash()
 		runs[i] = t.investigatedRun(now)
 	}
 	var suspects []string
@@ -85,6 +89,10 @@
 			suspects = append(suspects, fmt.Sprintf("%s:%d", t.id, s.Score()))
 		}
 	}
+	if !coincides {
+		e.assessLateCrash(w, late, now)
+		tasks = append(tasks, late...)
+	}
 	meter.CountWorkerCrash()
 	e.log.Info("worker has crashed under its tasks", "worker", w.ID, "instance", w.Instance, "pool", w.Pool, "reason", reason, "tasks", len(tasks), "coincides", coincides, "suspects", strings.Join(suspects, " "))
 	for _, t := range tasks {
@@ -92,6 +100,27 @@
 	}
 }
 
+// lateSuspects returns those of the tasks of a crashed worker that are long-running and
+// had worked for longer than harmlessAfter, but not for long.
+func lateSuspects(w *worker, ended []*task) []*task {
+	var late []*task
+	for _, t := range ended {
+		if t.step.LongRunning && t.listedFor >= harmlessAfter && t.listedFor < investigator.MaxLateWork {
+			late = append(late, t)
+		}
+	}
+	return late
+}
+
+// assessLateCrash updates the suspicion of long-running tasks that had worked for some
+// time on a worker that has crashed.
+func (e *Engine) assessLateCrash(w *worker, late []*task, now time.Time) {
+	for _, t := range late {
+		t.suspicion = t.suspicion.AfterLateCrash(w.longestWorkOf(t, now))
+		e.markUnstored(t.step.occurrence.job)
+	}
+}
+
 // crashCoincides reports whether another worker stopped responding at the same time
 // as w, and records the time for the crashes that are assessed later.
 func (e *Engine) crashCoincides(w *worker) bool {
@@ -116,7 +145,7 @@
 		return
 	}
 	meter.CountTaskGivenUp()
-	e.endJob(j, modeler.Failed, fmt.Sprintf("task %s crashed its workers: %d have crashed under it", t.id.IDWithinJob(), t.suspicion.Crashes+t.suspicion.Unconfirmed))
+	e.endJob(j, modeler.Failed, fmt.Sprintf("task %s crashed its workers: %d have crashed under it", t.id.IDWithinJob(), t.suspicion.Crashes+t.suspicion.Unconfirmed+t.suspicion.LateCrashes))
 }
 
 // assessRestartBeforeTerm updates the suspicion of inherited tasks whose worker has
@@ -146,26 +175,84 @@
 }
 
 // mayHaveCrashedItsWorker reports whether a crash of the task's worker counts. That of
-// a long-running task whose start another leader has sent does not: it may have
-// worked for long.
-func (t *task) mayHaveCrashedItsWorker() bool {
+// a long-running task whose start another leader has sent counts only if the task was
+// placed so late that it can't have worked for harmlessAfter.
+func (e *Engine) mayHaveCrashedItsWorker(t *task) bool {
 	switch {
 	case t.phase == placed:
 		return false
-	case t.step.LongRunning:
-		return t.phase != adopted && t.listedFor < harmlessAfter
+	case t.step.LongRunning && t.phase == adopted:
+		return !t.placedAt.IsZero() && e.latestCrash(t).Sub(t.placedAt) < harmlessAfter
+	}
+	return !t.step.LongRunning || t.listedFor < harmlessAfter
+}
+
+// latestCrash returns the latest time of day at which the worker of an inherited task
+// can have crashed: it was before a later process started on its instance.
+func (e *Engine) latestCrash(t *task) time.Time {
+	latest := e.cfg.WallClock()
+	for _, w := range e.workersByID {
+		if started := time.UnixMilli(w.StartTimeMs); w.Instance == t.worker.Instance && w.StartTimeMs > t.placementBoot && started.Before(latest) {
+			latest = started
+		}
+	}
+	return latest
+}
+
+// assumeUnstoredCrashes assumes a crash for each task of an inherited job under which
+// the previous leader may have seen a worker crash without storing it. There is at most
+// one such crash: the task isn't started again before it is stored, see hasHistory.
+func (j *job) assumeUnstoredCrashes() {
+	j.forEachTask(func(t *task) {
+		if t.phase == done || t.hasHistory() {
+			return
+		}
+		t.suspicion.Unknown, t.crashAssumed, j.historyUnstored = 1, true, true
+	})
+}
+
+// dropAssumedCrash reverts assumeUnstoredCrashes for a task that the previous leader
+// placed, once its worker lists the run or has crashed: that is the crash, if there was
+// one.
+func (t *task) dropAssumedCrash() {
+	if t.crashAssumed && t.phase == adopted {
+		t.suspicion.Unknown--
+		t.crashAssumed = false
+	}
+}
+
+// isSuspect reports whether workers are known to have crashed under the task.
+func (t *task) isSuspect() bool {
+	return t.suspicion.Score()+t.suspicion.LateCrashes > 0
+}
+
+// hasHistory reports whether workers have or may have crashed under the task. It starts
+// only once its placement is stored with that, since a crashed worker tells the next
+// leader nothing.
+func (t *task) hasHistory() bool {
+	return t.isSuspect() || t.suspicion.Unknown > 0
+}
+
+// storeAssumedCrashes stores the jobs of which assumed crashes are not stored. The
+// next leader assumes none after a handover record.
+func (e *Engine) storeAssumedCrashes() {
+	for _, j := range e.jobs {
+		if j.historyUnstored {
+			e.markUnstored(j)
+		}
 	}
-	return true
 }
 
 // forgetCrashes clears the suspicion of a long-running task that has worked for
-// harmlessAfter.
+// harmlessAfter, and longer than before the late crashes of its workers.
 func (e *Engine) forgetCrashes(t *task) {
 	if t.suspicion == (investigator.Suspicion{}) || !t.step.LongRunning || t.listedFor < harmlessAfter {
 		return
 	}
-	t.suspicion = investigator.Suspicion{}
-	e.markUnstored(t.step.occurrence.job)
+	if s := t.suspicion.AfterLongWork(t.listedFor); s != t.suspicion {
+		t.suspicion = s
+		e.markUnstored(t.step.occurrence.job)
+	}
 }
 
 // clearancePollWait returns how long the worker may hold the next poll, so that its
--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
 const crashDowntime = 3 * time.Second // from the crash of a worker to the start of the next one
@@ -187,9 +189,11 @@
 	}
 }
 
-// A crash after so much work does not count, see harmlessAfter.
+// Such crashes don't count by themselves, see harmlessAfter, but by coming after equal
+// work each time.
 func TestLongRunningTaskThatCrashesItsWorkersLateIsGivenUp(t *testing.T) {
 	runScenario(t, 4, func(s *deployment) {
+		s.outcomeQueryTime = 5 * time.Minute
 		s.taskFleet.RunOutcome = neverEnds
 		s.crashes(12*time.Second, false, "deadly")
 		e := s.startEntry("one")
@@ -201,6 +205,49 @@
 	})
 }
 
+// The load: long-running tasks that are started together with the one at fault fill a
+// third of six workers, two thirds of three or all of two, and short jobs come steadily.
+// Only the one at fault may be given up.
+func TestNeighborsOfATaskThatCrashesItsWorkersLateAreNotGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		workers int
+		after   time.Duration
+	}{{6, 6 * time.Second}, {6, 12 * time.Second}, {6, 25 * time.Second}, {3, 12 * time.Second}, {2, 12 * time.Second}} {
+		after := c.after
+		t.Run(fmt.Sprintf("%d workers, after %s", c.workers, after), func(t *testing.T) {
+			runScenario(t, c.workers, func(s *deployment) {
+				s.outcomeQueryTime = 10 * time.Minute
+				s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+					if strings.HasPrefix(id.Job, "short") {
+						return time.Second, modeler.EndDone
+					}
+					return neverEnds(id, 0)
+				}
+				s.crashes(after, false, "deadly")
+				e := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(longRunningJob("deadly", 2))
+				s.submit(longRunningJob("other-1", 3))
+				s.submit(longRunningJob("other-2", 3))
+				var short []string
+				if c.workers > 2 {
+					short = s.submitSteadily("short", 5*(after+5*time.Second), time.Second, c.workers-2)
+				} else {
+					time.Sleep(5 * (after + 5*time.Second))
+				}
+				time.Sleep(20 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				s.requireState(modeler.Running, "other-1", "other-2")
+				s.requireState(modeler.Completed, short...)
+				require.Equal(s.t, 3, s.taskFleet.RunCountOfJob("other-1"))
+				require.Equal(s.t, 3, s.taskFleet.RunCountOfJob("other-2"))
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
 // The load: short jobs fill two thirds of nine workers, and three random workers
 // crash at the same moment every 2.5 s, as racks do that lose power. A job may be
 // given up only if two workers have crashed under one of its tasks.
@@ -240,3 +287,92 @@
 		e.stopGracefully()
 	})
 }
+
+// The connection to a worker that a task crashes breaks before the start is answered,
+// and the worker is back within 0.2 s under its ID, before it is polled again. Such a
+// start was taken for one that never arrived, so no crash was counted, and the next
+// leader knew of none.
+func TestCrashBeforeTheStartIsAnsweredIsCounted(t *testing.T) {
+	for _, silent := range []time.Duration{0, 5 * time.Second} {
+		t.Run("store silent for "+silent.String(), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.outcomeQueryTime = time.Minute
+				s.crashes(0, true, "deadly")
+				s.taskFleet.OnCrash = func(worker string) { s.instances.CrashWorker(worker, 200*time.Millisecond, true) }
+				s.losesStartsOf = "deadly"
+				first, second := s.startEntry("one"), s.startEntry("two")
+				time.Sleep(time.Second)
+				s.submit(shortJob("deadly"))
+				for s.taskFleet.CrashCount(taskID("deadly", 0, 0)) < 2 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				s.silenceStore(silent)
+				time.Sleep(40 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				first.stopGracefully()
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+// The first start is sent although the store doesn't respond, and the crash is known
+// to a leader that can't store it. No start is answered, so each crash counts least.
+// In the second case a leader without room for the task hands it over in between.
+func TestCrashUnderAStartThatWasNotStoredIsCounted(t *testing.T) {
+	for name, handsOver := range map[string]bool{"taken over": false, "handed over": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.outcomeQueryTime = time.Minute
+				s.keepInstancesInPool()
+				s.crashes(0, false, "deadly")
+				s.losesStartsOf = "deadly"
+				first := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.loseWritesOf(orchestrator.ProgressKey("deadly"))
+				s.submit(shortJob("deadly", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 500, Memory: 100}, Estimate: time.Second}))
+				time.Sleep(time.Millisecond)
+				s.silenceStore(5 * time.Second)
+				s.loseNoWrites()
+				first.crash()
+				second := s.startEntry("two")
+				if handsOver {
+					for _, name := range s.instances.Names() {
+						s.taskFleet.SetDraining(s.instances.WorkerOf(name))
+					}
+					time.Sleep(15 * time.Second)
+					second.stopGracefully()
+					s.addInstance("e")
+					second = s.startEntry("three")
+				}
+				time.Sleep(50 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
+				second.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestCrashesOfLongRunningTaskAreCountedAcrossLeaders(t *testing.T) {
+	for _, keepID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("keeps ID %t", keepID), func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				s.taskFleet.RunOutcome = neverEnds
+				s.crashes(10*time.Millisecond, keepID, "deadly")
+				leader := s.startEntry("one")
+				time.Sleep(time.Second)
+				s.submit(longRunningJob("deadly", 1))
+				for n := range 8 {
+					time.Sleep(2500 * time.Millisecond)
+					leader.crash()
+					leader = s.startEntry(fmt.Sprintf("next-%d", n))
+				}
+				time.Sleep(20 * time.Second)
+				s.requireState(modeler.Failed, "deadly")
+				leader.stopGracefully()
+			})
+		})
+	}
+}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -207,6 +207,7 @@
 	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
 	t.run = run
 	t.assignTo(w, adopted)
+	t.placedAt = time.Time{}
 	e.unknownRunsFound = true
 	j.markStarted()
 	e.markUnstored(j)
@@ -218,6 +219,7 @@
 func (e *Engine) confirmRun(t *task, r modeler.RunningTask, now time.Time) {
 	t.setCheckpoint(r.Checkpoint)
 	t.startupDone, t.reportedLoad = r.Percent >= fullPace, r.Metric
+	t.dropAssumedCrash()
 	switch t.phase {
 	case starting, outcomeUnknown, adopted:
 		t.phase = running
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -47,6 +47,7 @@
 		backlog         backlogEntry
 		fromEarlierTerm bool          // the job was loaded at the start of the term
 		loadedAt        time.Duration // by elector.Term.Now
+		historyUnstored bool          // the record lacks crashes that are assumed, see assumeUnstoredCrashes
 	}
 
 	// jobSettings is what a manifest states about a job.
@@ -99,6 +100,7 @@
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
 		suspicion        investigator.Suspicion
+		crashAssumed     bool      // suspicion contains a crash that the previous leader may not have stored
 		keptWorker       *worker   // worker that is kept for the next run, see keepWorkerForIsolation
 		rejections       int       // starts that workers have rejected as malformed
 		retryAt          time.Time // the task isn't placed before this time
@@ -108,6 +110,7 @@
 		permit           *startPermit  // to send the start, in phase starting
 		withheldRun      int           // number of the last run whose start was withheld, see noteWithheld
 		placementVersion int64         // job version that contains the placement
+		placedAt         time.Time     // when the placement was made, by the clock of the leader's entry node; zero if not known
 		placementBoot    int64         // start time of the worker for which the placement was made
 		phaseSince       time.Time     // start of the phase
 		listedFor        time.Duration // how long the run had worked when its worker last listed it; 0 if it hasn't yet
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/assigner"
-	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
@@ -347,7 +346,7 @@
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
 		t.releaseKeptWorker()
 	}
-	plain := s.hasPlainRequirements() && t.suspicion == investigator.Suspicion{}
+	plain := s.hasPlainRequirements() && !t.isSuspect()
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return false
 	}
@@ -431,7 +430,7 @@
 // assignerRequest describes the task to the assigner.
 func (t *task) assignerRequest() assigner.Request {
 	r := t.step.assignerRequest()
-	r.Suspect = t.suspicion.Score() > 0
+	r.Suspect = t.isSuspect()
 	return r
 }
 
@@ -458,7 +457,7 @@
 func (p *placementPass) commitPlacement(t *task) {
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
-	t.phaseSince = p.now
+	t.phaseSince, t.placedAt = p.now, p.wallTime
 	j.markStarted()
 	e.markUnstored(j)
 	t.placementVersion = j.version
@@ -505,7 +504,7 @@
 	v.LatencyTasks, v.IdleCPUTasks, v.LongRunningTasks, v.Suspects = 0, 0, 0, 0
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
-		if t.suspicion.Score() > 0 {
+		if t.isSuspect() {
 			v.Suspects++
 		}
 	}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -62,11 +62,15 @@
 		Worker     string   `json:"worker,omitempty"`    // worker on which the run exists or may exist
 		Instance   string   `json:"instance,omitempty"`  // instance of the worker
 		Born       int64    `json:"born,omitempty"`      // start time of the worker, see modeler.Worker.StartTimeMs
+		Placed     int64    `json:"placed,omitempty"`    // when a long-running task was placed, in ms of Unix time
 		Checkpoint string   `json:"checkpoint,omitempty"`
 
 		Crashes     int   `json:"crashes,omitempty"`             // see investigator.Suspicion
 		Unconfirmed int   `json:"unconfirmed-crashes,omitempty"` // see investigator.Suspicion
 		SoleSuspect int   `json:"sole-suspect,omitempty"`        // see investigator.Suspicion
+		Unknown     int   `json:"unknown-crashes,omitempty"`     // see investigator.Suspicion
+		LateCrashes int   `json:"late-crashes,omitempty"`        // see investigator.Suspicion
+		LateWorkMs  int64 `json:"late-work-ms,omitempty"`        // see investigator.Suspicion
 		ProbationMs int64 `json:"probation-ms,omitempty"`        // see investigator.Suspicion
 	}
 
@@ -154,13 +158,17 @@
 		}
 		tp := TaskProgress{
 			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint,
-			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, ProbationMs: t.suspicion.Probation.Milliseconds(),
+			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown,
+			LateCrashes: t.suspicion.LateCrashes, LateWorkMs: t.suspicion.LateWork.Milliseconds(), ProbationMs: t.suspicion.Probation.Milliseconds(),
 		}
 		for _, f := range t.failedRuns {
 			tp.Failed, tp.FailedOn = append(tp.Failed, f.number), append(tp.FailedOn, f.worker)
 		}
 		if t.worker != nil {
 			tp.Worker, tp.Instance, tp.Born = t.worker.ID, t.worker.Instance, t.worker.StartTimeMs
+			if s.LongRunning && !t.placedAt.IsZero() {
+				tp.Placed = t.placedAt.UnixMilli()
+			}
 		}
 		sp.Tasks = append(sp.Tasks, tp)
 	}
@@ -208,8 +216,14 @@
 		}
 		t := s.tasks[tp.Index]
 		t.run, t.failedRuns = tp.Run, tp.failedRuns()
-		t.suspicion = investigator.Suspicion{Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Probation: time.Duration(tp.ProbationMs) * time.Millisecond}
+		t.suspicion = investigator.Suspicion{
+			Crashes: tp.Crashes, Unconfirmed: tp.Unconfirmed, SoleSuspect: tp.SoleSuspect, Unknown: tp.Unknown,
+			LateCrashes: tp.LateCrashes, LateWork: time.Duration(tp.LateWorkMs) * time.Millisecond, Probation: time.Duration(tp.ProbationMs) * time.Millisecond,
+		}
 		t.placementBoot = tp.Born
+		if tp.Placed != 0 {
+			t.placedAt = time.UnixMilli(tp.Placed)
+		}
 		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
 			t.assignTo(workerOf(tp), adopted)
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -21,7 +22,19 @@
 	minSharedCores = 0.1  // share of the cores that customers with waiting work get at least
 )
 
+// Causes of a wait.
+const (
+	AtMaximum     Cause = "maximum" // the customer uses as many cores as it may
+	LackOfCores   Cause = "cores"   // customers want more cores than the pool has or can get
+	LackOfStarts  Cause = "starts"  // the leader can't start tasks any faster
+	NothingWaits  Cause = "none"
+	causeUnstated Cause = ""
+)
+
 type (
+	// Cause is the figure by which a customer's new jobs wait longest.
+	Cause string
+
 	// Backlog is what a customer has running and waiting in a pool.
 	Backlog struct {
 		Customer    string
@@ -50,7 +63,27 @@
 // customer does not delay the others. If tasks wait although there is room, the
 // leader can't start them any faster, and all customers wait for all tasks.
 func (p *Pool) Waits() map[string]time.Duration {
-	waits := make(map[string]time.Duration, len(p.Backlogs))
+	waits, _ := p.waitsWithCauses()
+	return waits
+}
+
+// CauseOf returns what the wait of a customer's new jobs is due to.
+func (p *Pool) CauseOf(customer string) Cause {
+	_, causes := p.waitsWithCauses()
+	if c := causes[customer]; c != causeUnstated {
+		return c
+	}
+	return NothingWaits
+}
+
+// waitsWithCauses returns the waits and their causes, by customer.
+func (p *Pool) waitsWithCauses() (map[string]time.Duration, map[string]Cause) {
+	waits, causes := make(map[string]time.Duration, len(p.Backlogs)), make(map[string]Cause)
+	raise := func(customer string, wait time.Duration, cause Cause) {
+		if wait > waits[customer] {
+			waits[customer], causes[customer] = wait, cause
+		}
+	}
 	tasks, wanted, cores := 0, 0.0, p.Cores
 	var waiting []Backlog
 	for _, b := range p.Backlogs {
@@ -63,21 +96,34 @@
 		}
 	}
 	if wanted > p.Cores {
-		addSharingWaits(waits, waiting, max(cores, minSharedCores*p.Cores, minCores))
+		for customer, wait := range sharingWaits(waiting, max(cores, minSharedCores*p.Cores, minCores)) {
+			raise(customer, wait, LackOfCores)
+		}
 	}
 	for _, b := range waiting {
 		if b.MaxCores > 0 && b.WantedCores > b.MaxCores {
-			waits[b.Customer] = max(waits[b.Customer], seconds(b.Work/b.MaxCores))
+			raise(b.Customer, seconds(b.Work/b.MaxCores), AtMaximum)
 		}
 		if p.StartsPerSecond > 0 {
-			waits[b.Customer] = max(waits[b.Customer], seconds(float64(tasks)/p.StartsPerSecond))
+			raise(b.Customer, seconds(float64(tasks)/p.StartsPerSecond), LackOfStarts)
 		}
 	}
-	return waits
+	return waits, causes
 }
 
-// addSharingWaits adds the waits of customers that share cores by weight.
-func addSharingWaits(waits map[string]time.Duration, waiting []Backlog, cores float64) {
+// UnusedCores returns how many cores the customer may use beyond those that it uses.
+func (p *Pool) UnusedCores(customer string) float64 {
+	for _, b := range p.Backlogs {
+		if b.Customer == customer && b.MaxCores > 0 {
+			return max(0, b.MaxCores-b.WantedCores)
+		}
+	}
+	return math.Inf(1)
+}
+
+// sharingWaits returns the waits of customers that share cores by weight.
+func sharingWaits(waiting []Backlog, cores float64) map[string]time.Duration {
+	waits := make(map[string]time.Duration, len(waiting))
 	perWeight := func(b Backlog) float64 { return b.Work / b.Weight }
 	sorted := slices.SortedFunc(slices.Values(waiting), func(a, b Backlog) int {
 		return cmp.Or(cmp.Compare(perWeight(a), perWeight(b)), cmp.Compare(a.Customer, b.Customer))
@@ -93,6 +139,7 @@
 		weight -= b.Weight
 		waits[b.Customer] = seconds(at)
 	}
+	return waits
 }
 
 // Limit returns how long new jobs of a queue may wait and still be worth something
@@ -132,8 +179,7 @@
 // new jobs and not a yes or no: one by which as much is accepted as gets done, more
 // or less by what brings the wait to its target.
 func (a *Admission) Update(interval, wait, limit time.Duration, backlog float64) {
-	a.accepted += smoothing * (a.pending/interval.Seconds() - a.accepted)
-	a.pending = 0
+	a.smoothAccepted(interval)
 	target := time.Duration(targetShare * float64(limit))
 	if wait <= target && a.share == 1 {
 		return
@@ -147,6 +193,30 @@
 	a.share = min(max(a.share*factor, minAccepted), 1)
 }
 
+// UpdateWithRoom adapts the share after an interval at whose end nothing of the customer
+// waits and the given number of cores is free for it.
+//
+// Refusing a job then would waste the room, and raising the share by a factor each
+// time takes seconds. The share is raised to one by which as much more is accepted as
+// fills the room and lets new jobs wait for the target. If no new job was accepted,
+// nothing speaks against accepting all.
+func (a *Admission) UpdateWithRoom(interval, limit time.Duration, cores float64) {
+	a.smoothAccepted(interval)
+	if a.accepted < cores*minAccepted {
+		a.share = 1
+		return
+	}
+	target := targetShare * limit.Seconds()
+	wanted := a.accepted + cores*(1+target/correctionTime.Seconds())
+	a.share = min(a.share*max(wanted/a.accepted, maxRise), 1)
+}
+
+// smoothAccepted adds the work accepted in an interval to the smoothed one.
+func (a *Admission) smoothAccepted(interval time.Duration) {
+	a.accepted += smoothing * (a.pending/interval.Seconds() - a.accepted)
+	a.pending = 0
+}
+
 func seconds(s float64) time.Duration {
 	return time.Duration(s * float64(time.Second))
 }
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -489,17 +489,12 @@
 // longer be used.
 func TestStartsThatMustBeSentSoonAreSentDirectly(t *testing.T) {
 	runSite(t, func(t *testing.T, ctx context.Context, s *site) {
-		s.awaitRelay()
-		for _, c := range []struct {
-			left    time.Duration
-			relayed int
-		}{{600 * time.Millisecond, 1}, {400 * time.Millisecond, 1}} {
-			callCtx, cancel := context.WithTimeout(ctx, c.left)
-			_, err := s.client.Start(callCtx, s.worker, modeler.StartOrder{FencingToken: 9})
+		for run, left := range []time.Duration{600 * time.Millisecond, 400 * time.Millisecond} {
+			callCtx, cancel := context.WithTimeout(ctx, left)
+			require.NoError(t, s.start(callCtx, run+1))
 			cancel()
-			require.NoError(t, err)
 			relayed, _ := s.byRelay.counts()
-			require.Equal(t, c.relayed, relayed, c.left.String())
+			require.Equal(t, 1, relayed, left.String())
 		}
 	})
 }
