Derive the pause after a pass from its processor time and from new jobs

A pass was followed by a pause of ten times its elapsed time. On an entry whose processor time is limited a pass that was interrupted for 30 ms held back the next for 300 ms, while new jobs waited. The cost is now the processor time of the thread, related to the entry's share; passes take at most a tenth of it, a fifth while new jobs wait, which also wait only 5 instead of 10 ms.

--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -20,13 +20,11 @@
 )
 
 const (
-	eventQueueSize        = 8192                   // more than the number of calls that can be in flight at once
-	placementInterval     = 10 * time.Millisecond  // minimum time between two placement passes, to limit their cost
-	pausePerPlacementTime = 10                     // pause after a placement pass as a multiple of the time that it took, so that passes take up at most a tenth of the processor
-	flushInterval         = 25 * time.Millisecond  // minimum time between two flushes, to limit the calls to the store
-	tickInterval          = 100 * time.Millisecond // between two rounds of periodic work
-	shutdownTimeout       = 500 * time.Millisecond // for calls in flight when the term ends; workers usually respond in less time
-	reloadRetryInterval   = 200 * time.Millisecond // between attempts to read the jobs
+	eventQueueSize      = 8192                   // more than the number of calls that can be in flight at once
+	flushInterval       = 25 * time.Millisecond  // minimum time between two flushes, to limit the calls to the store
+	tickInterval        = 100 * time.Millisecond // between two rounds of periodic work
+	shutdownTimeout     = 500 * time.Millisecond // for calls in flight when the term ends; workers usually respond in less time
+	reloadRetryInterval = 200 * time.Millisecond // between attempts to read the jobs
 )
 
 type (
@@ -78,7 +76,9 @@
 		// compressed, and a new leader reads the fleet's records in small lists, so that
 		// the renewals of its lease don't wait for a large one.
 		SlowLink       bool
-		WallClock      func() time.Time // time of day for due times; nil selects the machine's clock
+		ProcessorShare float64              // number of cores that the process may use; 0 selects 1
+		ThreadTime     func() time.Duration // see timekeeper.ThreadTime; nil for elapsed time
+		WallClock      func() time.Time     // time of day for due times; nil selects the machine's clock
 		Manifest       func() *modeler.Manifest
 		RequestedWaves func() []modeler.Wave // maintenance waves that the operator has requested
 		// WaveStatus returns the record that tells the operator whether a wave is
@@ -122,10 +122,9 @@
 		unknownRunsFound     bool          // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
 		commitsInFlight      int           // job transactions in flight
 		commitTime           time.Duration // smoothed time that they take
-		nextPlacement        time.Time
 		nextFlush            time.Time
 		nextTick             time.Time
-		placementDue         bool // a placement pass should run
+		placement            placementPacer
 		replacementDue       bool // a worker has responded for the first time and may have replaced another
 		shuttingDown         bool
 		loadPublication      loadPublication
@@ -250,20 +249,15 @@
 		e.nextTick = now.Add(tickInterval)
 		e.runPeriodicWork(ctx, now)
 	}
-	if e.placementDue && !now.Before(e.nextPlacement) {
-		e.placementDue = false
-		e.runPlacement(now)
-		took := time.Since(now)
-		e.nextPlacement = now.Add(took + max(placementInterval, pausePerPlacementTime*took))
-	}
+	e.placeIfDue(now)
 	e.sendReadyStarts(ctx, now)
 	e.flush(ctx, now)
 	if e.unresponsive.removalDue() {
 		e.storeUnresponsiveWorkers(ctx, now)
 	}
 	next := e.nextTick
-	if e.placementDue && e.nextPlacement.Before(next) {
-		next = e.nextPlacement
+	if due := e.placement.next(e.processorShare()); e.placement.due && due.Before(next) {
+		next = due
 	}
 	if len(e.unstoredJobs) > 0 && e.commitsInFlight < e.maxCommitsInFlight() && e.nextFlush.Before(next) {
 		next = e.nextFlush
@@ -324,7 +318,7 @@
 
 // requestPlacement requests a placement pass.
 func (e *Engine) requestPlacement() {
-	e.placementDue = true
+	e.placement.due = true
 }
 
 // runPeriodicWork runs the checks and actions that depend on time.
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -73,6 +73,7 @@
 	e.recordJobArrival(j, time.Now())
 	e.completeJobIfDone(j)
 	e.handling = nil
+	e.placement.newJobs = true
 	e.requestPlacement()
 }
 
