Let tasks wait for their preferred rack if it has room soon enough

A task whose rack was full went elsewhere at once, where it takes remote_factor times as long. It now waits if the runs in its rack will probably end so soon that it ends earlier there by more than the error of the estimates, in time for its job's objective, and if all its waits cost less than they can gain (delayer, delay scheduling). Gangs wait as a whole; suspected and long-running tasks, late jobs and tasks without a preferred rack don't. Nothing changes without a remote_factor above 1.

--- a/meter/meter.go
+++ b/meter/meter.go
@@ -84,6 +84,22 @@
 	incrementCounter(`coltsfootlever_tasks_given_up_total`)
 }
 
+// Outcomes of waits for a preferred location.
+const (
+	WaitBegun   LocationWait = "begun"
+	WaitPaid    LocationWait = "paid"     // the task started there
+	WaitGivenUp LocationWait = "given-up" // it started elsewhere
+)
+
+// LocationWait tells what happened to a wait of a task for its preferred location.
+type LocationWait string
+
+// CountLocationWait counts the beginning or the end of a wait of a task for its
+// preferred location.
+func CountLocationWait(w LocationWait) {
+	incrementCounter(`coltsfootlever_location_waits_total{result=%q}`, string(w))
+}
+
 // RecordWorkerPoll counts a request for the status of a worker, by outcome, and
 // records its duration.
 func RecordWorkerPoll(o Outcome, took time.Duration) {
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/delayer"
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/meter"
@@ -67,6 +68,7 @@
 		WorkerListInterval time.Duration // between two reads of the worker list
 		MaxWorkerListAge   time.Duration // no starts are sent if the worker list is older, because workers may have less capacity by now; 0 for no limit
 		OutcomeQueryTime   time.Duration // callers may query the outcome of an ended job for this long
+		RemoteFactor       float64       // tasks take so many times as long outside their preferred rack; they never wait for it if this is at most 1
 		MoveTime           time.Duration // an instance is down for this long while it moves to another pool
 		// StoreWritesPerSecond and InstanceOrdersPerSecond are the platform's limits on
 		// calls from all entry nodes together; 0 selects the limits of a small
@@ -129,8 +131,9 @@
 		shuttingDown         bool
 		loadPublication      loadPublication
 		admission            admissionState
-		meanJobWork          map[string]workSum      // estimated work of the jobs, by queue
-		durations            map[string]durationSums // actual and estimated task durations, by queue
+		meanJobWork          map[string]workSum           // estimated work of the jobs, by queue
+		accuracies           map[string]*delayer.Accuracy // of the estimates, by queue
+		durations            map[string]durationSums      // actual and estimated task durations, by queue
 		planner              instancePlanner
 		unresponsive         unresponsiveState
 		handling             *job           // job that the event loop is handling, nil if none or several; tells to which job a panic is due
@@ -171,6 +174,7 @@
 		outcomes:     make(map[string]outcome),
 		unstoredJobs: make(map[*job]bool),
 		meanJobWork:  make(map[string]workSum),
+		accuracies:   make(map[string]*delayer.Accuracy),
 		durations:    make(map[string]durationSums),
 		termStart:    time.Now(),
 	}
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -114,6 +114,7 @@
 		reportedLoad     int           // last value of modeler.RunningTask.Metric
 		pacePercent      int           // speed of the task in percent of full speed
 		reservedOn       *worker       // worker that has resources reserved for the next run
+		rackWaitSince    time.Time     // since when it has waited for its preferred rack; zero if it has not
 		moveObstacle     string        // why the task can't move off its worker at present
 	}
 )
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -1,7 +1,6 @@
 package orchestrator
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -25,7 +24,17 @@
 	placedPerStart = 2
 )
 
+// Results of an attempt to place a task.
+const (
+	noRoom attempt = iota
+	taskPlaced
+	taskWaits // for room in its preferred rack
+)
+
 type (
+	// attempt is the result of an attempt to place a task.
+	attempt int
+
 	// placementPass is the state of one pass that places waiting tasks.
 	placementPass struct {
 		engine        *Engine
@@ -67,11 +76,12 @@
 		usable                int64 // CPU for tasks that are not long-running, in thousandths of a core
 		assignerViews         []*assigner.Worker
 		probations            []probationView
-		unplaceable           []modeler.Resources // resource requests for which no worker was found, of tasks without further requirements
-		full                  bool                // no step that needsOnlyRoom can be placed
-		anyKept               bool                // some worker is kept for a task that needs isolation
-		keptFree              int                 // number of workers kept free for tasks that wait for room
-		waitChecked, mustWait bool                // cached result of Engine.mustWaitForWorkers
+		unplaceable           []modeler.Resources     // resource requests for which no worker was found, of tasks without further requirements
+		full                  bool                    // no step that needsOnlyRoom can be placed
+		anyKept               bool                    // some worker is kept for a task that needs isolation
+		keptFree              int                     // number of workers kept free for tasks that wait for room
+		near                  map[string]*nearWorkers // by rack, of racks for which tasks may wait
+		waitChecked, mustWait bool                    // cached result of Engine.mustWaitForWorkers
 	}
 )
 
@@ -239,18 +249,24 @@
 	s.choosePreferredRack(view)
 	wasFull := view.full
 	tasks := p.placeTasks(s, j, view, fair)
-	if s.Gang && len(tasks) < s.Count {
+	if s.Gang && (len(tasks) < s.Count || hasTaskElsewhere(tasks)) {
+		complete := len(tasks) == s.Count
 		view.full = wasFull // the tasks that were placed leave their room again
 		for _, t := range tasks {
 			p.undoPlacement(t, view)
 		}
-		return
+		if !complete || p.waitsForRack(s.tasks[0], view, s.Count) {
+			return
+		}
+		tasks = p.placeTasks(s, j, view, fair)
 	}
 	if s.Gang {
 		s.alignRunNumbers()
 	}
+	allNear := !s.Gang || !hasTaskElsewhere(tasks)
 	for _, t := range tasks {
 		p.commitPlacement(t)
+		p.endRackWait(t, allNear && t.runsNear(t.worker))
 	}
 	if len(tasks) > 0 {
 		p.logPlacements(s, tasks)
@@ -298,9 +314,12 @@
 		if !p.isWithinCustomerLimit(t, j) || fair && view.pool.shares.isExceededBy(s) {
 			break
 		}
-		if p.tryPlaceTask(t, view) {
+		switch p.tryPlaceTask(t, view) {
+		case taskPlaced:
 			tasks = append(tasks, t)
 			continue
+		case taskWaits:
+			continue // others of the step may not
 		}
 		if t.suspicion.IsOnProbation() {
 			continue // it waits for a worker of its own, and others of the step need not
@@ -340,7 +359,7 @@
 
 // tryPlaceTask chooses a worker for a task and assigns the task to it. The
 // placement becomes final with commitPlacement; undoPlacement reverts it.
-func (p *placementPass) tryPlaceTask(t *task, view *poolView) bool {
+func (p *placementPass) tryPlaceTask(t *task, view *poolView) attempt {
 	s := t.step
 	view.releaseReservation(t)
 	if k := t.keptWorker; k != nil && !k.acceptsTasks(p.now) {
@@ -348,7 +367,7 @@
 	}
 	plain := s.hasPlainRequirements() && t.suspicion == investigator.Suspicion{}
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
-		return false
+		return noRoom
 	}
 	i := view.chooseWorker(t, plain)
 	if i < 0 {
@@ -356,7 +375,10 @@
 		if plain {
 			view.addUnplaceable(s.ReservedResources())
 		}
-		return false
+		return noRoom
+	}
+	if !s.Gang && !t.runsNear(view.workers[i]) && p.waitsForRack(t, view, 1) {
+		return taskWaits
 	}
 	kept := t.keptWorker
 	t.assignTo(view.workers[i], placed)
@@ -365,7 +387,13 @@
 		view.updateIndex(k) // other tasks may use it now
 	}
 	view.pool.shares.addRunning(s, 1)
-	return true
+	return taskPlaced
+}
+
+// hasTaskElsewhere reports whether some of the placed tasks is outside its preferred
+// rack.
+func hasTaskElsewhere(tasks []*task) bool {
+	return slices.ContainsFunc(tasks, func(t *task) bool { return !t.runsNear(t.worker) })
 }
 
 // chooseWorker returns the index of the worker for a task, or -1 if no worker can take
@@ -424,7 +452,7 @@
 
 // assignerRequest describes a task of the step to the assigner.
 func (s *step) assignerRequest() assigner.Request {
-	return assigner.Request{Resources: s.ReservedResources(), RequiredLabel: s.Label, PreferredRack: cmp.Or(s.DataRack, s.preferredRack), UsesIdleCPU: s.UsesIdleCPU, HasLatencyTarget: s.LatencyTarget > 0, LongRunning: s.LongRunning}
+	return assigner.Request{Resources: s.ReservedResources(), RequiredLabel: s.Label, PreferredRack: s.rackPreference(), UsesIdleCPU: s.UsesIdleCPU, HasLatencyTarget: s.LatencyTarget > 0, LongRunning: s.LongRunning}
 }
 
 // assignerRequest describes the task to the assigner.
