--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -71,33 +71,14 @@
 // listCandidates lists the steps with waiting tasks that may start in p.queues, the
 // most urgent first.
 func (p *placementPass) listCandidates() {
-	e := p.engine
 	p.resetCandidates()
-	for _, j := range e.jobOrder {
-		q := j.settingsIn(p.manifest).queue
-		if q == nil || j.state.IsFinal() {
-			continue
-		}
-		e.handling = j
-		if j.isBacklog() {
-			continue
-		}
-		if j.pool == nil || j.pool.name != q.Pool {
-			j.pool = e.poolState(q.Pool)
-		}
-		for _, o := range j.occurrences {
-			if p.mayRun(o) {
-				p.describeOccurrence(o, q)
-			}
-		}
-	}
-	e.handling = nil
-	for _, pool := range e.pools {
+	p.describeJobs()
+	for _, pool := range p.engine.pools {
 		if pool.mayDefer {
 			assigner.DeferJobs(pool.inTime, p.availableCores(pool))
 		}
 	}
-	for _, j := range e.jobOrder {
+	for _, j := range p.engine.jobOrder {
 		switch {
 		case j.settings.queue == nil || j.state.IsFinal():
 		case j.isBacklog():
@@ -116,6 +97,30 @@
 	}
 }
 
+// describeJobs describes the occurrences that may run, but for those of the backlog.
+func (p *placementPass) describeJobs() {
+	e := p.engine
+	for _, j := range e.jobOrder {
+		q := j.settingsIn(p.manifest).queue
+		if q == nil || j.state.IsFinal() {
+			continue
+		}
+		e.handling = j
+		if j.isBacklog() {
+			continue
+		}
+		if j.pool == nil || j.pool.name != q.Pool {
+			j.pool = e.poolState(q.Pool)
+		}
+		for _, o := range j.occurrences {
+			if p.mayRun(o) {
+				p.describeOccurrence(o, q)
+			}
+		}
+	}
+	e.handling = nil
+}
+
 // addCandidatesOf adds the steps of a job that may start to the candidates. If they stay
 // the same until the job starts, it becomes part of the backlog.
 func (p *placementPass) addCandidatesOf(j *job) {
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -249,7 +249,7 @@
 	s.choosePreferredRack(view)
 	wasFull := view.full
 	tasks := p.placeTasks(s, j, view, fair)
-	if s.Gang && (len(tasks) < s.Count || hasTaskElsewhere(tasks)) {
+	if s.Gang && (len(tasks) < s.Count || p.mayWaitForRack(s.tasks[0]) && hasTaskElsewhere(tasks)) {
 		complete := len(tasks) == s.Count
 		view.full = wasFull // the tasks that were placed leave their room again
 		for _, t := range tasks {
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -161,40 +161,40 @@
 	for _, workers := range []int{349, 540} {
 		for _, waiting := range []int{0, 1000, 3000} {
 			for _, ended := range []int{0, 1, 20} {
-				b.Run(fmt.Sprintf("workers=%d/waiting=%d/ended=%d", workers, waiting, ended), func(b *testing.B) {
-					f := newFleet(1, workers)
-					f.oldest = 20 * time.Second
-					f.fill(waiting)
-					if waiting == 0 {
-						f.benchNewJobs(0) // leaves room for the next jobs
-					}
-					b.ReportAllocs()
-					placed := 0
-					for b.Loop() {
-						f.now = f.now.Add(10 * time.Millisecond)
-						if f.oldest = 0; waiting == 0 {
-							f.benchNewJobs(ended)
-						} else {
-							for range ended {
-								f.endRun()
-							}
-						}
-						placed += f.pass()
-					}
-					b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
-				})
+				b.Run(fmt.Sprintf("workers=%d/waiting=%d/ended=%d", workers, waiting, ended), func(b *testing.B) { benchPasses(b, workers, waiting, ended) })
 			}
 		}
 	}
 }
 
-// benchNewJobs adds jobs and removes those of the previous pass.
-func (f *fleet) benchNewJobs(n int) {
+func benchPasses(b *testing.B, workers, waiting, ended int) {
+	f := newFleet(1, workers)
+	f.oldest = 20 * time.Second
+	f.fill(waiting)
+	f.oldest = 0
+	change := f.endRun
+	if waiting == 0 {
+		change = func() { f.randomJob() }
+	}
+	b.ReportAllocs()
+	placed := 0
+	for b.Loop() {
+		f.now = f.now.Add(10 * time.Millisecond)
+		if waiting == 0 {
+			f.removeJobs()
+		}
+		for range ended {
+			change()
+		}
+		placed += f.pass()
+	}
+	b.ReportMetric(float64(placed)/float64(b.N), "placed/op")
+}
+
+// removeJobs ends all jobs, which leaves room for others.
+func (f *fleet) removeJobs() {
 	for _, j := range f.jobs {
 		j.forEachTask((*task).markDone)
 		f.removeJob(j)
 	}
-	for range n {
-		f.randomJob()
-	}
 }
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -208,7 +208,7 @@
 	queue := "q"
 	switch f.rng.IntN(10) {
 	case 0:
-		s.Gang = true
+		s.Gang, s.SameRack = true, s.Count%2 == 0
 	case 1:
 		s.SameRack = true
 	case 2:
