Give tasks to slow workers last, as their runs show and not their labels

A worker that is several times slower than its registration says got as many tasks as others, and each job with a task there was late. The durations of runs against their estimates now tell which workers are certainly slower than their pool's median (appraiser), and these get tasks only when no other worker has room. Waits for a rack don't count on them.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -15,12 +15,13 @@
 		Retained         modeler.Resources // used by long-running tasks or reserved for them
 		Labels           []string
 		Rack             string
-		Unavailable      bool // accepts no new tasks
-		LatencyTasks     int  // running tasks with a latency target
-		IdleCPUTasks     int  // running tasks that use the CPU time that other tasks leave unused
-		LongRunningTasks int  // tasks that run until they are cancelled
-		EvacuationDue    bool // its tasks will soon be moved to other workers
-		Suspects         int  // tasks whose earlier workers have crashed
+		Unavailable      bool    // accepts no new tasks
+		LatencyTasks     int     // running tasks with a latency target
+		IdleCPUTasks     int     // running tasks that use the CPU time that other tasks leave unused
+		LongRunningTasks int     // tasks that run until they are cancelled
+		EvacuationDue    bool    // its tasks will soon be moved to other workers
+		Suspects         int     // tasks whose earlier workers have crashed
+		Slowdown         float64 // how many times as long tasks take as on other workers; 0 to 1 if they don't
 
 		indexed                      bool  // in an Index
 		indexedCapacity, indexedFree int64 // when it was put into the Index
@@ -127,6 +128,7 @@
 	costSameStep         = 0.25 // for each task of the same step, since one failure would end them together
 	costFirstLongRunning = 0.5  // for a long-running task on a worker without any, whose instance could otherwise change pools
 	costSuspects         = 1.0  // for each other suspect, since a crash then tells less about its cause
+	costSlowdown         = 4.0  // for each multiple of the run time on other workers; 1.25 outweighs tight packing, 4 a remote rack
 	costEvacuationDue    = 2.0  // for a long-running task on a worker that it would soon have to leave
 )
 
@@ -135,6 +137,9 @@
 	if r.PreferredRack != "" && r.PreferredRack != w.Rack {
 		cost += costRemoteRack
 	}
+	if w.Slowdown > 1 {
+		cost += costSlowdown * (w.Slowdown - 1)
+	}
 	if r.UsesIdleCPU {
 		cost += costInterference * float64(w.LatencyTasks)
 	}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -119,6 +119,11 @@
 	setGauge(fmt.Sprintf(`coltsfootlever_jobs_waiting{queue=%q}`, queue), float64(n))
 }
 
+// SetSlowWorkers sets the number of workers that are slower than others of their pool.
+func SetSlowWorkers(n int) {
+	setGauge(`coltsfootlever_slow_workers`, float64(n))
+}
+
 // SetLeaderToken sets the fencing token of this entry's term as leader. It is 0
 // while this entry is not the leader.
 func SetLeaderToken(token int64) {
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -45,6 +45,7 @@
 	}
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
+		e.recordWorkerSpeed(t, time.Since(t.phaseSince), time.Now())
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -126,6 +126,7 @@
 		commitTime           time.Duration // smoothed time that they take
 		nextFlush            time.Time
 		nextTick             time.Time
+		nextSpeedUpdate      time.Time
 		placement            placementPacer
 		replacementDue       bool // a worker has responded for the first time and may have replaced another
 		shuttingDown         bool
@@ -341,6 +342,7 @@
 	e.storeUnresponsiveWorkers(ctx, now)
 	e.storeTermRecord(ctx, now)
 	e.logPoolLoads(now)
+	e.updateSpeeds(now)
 	e.resignIfMostUnreachable(now)
 	e.removeOldOutcomes(ctx, now)
 	e.requestPlacement()
--- a/orchestrator/near.go
+++ b/orchestrator/near.go
@@ -44,9 +44,10 @@
 		return true // the second round doesn't decide again
 	}
 	for k, i := range near.indexes {
-		near.workers[k].Free = modeler.Resources{}
-		if !view.assignerViews[i].Unavailable && view.admits(t, i) {
-			near.workers[k].Free = view.assignerViews[i].Free.Sub(near.claimed[k])
+		v := view.assignerViews[i]
+		near.workers[k].Free = v.Free.Sub(near.claimed[k])
+		if v.Unavailable || v.Slowdown > 1 || !view.admits(t, i) {
+			near.workers[k].Free = modeler.Resources{}.Sub(v.Capacity) // no room even after its runs have ended
 		}
 	}
 	queue, c := s.occurrence.job.Queue, &s.occurrence.candidate
@@ -133,6 +134,7 @@
 		if !t.runsNear(w) {
 			r.Estimate = time.Duration(p.engine.cfg.RemoteFactor * float64(r.Estimate))
 		}
+		r.Estimate = time.Duration(max(1, w.speed.slowdown) * float64(r.Estimate))
 		if !t.phaseSince.IsZero() {
 			r.Elapsed = p.now.Sub(t.phaseSince)
 		}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -76,6 +76,7 @@
 		usable                int64 // CPU for tasks that are not long-running, in thousandths of a core
 		assignerViews         []*assigner.Worker
 		probations            []probationView
+		slow                  []*assigner.Worker      // that are slower than others; the index doesn't contain them
 		unplaceable           []modeler.Resources     // resource requests for which no worker was found, of tasks without further requirements
 		full                  bool                    // no step that needsOnlyRoom can be placed
 		anyKept               bool                    // some worker is kept for a task that needs isolation
@@ -405,7 +406,9 @@
 			i, _ := slices.BinarySearchFunc(v.assignerViews, w.Name, func(w *assigner.Worker, name string) int { return strings.Compare(w.Name, name) })
 			return i
 		}
-		return -1
+		if len(v.slow) == 0 {
+			return -1
+		}
 	}
 	return assigner.ChooseWorker(v.assignerViews, request, func(i int) int {
 		if !v.admits(t, i) {
@@ -522,6 +525,9 @@
 		}
 		w.view.Unavailable, w.view.EvacuationDue = false, p.engine.isMaintenanceDue(w.Instance)
 		v.workers, v.assignerViews, v.probations = append(v.workers, w), append(v.assignerViews, &w.view.Worker), append(v.probations, w.view.probation)
+		if w.view.Slowdown > 1 {
+			v.slow = append(v.slow, &w.view.Worker)
+		}
 		v.updateIndex(len(v.workers) - 1)
 	}
 	return v
@@ -532,6 +538,7 @@
 	v := &w.view
 	v.upToDate, v.probation = true, w.probationView()
 	v.Name, v.Free, v.Capacity, v.Retained, v.Labels, v.Rack = w.ID, w.unreservedResources(), w.Capacity, w.reservedResources(), w.Labels, modeler.RackLabel(w.Labels)
+	v.Slowdown = w.speed.slowdown
 	v.LatencyTasks, v.IdleCPUTasks, v.LongRunningTasks, v.Suspects = 0, 0, 0, 0
 	for _, t := range w.tasks {
 		v.AddTasks(t.step.Step, 1)
@@ -544,7 +551,7 @@
 // updateIndex updates the index of the pool after a change of worker i. It contains
 // the workers that take tasks without further requirements, see admits.
 func (v *poolView) updateIndex(i int) {
-	if w := v.workers[i]; v.assignerViews[i].Unavailable || w.keptFor != nil || v.probations[i].isIsolating() {
+	if w := v.workers[i]; v.assignerViews[i].Unavailable || w.view.Slowdown > 1 || w.keptFor != nil || v.probations[i].isIsolating() {
 		v.pool.index.Remove(&w.view.Worker)
 	} else {
 		v.pool.index.Put(&w.view.Worker)
@@ -557,7 +564,8 @@
 // worker is kept for is placed elsewhere.
 func (v *poolView) addUnplaceable(request modeler.Resources) {
 	v.unplaceable = append(v.unplaceable, request)
-	v.full = !v.anyKept && v.pool.index.Choose(v.pool.leastNeed) == nil
+	fits := func(w *assigner.Worker) bool { return !w.Unavailable && v.pool.leastNeed.Fits(w.Free) }
+	v.full = !v.anyKept && v.pool.index.Choose(v.pool.leastNeed) == nil && !slices.ContainsFunc(v.slow, fits)
 }
 
 // isKnownUnplaceable reports whether a request for at most these resources has
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -148,18 +149,18 @@
 
 // randomAssignedTask returns a task on a random worker, or nil if it has none.
 func (f *fleet) randomAssignedTask() *task {
-	w := f.randomWorker()
-	var all []*task
-	for _, t := range w.tasks {
-		all = append(all, t)
-	}
+	all := f.randomWorker().sortedTasks()
 	if len(all) == 0 {
 		return nil
 	}
-	slices.SortFunc(all, func(a, b *task) int { return cmp.Compare(a.id.String(), b.id.String()) })
 	return all[f.rng.IntN(len(all))]
 }
 
+// sortedTasks returns the tasks on a worker by ID.
+func (w *worker) sortedTasks() []*task {
+	return slices.SortedFunc(maps.Values(w.tasks), func(a, b *task) int { return cmp.Compare(a.id.String(), b.id.String()) })
+}
+
 // randomChange makes a change as the event loop makes it.
 func (f *fleet) randomChange() {
 	if n := f.rng.IntN(100); n < 50 {
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -135,7 +135,7 @@
 	if t.step.Estimate <= 0 {
 		return
 	}
-	if t.runsNear(t.worker) {
+	if t.runsNear(t.worker) && t.worker.speed.slowdown <= 1 {
 		e.accuracyOf(queue).Record(actual, e.correctedEstimate(t.step))
 	}
 	e.durations[queue] = durationSums{d.actualSeconds + actual.Seconds(), d.estimatedSeconds + t.step.Estimate.Seconds()}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -23,8 +23,9 @@
 	// worker is the leader's view of a worker.
 	worker struct {
 		modeler.Worker
-		pool               *poolState    // of the registered pool
-		view               workerView    // for placement passes
+		pool               *poolState // of the registered pool
+		view               workerView // for placement passes
+		speed              workerSpeed
 		listed             bool          // in the current worker list
 		registeredStartMs  int64         // start time of the worker process to which Capacity and Labels belong
 		reachable          bool          // the last poll succeeded
