--- a/orchestrator/pause.go
+++ b/orchestrator/pause.go
@@ -15,7 +15,7 @@
 	placementShare = 0.1
 
 	// New jobs wait for less time, because a job's first task should start within 50 ms,
-	// of which storing the job and its placement take 20 to 40 ms.
+	// in which its placement also waits for a flush and the store.
 	newJobPlacementInterval = 5 * time.Millisecond
 	newJobPlacementShare    = 0.2
 )
