--- a/meter/meter.go
+++ b/meter/meter.go
@@ -84,6 +84,22 @@
 	incrementCounter(`coltsfootlever_tasks_given_up_total`)
 }
 
+// Outcomes of waits for a preferred location.
+const (
+	WaitBegun   LocationWait = "begun"
+	WaitPaid    LocationWait = "paid"     // the task started there
+	WaitGivenUp LocationWait = "given-up" // it started elsewhere
+)
+
+// LocationWait tells what happened to a wait of a task for its preferred location.
+type LocationWait string
+
+// CountLocationWait counts the beginning or the end of a wait of a task for its
+// preferred location.
+func CountLocationWait(w LocationWait) {
+	incrementCounter(`coltsfootlever_location_waits_total{result=%q}`, string(w))
+}
+
 // RecordWorkerPoll counts a request for the status of a worker, by outcome, and
 // records its duration.
 func RecordWorkerPoll(o Outcome, took time.Duration) {
@@ -112,6 +128,11 @@
 	setGauge(fmt.Sprintf(`coltsfootlever_surge_expected{pool=%q}`, pool), value)
 }
 
+// SetSlowWorkers sets the number of workers that are slower than others of their pool.
+func SetSlowWorkers(n int) {
+	setGauge(`coltsfootlever_slow_workers`, float64(n))
+}
+
 // SetLeaderToken sets the fencing token of this entry's term as leader. It is 0
 // while this entry is not the leader.
 func SetLeaderToken(token int64) {
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -46,6 +46,7 @@
 	j.markStarted() // also if no record tells of the run
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
+		e.recordWorkerSpeed(t, time.Since(t.phaseSince), time.Now())
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/delayer"
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/meter"
@@ -20,13 +21,11 @@
 )
 
 const (
-	eventQueueSize        = 8192                   // more than the number of calls that can be in flight at once
-	placementInterval     = 10 * time.Millisecond  // minimum time between two placement passes, to limit their cost
-	pausePerPlacementTime = 10                     // pause after a placement pass as a multiple of the time that it took, so that passes take up at most a tenth of the processor
-	flushInterval         = 25 * time.Millisecond  // minimum time between two flushes, to limit the calls to the store
-	tickInterval          = 100 * time.Millisecond // between two rounds of periodic work
-	shutdownTimeout       = 500 * time.Millisecond // for calls in flight when the term ends; workers usually respond in less time
-	reloadRetryInterval   = 200 * time.Millisecond // between attempts to read the jobs
+	eventQueueSize      = 8192                   // more than the number of calls that can be in flight at once
+	flushInterval       = 25 * time.Millisecond  // minimum time between two flushes, to limit the calls to the store
+	tickInterval        = 100 * time.Millisecond // between two rounds of periodic work
+	shutdownTimeout     = 500 * time.Millisecond // for calls in flight when the term ends; workers usually respond in less time
+	reloadRetryInterval = 200 * time.Millisecond // between attempts to read the jobs
 )
 
 type (
@@ -69,6 +68,7 @@
 		WorkerListInterval time.Duration // between two reads of the worker list
 		MaxWorkerListAge   time.Duration // no starts are sent if the worker list is older, because workers may have less capacity by now; 0 for no limit
 		OutcomeQueryTime   time.Duration // callers may query the outcome of an ended job for this long
+		RemoteFactor       float64       // tasks take so many times as long outside their preferred rack; they never wait for it if this is at most 1
 		MoveTime           time.Duration // an instance is down for this long while it moves to another pool
 		// StoreWritesPerSecond and InstanceOrdersPerSecond are the platform's limits on
 		// calls from all entry nodes together; 0 selects the limits of a small
@@ -77,9 +77,11 @@
 		// SlowLink saves bytes at the price of processor time: progress records are
 		// compressed, and a new leader reads the fleet's records in small lists, so that
 		// the renewals of its lease don't wait for a large one.
-		SlowLink  bool
-		WallClock func() time.Time // time of day for due times; nil selects the machine's clock
-		Manifest  func() *modeler.Manifest
+		SlowLink       bool
+		ProcessorShare float64              // number of cores that the process may use; 0 selects 1
+		ThreadTime     func() time.Duration // see timekeeper.ThreadTime; nil for elapsed time
+		WallClock      func() time.Time     // time of day for due times; nil selects the machine's clock
+		Manifest       func() *modeler.Manifest
 		// EvacuationTime is how long after the acknowledgement of a zone's evacuation
 		// tasks may still start there. Evacuations returns the evacuated zones and those
 		// restored lately, and when they were last known to be current by
@@ -129,16 +131,17 @@
 		unknownRunsFound     bool          // since the last check of awaitingStart, workers have listed runs that count toward a limit and were not known
 		commitsInFlight      int           // job transactions in flight
 		commitTime           time.Duration // smoothed time that they take
-		nextPlacement        time.Time
 		nextFlush            time.Time
 		nextTick             time.Time
-		placementDue         bool // a placement pass should run
+		nextSpeedUpdate      time.Time
+		placement            placementPacer
 		replacementDue       bool // a worker has responded for the first time and may have replaced another
 		shuttingDown         bool
 		loadPublication      loadPublication
 		admission            admissionState
-		meanJobWork          map[string]workSum      // estimated work of the jobs, by queue
-		durations            map[string]durationSums // actual and estimated task durations, by queue
+		meanJobWork          map[string]workSum           // estimated work of the jobs, by queue
+		accuracies           map[string]*delayer.Accuracy // of the estimates, by queue
+		durations            map[string]durationSums      // actual and estimated task durations, by queue
 		planner              instancePlanner
 		unresponsive         unresponsiveState
 		handling             *job           // job that the event loop is handling, nil if none or several; tells to which job a panic is due
@@ -181,6 +184,7 @@
 		outcomes:     make(map[string]outcome),
 		unstoredJobs: make(map[*job]bool),
 		meanJobWork:  make(map[string]workSum),
+		accuracies:   make(map[string]*delayer.Accuracy),
 		durations:    make(map[string]durationSums),
 		termStart:    time.Now(),
 	}
@@ -260,20 +264,15 @@
 		e.nextTick = now.Add(tickInterval)
 		e.runPeriodicWork(ctx, now)
 	}
-	if e.placementDue && !now.Before(e.nextPlacement) {
-		e.placementDue = false
-		e.runPlacement(now)
-		took := time.Since(now)
-		e.nextPlacement = now.Add(took + max(placementInterval, pausePerPlacementTime*took))
-	}
+	e.placeIfDue(now)
 	e.sendReadyStarts(ctx, now)
 	e.flush(ctx, now)
 	if e.unresponsive.removalDue() {
 		e.storeUnresponsiveWorkers(ctx, now)
 	}
 	next := e.nextTick
-	if e.placementDue && e.nextPlacement.Before(next) {
-		next = e.nextPlacement
+	if due := e.placement.next(e.processorShare()); e.placement.due && due.Before(next) {
+		next = due
 	}
 	if len(e.unstoredJobs) > 0 && e.commitsInFlight < e.maxCommitsInFlight() && e.nextFlush.Before(next) {
 		next = e.nextFlush
@@ -335,7 +334,7 @@
 
 // requestPlacement requests a placement pass.
 func (e *Engine) requestPlacement() {
-	e.placementDue = true
+	e.placement.due = true
 }
 
 // runPeriodicWork runs the checks and actions that depend on time.
@@ -356,6 +355,7 @@
 	e.storeUnresponsiveWorkers(ctx, now)
 	e.storeTermRecord(ctx, now)
 	e.logPoolLoads(now)
+	e.updateSpeeds(now)
 	e.resignIfMostUnreachable(now)
 	e.removeOldOutcomes(ctx, now)
 	e.requestPlacement()
