Let tasks with a merely assumed crash start while the store is silent

Cause: a new leader assumes a crash for each inherited task whose predecessor has not handed over, and tasks with crashes start only once that is stored.

Change: a task under which this leader merely assumes a crash need not wait. What is given up: a task whose crash was lost in one outage can lose a second one in another outage with another change of leader; the assumption makes up for the first only.

--- a/orchestrator/crash.go
+++ b/orchestrator/crash.go
@@ -201,7 +201,8 @@
 
 // assumeUnstoredCrashes assumes a crash for each task of an inherited job under which
 // the previous leader may have seen a worker crash without storing it. There is at most
-// one such crash: the task isn't started again before it is stored, see hasHistory.
+// one such crash in an outage of the store: the task isn't started again before it is
+// stored, see hasHistory.
 func (j *job) assumeUnstoredCrashes() {
 	j.forEachTask(func(t *task) {
 		if t.phase == done || t.hasHistory() {
@@ -228,7 +229,8 @@
 
 // hasHistory reports whether workers have or may have crashed under the task. It starts
 // only once its placement is stored with that, since a crashed worker tells the next
-// leader nothing.
+// leader nothing. A task under which this leader merely assumes a crash need not wait:
+// otherwise all inherited work stops in an outage after a change of leader.
 func (t *task) hasHistory() bool {
 	return t.isSuspect() || t.suspicion.Unknown > 0
 }
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -192,7 +192,7 @@
 	if j.storedVersion >= t.placementVersion {
 		return true
 	}
-	if t.hasHistory() {
+	if t.hasHistory() && !t.crashAssumed {
 		return false
 	}
 	return slices.Contains(e.handover.recordedPools[j.Queue], t.worker.Pool) && now.Sub(t.phaseSince) >= maxStoreWaitBeforeStart &&
