Keep relays in use when workers go and between surges

Causes: a call that a relay could not send because its worker was gone counted against the relay, so that the hundreds of workers that leave when pools shrink made the leader avoid all relays, for up to a minute; and relays were given up below 90 workers, which a fleet of 350 has between surges.

Change: a relay tells apart that it could not connect; that counts against it only if the worker is reached directly. Relays are used from 60 workers on and until there are fewer than 55, where they still save a third of the time for calls (docs/design/relays.md).

The new tests fail without the change.

--- a/relayer/assign.go
+++ b/relayer/assign.go
@@ -16,8 +16,8 @@
 	workersPerRelay = 180    // fewer workers on each of more relays would make batches smaller
 	keptPerRelay    = 135    // a relay stays in use while the others would have more than this
 	maxRelayWorkers = 256    // that a relay takes when others are lost
-	relayOnWorkers  = 120    // number of workers from which relays are used: at 60 they save less than a third of the time for calls, see docs/design/relays.md
-	relayOffWorkers = 90     // number below which relays are no longer used; the number of workers follows the demand
+	relayOnWorkers  = 60     // number of workers from which relays are used: they save a third of the time for calls there, see docs/design/relays.md
+	relayOffWorkers = 55     // number below which relays are no longer used; pools shrink to a quarter of the fleet between surges, which need the relays at once
 )
 
 type (
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -249,7 +249,7 @@
 		if took > 0 { // otherwise it isn't known how long the worker let the call wait
 			c.throttle.RecordResponse(now, took)
 		}
-	case errors.Is(err, ErrNoResult):
+	case errors.Is(err, ErrNoResult), errors.Is(err, ErrNotConnected): // the worker or the relay may be at fault
 		if took >= l.limit {
 			c.throttle.RecordLate(now)
 		}
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -27,10 +27,11 @@
 
 // Outcomes of calls. The numbers are part of the protocol.
 const (
-	outcomeOK      byte = iota
-	outcomeUnknown      // the call may have been carried out, or may still be
-	outcomeNotSent      // the relay has not sent the call and never will
-	outcomeRefused      // outcomeRefused plus an index of refusals
+	outcomeOK           byte = iota
+	outcomeUnknown           // the call may have been carried out, or may still be
+	outcomeNotSent           // the relay has not sent the call and never will
+	outcomeNotConnected      // the relay has no connection to the worker, so that the call was not sent
+	outcomeRefused           // outcomeRefused plus an index of refusals
 )
 
 // refusals are the errors with which workers refuse calls, in the order of their
@@ -45,6 +46,9 @@
 	ErrMalformed = errors.ConstError("malformed frame")
 	// ErrNotSent reports a call that its relay has not sent to the worker.
 	ErrNotSent = errors.ConstError("call not sent by its relay")
+	// ErrNotConnected reports a call that was not sent because its relay could not
+	// connect to the worker, which may be gone.
+	ErrNotConnected = errors.ConstError("relay can't connect to the worker")
 	// ErrNoResult reports a call whose outcome a relay could not tell.
 	ErrNoResult = errors.ConstError("relay got no response from the worker")
 )
@@ -315,7 +319,7 @@
 	}
 	var requestErr *requester.Error
 	if errors.As(err, &requestErr) && !requestErr.MaybeSent {
-		return result{id: id, outcome: outcomeNotSent, text: err.Error()}
+		return result{id: id, outcome: outcomeNotConnected, text: err.Error()}
 	}
 	return result{id: id, outcome: outcomeUnknown, text: err.Error()}
 }
@@ -327,6 +331,8 @@
 		return nil
 	case r.outcome == outcomeNotSent:
 		return &requester.Error{Err: errors.Annotate(ErrNotSent, r.text)}
+	case r.outcome == outcomeNotConnected:
+		return &requester.Error{Err: errors.Annotate(ErrNotConnected, r.text)}
 	case r.outcome >= outcomeRefused && int(r.outcome-outcomeRefused) < len(refusals):
 		return errors.Annotate(refusals[r.outcome-outcomeRefused], r.text)
 	}
--- a/relayer/message_test.go
+++ b/relayer/message_test.go
@@ -4,10 +4,12 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/requester"
 )
 
 // drawTask draws a task ID.
@@ -80,6 +82,9 @@
 		res := newFailure(1, refusal)
 		require.ErrorIs(t, res.failure(), refusal)
 	}
+	unconnected := newFailure(1, &requester.Error{Err: errors.New("connection refused")})
+	require.ErrorIs(t, unconnected.failure(), ErrNotConnected)
+	require.False(t, requester.AsError(unconnected.failure()).MaybeSent)
 	unknown := newFailure(1, ErrMalformed)
 	require.ErrorIs(t, unknown.failure(), ErrNoResult, "an error of an unknown kind proves nothing")
 	future := result{outcome: 200}
--- a/relayer/relay_test.go
+++ b/relayer/relay_test.go
@@ -23,6 +23,7 @@
 type fakeWorkers struct {
 	delay       atomic.Int64
 	unreachable sync.Map // worker IDs
+	gone        sync.Map // worker IDs
 
 	mu     sync.Mutex
 	starts []modeler.StartOrder
@@ -34,6 +35,9 @@
 	if _, ok := f.unreachable.Load(w.ID); ok {
 		return &requester.Error{MaybeSent: true, Err: errors.New("no response")}
 	}
+	if _, ok := f.gone.Load(w.ID); ok {
+		return &requester.Error{Err: errors.New("connection refused")}
+	}
 	return supervisor.Pause(ctx, time.Duration(f.delay.Load()))
 }
 
@@ -409,6 +413,30 @@
 	})
 }
 
+// Hundreds of workers go at once when pools shrink. Calls to them fail by any path, so
+// their relay must stay in use.
+func TestWorkersThatAreGoneDoNotCountAgainstTheirRelay(t *testing.T) {
+	runSite(t, func(t *testing.T, ctx context.Context, s *site) {
+		for i := range 10 {
+			s.worker.ID = fmt.Sprint("w", i)
+			s.byRelay.gone.Store(s.worker.ID, true)
+			s.direct.gone.Store(s.worker.ID, true)
+			for range 2 {
+				_, err := s.poll(ctx, 1)
+				requireNotSent(t, err)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.byRelay.gone.Delete("w9")
+		time.Sleep(11 * time.Second) // w9 is called directly meanwhile
+		before, _ := s.byRelay.counts()
+		require.NoError(t, s.start(ctx, 1))
+		starts, _ := s.byRelay.counts()
+		require.Equal(t, before+1, starts)
+		require.EqualValues(t, 1, s.streams.Load(), "the stream was not replaced")
+	})
+}
+
 // A relay must not serve a leader that has been silent for as long as one without
 // its lease may extend leases: the next leader counts on the end of the leases.
 func TestRelayDropsASilentLeader(t *testing.T) {
