--- a/relayer/client.go
+++ b/relayer/client.go
@@ -64,8 +64,8 @@
 		mu            sync.Mutex
 		workers       []AssignedWorker         // from the last list
 		directWorkers map[string]time.Duration // workers that are called directly until then
-		blamed        map[string]*path         // paths by which a worker was not reached; a direct poll shows whether the relay is at fault
-		blamedCount   atomic.Int64             // length of blamed
+		suspects      map[string]*path         // paths by which a worker was not reached; a direct poll shows whether the relay is at fault
+		suspectCount  atomic.Int64             // length of suspects
 
 		// The rest belongs to Run.
 		registrations map[string]Registration
@@ -123,7 +123,7 @@
 	c := &Client{
 		direct: direct, token: token, throttle: throttle, relays: relays, name: name,
 		dial: Dial, now: elector.BootClock, usesRelays: UsesRelays, log: slog.New(slog.DiscardHandler),
-		directWorkers: make(map[string]time.Duration), blamed: make(map[string]*path),
+		directWorkers: make(map[string]time.Duration), suspects: make(map[string]*path),
 		assignment: make(map[string]string), paths: make(map[string]*path), avoided: make(map[string]avoidance),
 	}
 	for _, opt := range opts {
@@ -193,19 +193,19 @@
 	}
 	meter.CountWorkerCall(meter.DirectPath)
 	report, err := c.direct.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
-	if c.blamedCount.Load() > 0 {
-		c.settleBlame(w.ID, err == nil)
+	if c.suspectCount.Load() > 0 {
+		c.checkSuspect(w.ID, err == nil)
 	}
 	return report, err
 }
 
-// settleBlame counts a worker against its relay if it was reached directly and not by
+// checkSuspect counts a worker against its relay if it was reached directly and not by
 // the relay.
-func (c *Client) settleBlame(worker string, reached bool) {
+func (c *Client) checkSuspect(worker string, reached bool) {
 	c.mu.Lock()
-	p := c.blamed[worker]
-	delete(c.blamed, worker)
-	c.blamedCount.Store(int64(len(c.blamed)))
+	p := c.suspects[worker]
+	delete(c.suspects, worker)
+	c.suspectCount.Store(int64(len(c.suspects)))
 	c.mu.Unlock()
 	if p != nil && reached {
 		p.penalize()
@@ -264,17 +264,17 @@
 }
 
 // callDirectly makes the client call a worker directly for some time, because the
-// fault may lie with its relay. blamed is the path by which it was not reached, or
+// fault may lie with its relay. suspect is the path by which it was not reached, or
 // nil.
-func (c *Client) callDirectly(worker string, blamed *path) {
+func (c *Client) callDirectly(worker string, suspect *path) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.directWorkers) < maxDirectWorkers {
 		c.directWorkers[worker] = c.now() + directPause
 	}
-	if blamed != nil && len(c.blamed) < maxDirectWorkers {
-		c.blamed[worker] = blamed
-		c.blamedCount.Store(int64(len(c.blamed)))
+	if suspect != nil && len(c.suspects) < maxDirectWorkers {
+		c.suspects[worker] = suspect
+		c.suspectCount.Store(int64(len(c.suspects)))
 	}
 	routes := *c.routes.Load()
 	if routes[worker] == nil {
