--- a/budgeter/absence.go
+++ b/budgeter/absence.go
@@ -15,6 +15,7 @@
 const (
 	Planned   Kind = "planned"   // ordered, and granted by the budgets
 	Unplanned Kind = "unplanned" // the instance failed, or left without an order
+	Evacuated Kind = "evacuated" // the zone is evacuated; never stored
 )
 
 // maxNamedHolders is the maximum number of absent instances that a refusal names.
@@ -87,6 +88,22 @@
 	return Absences{Rules: a.Rules, List: list}
 }
 
+// WithEvacuated returns a copy that also holds the absences of the instances in
+// evacuated zones. An instance that is absent already keeps its absence.
+func (a Absences) WithEvacuated(evacuated []Absence) Absences {
+	if len(evacuated) == 0 {
+		return a
+	}
+	list := slices.Clone(a.List)
+	for _, x := range evacuated {
+		if _, held := a.Find(x.Instance); !held {
+			list = append(list, x)
+		}
+	}
+	slices.SortFunc(list, func(x, y Absence) int { return cmp.Compare(x.Instance, y.Instance) })
+	return Absences{Rules: a.Rules, List: list}
+}
+
 // CountedAgainst returns the absences in the named pool, zone or rack.
 func (a Absences) CountedAgainst(scope parser.Scope, name string) []Absence {
 	var list []Absence
--- a/commander/exit.go
+++ b/commander/exit.go
@@ -27,14 +27,15 @@
 // UnconfirmedError reports that a change is accepted, but that some registered
 // entries have not confirmed that it is in force there.
 type UnconfirmedError struct {
-	Number  uint64
-	Missing []string
+	Accepted string // what is accepted, such as "rules 3 are accepted"
+	Command  string // command that shows when all have confirmed
+	Missing  []string
 }
 
 // Error implements error.
 func (e *UnconfirmedError) Error() string {
-	return fmt.Sprintf("rules %d are accepted, but not yet confirmed by %s; run status to see when they are",
-		e.Number, strings.Join(e.Missing, ", "))
+	return fmt.Sprintf("%s, but not yet confirmed by %s; run %s to see when they are",
+		e.Accepted, strings.Join(e.Missing, ", "), e.Command)
 }
 
 // ExitCode returns the exit code for the error of a command.
@@ -92,5 +93,9 @@
 	if len(applied.Missing) == 0 {
 		return nil
 	}
-	return &UnconfirmedError{Number: applied.Number, Missing: applied.Missing}
+	return &UnconfirmedError{
+		Accepted: fmt.Sprintf("rules %d are accepted", applied.Number),
+		Command:  "status",
+		Missing:  applied.Missing,
+	}
 }
--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -19,6 +19,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander/standin"
 	"github.com/coltsfootlever/coltsfootlever/commander/status"
 	"github.com/coltsfootlever/coltsfootlever/commander/team"
+	"github.com/coltsfootlever/coltsfootlever/commander/zone"
 )
 
 // New returns the root of the command line.
@@ -34,6 +35,7 @@
 			team.New(f),
 			pool.New(f),
 			instance.New(f),
+			zone.New(f),
 			maintenance.New(f),
 			entry.New(f),
 			status.New(f),
--- a/keeper/record.go
+++ b/keeper/record.go
@@ -18,6 +18,7 @@
 	LeasePrefix      = "leases/"        // followed by the name of a LeaseLock: its holder; the record is bound to a lease
 	JournalPrefix    = "journal/"       // ring buffer of the latest fleet decisions
 	MaintenanceKey   = "maintenance"    // mover.Rollout
+	EvacuationsKey   = "evacuations"    // excluder.Record
 	MaxValueBytes    = 1 << 20          // largest value that the service stores
 	DefaultLeaseTime = 6 * time.Second  // time to live of the lease of a LeaseLock
 )
--- a/mover/lending.go
+++ b/mover/lending.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	absent = absent.WithEvacuated(l.coordinator.mover.EvacuatedAbsences())
 	fleet := l.coordinator.mover.table.All()
 	for _, loan := range l.lender.DecideLoans(poolDemands(rules, fleet, l.loads(), absent), time.Now()) {
 		if err := l.moveForLoan(ctx, fleet, loan, absent); err != nil {
--- a/mover/maintainer.go
+++ b/mover/maintainer.go
@@ -283,7 +283,7 @@
 // is still active is included because it may have returned since the
 // roll-out's record was updated.
 func (c *RolloutController) absencesWithUnverified(r Rollout, absent budgeter.Absences) budgeter.Absences {
-	list := slices.Clone(absent.List)
+	list := slices.Clone(absent.WithEvacuated(c.coordinator.mover.EvacuatedAbsences()).List)
 	for _, i := range c.coordinator.mover.table.All() {
 		s, _ := r.Step(i.ID)
 		begun := s.State == StepActive || s.State == StepVerifying
--- a/mover/mover.go
+++ b/mover/mover.go
@@ -64,6 +64,7 @@
 		checkpointAfter   time.Duration
 		requestCheckpoint func(ctx context.Context, id string)
 		mayStartWork      func() bool
+		isEvacuated       func(zone string) bool
 		assert            func(ok bool, format string, args ...any)
 		journal           func(recorder.Decision)
 		log               *slog.Logger
@@ -94,6 +95,13 @@
 	return func(c *config) { c.mayStartWork = fn }
 }
 
+// WithEvacuations sets the function that tells whether a zone is evacuated. This
+// member starts no work on the instances of such a zone. When a zone has just
+// been evacuated, DisableEvacuated must be called.
+func WithEvacuations(isEvacuated func(zone string) bool) Option {
+	return func(c *config) { c.isEvacuated = isEvacuated }
+}
+
 // WithAssert sets the function that is called with the result of each invariant
 // check. The default logs the checks that fail.
 func WithAssert(fn func(ok bool, format string, args ...any)) Option {
@@ -118,6 +126,7 @@
 		callTimeout:       defaultCallTimeout,
 		requestCheckpoint: func(context.Context, string) {},
 		mayStartWork:      func() bool { return true },
+		isEvacuated:       func(string) bool { return false },
 		journal:           func(recorder.Decision) {},
 		log:               slog.Default(),
 	}
--- a/mover/owner.go
+++ b/mover/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/recorder"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
@@ -24,11 +25,11 @@
 }
 
 // MustGetNoNewWork reports whether the instance must get no new work: it has no
-// record in phase Serving, it is not listed as live, or its worker has refused
-// work because it is leaving.
+// record in phase Serving, its zone is evacuated, it is not listed as live, or
+// its worker has refused work because it is leaving.
 func (m *Mover) MustGetNoNewWork(id string) bool {
 	inst, ok := m.table.Get(id)
-	if !ok || inst.Phase != Serving {
+	if !ok || inst.Phase != Serving || m.cfg.isEvacuated(inst.Zone) {
 		return true
 	}
 	m.mu.Lock()
@@ -56,7 +57,7 @@
 
 // mayStartOn reports whether this member may start work on the instance.
 func (m *Mover) mayStartOn(i Instance) bool {
-	return i.Owner == m.self && i.Phase == Serving && i.NextOwner == "" && !m.expireRefusalAndCheckUnavailable(i.ID)
+	return i.Owner == m.self && i.Phase == Serving && i.NextOwner == "" && !m.cfg.isEvacuated(i.Zone) && !m.expireRefusalAndCheckUnavailable(i.ID)
 }
 
 // ReportHealth reports the health of an instance that this member owns. why
@@ -168,6 +169,34 @@
 	delete(m.enabledWorkers, id)
 }
 
+// DisableEvacuated disables the workers in evacuated zones for new work. When it
+// returns, the placer selects none of them any more.
+func (m *Mover) DisableEvacuated() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, w := range m.enabledWorkers {
+		if m.cfg.isEvacuated(w.Zone) {
+			m.disableWorker(id)
+		}
+	}
+	m.Wake()
+}
+
+// EvacuatedAbsences returns an absence for each instance in an evacuated zone,
+// ordered by ID. Such an instance counts against the budgets, because it gets no
+// new work.
+func (m *Mover) EvacuatedAbsences() []budgeter.Absence {
+	var list []budgeter.Absence
+	for _, i := range m.table.All() {
+		if m.cfg.isEvacuated(i.Zone) && !i.Phase.isGone() {
+			x := newAbsence(i, "", time.Time{})
+			x.Kind = budgeter.Evacuated
+			list = append(list, x)
+		}
+	}
+	return list
+}
+
 func (m *Mover) disableAllWorkers() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/operator/pools.go
+++ b/operator/pools.go
@@ -78,7 +78,7 @@
 	}
 	for _, p := range rules.Pools {
 		reply := PoolReply{Name: p.Name, Spare: p.Spare, Comment: p.Comment}
-		reply.countInstances(instances)
+		reply.countInstances(instances, absences)
 		reply.setAbsences(rules.Budgets, absences)
 		replies = append(replies, reply)
 	}
@@ -87,7 +87,7 @@
 
 // countInstances counts the instances in the pool, and the instances of the
 // pool that other pools have borrowed.
-func (p *PoolReply) countInstances(instances []mover.Instance) {
+func (p *PoolReply) countInstances(instances []mover.Instance, absences budgeter.Absences) {
 	for _, i := range instances {
 		if i.Home == p.Name && i.Pool != p.Name {
 			p.Lent++
@@ -102,7 +102,9 @@
 		if i.Order != nil {
 			p.Orders++
 		}
-		if i.Phase == mover.Serving && i.Unhealthy == "" {
+		x, absent := absences.Find(i.ID)
+		evacuated := absent && x.Kind == budgeter.Evacuated
+		if i.Phase == mover.Serving && i.Unhealthy == "" && !evacuated {
 			p.Serving++
 			p.Slots += i.Slots
 		}
--- a/placer/attempt.go
+++ b/placer/attempt.go
@@ -54,6 +54,12 @@
 		err     error
 	}
 
+	// startWithheld is the event that a start order was not sent to the worker.
+	startWithheld struct {
+		attempt *attempt
+		reason  error
+	}
+
 	// leaseExpired is the event that the lease of an attempt of unknown outcome has
 	// expired.
 	leaseExpired struct{ attempt *attempt }
@@ -146,6 +152,11 @@
 // runAttempt calls the worker, outside the loop's goroutine, and sends its answer
 // to the loop.
 func (p *Placer) runAttempt(ctx context.Context, a *attempt, order dispatcher.Start) {
+	if err := p.checkStart(a.worker); err != nil {
+		a.cancelCall()
+		p.sendEvent(startWithheld{attempt: a, reason: err})
+		return
+	}
 	finish, err := p.workers.Start(ctx, a.worker.Address, order)
 	a.cancelCall()
 	p.sendEvent(attemptFinished{attempt: a, finish: finish, err: err})
@@ -161,6 +172,20 @@
 	p.handleFinish(j, e.attempt, e.finish)
 }
 
+// apply puts the job back into its queue. The attempt does not count, since no
+// worker has received it.
+func (e startWithheld) apply(p *Placer) {
+	j := e.attempt.job
+	p.releaseEndedAttempt(e.attempt, scheduler.Neutral)
+	j.attempts--
+	p.recordDecision(j, "start on worker "+e.attempt.worker.ID+" withheld", recorder.Fact{Name: "reason", Value: classifier.As(e.reason).Message})
+	if e.attempt.cancelled {
+		p.respond(j, result{err: p.jobError(j, classifier.Refuse(classifier.Cancelled, "cancelled before the start"))})
+		return
+	}
+	p.requeueAfter(j, minRefusalDelay)
+}
+
 func healthEffectOf(o dispatcher.Outcome) scheduler.HealthEffect {
 	switch o {
 	case dispatcher.Done:
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -92,9 +92,10 @@
 		retries         RetryBudgets
 		failedTasks     FailedTaskTracker
 		shares          Shares
-		onWorkerLeaving func(instance string)   // called when a worker refuses a task because it is leaving
-		checkFreshness  func() error            // returns an error while the membership and rules may be out of date
-		journal         func(recorder.Decision) // records a decision for later explanation
+		onWorkerLeaving func(instance string)        // called when a worker refuses a task because it is leaving
+		checkStart      func(scheduler.Worker) error // returns an error while no task may be started on the worker
+		checkFreshness  func() error                 // returns an error while the membership and rules may be out of date
+		journal         func(recorder.Decision)      // records a decision for later explanation
 		observeStart    func(StartObservation)
 		lease           time.Duration
 		startTimeout    time.Duration
@@ -172,6 +173,12 @@
 	return func(p *Placer) { p.checkFreshness = fresh }
 }
 
+// WithStartCheck sets the check that is made immediately before a task is sent to
+// a worker. When it returns an error, the task is not sent and waits again.
+func WithStartCheck(check func(scheduler.Worker) error) Option {
+	return func(p *Placer) { p.checkStart = check }
+}
+
 // WithJournal sets the function that records decisions, so that they can be
 // explained later.
 func WithJournal(journal func(recorder.Decision)) Option {
@@ -198,6 +205,7 @@
 		failedTasks:     scheduler.NewFailedTaskTracker(scheduler.DefaultFailedWorkerLimit, scheduler.DefaultTrackedTasks),
 		shares:          func(string, map[string]int) map[string]int { return nil },
 		onWorkerLeaving: func(string) {},
+		checkStart:      func(scheduler.Worker) error { return nil },
 		checkFreshness:  func() error { return nil },
 		journal:         func(recorder.Decision) {},
 		observeStart:    func(StartObservation) {},
--- a/scheduler/fleet.go
+++ b/scheduler/fleet.go
@@ -52,6 +52,12 @@
 		Slots   int
 	}
 
+	// ZoneUsage is what runs on this entry's workers in one zone.
+	ZoneUsage struct {
+		Workers int `json:"workers"` // workers that run tasks
+		Tasks   int `json:"tasks"`   // tasks that run, or may run until their leases expire
+	}
+
 	// Outcome is the end of a task on a worker.
 	Outcome struct {
 		Task   string
@@ -86,6 +92,7 @@
 		enabled  bool   // new tasks may start on it
 		removed  bool   // to be deleted as soon as no task runs on it
 		running  int    // slots in use
+		tasks    int    // tasks that use them
 		lastPick uint64 // value of pickCount when the worker was last picked
 		health   health
 	}
@@ -216,6 +223,7 @@
 	f.pickCount++
 	best.lastPick = f.pickCount
 	best.running += slots
+	best.tasks++
 	f.assert(best.running <= best.Slots, "fleet: worker %s runs tasks of %d slots but has only %d", best.ID, best.running, best.Slots)
 	return best.Worker, true
 }
@@ -231,6 +239,7 @@
 	}
 	f.assert(slots <= w.running, "fleet: %d slots released on worker %s, but only %d in use", slots, id, w.running)
 	w.running = max(0, w.running-slots)
+	w.tasks = max(0, w.tasks-1)
 	f.recordOutcome(w, o)
 	f.removeIfIdle(w)
 }
@@ -286,6 +295,23 @@
 	return loads
 }
 
+// UsageByZone returns what runs in each zone in which any task runs.
+func (f *Fleet) UsageByZone() map[string]ZoneUsage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	zones := map[string]ZoneUsage{}
+	for _, w := range f.workers {
+		if w.running == 0 {
+			continue
+		}
+		u := zones[w.Zone]
+		u.Workers++
+		u.Tasks += w.tasks
+		zones[w.Zone] = u
+	}
+	return zones
+}
+
 // ReserveWorker selects a worker of the pool that takes no smaller tasks until
 // it has the given number of free slots for a large task. A number of 0 ends
 // the reservation.
--- a/server/entry.go
+++ b/server/entry.go
@@ -16,6 +16,7 @@
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/collector"
 	"github.com/coltsfootlever/coltsfootlever/distributor"
+	"github.com/coltsfootlever/coltsfootlever/excluder"
 	"github.com/coltsfootlever/coltsfootlever/granter"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
@@ -48,6 +49,7 @@
 	PlacerService            = "placer"
 	WorkerHealthService      = "worker-health"
 	FreshnessService         = "freshness"
+	EvacuationsService       = "evacuations"
 	RouterService            = "router"
 	AdmitterService          = "admitter"
 )
@@ -97,6 +99,8 @@
 	decisions      *recorder.Recorder
 	survey         *surveyor.Surveyor
 	freshness      *freshness
+	evacuations    *excluder.Excluder
+	withheld       withheldLog
 	leaving        atomic.Bool
 	largestWorkers atomic.Pointer[map[string]int] // slots of the largest worker of each pool
 }
@@ -121,6 +125,7 @@
 		e.cfg.Assert = e.reportBrokenInvariant
 	}
 	e.buildMembership()
+	e.buildEvacuations()
 	e.buildGrants()
 	e.buildFleet()
 	e.buildRequestPath()
@@ -203,7 +208,7 @@
 // grants and its queue of waiting tasks.
 func (e *Entry) buildGrants() {
 	e.slotQuota = granter.NewSlotQuota(e.cfg.Assert)
-	e.slotQuota.SetGuard(e.freshness.check)
+	e.slotQuota.SetGuard(e.checkMayStart)
 	e.waiting = scheduler.NewWaitingTasks()
 	e.grants = granter.New(e.platform.Store, e.self().ID, e.slotQuota,
 		granter.WithLog(e.cfg.Log),
@@ -219,12 +224,13 @@
 		mover.WithLog(e.cfg.Log),
 		mover.WithAssert(e.cfg.Assert),
 		mover.WithListPeriod(listPollInterval),
-		mover.WithStartPermission(func() bool { return e.freshness.check() == nil }),
+		mover.WithStartPermission(func() bool { return e.checkMayStart() == nil }),
+		mover.WithEvacuations(e.evacuations.IsEvacuated),
 		mover.WithCheckpoint(checkpointDelay, func(_ context.Context, id string) { e.placer.CheckpointWorker(id) }),
 		mover.WithJournal(e.decisions.Record),
 	)
 	e.survey = surveyor.New(e.mover.Table().All, e.rules.Rules)
-	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert))
+	e.budgets = budgeter.New(e.platform.Store, e.rules.Rules, budgeter.WithAssert(e.cfg.Assert), budgeter.WithEvacuated(e.mover.EvacuatedAbsences))
 	e.orders = mover.NewOrders(e.platform.Store, e.self().ID, e.rules.Rules, e.budgets, e.decisions.Record)
 }
 
@@ -244,6 +250,7 @@
 		placer.WithClockMargin(e.cfg.ClockMargin),
 		placer.WithWorkerLeavingHandler(e.mover.ReportLeaving),
 		placer.WithFreshnessCheck(e.freshness.check),
+		placer.WithStartCheck(e.checkWorkerStart),
 		placer.WithStartObserver(e.metrics.recordTaskStart),
 		placer.WithJournal(e.decisions.Record),
 		placer.WithShares(e.localShares),
@@ -319,6 +326,7 @@
 		{ClaimerService, e.claims},
 		{PlacerService, e.placer},
 		{FreshnessService, supervisor.Func(e.watchFreshness)},
+		{EvacuationsService, e.evacuations},
 		{WorkerHealthService, supervisor.Func(e.watchHealth)},
 		{RouterService, e.router},
 		{AdmitterService, e.admitter},
--- a/server/meter.go
+++ b/server/meter.go
@@ -28,6 +28,11 @@
 	m.set.GetOrCreateHistogram(name).Update(o.Waited.Seconds())
 }
 
+// withheldStarts returns the counter of starts withheld in a zone.
+func (m *entryMetrics) withheldStarts(zone string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(withheldStartsName(zone))
+}
+
 // recordRequestEnd counts the end of a request and records how long it took.
 func (m *entryMetrics) recordRequestEnd(e admitter.RequestEnd) {
 	code := "ok"
@@ -66,6 +71,7 @@
 	e.metrics.addGauge(`coltsfootlever_fresh`, func() float64 { return boolToFloat(e.freshness.check() == nil) })
 	e.metrics.addGauge(`coltsfootlever_coordinator`, func() float64 { return boolToFloat(e.coordinatorRole.Held()) })
 	e.metrics.addGauge(`coltsfootlever_waiting_tasks`, func() float64 { return float64(e.waiting.Len()) })
+	e.addEvacuationMetrics()
 	e.metrics.addGauge(`coltsfootlever_ring_full_total{ring="placer"}`, func() float64 { return float64(e.placer.EventRingFullCount()) })
 }
 
--- a/server/operators.go
+++ b/server/operators.go
@@ -4,11 +4,21 @@
 	"context"
 	"net/http"
 
+	"github.com/coltsfootlever/coltsfootlever/budgeter"
 	"github.com/coltsfootlever/coltsfootlever/distributor"
 	"github.com/coltsfootlever/coltsfootlever/operator"
 	"github.com/coltsfootlever/coltsfootlever/registrar"
 )
 
+// countedAbsences makes the absences of evacuated zones part of those that
+// operators see.
+type countedAbsences struct{ *budgeter.Budgeter }
+
+// Absences implements operator.Absences.
+func (a countedAbsences) Absences(ctx context.Context) (budgeter.Absences, error) {
+	return a.CountedAbsences(ctx)
+}
+
 // Operators returns the handler of the HTTP interface for operators.
 func (e *Entry) Operators() http.Handler {
 	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReadinessCheck(e.freshness.check)}
@@ -22,8 +32,9 @@
 		operator.KeysResource(book),
 		operator.TeamsResource(e.rules, e.teamUse),
 		operator.StatusResource(e.Status),
-		operator.PoolsResource(e.rules, e.orders, e.budgets),
+		operator.PoolsResource(e.rules, e.orders, countedAbsences{e.budgets}),
 		operator.InstancesResource(e.orders),
+		operator.ZonesResource(zones{e}),
 		operator.EntriesResource(e.members),
 		operator.MaintenanceResource(e.orders),
 		operator.ExplainResource(reports{e}),
--- a/server/reports.go
+++ b/server/reports.go
@@ -24,6 +24,7 @@
 	burnReport    = "burn"
 	loadReport    = "load"
 	surveyReport  = "survey"
+	zonesReport   = "zones" // the request's subject is the number of a record of evacuated zones that exists
 )
 
 const (
@@ -52,6 +53,7 @@
 	e.reports.RegisterSource(surveyReport, func(context.Context, string) (any, error) {
 		return e.survey.Survey(), nil
 	})
+	e.reports.RegisterSource(zonesReport, e.reportZones)
 }
 
 // recordRequestEnd counts the end of a request in the metrics and for the latency
