--- a/commander/root/root_test.go
+++ b/commander/root/root_test.go
@@ -24,6 +24,7 @@
 	"github.com/coltsfootlever/coltsfootlever/commander/root"
 	"github.com/coltsfootlever/coltsfootlever/distributor"
 	"github.com/coltsfootlever/coltsfootlever/emulator"
+	"github.com/coltsfootlever/coltsfootlever/excluder"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/mover"
 	"github.com/coltsfootlever/coltsfootlever/operator"
@@ -47,6 +48,8 @@
 		{regexp.MustCompile(`cfl-[A-Za-z0-9_-]{43}`), "cfl-SECRET"},
 		{regexp.MustCompile(`(drain|move|reboot|wave)-[0-9a-f]{8}\b`), "$1-ID"},
 		{regexp.MustCompile(`asked by (\S+) at \S+`), "asked by $1 at TIME"},
+		{regexp.MustCompile(`"op": "[^"]+"`), `"op": "ID"`},
+		{regexp.MustCompile(`(since |confirmed at |bootstrap\s+)20\d\d-[0-9T:-]+Z`), "${1}TIME"},
 		{regexp.MustCompile(`"\d{4}-\d\d-\d\dT[0-9:.]+(Z|[+-]\d\d:\d\d)"`), `"TIME"`},
 	}
 )
@@ -175,6 +178,40 @@
 	}
 }
 
+// stubPeers is an excluder.Peers with one other entry, which confirms the first two
+// changes only.
+type stubPeers struct{}
+
+func (stubPeers) Self() string            { return "entry-a1.1" }
+func (stubPeers) Registered() []string    { return []string{"entry-b1.2"} }
+func (stubPeers) Refresh(context.Context) {}
+func (stubPeers) Heard() []string         { return nil }
+func (stubPeers) Outage() bool            { return false }
+
+func (stubPeers) Reports(_ context.Context, number uint64) map[string]excluder.Report {
+	return map[string]excluder.Report{"entry-b1.2": {Record: excluder.Record{Number: min(number, 2)}}}
+}
+
+// stubZones is an operator.Zones with fixed counts of what is left in a zone.
+type stubZones struct{ *excluder.Excluder }
+
+func newStubZones(store keeper.SwapStore) stubZones {
+	inService := func(context.Context) (excluder.InService, error) { return excluder.InService{"a": 3, "b": 0}, nil }
+	return stubZones{excluder.New(store, stubPeers{}, inService, excluder.WithConfirmTimeout(time.Millisecond))}
+}
+
+func (z stubZones) List(context.Context) (operator.ZonesReply, error) {
+	record := z.Record()
+	reply := operator.ZonesReply{Number: record.Number, AsOf: time.Now(), Current: record.Number < 3, Zones: []operator.ZoneReply{}}
+	for _, e := range record.Zones {
+		reply.Zones = append(reply.Zones, operator.ZoneReply{Evacuation: e, Workers: 3, BusyWorkers: 1, RunningTasks: 2})
+	}
+	if record.Number > 2 {
+		reply.Unconfirmed = []string{"entry-b1.2"}
+	}
+	return reply, nil
+}
+
 func newEntryTransport(t *testing.T) entryTransport {
 	store := emulator.NewStore()
 	addInstances(t, store)
@@ -189,6 +226,7 @@
 		operator.PoolsResource(rules, orders, budgets),
 		operator.InstancesResource(orders),
 		operator.EntriesResource(newStubMembership()),
+		operator.ZonesResource(newStubZones(store)),
 		operator.MaintenanceResource(orders),
 		operator.ExplainResource(stubExplainer{}),
 		operator.ReportsResource(stubReports{}),
--- a/commander/zone/evacuate/evacuate.go
+++ b/commander/zone/evacuate/evacuate.go
@@ -15,7 +15,7 @@
 	commander.Connection
 	commander.Output
 	Zone    string `arg:"positional,required" help:"name of the zone"`
-	Comment string `arg:"--comment,required" placeholder:"TEXT" help:"why, and who asked for it"`
+	Comment string `arg:"--comment,required" help:"why, and who asked for it"`
 	Force   bool   `arg:"--force" help:"evacuate the last zone with instances in service, so that nothing can run"`
 
 	factory *commander.Factory
--- a/commander/zone/list/list.go
+++ b/commander/zone/list/list.go
@@ -28,7 +28,7 @@
 		Name:  "list",
 		Short: "list evacuated zones and what still runs there",
 		Long: "Lists the evacuated zones: the operator key that evacuated each, since when, the instances left there, those\n" +
-			"that still run tasks, the running tasks, the entries that have not confirmed, and the comment.",
+			"that still run tasks, the running tasks and the comment. Names the entries that have not confirmed the latest change.",
 		Example: "$ coltsfootlever zone list\n$ coltsfootlever zone list --json",
 		Options: opts,
 		Run:     func(ctx context.Context) error { return run(ctx, opts) },
@@ -48,6 +48,9 @@
 	if !reply.Current {
 		opts.factory.PrintErrf("The entry may have missed a change: its list was last confirmed at %s.\n", reply.AsOf.Format(time.RFC3339))
 	}
+	if len(reply.Unconfirmed) > 0 {
+		opts.factory.PrintErrf("The latest change is not yet confirmed by %s.\n", strings.Join(reply.Unconfirmed, ", "))
+	}
 	if opts.JSON {
 		return opts.factory.PrintJSON(reply)
 	}
@@ -55,14 +58,10 @@
 	for _, z := range reply.Zones {
 		rows = append(rows, row(z))
 	}
-	return opts.factory.PrintTable([]string{"zone", "asked by", "since", "workers", "busy", "tasks", "unconfirmed", "comment"}, rows)
+	return opts.factory.PrintTable([]string{"zone", "asked by", "since", "workers", "busy", "tasks", "comment"}, rows)
 }
 
 func row(z operator.ZoneReply) []string {
-	unconfirmed := "-"
-	if len(z.Unconfirmed) > 0 {
-		unconfirmed = strings.Join(z.Unconfirmed, ",")
-	}
 	return []string{
 		z.Zone,
 		z.RequestedBy,
@@ -70,7 +69,6 @@
 		strconv.Itoa(z.Workers),
 		strconv.Itoa(z.BusyWorkers),
 		strconv.Itoa(z.RunningTasks),
-		unconfirmed,
 		z.Comment,
 	}
 }
--- a/excluder/excluder.go
+++ b/excluder/excluder.go
@@ -102,6 +102,12 @@
 	return func(x *Excluder) { x.changeCheck = check }
 }
 
+// WithConfirmTimeout sets how long a change waits for the other entries to confirm
+// it.
+func WithConfirmTimeout(d time.Duration) Option {
+	return func(x *Excluder) { x.confirmTimeout = d }
+}
+
 // WithLog sets the logger.
 func WithLog(log *slog.Logger) Option {
 	return func(x *Excluder) { x.log = log }
--- a/operator/zones.go
+++ b/operator/zones.go
@@ -28,20 +28,22 @@
 
 	// ZonesReply lists the evacuated zones.
 	ZonesReply struct {
-		Number  uint64              `json:"number"`            // number of the record of evacuated zones
-		AsOf    time.Time           `json:"as-of,omitzero"`    // when the record was last known to be the latest one
-		Current bool                `json:"current"`           // the record is known to be current within the staleness bound
-		Zones   []ZoneReply         `json:"zones"`             // sorted by name
-		Missing []collector.Missing `json:"missing,omitempty"` // entries whose running tasks are not counted
+		Number  uint64      `json:"number"`         // number of the record of evacuated zones
+		AsOf    time.Time   `json:"as-of,omitzero"` // when the record was last known to be the latest one
+		Current bool        `json:"current"`        // the record is known to be current within the staleness bound
+		Zones   []ZoneReply `json:"zones"`          // sorted by name
+		// Unconfirmed holds the entries that have not confirmed the record. They
+		// may also lack the restoring of a zone, which Zones no longer has.
+		Unconfirmed []string            `json:"unconfirmed,omitempty"`
+		Missing     []collector.Missing `json:"missing,omitempty"` // entries whose running tasks are not counted
 	}
 
 	// ZoneReply describes one evacuated zone.
 	ZoneReply struct {
 		excluder.Evacuation
-		Workers      int      `json:"workers"`               // instances in the zone
-		BusyWorkers  int      `json:"busy-workers"`          // instances in the zone that still run tasks
-		RunningTasks int      `json:"running-tasks"`         // tasks that still run in the zone
-		Unconfirmed  []string `json:"unconfirmed,omitempty"` // entries that have not confirmed the record
+		Workers      int `json:"workers"`       // instances in the zone
+		BusyWorkers  int `json:"busy-workers"`  // instances in the zone that still run tasks
+		RunningTasks int `json:"running-tasks"` // tasks that still run in the zone
 	}
 
 	zonesResource struct {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -128,6 +128,10 @@
 	WithdrawPolicy struct {
 		CheckInterval  time.Duration // how often ShouldWithdraw is called
 		ShouldWithdraw func() bool   // whether another member would start the task sooner
+		// CannotRun reports whether no worker of this member can run the task. A
+		// task that waits to be started again is then withdrawn as well. nil
+		// stands for false.
+		CannotRun func() bool
 	}
 
 	// Option configures a Placer.
@@ -239,7 +243,7 @@
 		return messenger.Answer{}, classifier.Refuse(classifier.QueueFull, "the entry takes no more events: come back later").WithRetryAfter(time.Second)
 	}
 	var ask <-chan time.Time
-	if policy.ShouldWithdraw != nil {
+	if policy.CheckInterval > 0 {
 		ticker := time.NewTicker(policy.CheckInterval)
 		defer ticker.Stop()
 		ask = ticker.C
@@ -250,8 +254,8 @@
 		case r := <-reply:
 			return r.answer, r.err
 		case <-ask:
-			if policy.ShouldWithdraw() {
-				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: true, cause: classifier.Refuse(classifier.NoCapacity, "another member has a free slot")})
+			if cause := policy.withdrawalCause(); cause != nil {
+				p.sendEvent(withdraw{task: task.ID, onlyIfNeverStarted: cause == errFreeElsewhere, cause: cause})
 			}
 		case <-done:
 			done = nil
@@ -262,6 +266,23 @@
 	}
 }
 
+// Causes for which a waiting task is withdrawn.
+var (
+	errFreeElsewhere = classifier.Refuse(classifier.NoCapacity, "another member has a free slot")
+	errNoWorker      = classifier.Refuse(classifier.NoCapacity, "no worker of this member takes work of the pool")
+)
+
+// withdrawalCause returns why the task should be withdrawn now, or nil.
+func (w WithdrawPolicy) withdrawalCause() *classifier.Error {
+	switch {
+	case w.CannotRun != nil && w.CannotRun():
+		return errNoWorker
+	case w.ShouldWithdraw != nil && w.ShouldWithdraw():
+		return errFreeElsewhere
+	}
+	return nil
+}
+
 // resultAfterStop returns a result that was sent before the loop stopped. If
 // there is none, it is unknown whether the task ran.
 func (p *Placer) resultAfterStop(reply <-chan result) (messenger.Answer, error) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -214,3 +214,43 @@
 		require.Equal(t, scheduler.DefaultFailedWorkerLimit, tp.executions())
 	})
 }
+
+// Guards against a task that is sent to a worker whose zone was evacuated after the
+// worker was chosen, and against a withheld start that counts as an attempt.
+func TestWithheldStartIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		tp := newTestPlacer(t, 1, 1, placer.WithStartCheck(func(scheduler.Worker) error {
+			if time.Since(began) < time.Second {
+				return classifier.Refuse(classifier.NoCapacity, "evacuated")
+			}
+			return nil
+		}))
+		answer, err := tp.submit("t1", false, "{}")
+		require.NoError(t, err)
+		require.Equal(t, 1, answer.Attempt)
+		require.Equal(t, 1, tp.executions())
+		require.GreaterOrEqual(t, time.Since(began), time.Second)
+		require.Empty(t, tp.fleet.UsageByZone())
+	})
+}
+
+// Guards against a retried task that waits until its deadline on a member whose
+// workers are all in an evacuated zone.
+func TestRetriedTaskIsWithdrawnWithoutWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tp := newTestPlacer(t, 1, 1)
+		tp.workers[0].InjectFaults(func(f *emulator.WorkerFaults) { f.NextResponses = []emulator.ResponseFault{emulator.TruncateResponse} })
+		task := scheduler.Task{
+			ID: "t1", Team: "leads", Pool: "match", Slots: 1, Idempotent: true, Class: scheduler.Background,
+			Accepted: time.Now(), Deadline: time.Now().Add(time.Minute), Body: []byte(`{"sleep-ms":1000}`),
+		}
+		time.AfterFunc(500*time.Millisecond, func() { tp.fleet.DisableWorker("worker-0") })
+		_, err := tp.placer.Submit(t.Context(), task, placer.WithdrawPolicy{
+			CheckInterval: 100 * time.Millisecond,
+			CannotRun:     func() bool { return tp.fleet.TotalFreeSlots("match") == 0 },
+		})
+		require.Equal(t, classifier.NoCapacity, classifier.As(err).Code)
+		require.Equal(t, classifier.MayHaveRun, classifier.VerdictOf(err))
+	})
+}
--- a/router/chooser.go
+++ b/router/chooser.go
@@ -132,6 +132,11 @@
 	return best.member, true
 }
 
+// HasWorker implements Chooser.
+func (c *LoadChooser) HasWorker(task scheduler.Task) bool {
+	return c.local.PoolLoad(task.Pool).Slots > 0
+}
+
 // PeerCanStart implements Chooser. If this member cannot run the task at all, every
 // suitable peer counts, also one without a free slot.
 func (c *LoadChooser) PeerCanStart(task scheduler.Task, exclude map[string]bool) bool {
--- a/router/handler.go
+++ b/router/handler.go
@@ -10,7 +10,8 @@
 )
 
 // HandleForward runs a task that a peer forwarded to this member. The task is not
-// forwarded again.
+// forwarded again. If this member loses its last worker in the pool, for example
+// because the zone is evacuated, the task goes back to the peer.
 func (r *Router) HandleForward(ctx context.Context, request messenger.ForwardRequest) (messenger.Answer, error) {
 	if !r.inFlight.beginTask() {
 		return messenger.Answer{}, leavingError()
@@ -18,7 +19,10 @@
 	defer r.inFlight.end()
 	task := request.Task
 	task.Forwarded = true
-	return r.placer.Submit(ctx, task, placer.WithdrawPolicy{})
+	return r.placer.Submit(ctx, task, placer.WithdrawPolicy{
+		CheckInterval: r.peerCheckInterval,
+		CannotRun:     func() bool { return !r.chooser.HasWorker(task) },
+	})
 }
 
 // HandleAttach waits for the answer of a task that this member accepted. If the
--- a/router/router.go
+++ b/router/router.go
@@ -77,6 +77,9 @@
 		// exclude holds the members that recently refused the task. ok is false
 		// if no member is suitable.
 		Choose(task scheduler.Task, exclude map[string]bool) (member string, ok bool)
+		// HasWorker reports whether this member has a worker that takes work of
+		// the task's pool.
+		HasWorker(task scheduler.Task) bool
 		// PeerCanStart reports whether a peer could start the task at once.
 		PeerCanStart(task scheduler.Task, exclude map[string]bool) bool
 		// RecordPlacement records that the task is placed on the member. The
@@ -357,13 +360,14 @@
 }
 
 // mayRetryAfterLostAnswer reports whether the error is a lost answer from a
-// peer to an idempotent task, which may be tried again.
+// peer to an idempotent task, or the withdrawal of one that a member cannot start
+// again. Such a task may be tried again.
 func mayRetryAfterLostAnswer(task scheduler.Task, err error) bool {
 	if err == nil || !task.Idempotent {
 		return false
 	}
 	e := classifier.As(err)
-	return e.Code == classifier.PeerLost && e.Verdict == classifier.MayHaveRun
+	return (e.Code == classifier.PeerLost || e.Code == classifier.NoCapacity) && e.Verdict == classifier.MayHaveRun
 }
 
 // checkMayStart returns an error if the task was cancelled, its deadline has
@@ -396,7 +400,11 @@
 	defer r.chooser.RecordPlacement(task, member)()
 	if member == r.members.Self().ID {
 		shouldWithdraw := func() bool { return r.chooser.PeerCanStart(task, refused) }
-		return r.placer.Submit(ctx, task, placer.WithdrawPolicy{CheckInterval: r.peerCheckInterval, ShouldWithdraw: shouldWithdraw})
+		return r.placer.Submit(ctx, task, placer.WithdrawPolicy{
+			CheckInterval:  r.peerCheckInterval,
+			ShouldWithdraw: shouldWithdraw,
+			CannotRun:      func() bool { return !r.chooser.HasWorker(task) && shouldWithdraw() },
+		})
 	}
 	peer, ok := r.members.View().Member(member)
 	if !ok {
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -107,6 +107,8 @@
 func (m *testMember) Choose(scheduler.Task, map[string]bool) (string, bool) {
 	return m.chosenMember, true
 }
+func (m *testMember) HasWorker(scheduler.Task) bool { return true }
+
 func (m *testMember) PeerCanStart(scheduler.Task, map[string]bool) bool { return false }
 func (m *testMember) RecordPlacement(scheduler.Task, string) func()     { return func() {} }
 
--- a/server/zones.go
+++ b/server/zones.go
@@ -1,7 +1,6 @@
 package server
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -195,14 +194,23 @@
 	reply.Current = z.e.evacuations.Check() == nil
 	parts, missing := collector.Collect[zoneReport](ctx, z.e.reports, zonesReport, strconv.FormatUint(record.Number, 10))
 	reply.Missing = missing
+	for _, m := range missing {
+		reply.Unconfirmed = append(reply.Unconfirmed, m.Entry)
+	}
+	for _, part := range parts {
+		if part.Body.Record.Number < record.Number {
+			reply.Unconfirmed = append(reply.Unconfirmed, part.Entry)
+		}
+	}
+	slices.Sort(reply.Unconfirmed)
 	for _, e := range record.Zones {
-		reply.Zones = append(reply.Zones, z.describe(e, record.Number, parts, missing))
+		reply.Zones = append(reply.Zones, z.describe(e, parts))
 	}
 	return reply, nil
 }
 
 // describe returns the state of one evacuated zone.
-func (z zones) describe(e excluder.Evacuation, number uint64, parts []collector.Part[zoneReport], missing []collector.Missing) operator.ZoneReply {
+func (z zones) describe(e excluder.Evacuation, parts []collector.Part[zoneReport]) operator.ZoneReply {
 	reply := operator.ZoneReply{Evacuation: e}
 	for _, i := range z.e.mover.Table().All() {
 		if i.Zone == e.Zone && i.Phase != mover.Absent && i.Phase != mover.Evicted {
@@ -213,14 +221,7 @@
 		usage := part.Body.Usage[e.Zone]
 		reply.BusyWorkers += usage.Workers
 		reply.RunningTasks += usage.Tasks
-		if part.Body.Record.Number < number {
-			reply.Unconfirmed = append(reply.Unconfirmed, part.Entry)
-		}
-	}
-	for _, m := range missing {
-		reply.Unconfirmed = append(reply.Unconfirmed, m.Entry)
 	}
-	slices.SortFunc(reply.Unconfirmed, cmp.Compare[string])
 	return reply
 }
 
