Silence an entry that does not lead in the case of the withdrawn key

The script had silenced a leader, or an entry with few idle connections, which the probes of the store use up before the second attempt of the watch.

Change: the script silences an entry that does not lead, after 32 calls at once have opened its connections.

--- a/review/standin/oldkey.go
+++ b/review/standin/oldkey.go
@@ -5,9 +5,12 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
+	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 )
@@ -18,9 +21,9 @@
 	askInterval   = 250 * time.Millisecond
 	askTime       = 5 * time.Second
 	parallelCalls = 8
+	burstCalls    = 32 // at once to each entry, some seconds before
 	clockMargin   = 50 * time.Millisecond
-	silentEntry   = entryCount - 1 // one machine of three, all its open channels to the store
-	silentShare   = 1.0
+	silentShare   = 1.0 // of the open channels to the store of one machine of three
 )
 
 // playOldKey lets the open channels to the store go silent, and takes a key away.
@@ -45,11 +48,12 @@
 	if err := w.writeManifest(m); err != nil {
 		return "", err
 	}
-	time.Sleep(askInterval)
+	time.Sleep(askInterval / 2)
 	silencedAt := time.Now()
 	if trouble {
-		silent, open := w.proxies[silentEntry].silence(silentShare)
-		w.rec.note("%d of %d connections of %s to the store are silent from now on, new ones work", silent, open, w.entries[silentEntry].name)
+		i := w.follower(ctx)
+		silent, open := w.proxies[i].silence(silentShare)
+		w.rec.note("%d of %d connections of %s to the store are silent from now on, new ones work", silent, open, w.entries[i].name)
 	}
 	m.Version, m.Customers[0].Keys = m.Version+3, []string{"key-after-that"}
 	if err := w.writeManifest(m); err != nil {
@@ -71,13 +75,24 @@
 	return "", nil
 }
 
+// follower returns the number of an entry that does not lead: it has fewer calls to the
+// store under way.
+func (w *world) follower(ctx context.Context) int {
+	leader, err := w.store.ClientFor("operator").Get(ctx, elector.Key)
+	if err != nil {
+		return 0
+	}
+	name, _, _ := strings.Cut(string(leader.Value), "/")
+	return slices.IndexFunc(w.entries, func(e *entry) bool { return e.name != name })
+}
+
 // askAtOnce sends several calls at once to each entry, which opens connections to the
 // store.
 func (w *world) askAtOnce(ctx context.Context, job string) {
 	var wg sync.WaitGroup
 	for _, e := range w.entries {
-		for n := range parallelCalls {
-			wg.Go(func() { w.call(ctx, e, http.MethodGet, routePrefix, fmt.Sprintf("%s%x", job[:15], n), nil) })
+		for n := range burstCalls {
+			wg.Go(func() { w.call(ctx, e, http.MethodGet, routePrefix, fmt.Sprintf("%s%02x", job[:14], n), nil) })
 		}
 	}
 	wg.Wait()
