--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,9 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -53,9 +55,14 @@
 	defer rec.close()
 	ctx, cancel := context.WithTimeout(context.Background(), maxCaseTime)
 	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM) // so that the entries are ended as well
+	defer stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.note("case %s, with the disruption: %t", args[0], trouble)
 	breach, err := playCase(ctx, scenarios[args[0]], rec, trouble)
+	if err == nil {
+		err = ctx.Err() // a case that was ended early tells nothing
+	}
 	switch {
 	case err != nil:
 		rec.note("RESULT: the case could not run: %v", err)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -231,9 +231,11 @@
 
 // close ends all that the case has started.
 func (w *world) close() {
+	var stopping sync.WaitGroup
 	for _, e := range w.entries {
-		e.stop()
+		stopping.Go(e.stop)
 	}
+	stopping.Wait()
 	w.mu.Lock()
 	w.closed = true
 	workers := w.registered
