--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-go build -o target/review/standin ./review/standin
+go build -o target/review/standin ./review/platform
