Keep an instance that a single list misses

Operators saw more instances in maintenance than their wave allows (LIMIT): a list of instances that misses one between two pages made the leader forget it with its plan, so it no longer counted toward the wave's limit and the next one was started. Instances of a wave were dropped from it in the same way. Only markEndedWorkers took care of this so far.

Cause: one list was taken as proof that an instance has left.

Change: an instance is removed when two lists in a row lack it. Meanwhile the list is read at the busy interval and no move of the instance begins.

--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -27,6 +27,7 @@
 		listedWorkers     map[string]string                           // worker that the list shows instead of the actual one, by instance
 		WorkerAddress     func(instance string) string                // address at which the workers of an instance are called; nil if no network is used
 		OrderDelay        func(holder, instance string) time.Duration // delays the order, whose response is then lost; 0 for a normal order
+		FilterList        func(name string) (bool, error)             // reports whether a list shows an instance; an error makes the list fail; nil shows all
 	}
 
 	managedInstance struct {
@@ -219,6 +220,15 @@
 	var list []modeler.Instance
 	for _, i := range c.instances {
 		info := i.Instance
+		if c.FilterList != nil {
+			listed, err := c.FilterList(info.Name)
+			if err != nil {
+				return nil, err
+			}
+			if !listed {
+				continue
+			}
+		}
 		if stale, ok := c.listedWorkers[info.Name]; ok {
 			info.Worker = stale
 		}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -57,6 +57,7 @@
 		targetPool    string // destination pool of a move
 		wave          int64  // number of the wave that maintains it
 		phaseSince    time.Time
+		missed        bool      // the last instance list lacks it
 		orderInFlight bool      // an order for the instance is in flight
 		retryAfter    time.Time // no order is sent before this time
 	}
@@ -115,7 +116,8 @@
 }
 
 // applyInstanceList updates the instances from an instance list that was
-// requested at requestedAt.
+// requested at requestedAt. A single list may miss an instance between two pages, so
+// an instance is removed when two lists in a row lack it.
 func (e *Engine) applyInstanceList(list []modeler.Instance, requestedAt time.Time) {
 	p := &e.planner
 	e.instanceCores.known = false
@@ -128,23 +130,27 @@
 			i = &instance{workers: p.workersByInstance[info.Name]}
 			p.instances[info.Name] = i
 		}
-		i.Instance = info
+		i.Instance, i.missed = info, false
 		e.resumeInstanceOrder(i, requestedAt)
 		if i.phase == carriedOut && i.plan != noPlan && requestedAt.After(i.phaseSince) && info.State == modeler.InstanceUp {
 			e.completePlan(i)
 		}
 	}
-	if p.instancesListed {
-		e.markEndedWorkers(seen, requestedAt)
-	}
-	p.instancesListed = true
 	for name, i := range p.instances {
-		if !seen[name] {
+		switch {
+		case seen[name]:
+		case !i.missed:
+			i.missed = true
+		default:
 			e.log.Info("instance no longer listed", "instance", name, "pool", i.Pool)
 			e.removeFromWave(i)
 			delete(p.instances, name)
 		}
 	}
+	if p.instancesListed {
+		e.markEndedWorkers(seen, requestedAt)
+	}
+	p.instancesListed = true
 }
 
 // completePlan removes the plan of an instance on which the platform has
@@ -233,6 +239,7 @@
 		if i.Worker != "" && e.workersByID[i.Worker] == nil {
 			e.workerListRequested.Store(true) // the worker is new and not in the worker list yet
 		}
+		busy = busy || i.missed // the next list shows whether it has left
 		if i.plan == noPlan {
 			continue
 		}
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -286,11 +286,11 @@
 	}
 }
 
-// isMovable reports whether an instance can be moved at once: it is up, its zone is
-// in use, it has no tasks, reservations or plan, and its worker is known and not
-// draining.
+// isMovable reports whether an instance can be moved at once: it is listed and up,
+// its zone is in use, it has no tasks, reservations or plan, and its worker is known
+// and not draining.
 func (e *Engine) isMovable(i *instance) bool {
-	if i.plan != noPlan || i.State != modeler.InstanceUp || !e.isInUse(i) {
+	if i.plan != noPlan || i.missed || i.State != modeler.InstanceUp || !e.isInUse(i) {
 		return false
 	}
 	for _, w := range e.allWorkersOn(i) {
