Keep instances in a wave that the last instance list lacks

Cause: the leader compared a wave with a list of instances that it had requested up to two seconds before it learned of the wave, or longer ago while the service is slow or down. An instance that this list lacked was removed from the wave for good and without a log line.

Change: only lists that were requested maxInstanceListAge after the leader learned of the wave, two in a row, show that an instance is not there. Until then the wave isn't completed and the list is read at the busy interval. An instance that is listed later returns to its wave, also to a completed one, so an order of the operator isn't lost however late the list is. Refusals by the platform are stored, so that the next leader doesn't repeat them.

Why this works: a list that was requested after the request of the wave was read is newer than the request, whatever the clocks and delays.

--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -72,6 +72,8 @@
 		poolHistories     map[string]*poolHistory
 		nextPlanRound     time.Time
 		nextLoadLog       time.Time
+		previousListAt    time.Time   // when the last instance list but one was requested; zero before the second
+		lastListAt        time.Time   // when the last instance list was requested
 		anyPlanned        atomic.Bool // a plan exists for some instance
 		instancesListed   bool
 	}
@@ -143,7 +145,6 @@
 			i.missed = true
 		default:
 			e.log.Info("instance no longer listed", "instance", name, "pool", i.Pool)
-			e.removeFromWave(i)
 			delete(p.instances, name)
 		}
 	}
@@ -151,6 +152,7 @@
 		e.markEndedWorkers(seen, requestedAt)
 	}
 	p.instancesListed = true
+	p.previousListAt, p.lastListAt = p.lastListAt, requestedAt
 }
 
 // completePlan removes the plan of an instance on which the platform has
@@ -167,13 +169,6 @@
 	e.planner.orders.changed = true
 }
 
-// removeFromWave removes an instance that cannot be maintained from its wave.
-func (e *Engine) removeFromWave(i *instance) {
-	if v := e.planner.waves[i.wave]; v != nil {
-		v.removeInstance(i.Name)
-	}
-}
-
 // currentWorkerOn returns the worker that currently runs on an instance, or nil
 // if there is none.
 func (e *Engine) currentWorkerOn(i *instance) *worker {
@@ -234,7 +229,7 @@
 	e.startDueMaintenance(now)
 	e.planMovesBetweenPools(now)
 	e.cordonPlannedInstances()
-	busy := false
+	busy := e.awaitsInstanceList()
 	for _, i := range p.instances {
 		if i.Worker != "" && e.workersByID[i.Worker] == nil {
 			e.workerListRequested.Store(true) // the worker is new and not in the worker list yet
@@ -321,8 +316,8 @@
 		e.term.Depose()
 	case errors.Is(err, modeler.ErrNotInWave), errors.Is(err, modeler.ErrRejected), errors.Is(err, modeler.ErrInstanceBusy) && i.plan == movePlan:
 		e.log.Warn("order for an instance refused, its plan is dropped", "instance", i.Name, "kind", i.plan.String(), "error", err)
-		if !errors.Is(err, modeler.ErrInstanceBusy) {
-			e.removeFromWave(i)
+		if v := e.planner.waves[i.wave]; v != nil && !errors.Is(err, modeler.ErrInstanceBusy) {
+			v.markRefused(i.Name)
 		}
 		e.clearPlan(i)
 	default:
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -22,7 +22,9 @@
 	waveState struct {
 		modeler.Wave
 		firstSeen      time.Time       // when the wave was first seen in any term
+		loadedAt       time.Time       // when this leader learned of the request; zero if it hasn't yet
 		pending        map[string]bool // instances whose maintenance has not started
+		unlisted       map[string]bool // those that the platform doesn't list; they are pending again if it does
 		record         WaveRecord
 		revision       int64 // last known revision of the stored record
 		changed        bool  // the record must be stored
@@ -33,9 +35,10 @@
 
 	// WaveRecord is the stored state of a wave, which the next leader needs.
 	WaveRecord struct {
-		First time.Time `json:"first"`
-		Begun []string  `json:"begun,omitempty"` // instances whose maintenance was ordered
-		Done  bool      `json:"done,omitempty"`
+		First   time.Time `json:"first"`
+		Begun   []string  `json:"begun,omitempty"`   // instances whose maintenance was ordered
+		Refused []string  `json:"refused,omitempty"` // instances whose maintenance the platform has refused
+		Done    bool      `json:"done,omitempty"`
 	}
 )
 
@@ -64,30 +67,85 @@
 			e.planner.waves[info.Number] = v
 			e.log.Info("maintenance wave requested by the operator", "wave", info.Number, "instances", len(info.Instances), "at-once", info.MaxConcurrent, "within", info.Duration.String())
 		}
-		if v.pending != nil {
-			continue
+		if v.loadedAt.IsZero() {
+			v.load(info, now)
 		}
-		v.Wave = info
-		v.pending = make(map[string]bool, len(info.Instances))
-		for _, name := range info.Instances {
-			if !slices.Contains(v.record.Begun, name) {
-				v.pending[name] = true
-			}
+	}
+}
+
+// load takes over the request of a wave. A wave that an earlier term has completed
+// has gone on without the instances whose maintenance has not started.
+func (v *waveState) load(info modeler.Wave, now time.Time) {
+	v.Wave, v.loadedAt = info, now
+	v.pending, v.unlisted = make(map[string]bool, len(info.Instances)), make(map[string]bool)
+	for _, name := range info.Instances {
+		switch {
+		case slices.Contains(v.record.Begun, name), slices.Contains(v.record.Refused, name):
+		case v.completed:
+			v.unlisted[name] = true
+		default:
+			v.pending[name] = true
 		}
 	}
 }
 
 // markStarted records that the maintenance of an instance has started.
 func (v *waveState) markStarted(name string) {
-	delete(v.pending, name)
+	v.removeInstance(name)
 	v.record.Begun = append(v.record.Begun, name)
 	v.changed = true
 }
 
-// removeInstance removes an instance from the wave, for example because it has
-// left the fleet.
+// markRefused records that the platform has refused the maintenance of an instance.
+func (v *waveState) markRefused(name string) {
+	v.removeInstance(name)
+	v.record.Refused = append(v.record.Refused, name)
+	v.changed = true
+}
+
+// removeInstance removes an instance from those that await their maintenance.
 func (v *waveState) removeInstance(name string) {
 	delete(v.pending, name)
+	delete(v.unlisted, name)
+}
+
+// updateUnlistedInstances lets a wave go on without instances that the platform
+// doesn't list, and takes them back when it does. The request may be newer than the
+// instance list, so only lists that were requested later show that an instance is not
+// there.
+func (e *Engine) updateUnlistedInstances(v *waveState) {
+	p := &e.planner
+	for name := range v.pending {
+		if p.instances[name] != nil || p.previousListAt.Sub(v.loadedAt) < maxInstanceListAge {
+			continue
+		}
+		delete(v.pending, name)
+		v.unlisted[name] = true
+		e.log.Info("instance of a maintenance wave is not listed, the wave goes on without it", "wave", v.Number, "instance", name, "requested-before", p.previousListAt.Sub(v.loadedAt).Round(time.Millisecond).String())
+	}
+	for name := range v.unlisted {
+		if p.instances[name] == nil {
+			continue
+		}
+		delete(v.unlisted, name)
+		v.pending[name] = true
+		v.changed = v.changed || v.completed
+		v.completed = false
+		e.log.Info("instance of a maintenance wave is listed now, the wave takes it back", "wave", v.Number, "instance", name)
+	}
+}
+
+// awaitsInstanceList reports whether a wave waits for newer instance lists, which show
+// whether an instance is there.
+func (e *Engine) awaitsInstanceList() bool {
+	for _, v := range e.planner.waves {
+		for name := range v.pending {
+			if e.planner.instances[name] == nil {
+				return true
+			}
+		}
+	}
+	return false
 }
 
 // isMaintenanceDue reports whether an instance is in a wave and its maintenance
@@ -109,16 +167,16 @@
 	}
 	pools := e.maintainerPools()
 	for _, v := range e.planner.waves {
-		if v.completed || v.pending == nil {
+		if v.loadedAt.IsZero() {
+			continue
+		}
+		e.updateUnlistedInstances(v)
+		if v.completed {
 			continue
 		}
 		view := maintainer.Wave{MaxConcurrent: v.MaxConcurrent, TimeLeft: v.Duration - now.Sub(v.firstSeen)}
 		for name := range v.pending {
-			i := e.planner.instances[name]
-			switch {
-			case i == nil:
-				v.removeInstance(name)
-			case i.plan == noPlan:
+			if i := e.planner.instances[name]; i != nil && i.plan == noPlan && !i.missed {
 				view.Pending = append(view.Pending, e.waveCandidate(i))
 			}
 		}
@@ -190,7 +248,7 @@
 // record, so that one that the store executes late changes nothing.
 func (e *Engine) storeWaveProgress(ctx context.Context) {
 	for number, v := range e.planner.waves {
-		if v.pending == nil || v.commitInFlight || v.completed {
+		if v.loadedAt.IsZero() || v.commitInFlight || v.completed {
 			continue
 		}
 		completed := len(v.pending) == 0 && !e.hasPlannedMaintenance(v)
@@ -230,8 +288,12 @@
 		e.log.Warn("progress of a maintenance wave not stored, trying again", "wave", v.Number, "error", err)
 		return
 	}
-	v.reported, v.completed = true, completed
-	if completed {
+	v.reported = true
+	if completed && len(v.pending) > 0 { // an unlisted instance is listed again since
+		v.changed = true
+		return
+	}
+	if v.completed = completed; completed {
 		e.log.Info("maintenance wave completed", "wave", v.Number, "took", time.Since(v.firstSeen).Round(time.Millisecond).String())
 	}
 }
--- a/orchestrator/wave_test.go
+++ b/orchestrator/wave_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -18,6 +20,88 @@
 	return hidden
 }
 
+// A wave must not be completed without an instance that was added shortly before it.
+// See docs/incidents/2026-12-05-wave-without-new-instance.md.
+func TestWaveIncludesAnInstanceThatWasAddedShortlyBeforeIt(t *testing.T) {
+	for name, unlistedFor := range map[string]time.Duration{
+		"list is read at intervals":      0,
+		"list can't be read for a while": 6 * time.Second,
+	} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.keepInstancesInPool()
+				fails := new(atomic.Bool)
+				s.instances.FilterList = func(string) (bool, error) {
+					if fails.Load() {
+						return false, errors.New("not available")
+					}
+					return true, nil
+				}
+				e := s.startEntry("one")
+				time.Sleep(2500 * time.Millisecond)
+				fails.Store(unlistedFor > 0)
+				s.addInstance("new")
+				s.requestWave(2, "a", "new")
+				time.Sleep(unlistedFor)
+				fails.Store(false)
+				for range 100 {
+					time.Sleep(100 * time.Millisecond)
+					if s.instances.MaintenanceCount("new") == 0 {
+						require.NotEqual(t, "completed", s.waveStatus())
+					}
+				}
+				require.Equal(t, "completed", s.waveStatus())
+				require.Equal(t, 1, s.instances.MaintenanceCount("new"))
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
+// An instance that is listed only after its wave has gone on without it must still be
+// maintained.
+func TestInstanceThatIsListedLateReturnsToItsWave(t *testing.T) {
+	for name, changeLeader := range map[string]bool{"same leader": false, "new leader": true} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.keepInstancesInPool()
+				hidden := s.hideInstances()
+				hidden.Store("new", true)
+				e := s.startEntry("one")
+				time.Sleep(2500 * time.Millisecond)
+				s.addInstance("new")
+				s.requestWave(2, "a", "new")
+				time.Sleep(10 * time.Second)
+				require.Equal(t, "completed", s.waveStatus(), "the wave doesn't wait for an instance that is not listed")
+				if changeLeader {
+					e.stopGracefully()
+					e = s.startEntry("two")
+					time.Sleep(5 * time.Second)
+				}
+				hidden.Delete("new")
+				time.Sleep(10 * time.Second)
+				require.Equal(t, 1, s.instances.MaintenanceCount("a"))
+				require.Equal(t, 1, s.instances.MaintenanceCount("new"))
+				require.Equal(t, "completed", s.waveStatus())
+				e.stopGracefully()
+			})
+		})
+	}
+}
+
+func TestWaveIsCompletedWithoutAnInstanceThatHasLeft(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.keepInstancesInPool()
+		e := s.startEntry("one")
+		time.Sleep(2500 * time.Millisecond)
+		s.instances.Remove("b")
+		s.requestWave(2, "a", "b")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "completed", s.waveStatus())
+		e.stopGracefully()
+	})
+}
+
 // A list may miss an instance between two pages. Its maintenance must go on to count
 // toward the wave's limit.
 func TestInstanceMissedByOneListCountsTowardTheLimitOfItsWave(t *testing.T) {
