Count orders of an earlier term for instances that are not listed yet

Operators saw more instances in maintenance than their wave allows (LIMIT) after a change of leader: the new leader's first list missed an instance for which its predecessor had sent an order, so the order counted toward nothing, and the next write of the orders dropped it from the store.

Cause: as for the wave without a new instance, absence from a list was taken as proof that the instance has left.

Change: the order counts toward the limit of its wave, and stays stored, until the instance is listed or two lists that were requested maxInstanceListAge after the start of the term lack it.

--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -153,6 +153,7 @@
 	}
 	p.instancesListed = true
 	p.previousListAt, p.lastListAt = p.lastListAt, requestedAt
+	e.dropOrdersOfUnlistedInstances()
 }
 
 // completePlan removes the plan of an instance on which the platform has
--- a/orchestrator/plan.go
+++ b/orchestrator/plan.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/juju/errors"
@@ -72,6 +73,21 @@
 	e.startPlan(i, kind, now) // evacuates tasks that were placed on the instance meanwhile
 }
 
+// dropOrdersOfUnlistedInstances forgets orders of an earlier term for instances that
+// have left: no list of this term has shown them, and two lists were requested late
+// enough to do so.
+func (e *Engine) dropOrdersOfUnlistedInstances() {
+	orders := &e.planner.orders
+	if len(orders.fromEarlierTerm) == 0 || e.planner.previousListAt.Sub(e.termStart) < maxInstanceListAge {
+		return
+	}
+	for name, order := range orders.fromEarlierTerm {
+		e.log.Info("order of an earlier term dropped: its instance is not listed", "instance", name, "to", order.Pool, "wave", order.Wave)
+	}
+	clear(orders.fromEarlierTerm)
+	orders.changed = true
+}
+
 // storeInstanceOrders stores the instance orders if they have changed, and
 // sends the new orders once they are stored. The transaction requires the last
 // known revision of the record, so that the store does not replace a later
@@ -82,6 +98,7 @@
 		return
 	}
 	record := make(InstanceOrders)
+	maps.Copy(record, orders.fromEarlierTerm)
 	var newOrders []*instance
 	for name, i := range e.planner.instances {
 		if i.plan == noPlan || i.phase == evacuating {
--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -135,9 +135,12 @@
 	}
 }
 
-// awaitsInstanceList reports whether a wave waits for newer instance lists, which show
-// whether an instance is there.
+// awaitsInstanceList reports whether a wave or an order of an earlier term waits for
+// newer instance lists, which show whether an instance is there.
 func (e *Engine) awaitsInstanceList() bool {
+	if len(e.planner.orders.fromEarlierTerm) > 0 {
+		return true
+	}
 	for _, v := range e.planner.waves {
 		for name := range v.pending {
 			if e.planner.instances[name] == nil {
@@ -180,6 +183,11 @@
 				view.Pending = append(view.Pending, e.waveCandidate(i))
 			}
 		}
+		for _, order := range e.planner.orders.fromEarlierTerm {
+			if order.Wave == v.Number {
+				view.InMaintenance++ // the list doesn't show the instance yet
+			}
+		}
 		for _, i := range e.planner.instances {
 			if i.plan == maintenancePlan && i.wave == v.Number {
 				view.InMaintenance++
@@ -301,6 +309,11 @@
 // hasPlannedMaintenance reports whether maintenance of an instance is still
 // planned or in progress for the wave.
 func (e *Engine) hasPlannedMaintenance(v *waveState) bool {
+	for _, order := range e.planner.orders.fromEarlierTerm {
+		if order.Wave == v.Number {
+			return true
+		}
+	}
 	for _, i := range e.planner.instances {
 		if i.wave == v.Number {
 			return true
--- a/orchestrator/wave_test.go
+++ b/orchestrator/wave_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/juju/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
 // hideInstances returns a set of instances that the instance list lacks.
@@ -131,3 +133,39 @@
 		e.stopGracefully()
 	})
 }
+
+// The order of an earlier leader must count toward the limit of its wave also if the
+// new leader's first list misses the instance.
+func TestNewLeaderCountsTheOrderForAnInstanceThatItsFirstListMisses(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.keepInstancesInPool()
+		hidden := s.hideInstances()
+		first := s.startEntry("one")
+		time.Sleep(2500 * time.Millisecond)
+		s.instances.OrderDelay = func(holder, _ string) time.Duration {
+			if holder == "one" {
+				return 6 * time.Second
+			}
+			return 0
+		}
+		s.requestWave(1, "a")
+		for s.instances.OrderCount("one") == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		first.crash()
+		hidden.Store("a", true)
+		s.requestWaves(modeler.Wave{Number: 1, Instances: []string{"a", "b"}, Duration: 30 * time.Second, MaxConcurrent: 1})
+		second := s.startEntry("two")
+		s.waitForLeader("two")
+		time.Sleep(400 * time.Millisecond)
+		hidden.Clear()
+		for range 120 {
+			time.Sleep(100 * time.Millisecond)
+			require.LessOrEqual(t, s.instances.InMaintenanceCount(), 1)
+		}
+		require.Equal(t, 1, s.instances.MaintenanceCount("a"))
+		require.Equal(t, 1, s.instances.MaintenanceCount("b"))
+		require.Equal(t, "completed", s.waveStatus())
+		second.stopGracefully()
+	})
+}
