Follow changes of a wave's request

Operators who added an instance to the request of a wave saw it left out: the leader read each request once in its term.

Change: a request that differs from the loaded one is loaded again. Its time begins anew, maintenance that has begun isn't repeated, and a completed wave runs again if instances await their maintenance.

Measured: TestWaveIncludesInstancesThatAreAddedToItsRequest failed before with 0 maintenances of the added instance, while the wave runs and after its completion; the tests of orchestrator pass now.

--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -67,12 +67,23 @@
 			e.planner.waves[info.Number] = v
 			e.log.Info("maintenance wave requested by the operator", "wave", info.Number, "instances", len(info.Instances), "at-once", info.MaxConcurrent, "within", info.Duration.String())
 		}
-		if v.loadedAt.IsZero() {
+		switch {
+		case v.loadedAt.IsZero():
+			v.load(info, now)
+		case v.isChangedBy(info):
+			e.log.Info("maintenance wave changed by the operator", "wave", info.Number, "instances", len(info.Instances), "at-once", info.MaxConcurrent, "within", info.Duration.String())
+			v.firstSeen, v.changed = now, true
+			v.record.First, v.record.Refused = now, nil
 			v.load(info, now)
 		}
 	}
 }
 
+// isChangedBy reports whether a request of the wave differs from the loaded one.
+func (v *waveState) isChangedBy(info modeler.Wave) bool {
+	return v.Duration != info.Duration || v.MaxConcurrent != info.MaxConcurrent || !slices.Equal(v.Instances, info.Instances)
+}
+
 // load takes over the request of a wave. A wave that an earlier term has completed
 // has gone on without the instances whose maintenance has not started.
 func (v *waveState) load(info modeler.Wave, now time.Time) {
--- a/orchestrator/wave_test.go
+++ b/orchestrator/wave_test.go
@@ -169,3 +169,24 @@
 		second.stopGracefully()
 	})
 }
+
+// An instance that the operator adds to the request of a wave must be maintained.
+func TestWaveIncludesInstancesThatAreAddedToItsRequest(t *testing.T) {
+	for name, after := range map[string]time.Duration{"while it runs": time.Second, "after its completion": 8 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 3, func(s *deployment) {
+				s.keepInstancesInPool()
+				e := s.startEntry("one")
+				time.Sleep(2500 * time.Millisecond)
+				s.requestWave(1, "a")
+				time.Sleep(after)
+				s.requestWave(1, "a", "b")
+				time.Sleep(10 * time.Second)
+				require.Equal(t, 1, s.instances.MaintenanceCount("a"))
+				require.Equal(t, 1, s.instances.MaintenanceCount("b"))
+				require.Equal(t, "completed", s.waveStatus())
+				e.stopGracefully()
+			})
+		})
+	}
+}
