Count jobs as pending until a task has started

Cause: a job counted as begun when a task was placed, before its worker was asked, and nothing undid that when the start was refused, withdrawn or never sent. The progress record kept it for the next leader.

Change: a job counts as pending until a worker has confirmed or listed a run of it or reported the end of one. The record has a field for that beside "begun", which keeps its meaning, so that earlier versions and placement behave as before. A job is queued again when its start turns out not to have taken place and nothing else of it runs; that is part of the write that requeues the task, so it costs no call to the store.

--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -33,8 +33,9 @@
 		unsorted bool             // late contains occurrences of repeating jobs, which are not in the order of Engine.jobOrder
 	}
 
-	// backlogEntry contains the candidate steps of a job that has not started and can't meet
-	// its objective any more. They stay the same until it starts, or the manifest changes.
+	// backlogEntry contains the candidate steps of a job that has not been placed and can't
+	// meet its objective any more. They stay the same until it is placed, or the manifest
+	// changes.
 	backlogEntry struct {
 		manifest   *modeler.Manifest
 		candidates []*candidateStep
@@ -122,10 +123,10 @@
 }
 
 // addCandidatesOf adds the steps of a job that may start to the candidates. If they stay
-// the same until the job starts, it becomes part of the backlog.
+// the same until the job is placed, it becomes part of the backlog.
 func (p *placementPass) addCandidatesOf(j *job) {
 	var candidates []*candidateStep
-	becomesBacklog := j.Repeat == 0 && !j.hasStarted && j.occurrences[0].candidate.CannotMeetDeadline()
+	becomesBacklog := j.Repeat == 0 && !j.hasBeenPlaced && j.occurrences[0].candidate.CannotMeetDeadline()
 	for _, o := range j.occurrences {
 		if !p.mayRun(o) {
 			continue
@@ -148,7 +149,7 @@
 
 // isBacklog reports whether the job's candidates are those in j.backlog.
 func (j *job) isBacklog() bool {
-	return !j.hasStarted && j.backlog.manifest != nil && j.backlog.manifest == j.settings.manifest
+	return !j.hasBeenPlaced && j.backlog.manifest != nil && j.backlog.manifest == j.settings.manifest
 }
 
 // mayRun reports whether the occurrence is due and has tasks that are not done.
@@ -192,11 +193,11 @@
 }
 
 // needsOnlyRoom reports whether the tasks of the step, which is in a queue, have no
-// requirements besides their resources. Tasks of jobs that have started may be suspected
+// requirements besides their resources. Tasks of jobs that have been placed may be suspected
 // of crashing their workers, inherited ones may have to wait.
 func (s *step) needsOnlyRoom(q *modeler.Queue) bool {
 	j := s.occurrence.job
-	return !j.hasStarted && !j.fromEarlierTerm && q.Advice == nil && !s.LongRunning && s.hasPlainRequirements()
+	return !j.hasBeenPlaced && !j.fromEarlierTerm && q.Advice == nil && !s.LongRunning && s.hasPlainRequirements()
 }
 
 // hasPlainRequirements reports whether any worker with enough room may take a task of
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -38,12 +38,12 @@
 	}
 	j := t.step.occurrence.job
 	e.handling = j
+	j.markStarted() // also if no record tells of the run
 	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
 		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
 		return result
 	}
-	j.markStarted() // also if no record tells of the run
 	e.log.Info("run ended", "task", t.id.String(), "run", ended.Run, "worker", w.ID, "how", ended.EndKind, "took", timeInPhase(t))
 	if ended.EndKind == modeler.EndDone && t.phase == running && !t.phaseSince.IsZero() {
 		e.recordWorkerSpeed(t, time.Since(t.phaseSince), time.Now())
@@ -151,6 +151,7 @@
 func (e *Engine) requeueTask(t *task) {
 	j := t.step.occurrence.job
 	t.requeue()
+	j.markNotStarted()
 	e.markUnstored(j)
 	e.completeJobIfDone(j)
 }
@@ -165,6 +166,9 @@
 	for _, r := range report.Running {
 		listedRuns[runID{r.Task, r.Run}] = true
 		t := e.findTask(r.Task)
+		if t != nil {
+			t.step.occurrence.job.markStarted()
+		}
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
 			e.stopOrphanedRun(w, cmp.Or(t, e.findTaskOfEndedJob(r.Task)), runID{r.Task, r.Run}, now)
 			continue
@@ -210,7 +214,6 @@
 	t.assignTo(w, adopted)
 	t.placedAt = time.Time{}
 	e.unknownRunsFound = true
-	j.markStarted()
 	e.markUnstored(j)
 	t.placementVersion = j.version
 	return true
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -36,7 +36,8 @@
 		occurrences     []*occurrence
 		state           modeler.State
 		reason          string // why the state is final
-		hasStarted      bool   // some task has been placed
+		hasBeenPlaced   bool   // some task has been placed; its worker may have refused the start
+		hasStarted      bool   // some task has started: its worker has confirmed or listed the run, or reported its end
 		version         int64  // incremented on each change that must be stored
 		storedVersion   int64  // last version in the store
 		commitInFlight  bool   // a transaction with the job is in flight
@@ -284,14 +285,30 @@
 	return left
 }
 
-// markStarted records that some task of the job has been placed.
-func (j *job) markStarted() {
-	j.hasStarted = true
+// markPlaced records that some task of the job has been placed. The job counts as
+// running while the response to the start is awaited, so that a start which is not
+// refused needs no further write to the store.
+func (j *job) markPlaced() {
+	j.hasBeenPlaced = true
 	if j.state == modeler.Queued {
 		j.state = modeler.Running
 	}
 }
 
+// markStarted records that some task of the job has started.
+func (j *job) markStarted() {
+	j.markPlaced()
+	j.hasStarted = true
+}
+
+// markNotStarted records that a task of the job did not start. A job of which no other
+// task has started or may start is queued again.
+func (j *job) markNotStarted() {
+	if j.state == modeler.Running && !j.hasStarted && j.activeTasks == 0 {
+		j.state = modeler.Queued
+	}
+}
+
 // hasStarted reports whether any task of the occurrence is placed, running or
 // done.
 func (o *occurrence) hasStarted() bool {
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -209,6 +209,7 @@
 			e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock, "took", took.Round(time.Millisecond).String())
 		}
 		t.phase, t.phaseSince = running, now
+		t.step.occurrence.job.markStarted()
 		e.admission.starts[w.Pool]++
 		e.stopIfUnwanted(t)
 	case errors.Is(err, errStartWithdrawn), errors.Is(err, errListTooOld):
@@ -336,6 +337,7 @@
 	if started {
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", report.ClockMs, "settled", true)
 		t.phase, t.phaseSince = running, time.Now()
+		t.step.occurrence.job.markStarted()
 		e.stopIfUnwanted(t)
 		return
 	}
@@ -346,6 +348,7 @@
 		}
 	}
 	if reportsRun(report, o) {
+		t.step.occurrence.job.markStarted()
 		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -489,7 +489,7 @@
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
 	t.phaseSince, t.placedAt = p.now, p.wallTime
-	j.markStarted()
+	j.markPlaced()
 	e.markUnstored(j)
 	t.placementVersion = j.version
 	t.placementBoot = t.worker.StartTimeMs
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -137,7 +137,7 @@
 func (f *fleet) countWaitingJobs() int {
 	n := 0
 	for _, j := range f.jobs {
-		if !j.hasStarted {
+		if !j.hasBeenPlaced {
 			n++
 		}
 	}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,9 +40,10 @@
 
 	// Progress is the stored progress of a job.
 	Progress struct {
-		State modeler.State  `json:"state"`
-		Begun bool           `json:"begun,omitempty"`
-		Steps []StepProgress `json:"steps,omitempty"`
+		State   modeler.State  `json:"state"`
+		Begun   bool           `json:"begun,omitempty"`   // some task has been placed
+		Started bool           `json:"started,omitempty"` // some task has started; versions that don't know it take placed ones to have started
+		Steps   []StepProgress `json:"steps,omitempty"`
 	}
 
 	// StepProgress is the progress of a step in one occurrence. Tasks that have not
@@ -134,7 +136,7 @@
 
 // progress returns the progress record of the job.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state, Begun: j.hasStarted}
+	p := Progress{State: j.state, Begun: j.hasBeenPlaced, Started: j.hasStarted}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if sp := s.progress(); len(sp.Done)+len(sp.Tasks) > 0 {
@@ -190,7 +192,7 @@
 // restore applies a stored progress record to a new job. workerOf returns the
 // worker named in a placement.
 func (j *job) restore(p Progress, workerOf func(tp TaskProgress) *worker) error {
-	j.state, j.hasStarted = p.State, p.Begun
+	j.state, j.hasBeenPlaced, j.hasStarted = p.State, p.Begun, p.Started
 	for _, sp := range p.Steps {
 		if min(sp.Occurrence, sp.Step) < 0 || sp.Occurrence >= len(j.occurrences) || sp.Step >= len(j.occurrences[sp.Occurrence].steps) {
 			return errors.NotValidf("progress record (unknown step %d in occurrence %d of job %q)", sp.Step, sp.Occurrence, j.ID)
@@ -198,10 +200,20 @@
 		if err := j.occurrences[sp.Occurrence].steps[sp.Step].restore(sp, workerOf); err != nil {
 			return err
 		}
+		if sp.hasStarted() {
+			j.markStarted()
+		}
 	}
+	j.markNotStarted()
 	return nil
 }
 
+// hasStarted reports whether the record shows that some task has started. Versions
+// that don't store Progress.Started leave it to this.
+func (sp *StepProgress) hasStarted() bool {
+	return len(sp.Done) > 0 || slices.ContainsFunc(sp.Tasks, func(tp TaskProgress) bool { return len(tp.Failed) > 0 || tp.Checkpoint != "" })
+}
+
 // restore applies a stored progress record to a new step.
 func (s *step) restore(sp StepProgress, workerOf func(tp TaskProgress) *worker) error {
 	for _, n := range sp.Done {
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -150,6 +150,9 @@
 // Start implements orchestrator.Workers.
 func (l workerLink) Start(ctx context.Context, w modeler.Worker, o modeler.StartOrder) (int64, error) {
 	time.Sleep(time.Duration(l.entry.startDelay.Load()))
+	if l.entry.refusesStarts.Load() {
+		return 0, modeler.ErrUnhealthy
+	}
 	if o.Task.Job == l.entry.deployment.rejectedJob {
 		l.entry.rejectedStarts.Add(1)
 		return 0, modeler.ErrRejected
@@ -240,6 +243,7 @@
 	startDelay         atomic.Int64                     // time until a start reaches its worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
 	refusesStops       atomic.Bool                      // workers refuse stops because they are unhealthy
+	refusesStarts      atomic.Bool                      // workers refuse starts because they are unhealthy
 	rejectedStarts     atomic.Int64                     // number of starts of the deployment's rejectedJob
 	refusedTickets     atomic.Int64                     // number of starts that are refused because of their ticket
 	panicsOnce         atomic.Bool                      // the leader panics in its event loop
