Acknowledge ended runs only to the process that reported them

Cause: an acknowledgement names ends by a number of one process, but the call is addressed to the worker's ID, which a later process has as well. It was left out after a failed poll only, and a restart between two polls makes none fail.

Change: a TCP connection ends with its process. A poll marks its connection with the start time in the response, and ends are acknowledged only over a connection with the mark of the process that reported them; otherwise the poll goes without an acknowledgement. Relays get the start time with the poll (protocol version 2; leaders of version 1 are still served).

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -10,6 +10,7 @@
 	"net/http/httptrace"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,12 +56,30 @@
 		net.Conn
 		reader    *bufio.Reader
 		idleSince time.Time
+		mark      atomic.Int64 // see Affinity; 0 for none
 	}
 
+	// Affinity restricts a call to the connections with a mark. A connection reaches
+	// the same process of a server as long as it lasts, so a caller that marks it with
+	// what a response says of the process can send later calls to that process only.
+	Affinity struct {
+		// Mark is the mark of the connections that the call may use, 0 for any. Without
+		// such a connection the call fails with ErrNoMarkedConnection and is not sent.
+		Mark int64
+
+		used atomic.Pointer[conn]
+	}
+
+	affinityKey struct{} // key of an Affinity in a context
+
 	// Option configures a Transport.
 	Option func(*Transport)
 )
 
+// ErrNoMarkedConnection reports that no unused connection has the mark that the call
+// requires.
+const ErrNoMarkedConnection = errors.ConstError("no unused connection reaches the required process")
+
 var requestBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 // WithDialer sets the dialer of connections.
@@ -96,6 +115,25 @@
 	return t
 }
 
+// WithAffinity returns a context for one call with the affinity.
+func WithAffinity(ctx context.Context, a *Affinity) context.Context {
+	return context.WithValue(ctx, affinityKey{}, a)
+}
+
+// MarkConnection marks the connection that the call has used, if it has used one.
+func (a *Affinity) MarkConnection(mark int64) {
+	if c := a.used.Load(); c != nil {
+		c.mark.Store(mark)
+	}
+}
+
+func (a *Affinity) requiredMark() int64 {
+	if a == nil {
+		return 0
+	}
+	return a.Mark
+}
+
 // RoundTrip implements http.RoundTripper. It supports the scheme http only.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	if r.Body != nil {
@@ -109,10 +147,14 @@
 	if trace != nil && trace.GetConn != nil {
 		trace.GetConn(name)
 	}
-	c, reused, err := t.connectionTo(ctx, name)
+	affinity, _ := ctx.Value(affinityKey{}).(*Affinity)
+	c, reused, err := t.connectionTo(ctx, name, affinity.requiredMark())
 	if err != nil {
 		return nil, err
 	}
+	if affinity != nil {
+		affinity.used.Store(c)
+	}
 	if trace != nil && trace.GotConn != nil {
 		trace.GotConn(httptrace.GotConnInfo{Conn: c, Reused: reused})
 	}
@@ -237,10 +279,11 @@
 	return body, err
 }
 
-// connectionTo returns an idle connection to the host, or opens one.
-func (t *Transport) connectionTo(ctx context.Context, name string) (c *conn, reused bool, err error) {
+// connectionTo returns an idle connection to the host, or opens one. If mark is not 0,
+// it returns an idle connection with that mark, or ErrNoMarkedConnection.
+func (t *Transport) connectionTo(ctx context.Context, name string, mark int64) (c *conn, reused bool, err error) {
 	for {
-		if c = t.takeIdle(name); c == nil {
+		if c = t.takeIdle(name, mark); c == nil {
 			break
 		}
 		if c.isUsable() {
@@ -248,6 +291,9 @@
 		}
 		_ = c.Close() // closed by the other side
 	}
+	if mark != 0 {
+		return nil, false, ErrNoMarkedConnection
+	}
 	ctx, cancel := context.WithTimeout(ctx, t.connectTimeout())
 	defer cancel()
 	opened, err := t.dial(ctx, "tcp", name)
@@ -257,19 +303,39 @@
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes)}, false, nil
 }
 
-func (t *Transport) takeIdle(name string) *conn {
+// takeIdle returns the idle connection with the mark that was used last, or nil.
+// Without a mark it prefers an unmarked one, so that marked ones are there for the
+// calls that require them.
+func (t *Transport) takeIdle(name string, mark int64) *conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h := t.hosts[name]
-	if h == nil || len(h.idle) == 0 {
+	if h == nil {
+		return nil
+	}
+	i := h.lastWithMark(mark)
+	if i < 0 && mark == 0 {
+		i = len(h.idle) - 1
+	}
+	if i < 0 {
 		return nil
 	}
-	last := len(h.idle) - 1
-	c := h.idle[last]
-	h.idle[last], h.idle = nil, h.idle[:last]
+	c := h.idle[i]
+	h.idle = slices.Delete(h.idle, i, i+1)
 	return c
 }
 
+// lastWithMark returns the index of the idle connection with the mark that was used
+// last, or -1. The caller holds the mutex of the transport.
+func (h *host) lastWithMark(mark int64) int {
+	for i, c := range slices.Backward(h.idle) {
+		if c.mark.Load() == mark {
+			return i
+		}
+	}
+	return -1
+}
+
 // putIdle keeps a connection for the next call.
 func (t *Transport) putIdle(name string, c *conn) {
 	c.idleSince = time.Now()
@@ -277,11 +343,16 @@
 	defer t.mu.Unlock()
 	t.closeUnused(c.idleSince)
 	h := t.hostOf(name)
-	if c.reader.Buffered() > 0 || len(h.idle) >= t.maxIdlePerHost {
-		_ = c.Close() // is not needed
+	if c.reader.Buffered() > 0 {
+		_ = c.Close() // sends more than its responses
 		return
 	}
 	h.idle = append(h.idle, c)
+	if len(h.idle) > t.maxIdlePerHost {
+		i := max(0, h.lastWithMark(0)) // a marked one is harder to replace
+		_ = h.idle[i].Close()          // is not needed
+		h.idle = slices.Delete(h.idle, i, i+1)
+	}
 }
 
 // closeUnused closes the connections that have been idle for too long, since the
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -193,3 +193,61 @@
 		})
 	}
 }
+
+func TestCallUsesOnlyAConnectionWithItsMark(t *testing.T) {
+	server, opened := countedServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") })
+	transport := connector.New()
+	call := func(mark int64) (*connector.Affinity, error) {
+		a := &connector.Affinity{Mark: mark}
+		_, _, err := post(connector.WithAffinity(t.Context(), a), t, transport, server.URL, "x")
+		return a, err
+	}
+	first, err := call(0)
+	require.NoError(t, err)
+	_, err = call(5)
+	require.ErrorIs(t, err, connector.ErrNoMarkedConnection)
+	first.MarkConnection(5)
+	_, err = call(5)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, opened.Load())
+
+	transport.CloseIdleConnections()
+	_, err = call(5)
+	require.ErrorIs(t, err, connector.ErrNoMarkedConnection)
+	require.EqualValues(t, 1, opened.Load(), "a call that is not sent opens no connection")
+}
+
+// A call without a mark would otherwise take the connection that the next call with a
+// mark requires.
+func TestCallWithoutAMarkPrefersAnUnmarkedConnection(t *testing.T) {
+	release := make(chan struct{})
+	server, opened := countedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	transport := connector.New()
+	waiting := make(chan error)
+	go func() {
+		_, _, err := post(t.Context(), t, transport, server.URL+"/wait", "")
+		waiting <- err
+	}()
+	require.Eventually(t, func() bool { return opened.Load() == 1 }, time.Second, time.Millisecond)
+	marked := new(connector.Affinity)
+	_, _, err := post(connector.WithAffinity(t.Context(), marked), t, transport, server.URL, "")
+	require.NoError(t, err)
+	marked.MarkConnection(5)
+	close(release)
+	require.NoError(t, <-waiting)
+
+	for range 3 {
+		a := new(connector.Affinity)
+		_, _, err = post(connector.WithAffinity(t.Context(), a), t, transport, server.URL, "")
+		require.NoError(t, err)
+		a.MarkConnection(0)
+		a = &connector.Affinity{Mark: 5}
+		_, _, err = post(connector.WithAffinity(t.Context(), a), t, transport, server.URL, "")
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, opened.Load())
+}
--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -537,7 +537,8 @@
 
 // RenewAndPoll extends the lease of a worker, acknowledges the ended runs whose number is
 // at most seen and returns the worker's report. If no ended run is left to report,
-// it first waits for one, at most for wait.
+// it first waits for one, at most for wait. A worker that started at another time than
+// info.StartTimeMs ignores seen, unless that is 0.
 func (f *TaskFleet) RenewAndPoll(ctx context.Context, info modeler.Worker, deadline, token, seen int64, wait time.Duration) (modeler.Report, error) {
 	w, err := f.respondingWorker(ctx, info)
 	if err != nil {
@@ -545,6 +546,9 @@
 	}
 	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
+	if info.StartTimeMs != 0 && info.StartTimeMs != w.StartTimeMs {
+		seen = 0
+	}
 	if err := f.renewLease(w, deadline, token, seen); err != nil {
 		return modeler.Report{}, err
 	}
--- a/relayer/client.go
+++ b/relayer/client.go
@@ -181,7 +181,7 @@
 func (c *Client) RenewAndPoll(ctx context.Context, w modeler.Worker, leaseDeadline, token, acknowledgedEnd int64, maxWait time.Duration) (modeler.Report, error) {
 	if p := c.pathTo(w.ID, token); p != nil {
 		res, sent, err := c.do(ctx, p, &call{
-			kind: callPoll, worker: w.ID, address: w.Address, leaseDeadline: leaseDeadline, acknowledged: acknowledgedEnd, wait: maxWait,
+			kind: callPoll, worker: w.ID, address: w.Address, leaseDeadline: leaseDeadline, acknowledged: acknowledgedEnd, process: w.StartTimeMs, wait: maxWait,
 		})
 		switch {
 		case !sent:
--- a/relayer/message.go
+++ b/relayer/message.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	protocolVersion = 1
-	maxFrameBytes   = 4 << 20 // a batch of the largest reports is smaller
+	protocolVersion      = 2
+	versionBeforeProcess = 1       // polls don't name the process whose ended runs they acknowledge
+	maxFrameBytes        = 4 << 20 // a batch of the largest reports is smaller
 )
 
 // Kinds of calls.
@@ -79,6 +80,7 @@
 		ticket        string
 		leaseDeadline int64
 		acknowledged  int64
+		process       int64 // start time of the worker's process whose ended runs are acknowledged; 0 if none are
 		wait          time.Duration
 	}
 
@@ -93,8 +95,9 @@
 
 	// reader reads the fields of a frame and keeps the first error.
 	reader struct {
-		rest string
-		err  error
+		rest    string
+		version uint64 // of the protocol in which calls are written
+		err     error
 	}
 )
 
@@ -132,6 +135,9 @@
 	if c.kind == callPoll {
 		buf = binary.AppendVarint(buf, c.leaseDeadline)
 		buf = binary.AppendVarint(buf, c.acknowledged)
+		if c.acknowledged != 0 {
+			buf = binary.AppendVarint(buf, c.process)
+		}
 		return binary.AppendUvarint(buf, uint64(c.wait.Milliseconds()))
 	}
 	buf = binary.AppendUvarint(appendTask(buf, c.task), uint64(c.run))
@@ -239,11 +245,12 @@
 	return modeler.TaskID{Job: r.text(), Occurrence: r.count(), Step: r.count(), Index: r.count()}
 }
 
-func (r *reader) hello() (token int64, err error) {
-	if v := r.uint(); v != protocolVersion {
-		return 0, errors.Annotatef(ErrMalformed, "protocol version %d", v)
+func (r *reader) hello() (version uint64, token int64, err error) {
+	version = r.uint()
+	if version != protocolVersion && version != versionBeforeProcess {
+		return 0, 0, errors.Annotatef(ErrMalformed, "protocol version %d", version)
 	}
-	return r.int(), r.err
+	return version, r.int(), r.err
 }
 
 func (r *reader) header() (stamp time.Duration, leaving bool) {
@@ -257,6 +264,9 @@
 	c.worker, c.address = r.text(), r.text()
 	if c.kind == callPoll {
 		c.leaseDeadline, c.acknowledged = r.int(), r.int()
+		if c.acknowledged != 0 && r.version != versionBeforeProcess {
+			c.process = r.int()
+		}
 		c.wait = time.Duration(r.count()) * time.Millisecond
 		return c
 	}
--- a/relayer/message_test.go
+++ b/relayer/message_test.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"encoding/binary"
 	"testing"
 	"time"
 
@@ -30,6 +31,9 @@
 		switch deadline := rapid.Int64().Draw(t, "deadline"); c.kind {
 		case callPoll:
 			c.leaseDeadline, c.acknowledged, c.wait = deadline, rapid.Int64().Draw(t, "acknowledged"), 2*time.Second
+			if c.acknowledged != 0 {
+				c.process = rapid.Int64().Draw(t, "process")
+			}
 		default:
 			c.task, c.run = drawTask(t), rapid.IntRange(0, 1000).Draw(t, "run")
 			if c.kind == callStart {
@@ -153,3 +157,16 @@
 	require.True(t, UsesRelays(349, false))
 	require.True(t, UsesRelays(relayOffWorkers, true), "the number of workers may vary")
 }
+
+// A relay that has been upgraded must still serve a leader that has not.
+func TestPollOfAnEarlierLeaderIsRead(t *testing.T) {
+	c := call{kind: callPoll, id: 1, worker: "w", address: "10.0.0.1:9", leaseDeadline: 2, wait: time.Second}
+	buf := appendCall(nil, &c)
+	buf = buf[:len(buf)-len(binary.AppendUvarint(binary.AppendVarint(nil, 0), 1000))]
+	c.acknowledged = 3
+	buf = binary.AppendUvarint(binary.AppendVarint(buf, c.acknowledged), 1000)
+	r := &reader{rest: string(buf), version: versionBeforeProcess}
+	require.Equal(t, c, r.call())
+	require.NoError(t, r.err)
+	require.Empty(t, r.rest)
+}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -46,6 +46,7 @@
 
 	// session is a stream from a leader.
 	session struct {
+		version   uint64 // of the leader's protocol
 		token     int64
 		cancel    context.CancelCauseFunc
 		out       *outbox
@@ -127,13 +128,13 @@
 	if err != nil {
 		return err
 	}
-	token, err := (&reader{rest: first}).hello()
+	version, token, err := (&reader{rest: first}).hello()
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	current := &session{token: token, cancel: cancel, inFlight: make(chan struct{}, maxCallsInFlight)}
+	current := &session{version: version, token: token, cancel: cancel, inFlight: make(chan struct{}, maxCallsInFlight)}
 	current.out = newOutbox(func(buf []byte) []byte { return appendHeader(buf, s.now(), current.leaving.Load()) })
 	current.lastFrame.Store(int64(s.now()))
 	if err := s.accept(current); err != nil {
@@ -196,7 +197,7 @@
 			return err
 		}
 		current.lastFrame.Store(int64(s.now()))
-		for r := (&reader{rest: data}); r.rest != ""; {
+		for r := (&reader{rest: data, version: current.version}); r.rest != ""; {
 			c := r.call()
 			if r.err != nil {
 				return r.err
@@ -236,7 +237,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.wait+c.limit)
 	defer cancel()
 	res := result{id: c.id}
-	w := modeler.Worker{ID: c.worker, Address: c.address}
+	w := modeler.Worker{ID: c.worker, Address: c.address, StartTimeMs: c.process}
 	var err error
 	switch c.kind {
 	case callStart:
