Stop using connections that may have fallen silent with one without a response

Cause: a call without a response ran into its time limit, 2.2 s for a watch, and the next call took another unused connection, which was as silent. Each one cost a time limit.

Change: when a call has no response in time, unused connections to the host that have not responded since are in doubt. The next call opens a connection, which further calls share. If the late response still comes, the host was slow and the connections are used again; otherwise they are closed. A cancelled call puts none in doubt. This holds for all hosts: store, workers and the instance service.

TestOneCallWithoutAResponseShowsThatConnectionsAreSilent failed before with a second time-out; it also bounds the connections that are opened, one for four.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -34,7 +34,9 @@
 	// GotConn of httptrace.
 	//
 	// A connection whose response is late, because the context of the call ended
-	// first, is not closed at once: it is used again if the response still comes.
+	// first, is not closed at once: it is used again if the response still comes. Until
+	// then the other unused connections to the host are not used either, since they may
+	// have fallen silent together. If the response doesn't come, they are closed.
 	Transport struct {
 		dial           func(ctx context.Context, network, address string) (net.Conn, error)
 		connectTimeout func() time.Duration
@@ -48,8 +50,9 @@
 
 	// host is the connections to one host that are not in use.
 	host struct {
-		idle []*conn // the one used last is at the end
-		late int     // connections that await a late response
+		idle   []*conn   // the one used last is at the end
+		late   int       // connections that await a late response
+		lateAt time.Time // when the last call without a response failed; connections that have not responded since are in doubt
 	}
 
 	conn struct {
@@ -182,7 +185,7 @@
 	case err == nil && !res.Close:
 		t.putIdle(name, c)
 	case err != nil && !responding && isTimeout(err):
-		t.awaitLateResponse(name, c)
+		t.awaitLateResponse(name, c, errors.Is(ctx.Err(), context.Canceled))
 	default:
 		_ = c.Close() // the response is complete, or there will be none
 	}
@@ -317,7 +320,7 @@
 	if i < 0 && mark == 0 {
 		i = len(h.idle) - 1
 	}
-	if i < 0 {
+	if i < 0 || h.isInDoubt(h.idle[i]) {
 		return nil
 	}
 	c := h.idle[i]
@@ -329,13 +332,32 @@
 // last, or -1. The caller holds the mutex of the transport.
 func (h *host) lastWithMark(mark int64) int {
 	for i, c := range slices.Backward(h.idle) {
-		if c.mark.Load() == mark {
+		if c.mark.Load() == mark && !h.isInDoubt(c) {
 			return i
 		}
 	}
 	return -1
 }
 
+// isInDoubt reports whether a call to the host has had no response since the idle
+// connection was used last.
+func (h *host) isInDoubt(c *conn) bool {
+	return c.idleSince.Before(h.lateAt)
+}
+
+// takeInDoubt removes the connections in doubt from the idle ones and returns them.
+func (h *host) takeInDoubt() []*conn {
+	var inDoubt []*conn
+	h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
+		if h.isInDoubt(c) {
+			inDoubt = append(inDoubt, c)
+			return true
+		}
+		return false
+	})
+	return inDoubt
+}
+
 // putIdle keeps a connection for the next call.
 func (t *Transport) putIdle(name string, c *conn) {
 	c.idleSince = time.Now()
@@ -349,8 +371,11 @@
 	}
 	h.idle = append(h.idle, c)
 	if len(h.idle) > t.maxIdlePerHost {
-		i := max(0, h.lastWithMark(0)) // a marked one is harder to replace
-		_ = h.idle[i].Close()          // is not needed
+		i := 0
+		if !h.isInDoubt(h.idle[0]) {
+			i = max(0, h.lastWithMark(0)) // a marked one is harder to replace
+		}
+		_ = h.idle[i].Close() // is not needed
 		h.idle = slices.Delete(h.idle, i, i+1)
 	}
 }
@@ -388,10 +413,15 @@
 
 // awaitLateResponse keeps a connection if its response comes within
 // lateResponseTimeout. It does so for one connection to a host at a time, because
-// a host that answers none of several calls is probably gone.
-func (t *Transport) awaitLateResponse(name string, c *conn) {
+// a host that answers none of several calls is probably gone. Unless the caller has
+// cancelled the call, the other unused connections are in doubt until the response
+// comes.
+func (t *Transport) awaitLateResponse(name string, c *conn, cancelled bool) {
 	t.mu.Lock()
 	h := t.hostOf(name)
+	if !cancelled {
+		h.lateAt = time.Now()
+	}
 	if h.late > 0 {
 		t.mu.Unlock()
 		_ = c.Close() // the connection has no further use
@@ -407,14 +437,21 @@
 				err = io.EOF
 			}
 		}
+		var unneeded []*conn
 		t.mu.Lock()
 		h.late--
+		if err == nil {
+			h.lateAt = time.Time{}
+		} else {
+			unneeded = append(h.takeInDoubt(), c)
+		}
 		t.mu.Unlock()
-		if err != nil {
-			_ = c.Close() // no complete response
-			return
+		for _, c := range unneeded {
+			_ = c.Close() // has not responded
+		}
+		if err == nil {
+			t.putIdle(name, c)
 		}
-		t.putIdle(name, c)
 	}()
 }
 
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -251,3 +252,145 @@
 	}
 	require.EqualValues(t, 2, opened.Load())
 }
+
+// silentProxy forwards connections to a server. Those that are open when it falls silent
+// stay open and forward nothing any more.
+type silentProxy struct {
+	net.Listener
+	target string
+
+	mu     sync.Mutex
+	opened int
+	silent map[net.Conn]bool // by connection of a client
+}
+
+func newSilentProxy(t *testing.T, target string) *silentProxy {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &silentProxy{Listener: l, target: target, silent: make(map[net.Conn]bool)}
+	t.Cleanup(func() { _ = l.Close() })
+	go p.serve()
+	return p
+}
+
+func (p *silentProxy) serve() {
+	for {
+		client, err := p.Accept()
+		if err != nil {
+			return // the test has ended
+		}
+		server, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = client.Close()
+			continue
+		}
+		p.mu.Lock()
+		p.opened++
+		p.silent[client] = false
+		p.mu.Unlock()
+		go p.forward(client, server, client)
+		go p.forward(client, client, server)
+	}
+}
+
+// forward copies what from sends unless the client's connection is silent.
+func (p *silentProxy) forward(client, from, to net.Conn) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			_ = to.Close()
+			return
+		}
+		p.mu.Lock()
+		silent := p.silent[client]
+		p.mu.Unlock()
+		if !silent {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
+
+// fallSilent makes all open connections silent.
+func (p *silentProxy) fallSilent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.silent {
+		p.silent[c] = true
+	}
+}
+
+func (p *silentProxy) openedConnections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// When the connections to a host have fallen silent, one call without a response must be
+// enough to notice. See docs/incidents/2026-12-05-withdrawn-key-in-use.md.
+func TestOneCallWithoutAResponseShowsThatConnectionsAreSilent(t *testing.T) {
+	const connections = 4
+	release := make(chan struct{})
+	var waiting sync.WaitGroup
+	waiting.Add(connections)
+	server, _ := countedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			waiting.Done()
+			<-release
+		}
+	})
+	proxy := newSilentProxy(t, server.Listener.Addr().String())
+	transport := connector.New(connector.WithMaxIdlePerHost(connections))
+	url := "http://" + proxy.Addr().String()
+	var calls sync.WaitGroup
+	for range connections {
+		calls.Go(func() { _, _, _ = post(t.Context(), t, transport, url+"/wait", "") })
+	}
+	waiting.Wait()
+	close(release)
+	calls.Wait()
+
+	proxy.fallSilent()
+	call := func() error {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_, _, err := post(ctx, t, transport, url, "")
+		return err
+	}
+	require.ErrorIs(t, call(), context.DeadlineExceeded)
+	for range 10 {
+		require.NoError(t, call())
+	}
+	require.Equal(t, connections+1, proxy.openedConnections(), "further calls share the new connection")
+}
+
+// A host that is slow once must not cost all its connections.
+func TestConnectionsAreUsedAgainAfterALateResponse(t *testing.T) {
+	release := make(chan struct{})
+	server, opened := countedServer(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/wait" {
+			<-release
+		}
+	})
+	transport := connector.New()
+	done := make(chan struct{})
+	go func() {
+		_, _, _ = post(t.Context(), t, transport, server.URL+"/wait", "")
+		close(done)
+	}()
+	require.Eventually(t, func() bool { return opened.Load() == 1 }, time.Second, time.Millisecond)
+	_, _, err := post(t.Context(), t, transport, server.URL, "")
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, _, err = post(ctx, t, transport, server.URL+"/wait", "")
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	close(release)
+	<-done
+	time.Sleep(50 * time.Millisecond)
+	for range 5 {
+		_, _, err := post(t.Context(), t, transport, server.URL, "")
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, opened.Load())
+}
