Answer for a job of another customer as for one that does not exist

Any caller with a key in force could read and cancel the job of another customer by its ID, and was told that a job is accepted when the ID was another's.

Cause: the acceptor found jobs by their ID alone, and the record of an ended job did not name its customer.

Change: GET and DELETE of a job answer 410 unless the caller is its customer; a job that was handed in through a public queue stays known to all. A submission under the ID of another customer's job is refused with 409. Outcome records name the owner, about 20 bytes; those of earlier versions can be read by all until they are deleted.

Measured: TestJobOfAnotherCustomerIsNotKnown failed before in its three cases with 200 instead of 410; the tests of acceptor and orchestrator pass.

--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -261,3 +261,47 @@
 	b.fleet.evacuated = nil
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/"+other, body, "secret").Code)
 }
+
+// A customer must neither read nor cancel the job of another, nor learn that it exists.
+func TestJobOfAnotherCustomerIsNotKnown(t *testing.T) {
+	for name, prepare := range map[string]func(b *fixture){
+		"running job": func(*fixture) {},
+		"ended job": func(b *fixture) {
+			b.put(orchestrator.JobKey(jobID), orchestrator.JobRecord{Outcome: modeler.Completed, Owner: "c"})
+		},
+		"ended job in the cache": func(b *fixture) {
+			b.put(orchestrator.JobKey(jobID), orchestrator.JobRecord{Outcome: modeler.Completed, Owner: "c"})
+			require.Equal(b.t, http.StatusOK, b.call("GET", "/k/"+jobID, "", "secret").Code)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFixture(t)
+			b.fleet.manifest.Customers = append(b.fleet.manifest.Customers, modeler.Customer{Name: "other", Keys: []string{"others-secret"}})
+			b.fleet.manifest.Index()
+			require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+			prepare(b)
+			unknown := b.call("GET", "/k/0123456789abcdef", "", "others-secret")
+			for _, caller := range []struct{ path, key string }{{"/k/" + jobID, "others-secret"}, {"/o/" + jobID, ""}} {
+				for _, method := range []string{"GET", "DELETE"} {
+					w := b.call(method, caller.path, "", caller.key)
+					require.Equal(t, unknown.Code, w.Code, method)
+					require.Equal(t, unknown.Body.String(), w.Body.String(), method)
+				}
+				require.Equal(t, http.StatusConflict, b.call("POST", caller.path, body, caller.key).Code)
+			}
+			require.Equal(t, http.StatusUnauthorized, b.call("GET", "/k/"+jobID, "", "withdrawn").Code)
+			require.Equal(t, http.StatusOK, b.call("GET", "/k/"+jobID, "", "secret").Code)
+			r, err := b.store.ClientFor("x").Get(t.Context(), orchestrator.CancelKey(jobID))
+			require.NoError(t, err)
+			require.Zero(t, r.Revision, "not cancelled")
+		})
+	}
+}
+
+func TestJobOfAPublicQueueIsKnownToAll(t *testing.T) {
+	b := newFixture(t)
+	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+jobID, body, "").Code)
+	require.Equal(t, http.StatusOK, b.call("GET", "/o/"+jobID, "", "").Code)
+	require.Equal(t, http.StatusOK, b.call("GET", "/o/"+jobID, "", "secret").Code)
+	require.Equal(t, http.StatusOK, b.call("DELETE", "/o/"+jobID, "", "").Code)
+}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -43,11 +43,13 @@
 			r.customer, r.queue.Name, wait, 100*l.Accept, cmp.Or(l.Cause, "unstated"), l.FreeCores, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(wait, a.random())))
 	}
 	job.Accepted = a.now()
-	_, _, err = a.store.Commit(r.Context(), keeper.Txn{
+	_, stored, err := a.store.Commit(r.Context(), keeper.Txn{
 		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(r.job)}},
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(r.job), Value: orchestrator.EncodeJobRecord(job)}},
 	})
 	switch {
+	case errors.Is(err, keeper.ErrConflict) && a.isForeign(r, stored):
+		return answer{}, classifier.Refuse(classifier.Conflict, "job ID %q is in use, choose another one", r.job)
 	case err == nil, errors.Is(err, keeper.ErrConflict):
 		meter.CountAcceptedJob(r.queue.Name)
 		return answer{status: http.StatusOK}, nil
@@ -102,8 +104,8 @@
 
 // jobState answers with the state of a job.
 func (a *Acceptor) jobState(r *request) (answer, error) {
-	if s := a.outcomes.find(r.job); s != "" {
-		return answer{http.StatusOK, platform.JobStateResponse(s)}, nil
+	if o, ok := a.outcomes.find(r.job); ok && r.maySee(o.customer) {
+		return answer{http.StatusOK, platform.JobStateResponse(o.state)}, nil
 	}
 	v, err := a.loadJob(r)
 	if err != nil {
@@ -141,11 +143,39 @@
 }
 
 // loadJob reads a job from the key-value service and caches its outcome once it
-// has ended.
+// has ended. The job of another customer is not known to the caller.
 func (a *Acceptor) loadJob(r *request) (orchestrator.JobView, error) {
 	v, err := orchestrator.LoadJobView(r.Context(), a.store, r.job)
-	if err == nil && v.Known && v.State.IsFinal() {
-		a.outcomes.add(r.job, v.State)
+	if err != nil {
+		return v, err
+	}
+	if v.Known && v.State.IsFinal() {
+		a.outcomes.add(r.job, outcome{v.State, v.Customer})
+	}
+	if !r.maySee(v.Customer) {
+		a.log.Warn("job of another customer asked for, answered as not known", "job", r.job, "queue", r.queue.Name, "customer", r.customer, "owner", v.Customer)
+		return orchestrator.JobView{}, nil
+	}
+	return v, nil
+}
+
+// maySee reports whether the caller may know of a job of a customer.
+func (r *request) maySee(customer string) bool {
+	return customer == "" || customer == r.customer
+}
+
+// isForeign reports whether one of the stored records shows that the job belongs to
+// another customer.
+func (a *Acceptor) isForeign(r *request, stored []keeper.Record) bool {
+	for _, record := range stored {
+		if record.Key != orchestrator.JobKey(r.job) {
+			continue
+		}
+		customer, err := orchestrator.ReadJobCustomer(record)
+		if err != nil {
+			a.log.Error("job record cannot be read, its owner is not known", "job", r.job, "error", err)
+		}
+		return err == nil && !r.maySee(customer)
 	}
-	return v, err
+	return false
 }
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -175,7 +175,7 @@
 	b.final = append(b.final, final)
 	b.txn.Expect = append(b.txn.Expect, keeper.Expectation{Key: j.progressKey, Revision: j.revision})
 	if final {
-		b.txn.Put = append(b.txn.Put, keeper.Put{Key: JobKey(j.ID), Value: encodeJSON(JobRecord{Outcome: j.state})})
+		b.txn.Put = append(b.txn.Put, keeper.Put{Key: JobKey(j.ID), Value: encodeJSON(JobRecord{Outcome: j.state, Owner: j.Customer})})
 		b.txn.Delete = append(b.txn.Delete, j.progressKey, CancelKey(j.ID))
 		return
 	}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -34,6 +34,7 @@
 	// progress they would not find.
 	JobRecord struct {
 		Outcome    modeler.State `json:"outcome,omitempty"` // final state; set when the job has ended
+		Owner      string        `json:"owner,omitempty"`   // customer whose job has ended
 		Definition *modeler.Job  `json:"definition,omitempty"`
 		*modeler.Job
 	}
@@ -109,6 +110,15 @@
 	return r.Job, OldProgressKey(id)
 }
 
+// customer returns the customer whose job it is, or "" if the record names none:
+// the queue is public, or an earlier version has stored the outcome.
+func (r *JobRecord) customer() string {
+	if def, _ := r.definition(""); def != nil {
+		return def.Customer
+	}
+	return r.Owner
+}
+
 // splitJobKey splits a key below JobPrefix into the job ID and the suffix.
 func splitJobKey(key string) (id, suffix string) {
 	id = strings.TrimPrefix(key, JobPrefix)
--- a/orchestrator/view.go
+++ b/orchestrator/view.go
@@ -15,8 +15,9 @@
 	JobView struct {
 		Known     bool
 		State     modeler.State
-		Revision  int64 // revision of the job's record
-		Cancelled bool  // cancellation has been requested
+		Customer  string // whose job it is; empty if any caller may know of it
+		Revision  int64  // revision of the job's record
+		Cancelled bool   // cancellation has been requested
 	}
 
 	// Lister lists the records below a prefix.
@@ -44,6 +45,14 @@
 	return readJobView(id, append(progress, records...))
 }
 
+// ReadJobCustomer returns the customer that a job's record names. It is empty for a job
+// of which any caller may know.
+func ReadJobCustomer(r keeper.Record) (string, error) {
+	var rec JobRecord
+	err := json.Unmarshal(r.Value, &rec)
+	return rec.customer(), errors.Annotatef(err, "decoding the job record %q", r.Key)
+}
+
 // readJobView returns the state of a job from its records.
 func readJobView(id string, records []keeper.Record) (JobView, error) {
 	v := JobView{State: modeler.Queued}
@@ -55,7 +64,7 @@
 			if err := json.Unmarshal(r.Value, &rec); err != nil {
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
 			}
-			v.Known, v.Revision, outcome = true, r.Revision, rec.Outcome
+			v.Known, v.Revision, outcome, v.Customer = true, r.Revision, rec.Outcome, rec.customer()
 		case ProgressKey(id), OldProgressKey(id):
 			p, err := DecodeProgress(r.Value)
 			if err != nil {
