Keep a cancelled job from being stored by a late write

Cause: the write of a submission without an answer may still be carried out, and a DELETE of an unknown job left nothing that makes it fail.

Change: such a DELETE stores a record under the job's key. GET and DELETE answer 410 as before; a submission under that ID is refused with 409. The leader removes the record like that of an ended job, and an entry stores at most 200 in 10 s.

The check "a DELETE of an unknown job stores nothing" of TestBadCallsAreRefused was wrong by this; it now requires exactly one write for it and none for the other bad calls.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -46,12 +46,13 @@
 
 	// Acceptor is the handler of the callers' HTTP interface.
 	Acceptor struct {
-		store    Store
-		fleet    FleetState
-		log      *slog.Logger
-		now      func() time.Time
-		outcomes *outcomeCache
-		random   func() float64 // from 0 to 1, decides which jobs are refused
+		store       Store
+		fleet       FleetState
+		log         *slog.Logger
+		now         func() time.Time
+		outcomes    *outcomeCache
+		withdrawals rateLimit
+		random      func() float64 // from 0 to 1, decides which jobs are refused
 	}
 
 	// Option changes an Acceptor under construction.
@@ -92,7 +93,7 @@
 
 // New returns the handler of the callers' HTTP interface.
 func New(store Store, fleet FleetState, opts ...Option) *Acceptor {
-	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64}
+	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64, withdrawals: rateLimit{limit: maxWithdrawals, period: withdrawalPeriod}}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -120,7 +121,6 @@
 		"oversized":    {"POST", "/o/" + jobID, strings.Repeat(" ", 1001) + body, "", http.StatusBadRequest, "too large"},
 		"bad method":   {"PATCH", "/o/" + jobID, "", "", http.StatusMethodNotAllowed, ""},
 		"unknown job":  {"GET", "/o/" + jobID, "", "", http.StatusGone, ""},
-		"no such end":  {"DELETE", "/o/" + jobID, "", "", http.StatusGone, ""},
 		"count of one": {"GET", "/o/", "", "", http.StatusOK, `{"pending":3}`},
 	} {
 		w := b.call(c.method, c.path, c.body, c.key)
@@ -128,6 +128,10 @@
 		require.Contains(t, w.Body.String(), c.text, name)
 	}
 	require.Zero(t, b.store.Commits())
+	w := b.call("DELETE", "/o/"+jobID, "", "")
+	require.Equal(t, http.StatusGone, w.Code)
+	require.Equal(t, 1, b.store.Commits(), "the job is withdrawn")
+	require.Equal(t, http.StatusGone, b.call("GET", "/o/"+jobID, "", "").Code)
 }
 
 func TestNothingIsAcceptedWithoutAManifest(t *testing.T) {
@@ -305,3 +309,41 @@
 	require.Equal(t, http.StatusOK, b.call("GET", "/o/"+jobID, "", "secret").Code)
 	require.Equal(t, http.StatusOK, b.call("DELETE", "/o/"+jobID, "", "").Code)
 }
+
+// A submission whose write is carried out after the job has been cancelled must not take
+// effect. See docs/incidents/2026-12-05-cancelled-job-runs.md.
+func TestLateWriteOfACancelledJobTakesNoEffect(t *testing.T) {
+	b := newFixture(t)
+	delay := 50 * time.Millisecond
+	b.store.InjectFaults(func(f *emulator.MetaStoreFaults) {
+		f.LoseCommitResponse = func(keeper.Txn) (bool, time.Duration) { return true, delay }
+	})
+	require.Equal(t, http.StatusGatewayTimeout, b.call("POST", "/k/"+jobID, body, "secret").Code)
+	b.store.InjectFaults(func(f *emulator.MetaStoreFaults) { f.LoseCommitResponse = nil })
+	require.Equal(t, http.StatusGone, b.call("DELETE", "/k/"+jobID, "", "secret").Code)
+	time.Sleep(2 * delay)
+	r, err := b.store.ClientFor("x").Get(t.Context(), orchestrator.JobKey(jobID))
+	require.NoError(t, err)
+	var rec orchestrator.JobRecord
+	require.NoError(t, json.Unmarshal(r.Value, &rec))
+	require.Nil(t, rec.Definition)
+	for range 2 {
+		require.Equal(t, http.StatusGone, b.call("GET", "/k/"+jobID, "", "secret").Code, "the job was never accepted")
+		require.Equal(t, http.StatusGone, b.call("DELETE", "/k/"+jobID, "", "secret").Code)
+	}
+	require.Equal(t, http.StatusConflict, b.call("POST", "/k/"+jobID, body, "secret").Code)
+}
+
+func TestCancellationsOfUnknownJobsAreLimited(t *testing.T) {
+	b := newFixture(t)
+	accepted := 0
+	for i := range 300 {
+		if b.call("DELETE", fmt.Sprintf("/o/%016x", i), "", "").Code == http.StatusGone {
+			accepted++
+		}
+	}
+	require.Equal(t, 200, accepted)
+	w := b.call("DELETE", "/o/"+jobID, "", "")
+	require.Equal(t, http.StatusTooManyRequests, w.Code)
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -19,7 +20,13 @@
 )
 
 const (
-	cancelAttempts = 3               // a job's record changes at most once while a cancellation is stored
+	cancelAttempts = 3 // a job's record changes at most once while a cancellation is stored
+
+	// maxWithdrawals is how many unknown jobs an entry node withdraws within
+	// withdrawalPeriod, since each one takes up a record for some minutes.
+	maxWithdrawals   = 200
+	withdrawalPeriod = 10 * time.Second
+
 	evacuationWait = 7 * time.Second // stands for the time until a zone is restored, which is not known; a caller with four retries then waits at least 12 s
 )
 
@@ -48,6 +55,8 @@
 		Put:    []keeper.Put{{Key: orchestrator.JobKey(r.job), Value: orchestrator.EncodeJobRecord(job)}},
 	})
 	switch {
+	case errors.Is(err, keeper.ErrConflict) && isWithdrawn(r, stored):
+		return answer{}, errWithdrawn(r)
 	case errors.Is(err, keeper.ErrConflict) && a.isForeign(r, stored):
 		return answer{}, classifier.Refuse(classifier.Conflict, "job ID %q is in use, choose another one", r.job)
 	case err == nil, errors.Is(err, keeper.ErrConflict):
@@ -81,6 +90,9 @@
 	if err == nil && v.Known {
 		return answer{status: http.StatusOK}, nil
 	}
+	if err == nil && v.Withdrawn {
+		return answer{}, errWithdrawn(r)
+	}
 	return answer{}, classifier.Uncertain(classifier.DeadlineOver, "the key-value service has not confirmed the job, send it again: %v", errors.Cause(cause))
 }
 
@@ -117,7 +129,8 @@
 	return answer{http.StatusOK, platform.JobStateResponse(v.State)}, nil
 }
 
-// cancel stores the request to cancel a job.
+// cancel stores the request to cancel a job. A job that is not known is withdrawn:
+// the write of a submission without a response may still be carried out.
 func (a *Acceptor) cancel(r *request) (answer, error) {
 	var err error
 	for range cancelAttempts {
@@ -126,7 +139,16 @@
 			return answer{}, a.storeFailure(err)
 		}
 		switch {
-		case !v.Known, v.State == modeler.Completed, v.State == modeler.Failed:
+		case !v.Known && !v.Withdrawn:
+			if err = a.withdraw(r); err == nil {
+				return answer{status: http.StatusGone}, nil
+			}
+			var refusal *classifier.Error
+			if errors.As(err, &refusal) {
+				return answer{}, refusal
+			}
+			continue // the job has been stored since, or the write had no response
+		case v.Withdrawn, v.State == modeler.Completed, v.State == modeler.Failed:
 			return answer{status: http.StatusGone}, nil
 		case v.Cancelled:
 			return answer{status: http.StatusOK}, nil
@@ -142,6 +164,38 @@
 	return answer{}, classifier.Uncertain(classifier.StoreDown, "the cancellation is not confirmed, send it again: %v", errors.Cause(err))
 }
 
+// withdraw keeps an unknown job from being stored. It fails with keeper.ErrConflict if
+// the caller's job has been stored since. The job of another customer stays as it is.
+func (a *Acceptor) withdraw(r *request) error {
+	if !a.withdrawals.allow(a.now()) {
+		return classifier.Refuse(classifier.QueueFull, "over %d unknown jobs were cancelled within %v, try again later", maxWithdrawals, withdrawalPeriod).WithRetryAfter(withdrawalPeriod)
+	}
+	_, stored, err := a.store.Commit(r.Context(), keeper.Txn{
+		Expect: []keeper.Expectation{{Key: orchestrator.JobKey(r.job)}},
+		Put:    []keeper.Put{{Key: orchestrator.JobKey(r.job), Value: orchestrator.EncodeWithdrawal(r.customer)}},
+	})
+	switch {
+	case errors.Is(err, keeper.ErrConflict) && a.isForeign(r, stored):
+		return nil
+	case err == nil:
+		a.log.Info("unknown job cancelled: a late submission can't be stored any more", "job", r.job, "queue", r.queue.Name, "customer", r.customer)
+	}
+	return err
+}
+
+// errWithdrawn returns the refusal of a submission that was cancelled before it was
+// stored.
+func errWithdrawn(r *request) error {
+	return classifier.Refuse(classifier.Cancelled, "job %q was cancelled before it was accepted, choose another ID", r.job)
+}
+
+// isWithdrawn reports whether one of the stored records keeps the job from being stored.
+func isWithdrawn(r *request, stored []keeper.Record) bool {
+	return slices.ContainsFunc(stored, func(record keeper.Record) bool {
+		return record.Key == orchestrator.JobKey(r.job) && orchestrator.IsWithdrawal(record)
+	})
+}
+
 // loadJob reads a job from the key-value service and caches its outcome once it
 // has ended. The job of another customer is not known to the caller.
 func (a *Acceptor) loadJob(r *request) (orchestrator.JobView, error) {
--- a/orchestrator/pending_test.go
+++ b/orchestrator/pending_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
@@ -102,3 +103,25 @@
 		second.stopGracefully()
 	})
 }
+
+// The records of withdrawn jobs must not pile up.
+func TestWithdrawnJobIsForgottenLikeAnEndedOne(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.keepInstancesInPool()
+		e := s.startEntry("one")
+		time.Sleep(time.Second)
+		key := orchestrator.JobKey("j1")
+		_, _, err := s.store.ClientFor("caller").Commit(t.Context(), keeper.Txn{Put: []keeper.Put{{Key: key, Value: orchestrator.EncodeWithdrawal("c")}}})
+		require.NoError(t, err)
+		for _, after := range []struct {
+			wait  time.Duration
+			known bool
+		}{{30 * time.Second, true}, {15 * time.Second, false}} {
+			time.Sleep(after.wait)
+			r, err := s.store.ClientFor("caller").Get(t.Context(), key)
+			require.NoError(t, err)
+			require.Equal(t, after.known, r.Revision != 0)
+		}
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -33,9 +33,12 @@
 	// only that form don't read Definition, so that they leave jobs alone whose
 	// progress they would not find.
 	JobRecord struct {
-		Outcome    modeler.State `json:"outcome,omitempty"` // final state; set when the job has ended
-		Owner      string        `json:"owner,omitempty"`   // customer whose job has ended
-		Definition *modeler.Job  `json:"definition,omitempty"`
+		Outcome modeler.State `json:"outcome,omitempty"` // final state; set when the job has ended
+		Owner   string        `json:"owner,omitempty"`   // customer whose job has ended
+		// Withdrawn tells that the job was cancelled when it was not known. The record
+		// keeps a submission whose write is carried out late from taking effect.
+		Withdrawn  bool         `json:"withdrawn,omitempty"`
+		Definition *modeler.Job `json:"definition,omitempty"`
 		*modeler.Job
 	}
 
@@ -110,6 +113,12 @@
 	return r.Job, OldProgressKey(id)
 }
 
+// EncodeWithdrawal returns the record that keeps a job of a customer from being stored.
+// The leader removes it like the record of a job that has ended.
+func EncodeWithdrawal(customer string) []byte {
+	return encodeJSON(JobRecord{Outcome: modeler.Cancelled, Owner: customer, Withdrawn: true})
+}
+
 // customer returns the customer whose job it is, or "" if the record names none:
 // the queue is public, or an earlier version has stored the outcome.
 func (r *JobRecord) customer() string {
--- a/orchestrator/view.go
+++ b/orchestrator/view.go
@@ -14,6 +14,7 @@
 	// JobView is the stored state of a job as callers see it.
 	JobView struct {
 		Known     bool
+		Withdrawn bool // not known, and can't be stored any more
 		State     modeler.State
 		Customer  string // whose job it is; empty if any caller may know of it
 		Revision  int64  // revision of the job's record
@@ -45,6 +46,13 @@
 	return readJobView(id, append(progress, records...))
 }
 
+// IsWithdrawal reports whether a job's record keeps the job from being stored, see
+// EncodeWithdrawal.
+func IsWithdrawal(r keeper.Record) bool {
+	var rec JobRecord
+	return json.Unmarshal(r.Value, &rec) == nil && rec.Withdrawn
+}
+
 // ReadJobCustomer returns the customer that a job's record names. It is empty for a job
 // of which any caller may know.
 func ReadJobCustomer(r keeper.Record) (string, error) {
@@ -64,7 +72,7 @@
 			if err := json.Unmarshal(r.Value, &rec); err != nil {
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
 			}
-			v.Known, v.Revision, outcome, v.Customer = true, r.Revision, rec.Outcome, rec.customer()
+			v.Known, v.Withdrawn, v.Revision, outcome, v.Customer = !rec.Withdrawn, rec.Withdrawn, r.Revision, rec.Outcome, rec.customer()
 		case ProgressKey(id), OldProgressKey(id):
 			p, err := DecodeProgress(r.Value)
 			if err != nil {
