Keep an instance in its wave until it has been missing for two seconds

Cause: the two seconds within which the list shows a change were counted from the request of the wave, not from when the instance went missing.

Change: they are counted from when the instance went missing.

Measured: TestWaveWaitsForAnInstanceThatIsMissingForAMoment failed before with "completed" instead of "running". The tests of orchestrator pass.

--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -21,10 +21,11 @@
 	// waveState is the leader's state of a maintenance wave.
 	waveState struct {
 		modeler.Wave
-		firstSeen      time.Time       // when the wave was first seen in any term
-		loadedAt       time.Time       // when this leader learned of the request; zero if it hasn't yet
-		pending        map[string]bool // instances whose maintenance has not started
-		unlisted       map[string]bool // those that the platform doesn't list; they are pending again if it does
+		firstSeen      time.Time            // when the wave was first seen in any term
+		loadedAt       time.Time            // when this leader learned of the request; zero if it hasn't yet
+		pending        map[string]bool      // instances whose maintenance has not started
+		missingSince   map[string]time.Time // since when pending instances have been missing in the instance list
+		unlisted       map[string]bool      // those that the platform doesn't list; they are pending again if it does
 		record         WaveRecord
 		revision       int64 // last known revision of the stored record
 		changed        bool  // the record must be stored
@@ -88,7 +89,7 @@
 // has gone on without the instances whose maintenance has not started.
 func (v *waveState) load(info modeler.Wave, now time.Time) {
 	v.Wave, v.loadedAt = info, now
-	v.pending, v.unlisted = make(map[string]bool, len(info.Instances)), make(map[string]bool)
+	v.pending, v.unlisted, v.missingSince = make(map[string]bool, len(info.Instances)), make(map[string]bool), make(map[string]time.Time)
 	for _, name := range info.Instances {
 		switch {
 		case slices.Contains(v.record.Begun, name), slices.Contains(v.record.Refused, name):
@@ -122,23 +123,31 @@
 
 // updateUnlistedInstances lets a wave go on without instances that the platform
 // doesn't list, and takes them back when it does. The request may be newer than the
-// instance list, so only lists that were requested later show that an instance is not
-// there.
-func (e *Engine) updateUnlistedInstances(v *waveState) {
+// instance list, and a list may miss an instance, so an instance must be missing for
+// some time.
+func (e *Engine) updateUnlistedInstances(v *waveState, now time.Time) {
 	p := &e.planner
 	for name := range v.pending {
-		if p.instances[name] != nil || p.previousListAt.Sub(v.loadedAt) < maxInstanceListAge {
+		if p.instances[name] != nil {
+			delete(v.missingSince, name)
 			continue
 		}
-		delete(v.pending, name)
-		v.unlisted[name] = true
-		e.log.Info("instance of a maintenance wave is not listed, the wave goes on without it", "wave", v.Number, "instance", name, "requested-before", p.previousListAt.Sub(v.loadedAt).Round(time.Millisecond).String())
+		since, ok := v.missingSince[name]
+		if !ok {
+			v.missingSince[name] = now
+		}
+		if missing := p.previousListAt.Sub(since); ok && missing >= maxInstanceListAge {
+			delete(v.pending, name)
+			v.unlisted[name] = true
+			e.log.Info("instance of a maintenance wave is not listed, the wave goes on without it", "wave", v.Number, "instance", name, "missing", missing.Round(time.Millisecond).String())
+		}
 	}
 	for name := range v.unlisted {
 		if p.instances[name] == nil {
 			continue
 		}
 		delete(v.unlisted, name)
+		delete(v.missingSince, name)
 		v.pending[name] = true
 		v.changed = v.changed || v.completed
 		v.completed = false
@@ -184,7 +193,7 @@
 		if v.loadedAt.IsZero() {
 			continue
 		}
-		e.updateUnlistedInstances(v)
+		e.updateUnlistedInstances(v, now)
 		if v.completed {
 			continue
 		}
--- a/orchestrator/wave_test.go
+++ b/orchestrator/wave_test.go
@@ -190,3 +190,32 @@
 		})
 	}
 }
+
+// Two lists in a row that miss an instance don't show that it has left its wave.
+func TestWaveWaitsForAnInstanceThatIsMissingForAMoment(t *testing.T) {
+	runScenario(t, 3, func(s *deployment) {
+		s.keepInstancesInPool()
+		hidden := s.hideInstances()
+		e := s.startEntry("one")
+		time.Sleep(2500 * time.Millisecond)
+		s.requestWave(1, "a", "b", "c")
+		time.Sleep(4 * time.Second)
+		var missing string
+		for _, name := range []string{"a", "b", "c"} {
+			if s.instances.MaintenanceCount(name) == 0 {
+				missing = name
+			}
+		}
+		require.NotEmpty(t, missing)
+		hidden.Store(missing, true)
+		for range 18 {
+			time.Sleep(100 * time.Millisecond)
+			require.Equal(t, "running", s.waveStatus())
+		}
+		hidden.Clear()
+		time.Sleep(10 * time.Second)
+		require.Equal(t, 1, s.instances.MaintenanceCount(missing))
+		require.Equal(t, "completed", s.waveStatus())
+		e.stopGracefully()
+	})
+}
