--- a/emulator/yard.go
+++ b/emulator/yard.go
@@ -81,6 +81,14 @@
 	return s.instances[name].Pool
 }
 
+// HasBegunMaintenance reports whether the maintenance of an instance in a wave has begun.
+func (s *InstanceService) HasBegunMaintenance(name string, wave int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	i := s.instances[name]
+	return i != nil && i.startedWaves[wave]
+}
+
 // InMaintenanceCount returns the number of instances that are in maintenance.
 func (s *InstanceService) InMaintenanceCount() int {
 	s.mu.Lock()
--- a/soaker/proxy.go
+++ b/soaker/proxy.go
@@ -66,6 +66,13 @@
 	}
 }
 
+// ResetConnections resets the open connections. New ones are treated as before.
+func (p *Proxy) ResetConnections() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeAllConns()
+}
+
 // Close stops the proxy and closes its connections.
 func (p *Proxy) Close() error {
 	p.mu.Lock()
--- a/soaker/site.go
+++ b/soaker/site.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -66,7 +67,8 @@
 	storeAddress, instancesAddress string // IP:PORT of the servers
 	mu                             sync.Mutex
 	manifestVersion                int64
-	waveCount                      int64
+	waves                          []modeler.Wave
+	unlisted                       sync.Map   // names of instances that the instance list lacks
 	evacuationMu                   sync.Mutex // keeps records and checks consistent if faults begin and end at once
 }
 
@@ -76,6 +78,10 @@
 	p := &emulatedPlatform{metaStore: emulator.NewMetaStore()}
 	p.fleet = emulator.NewTaskFleet(runOutcome)
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
+	p.instanceService.FilterList = func(name string) (bool, error) {
+		_, unlisted := p.unlisted.Load(name)
+		return !unlisted, nil
+	}
 	p.fleet.CapacityGrace, p.fleet.EvacuationTime = capacityGrace, evacuationTime
 	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
 	// About half of the workers keep their ID when they start again.
@@ -191,9 +197,8 @@
 // with number first.
 func (p *emulatedPlatform) orderMaintenance(first int) error {
 	p.mu.Lock()
-	p.waveCount++
-	wave := modeler.Wave{Number: p.waveCount, Duration: waveDuration, MaxConcurrent: 2}
-	p.mu.Unlock()
+	defer p.mu.Unlock()
+	wave := modeler.Wave{Number: int64(len(p.waves) + 1), Duration: waveDuration, MaxConcurrent: 2}
 	for i := range (len(p.instanceNames) + 1) / 2 {
 		wave.Instances = append(wave.Instances, p.instanceNames[(first+i)%len(p.instanceNames)])
 	}
@@ -201,10 +206,37 @@
 	if err != nil {
 		return err
 	}
+	p.waves = append(p.waves, wave)
 	p.putAsOperator(key, raw)
 	return nil
 }
 
+// requestedWaves returns the waves that have been ordered.
+func (p *emulatedPlatform) requestedWaves() []modeler.Wave {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.waves)
+}
+
+// restartUnderItsID ends the worker of an instance with its connections, and starts
+// another process of it after waitDuration.
+func (p *emulatedPlatform) restartUnderItsID(instance int, waitDuration func()) {
+	name, proxy := p.instanceNames[instance], p.workerProxies[instance]
+	worker := p.instanceService.WorkerOf(name)
+	if worker == "" {
+		return
+	}
+	restarted := make(chan struct{})
+	go func() { waitDuration(); close(restarted) }()
+	p.fleet.Remove(worker)
+	proxy.ResetConnections()
+	<-restarted
+	if p.instanceService.WorkerOf(name) != worker {
+		return // the instance has another worker since
+	}
+	p.instanceService.RestartWorkerWithSameID(name, proxy.Address())
+}
+
 // zoneName returns the name of the zone of an instance.
 func zoneName(instance int) string {
 	return fmt.Sprintf("zone-%d", instance%zoneCount)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootlever/coltsfootlever/emulator"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
@@ -146,6 +147,7 @@
 	}
 	wg.Go(func() { r.checkLimits(callersCtx) })
 	wg.Go(func() { r.checkStates(callersCtx) })
+	wg.Go(func() { r.checkWaves(callersCtx) })
 	for _, f := range plan {
 		if supervisor.Pause(callersCtx, f.At-time.Since(r.began)) != nil {
 			break
@@ -214,10 +216,22 @@
 		}
 	case ZoneEvacuated:
 		r.switchOnDuring(&r.evacuations[f.Target%zoneCount], waitDuration, func(on bool) { r.setEvacuated(zoneName(f.Target), on) })
+	case WorkerReborn:
+		r.restartUnderItsID(f.Target%len(r.instanceNames), waitDuration)
+	case InstanceUnlisted:
+		r.unlisted.Store(name, true)
+		r.requestWave(f.Target)
+		waitDuration()
+		r.unlisted.Delete(name)
 	case NewMaintenanceWave:
-		if err := r.orderMaintenance(f.Target); err != nil {
-			r.checker.AddBreach("wave not asked for: %v", err)
-		}
+		r.requestWave(f.Target)
+	}
+}
+
+// requestWave requests the maintenance of half of the instances.
+func (r *soakRun) requestWave(first int) {
+	if err := r.orderMaintenance(first); err != nil {
+		r.checker.AddBreach("wave not asked for: %v", err)
 	}
 }
 
@@ -304,6 +318,30 @@
 	}
 }
 
+// checkWaves checks repeatedly that the maintenance of all instances of a wave has begun
+// when the operator is told that the wave is completed.
+func (r *soakRun) checkWaves(ctx context.Context) {
+	store := r.metaStore.ClientFor("operator")
+	reported := make(map[int64]bool)
+	for supervisor.Pause(ctx, stateInterval) == nil {
+		for _, w := range r.requestedWaves() {
+			if reported[w.Number] {
+				continue
+			}
+			completed, err := platform.IsWaveCompleted(w.Number, func(key string) (keeper.Record, error) { return store.Get(ctx, key) })
+			if err != nil || !completed {
+				continue // the store may be down
+			}
+			reported[w.Number] = true
+			for _, name := range w.Instances {
+				if !r.instanceService.HasBegunMaintenance(name, w.Number) {
+					r.checker.AddBreach("wave %d is said to be completed, and the maintenance of %s has not begun", w.Number, name)
+				}
+			}
+		}
+	}
+}
+
 // checkStates repeatedly queries the states of unfinished jobs at random entry
 // nodes.
 func (r *soakRun) checkStates(ctx context.Context) {
