Describe a wave to the maintainer in a function of its own

Cause: the linter found startDueMaintenance too complex after the last changes.

Change: maintainerWave builds the description; nothing else changes.

--- a/orchestrator/wave.go
+++ b/orchestrator/wave.go
@@ -197,26 +197,7 @@
 		if v.completed {
 			continue
 		}
-		view := maintainer.Wave{MaxConcurrent: v.MaxConcurrent, TimeLeft: v.Duration - now.Sub(v.firstSeen)}
-		for name := range v.pending {
-			if i := e.planner.instances[name]; i != nil && i.plan == noPlan && !i.missed {
-				view.Pending = append(view.Pending, e.waveCandidate(i))
-			}
-		}
-		for _, order := range e.planner.orders.fromEarlierTerm {
-			if order.Wave == v.Number {
-				view.InMaintenance++ // the list doesn't show the instance yet
-			}
-		}
-		for _, i := range e.planner.instances {
-			if i.plan == maintenancePlan && i.wave == v.Number {
-				view.InMaintenance++
-				if i.phase == evacuating && e.waveCandidate(i).LongRunningTasks > 0 {
-					view.MovingLongRunning++
-				}
-			}
-		}
-		for _, name := range maintainer.Next(view, pools) {
+		for _, name := range maintainer.Next(e.maintainerWave(v, now), pools) {
 			i := e.planner.instances[name]
 			i.wave, i.targetPool = v.Number, ""
 			e.startPlan(i, maintenancePlan, now)
@@ -224,6 +205,31 @@
 	}
 }
 
+// maintainerWave describes a wave to the maintainer, which chooses the next instances.
+func (e *Engine) maintainerWave(v *waveState, now time.Time) maintainer.Wave {
+	view := maintainer.Wave{MaxConcurrent: v.MaxConcurrent, TimeLeft: v.Duration - now.Sub(v.firstSeen)}
+	for name := range v.pending {
+		if i := e.planner.instances[name]; i != nil && i.plan == noPlan && !i.missed {
+			view.Pending = append(view.Pending, e.waveCandidate(i))
+		}
+	}
+	for _, order := range e.planner.orders.fromEarlierTerm {
+		if order.Wave == v.Number {
+			view.InMaintenance++ // the list doesn't show the instance yet
+		}
+	}
+	for _, i := range e.planner.instances {
+		if i.plan != maintenancePlan || i.wave != v.Number {
+			continue
+		}
+		view.InMaintenance++
+		if i.phase == evacuating && e.waveCandidate(i).LongRunningTasks > 0 {
+			view.MovingLongRunning++
+		}
+	}
+	return view
+}
+
 // waveCandidate returns the description of an instance by which the maintainer
 // chooses the next ones.
 func (e *Engine) waveCandidate(i *instance) maintainer.Instance {
