Give a pool without instances some when it has demand

Cause: the desired number of instances was reckoned with the cores of the pool's own instances; without any it was taken to be what the pool had, none.

Change: a pool without instances that has demand is sized with the cores of the largest instance of the fleet.

Measured: TestPoolWithoutInstancesGetsSomeForItsTasks failed before with the job still queued.

--- a/orchestrator/plan_test.go
+++ b/orchestrator/plan_test.go
@@ -282,3 +282,22 @@
 		second.stopGracefully()
 	})
 }
+
+// The size of a pool must not depend on whether it has an instance: the last one may have
+// moved to another pool or left. See docs/incidents/2026-12-05-empty-pool-stays-empty.md.
+func TestPoolWithoutInstancesGetsSomeForItsTasks(t *testing.T) {
+	runScenario(t, 0, func(s *deployment) {
+		for _, name := range []string{"x", "y"} {
+			s.instances.Add(modeler.Instance{Name: name, Pool: "spare", Zone: "z", Labels: []string{"k", "r2"}, Capacity: modeler.Resources{CPU: 4000, Memory: 8000}}, false)
+		}
+		e := s.startEntry("one")
+		time.Sleep(5 * time.Second)
+		for _, name := range []string{"x", "y"} {
+			require.Equal(t, "spare", s.instances.PoolOf(name), "an empty pool without demand stays empty")
+		}
+		s.submit(shortJob("j1"))
+		time.Sleep(8 * time.Second)
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/size.go
+++ b/orchestrator/size.go
@@ -325,7 +325,10 @@
 			Name: p.Name, Spare: p.Spare, LongRunningCores: d.longRunning, DemandCores: d.running + d.waiting, ArrivalRate: e.forecastArrivalRate(p.Name, now), MinWorkers: d.minWorkers,
 		})
 	}
+	largest := 0.0 // CPU cores of the largest instance
 	for _, i := range e.planner.instances {
+		cores := float64(i.Capacity.CPU) / milliCoresPerCore
+		largest = max(largest, cores)
 		n, ok := index[i.Pool]
 		if i.plan == movePlan {
 			n, ok = index[i.targetPool]
@@ -338,13 +341,16 @@
 		if e.countsTowardPoolSize(i) {
 			p.Instances++
 		}
-		p.CoresPerInstance = max(p.CoresPerInstance, float64(i.Capacity.CPU)/milliCoresPerCore)
+		p.CoresPerInstance = max(p.CoresPerInstance, cores)
 		if e.isMovable(i) {
 			p.Movable++
 		}
 	}
 	for n := range pools {
 		p := &pools[n]
+		if p.CoresPerInstance == 0 && p.LongRunningCores+p.DemandCores+p.ArrivalRate > 0 {
+			p.CoresPerInstance = largest // the pool has no instance that tells
+		}
 		h := e.poolHistoryOf(p.Name)
 		p.HasUnplacedTask = now.Sub(h.lastNoRoom) < noRoomTime && !hasIncomingMoves[p.Name]
 		if p.Spare || sizer.DesiredInstances(*p) >= p.Instances {
