Hide an instance in the soak no longer than the list may lag

Change: an instance that was hidden is not hidden again within maxUnlisted, also if faults overlap. The check itself stays as it is.

--- a/soaker/site.go
+++ b/soaker/site.go
@@ -68,19 +68,21 @@
 	mu                             sync.Mutex
 	manifestVersion                int64
 	waves                          []modeler.Wave
-	unlisted                       sync.Map   // names of instances that the instance list lacks
-	evacuationMu                   sync.Mutex // keeps records and checks consistent if faults begin and end at once
+	hidden                         map[string]bool      // instances that the instance list lacks, by name
+	shownAt                        map[string]time.Time // when instances that had been hidden were listed again
+	evacuationMu                   sync.Mutex           // keeps records and checks consistent if faults begin and end at once
 }
 
 // newEmulatedPlatform starts the servers and proxies of the emulated platform and
 // writes the first manifest.
 func newEmulatedPlatform(workers int) (*emulatedPlatform, error) {
-	p := &emulatedPlatform{metaStore: emulator.NewMetaStore()}
+	p := &emulatedPlatform{metaStore: emulator.NewMetaStore(), hidden: make(map[string]bool), shownAt: make(map[string]time.Time)}
 	p.fleet = emulator.NewTaskFleet(runOutcome)
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
 	p.instanceService.FilterList = func(name string) (bool, error) {
-		_, unlisted := p.unlisted.Load(name)
-		return !unlisted, nil
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return !p.hidden[name], nil
 	}
 	p.fleet.CapacityGrace, p.fleet.EvacuationTime = capacityGrace, evacuationTime
 	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
@@ -211,6 +213,27 @@
 	return nil
 }
 
+// hide makes the instance list lack an instance. It does nothing and returns false if the
+// instance is hidden, or has been so until a moment ago: the platform's list shows a
+// change within maxUnlisted, so two faults must not look like one.
+func (p *emulatedPlatform) hide(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hidden[name] || time.Since(p.shownAt[name]) < maxUnlisted {
+		return false
+	}
+	p.hidden[name] = true
+	return true
+}
+
+// show makes the instance list contain a hidden instance again.
+func (p *emulatedPlatform) show(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hidden, name)
+	p.shownAt[name] = time.Now()
+}
+
 // requestedWaves returns the waves that have been ordered.
 func (p *emulatedPlatform) requestedWaves() []modeler.Wave {
 	p.mu.Lock()
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -219,10 +219,11 @@
 	case WorkerReborn:
 		r.restartUnderItsID(f.Target%len(r.instanceNames), waitDuration)
 	case InstanceUnlisted:
-		r.unlisted.Store(name, true)
+		if r.hide(name) {
+			defer r.show(name)
+		}
 		r.requestWave(f.Target)
 		waitDuration()
-		r.unlisted.Delete(name)
 	case NewMaintenanceWave:
 		r.requestWave(f.Target)
 	}
