--- a/review/trial-2/platform/jobs.go
+++ b/review/trial-2/platform/jobs.go
@@ -67,8 +67,8 @@
 	}
 }
 
-// sendJobs hands jobs in for a time, at the rate a second that rateAt returns for the
-// time since the first one.
+// sendJobs hands jobs in for a time, evenly at the rate a second that rateAt returns for
+// the time since the first one.
 func (t *trial) sendJobs(length time.Duration, body string, rateAt func(since time.Duration) float64) []*submission {
 	var jobs []*submission
 	var wg sync.WaitGroup
@@ -76,7 +76,7 @@
 		s := &submission{id: newID()}
 		jobs = append(jobs, s)
 		wg.Go(func() { t.handIn(s, body) })
-		time.Sleep(time.Duration(rand.ExpFloat64() / rateAt(time.Since(began)) * float64(time.Second)))
+		time.Sleep(time.Duration(float64(time.Second) / rateAt(time.Since(began))))
 	}
 	wg.Wait()
 	return jobs
