--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -45,6 +45,9 @@
 		// room for any number of tasks.
 		Need          func(id modeler.TaskID) modeler.Resources
 		CapacityGrace time.Duration // how long starts may rely on the capacity that a worker had before it shrank
+		// CheckTicket reports whether a start has the permission of the advice service.
+		// Nil means that no start needs one.
+		CheckTicket func(w modeler.Worker, o modeler.StartOrder) bool
 		// EvacuationTime is how long after the evacuation of a zone tasks may still start
 		// there.
 		EvacuationTime     time.Duration
@@ -400,6 +403,8 @@
 		return modeler.ErrStaleRun
 	case o.DeadlineMs <= w.clockMs():
 		return modeler.ErrLeaseExpired
+	case f.CheckTicket != nil && !f.CheckTicket(w.Worker, o):
+		return modeler.ErrInvalidTicket
 	}
 	f.checkStart(w, o)
 	f.startCounts[o.Task]++
--- a/modeler/manifest.go
+++ b/modeler/manifest.go
@@ -152,3 +152,9 @@
 	over := func(used, limit int64) bool { return limit > 0 && used > limit }
 	return !over(usage.CPU, c.Limit.CPU) && !over(usage.Memory, c.Limit.Memory) && !over(usage.GPU, c.Limit.GPU)
 }
+
+// ServiceTime returns how long the service takes for a request that names a number
+// of workers.
+func (a *Advice) ServiceTime(workers int) time.Duration {
+	return a.BaseDelay + time.Duration(workers)*a.DelayPerWorker
+}
