Ask the advice service for no more than it can answer in time

Cause: the leader had a call under way for each waiting step, and the service handles one at a time. Past 23 steps each call was given up before its turn and repeated 300 ms later; the service decided all of them, for nobody. A placement pass lists what lacks tickets in the order in which it places, and the leader asks in that order, for as many workers as probably suffice; workers that may not run a step are not named again. A step whose queue requires no advice any more starts.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -110,6 +110,11 @@
 	return best
 }
 
+// CountFitting returns for how many tasks with a need the worker has room, at most limit.
+func (w *Worker) CountFitting(need modeler.Resources, limit int) int {
+	return countFitting(need, w.Free, limit)
+}
+
 // countFitting returns how many tasks that need this much fit into free, at most limit.
 func countFitting(need, free modeler.Resources, limit int) int {
 	n := 0
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -34,6 +34,7 @@
 	storeIdleConns       = 8                       // for watches and some concurrent calls
 	workerIdleConns      = 3                       // per worker, for status queries and orders
 	instanceIdleConns    = 4                       // for the instance list and orders to instances
+	adviceIdleConns      = 8                       // as many calls may be under way
 	balancerDrainDelay   = 2500 * time.Millisecond // the load balancer stops sending callers after two failed readiness checks a second apart; the rest covers their delay
 	shutdownTimeout      = time.Second             // for open calls to finish after the drain delay
 	readHeaderTimeout    = 3 * time.Second         // for the headers of a request
@@ -155,7 +156,7 @@
 	opts := []orchestrator.Option{orchestrator.WithInstances(instances), orchestrator.WithThrottle(throttle)}
 	if s.AdviceAddress != "" {
 		opts = append(opts, orchestrator.WithAdvisor(platform.NewAdviceClient(
-			func() string { return l.settings.Load().AdviceAddress }, requester.NewClient(platform.NewTransport(1)))))
+			func() string { return l.settings.Load().AdviceAddress }, requester.NewClient(platform.NewTransport(adviceIdleConns)))))
 	}
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -108,6 +108,13 @@
 	recordDuration(`coltsfootlever_look_seconds`, took)
 }
 
+// RecordAdviceCall counts a call to the advice service, by outcome, and records its
+// duration.
+func RecordAdviceCall(o Outcome, took time.Duration) {
+	incrementCounter(`coltsfootlever_advice_calls_total{outcome=%q}`, string(o))
+	recordDuration(`coltsfootlever_advice_call_seconds`, took)
+}
+
 // RecordCommit counts a key-value store transaction of the leader, by outcome, and
 // records its duration.
 func RecordCommit(o Outcome, took time.Duration) {
--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -204,7 +204,7 @@
 // hasPlainRequirements reports whether any worker with enough room may take a task of
 // the step, however many others it has.
 func (s *step) hasPlainRequirements() bool {
-	return s.Label == "" && s.MaxPerWorker == 0 && s.tickets == nil
+	return s.Label == "" && s.MaxPerWorker == 0 && s.advice == nil
 }
 
 // forEachCandidate calls fn for the candidates, the most urgent first.
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -142,6 +142,7 @@
 		shuttingDown         bool
 		loadPublication      loadPublication
 		admission            admissionState
+		advice               adviceState
 		meanJobWork          map[string]workSum           // estimated work of the jobs, by queue
 		accuracies           map[string]*delayer.Accuracy // of the estimates, by queue
 		durations            map[string]durationSums      // actual and estimated task durations, by queue
@@ -197,7 +198,7 @@
 	if e.cfg.MaxRecordBytes <= 0 {
 		e.cfg.MaxRecordBytes = keeper.MaxValueBytes
 	}
-	e.admission = newAdmissionState()
+	e.admission, e.advice = newAdmissionState(), newAdviceState()
 	e.handover.blockingWorkers = make(map[string]string)
 	e.handover.workersAtStart = make(map[string]bool)
 	e.handover.unlistedWorkers = make(map[string]string)
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -82,12 +82,10 @@
 		*modeler.Step
 		occurrence    *occurrence
 		number        int
-		tasks         []*task           // the first ones; the others have not been built yet and wait, see taskAt
-		waitingTasks  int               // tasks in phase waiting
-		finishedTasks int               // tasks in phase done
-		tickets       map[string]ticket // decisions of the advice service by worker ID; nil before its first response
-		adviceRetryAt time.Time         // no tickets are requested before this time
-		advicePending bool
+		tasks         []*task       // the first ones; the others have not been built yet and wait, see taskAt
+		waitingTasks  int           // tasks in phase waiting
+		finishedTasks int           // tasks in phase done
+		advice        *stepAdvice   // nil if the queue requires no advice or the step has not been tried yet
 		candidate     candidateStep // in the last placement pass in which it was one
 		gangStarts    *gangStarts   // of the last placement if the step is a gang, nil before the first start
 		preferredRack string        // rack for a step whose tasks should run on one rack
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -210,6 +210,7 @@
 			e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock, "took", took.Round(time.Millisecond).String())
 		}
 		t.phase, t.phaseSince = running, now
+		t.step.noteTicketUsed()
 		t.step.occurrence.job.markStarted()
 		e.admission.starts[w.Pool]++
 		e.stopIfUnwanted(t)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -78,6 +78,7 @@
 		slow                  []*assigner.Worker      // that are slower than others; the index doesn't contain them
 		unplaceable           []modeler.Resources     // resource requests for which no worker was found, of tasks without further requirements
 		full                  bool                    // no step that needsOnlyRoom can be placed
+		cpuInAdvance          int64                   // needed by steps that wait for room, for which tickets are requested in advance
 		anyKept               bool                    // some worker is kept for a task that needs isolation
 		keptFree              int                     // number of workers kept free for tasks that wait for room
 		near                  map[string]*nearWorkers // by rack, of racks for which tasks may wait
@@ -91,6 +92,10 @@
 		return
 	}
 	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), orphaned: e.tasksWithOrphanedRuns()}
+	for need := range e.advice.wanted {
+		clear(e.advice.wanted[need])
+		e.advice.wanted[need] = e.advice.wanted[need][:0]
+	}
 	p.addUnstoredUsage()
 	p.listCandidates()
 	p.computeShares()
@@ -109,6 +114,7 @@
 		})
 	}
 	e.handling = nil
+	e.requestAdvice(now)
 }
 
 // shareStarts limits how many tasks await their start, since tasks that can't be
@@ -244,7 +250,10 @@
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
 	}
-	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned)) || q.Advice != nil && !p.engine.hasCurrentTickets(s, q, view.workers, p.now) {
+	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned)) {
+		return
+	}
+	if (s.advice != nil || q.Advice != nil) && !p.hasTickets(s, q, view) {
 		return
 	}
 	s.choosePreferredRack(view)
@@ -470,7 +479,7 @@
 // if the worker must not take another one.
 func (s *step) countSameStepTasks(w *worker) int {
 	n := s.countTasksOn(w)
-	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || s.tickets != nil && s.tickets[w.ID].value == "" {
+	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || !s.advice.permits(w.ID) {
 		return -1
 	}
 	return n
@@ -494,7 +503,7 @@
 	e.markUnstored(j)
 	t.placementVersion = j.version
 	t.placementBoot = t.worker.StartTimeMs
-	t.ticket = t.step.tickets[t.worker.ID].value
+	t.ticket = t.step.advice.ticketOf(t.worker.ID)
 	e.awaitingStart = append(e.awaitingStart, t)
 	t.worker.pool.awaitingStart++
 	p.allAwaitingStart++
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -231,7 +231,7 @@
 		for range 5 {
 			tickets[f.randomWorker().ID] = ticket{value: "x", until: f.now.Add(time.Hour)}
 		}
-		j.occurrences[0].steps[0].tickets = tickets
+		j.occurrences[0].steps[0].advice = &stepAdvice{tickets: tickets}
 	}
 }
 
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -51,10 +51,27 @@
 	evacuationTime          time.Duration         // see orchestrator.Config.EvacuationTime; 0 if zones can't be evacuated
 	evacuations             atomic.Pointer[[]modeler.Evacuation]
 	began                   time.Time
-	rejectedJob             string        // ID of a job whose starts all workers reject as malformed
-	losesStartsOf           string        // ID of a job whose starts are carried out without a response
-	outcomeQueryTime        time.Duration // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
-	steps                   sync.Map      // steps of the submitted jobs, by job ID
+	rejectedJob             string                  // ID of a job whose starts all workers reject as malformed
+	losesStartsOf           string                  // ID of a job whose starts are carried out without a response
+	outcomeQueryTime        time.Duration           // see orchestrator.Config.OutcomeQueryTime; 0 for 20 s
+	steps                   sync.Map                // steps of the submitted jobs, by job ID
+	advice                  *emulator.AdviceService // nil for one that permits everything at once
+}
+
+// requireAdvice gives the queue of short jobs an advice service, without whose tickets no
+// worker starts anything.
+func (d *deployment) requireAdvice(settings modeler.Advice) {
+	d.manifest.Queues[0].Advice = &settings
+	d.advice = emulator.NewAdviceService(settings)
+	d.taskFleet.CheckTicket = d.advice.CheckTicket
+}
+
+// advisorFor returns an entry node's connection to the advice service.
+func (d *deployment) advisorFor(entry string) orchestrator.Advisor {
+	if d.advice == nil {
+		return advisor{}
+	}
+	return d.advice.ClientFor(entry)
 }
 
 // needOf returns what a task of a submitted job needs on its worker.
@@ -315,7 +332,7 @@
 		cfg.EvacuationTime, cfg.Evacuations = d.evacuationTime, e.readEvacuations
 		d.taskFleet.EvacuationTime = d.evacuationTime
 	}
-	opts := []orchestrator.Option{orchestrator.WithAdvisor(advisor{}), orchestrator.WithInstances(d.instances.ClientFor(name))}
+	opts := []orchestrator.Option{orchestrator.WithAdvisor(d.advisorFor(name)), orchestrator.WithInstances(d.instances.ClientFor(name))}
 	if d.throttle != nil {
 		opts = append(opts, orchestrator.WithThrottle(d.throttle))
 	}
