Draw faults of the advice service and bursts of jobs in the soak

Change: one job in six is of a queue with an advice service, each entry reaches it through a proxy of its own; drawn are a slower service, lost responses, bad connections and bursts of jobs for that queue.

--- a/emulator/advice.go
+++ b/emulator/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -168,6 +169,7 @@
 
 // decide issues tickets for the workers that may run the step.
 func (s *AdviceService) decide(step string, workers []string) map[string]string {
+	workers = slices.DeleteFunc(slices.Clone(workers), func(w string) bool { return s.Permits != nil && !s.Permits(step, w) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -178,9 +180,6 @@
 	}
 	permitted := make(map[string]string)
 	for _, w := range workers {
-		if s.Permits != nil && !s.Permits(step, w) {
-			continue
-		}
 		s.issued++
 		ticket := fmt.Sprint("ticket-", s.issued)
 		s.tickets[ticket] = adviceTicket{step, w, now, now.Add(s.settings.TicketValidity)}
--- a/soaker/caller.go
+++ b/soaker/caller.go
@@ -23,6 +23,7 @@
 	stateInterval      = 300 * time.Millisecond // interval between two queries for the states of jobs
 	maxResponseBytes   = 1 << 16
 	callersPerCustomer = 2
+	burstFactor        = 2 // callers submit so many times as many jobs during a JobBurst fault, all of them for the queue with an advice service
 )
 
 // caller submits jobs and queries their states until ctx ends. It reuses its
@@ -38,6 +39,7 @@
 	rng    *rand.Rand
 	number int
 	jobs   int
+	bursts *faultCounter // JobBurst faults
 }
 
 // run submits random jobs one after another until ctx ends.
@@ -46,14 +48,22 @@
 		j := c.randomJob()
 		c.checker.recordSubmission(j)
 		c.checker.recordResult(j.ID, c.submit(ctx, j))
-		_ = supervisor.Pause(ctx, time.Duration(c.rng.ExpFloat64()*float64(meanJobInterval))) // an error means that ctx has ended, which the loop checks
+		pause := time.Duration(c.rng.ExpFloat64() * float64(meanJobInterval))
+		if c.bursts.isOn() {
+			pause /= burstFactor
+		}
+		_ = supervisor.Pause(ctx, pause) // an error means that ctx has ended, which the loop checks
 	}
 }
 
 // randomJob returns a job of one or two steps.
 func (c *caller) randomJob() modeler.Job {
-	c.jobs++
-	j := modeler.Job{ID: fmt.Sprintf("%04x%012x", c.number, c.jobs), Customer: c.customer, Queue: queueName, Spec: "work of " + c.customer}
+	id := c.nextID()
+	for c.bursts.isOn() && !isAdvised(id) {
+		id = c.nextID()
+	}
+	j := modeler.Job{ID: id, Customer: c.customer, Spec: "work of " + c.customer}
+	j.Queue, _ = queueOf(id)
 	for i := range 1 + c.rng.IntN(2) {
 		s := modeler.Step{
 			Count: 1 + c.rng.IntN(4), Estimate: 500 * time.Millisecond,
@@ -67,6 +77,12 @@
 	return j
 }
 
+// nextID returns the ID of the next job.
+func (c *caller) nextID() string {
+	c.jobs++
+	return fmt.Sprintf("%04x%012x", c.number, c.jobs)
+}
+
 // submit sends a job until it is accepted or the attempts are used up. Each attempt
 // goes to a random entry node, which may be the same as before.
 func (c *caller) submit(ctx context.Context, j modeler.Job) submitResult {
@@ -128,7 +144,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	e := c.entries[c.rng.IntN(len(c.entries))]
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callersAddress+queuePrefix+id, bytes.NewReader(body))
+	_, prefix := queueOf(id)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+e.callersAddress+prefix+id, bytes.NewReader(body))
 	if err != nil {
 		c.checker.AddBreach("call not made: %v", err)
 		return 0, retryPause, nil
--- a/soaker/entry.go
+++ b/soaker/entry.go
@@ -28,6 +28,7 @@
 	program        string
 	log            *os.File
 	storeProxy     *Proxy // forwards the connections of this entry node to the metadata store
+	adviceProxy    *Proxy // forwards its connections to the advice service
 
 	mu              sync.Mutex
 	cmd             *exec.Cmd
@@ -44,6 +45,9 @@
 		return nil, err
 	}
 	e := &entryNode{name: fmt.Sprintf("entry-%d", number), program: program, storeProxy: storeProxy}
+	if e.adviceProxy, err = p.startAdviceProxy(e.name); err != nil {
+		return nil, err
+	}
 	// No outgoing connection uses this IP address, so none can take the port of an
 	// entry node while it restarts.
 	ip := fmt.Sprintf("127.1.%d.%d", os.Getpid()%250, number+1)
@@ -56,7 +60,7 @@
 	}
 	raw, err := platform.EncodeSettings(platform.Settings{
 		Instance: e.name, Zone: zoneName(number), ProcessorShare: 1, MemoryMB: 284, CallersAddress: e.callersAddress, ReadinessAddress: ready,
-		StoreAddress: storeProxy.Address(), StoreWritesPerSecond: 400, StoreReadsPerSecond: 2000, InstancesAddress: p.instancesAddress, InstanceOrdersPerSecond: 64,
+		StoreAddress: storeProxy.Address(), StoreWritesPerSecond: 400, StoreReadsPerSecond: 2000, InstancesAddress: p.instancesAddress, InstanceOrdersPerSecond: 64, AdviceAddress: e.adviceProxy.Address(),
 		Bounds: platform.Bounds{
 			MaxLease: maxLease, StateRetention: 2 * time.Minute, MoveTime: moveTime, MaintenanceTime: maintenanceTime, MaxStopTime: 400 * time.Millisecond, ContactTime: 3 * time.Second, EvacuationTime: evacuationTime,
 		},
--- a/soaker/plan.go
+++ b/soaker/plan.go
@@ -24,6 +24,10 @@
 	WorkerRestart      Kind = "worker-restart"  // a worker ends with all its runs and a new one starts
 	WorkerStartsLate   Kind = "worker-late"     // workers carry out some starts late and lose the responses
 	WorkerShrinks      Kind = "worker-shrinks"  // a worker has room for less for a while
+	AdviceSlow         Kind = "advice-slow"     // the advice service takes longer for its decisions
+	AdviceSilent       Kind = "advice-silent"   // the responses of the advice service are lost
+	AdviceConnection   Kind = "advice-link"     // the proxy between one entry node and the advice service delays, breaks or blocks connections
+	JobBurst           Kind = "job-burst"       // callers submit more jobs for the queue with an advice service
 	NewManifest        Kind = "manifest-change" // the operator changes the limits of the customers
 	ZoneEvacuated      Kind = "zone-evacuated"  // the operator evacuates a zone for a while
 	NewMaintenanceWave Kind = "wave"            // the operator orders the maintenance of some instances
@@ -41,6 +45,9 @@
 	meanListInterval   = 3 * time.Second         // mean time between two InstanceUnlisted faults, and between two WorkerReborn faults
 	maxUnlisted        = 2 * time.Second         // longest duration of an InstanceUnlisted fault; the list shows a change within this time
 	meanCutInterval    = 12 * time.Second        // mean time between two WorkerRecut faults
+	meanAdviceInterval = 8 * time.Second         // mean time between two AdviceSlow faults, two AdviceSilent faults and so on
+	maxAdviceFault     = 4 * time.Second         // longest duration of a fault of the advice service
+	maxBurst           = 2 * time.Second         // longest duration of a JobBurst fault; what arrives meanwhile takes the advice service several times as long
 	maxCut             = 14 * time.Second        // longest duration of a WorkerRecut fault; above the longest lease
 	maxRebirth         = 400 * time.Millisecond  // longest duration of a WorkerReborn fault; shorter than the pause between two polls
 	minFaultDuration   = 300 * time.Millisecond  // shortest duration of a fault whose kind is in kindsWithDuration
@@ -72,7 +79,7 @@
 
 // Kinds returns all kinds of faults.
 func Kinds() []Kind {
-	return append(slices.Clone(allKinds), WorkerShrinks, ZoneEvacuated, InstanceUnlisted, WorkerReborn, WorkerRecut)
+	return append(slices.Clone(allKinds), WorkerShrinks, ZoneEvacuated, InstanceUnlisted, WorkerReborn, WorkerRecut, AdviceSlow, AdviceSilent, AdviceConnection, JobBurst)
 }
 
 // PlanFaults draws the faults of a run. The same seed and duration give the same
@@ -86,7 +93,7 @@
 			f.Duration = (minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))).Truncate(time.Millisecond)
 		}
 		if f.Kind == StoreConnection || f.Kind == WorkerConnection {
-			f.Mode = Delay + Mode(rng.IntN(int(BlockResponses-Delay)+1))
+			f.Mode = randomMode(rng)
 		}
 		faults = append(faults, f)
 	}
@@ -95,6 +102,10 @@
 	faults = append(faults, planKind(seed, duration, 3, InstanceUnlisted, meanListInterval, maxUnlisted)...)
 	faults = append(faults, planKind(seed, duration, 4, WorkerReborn, meanListInterval, maxRebirth)...)
 	faults = append(faults, planKind(seed, duration, 5, WorkerRecut, meanCutInterval, maxCut)...)
+	faults = append(faults, planKind(seed, duration, 6, AdviceSlow, meanAdviceInterval, maxAdviceFault)...)
+	faults = append(faults, planKind(seed, duration, 7, AdviceSilent, meanAdviceInterval, maxAdviceFault)...)
+	faults = append(faults, planKind(seed, duration, 8, AdviceConnection, meanAdviceInterval, maxAdviceFault)...)
+	faults = append(faults, planKind(seed, duration, 9, JobBurst, meanAdviceInterval, maxBurst)...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return faults
 }
@@ -133,7 +144,16 @@
 	var faults []Fault
 	for at := warmUp; at < duration; at += time.Duration(rng.ExpFloat64() * float64(interval)) {
 		d := time.Duration(rng.Int64N(int64(longest)))
-		faults = append(faults, Fault{At: at.Truncate(time.Millisecond), Kind: kind, Target: rng.IntN(1 << 16), Duration: d.Truncate(time.Millisecond)})
+		f := Fault{At: at.Truncate(time.Millisecond), Kind: kind, Target: rng.IntN(1 << 16), Duration: d.Truncate(time.Millisecond)}
+		if kind == AdviceConnection {
+			f.Mode = randomMode(rng)
+		}
+		faults = append(faults, f)
 	}
 	return faults
 }
+
+// randomMode draws how a proxy disturbs connections.
+func randomMode(rng *rand.Rand) Mode {
+	return Delay + Mode(rng.IntN(int(BlockResponses-Delay)+1))
+}
--- a/soaker/site.go
+++ b/soaker/site.go
@@ -30,6 +30,8 @@
 	queueName          = "queue"
 	queueHost          = "queue.soak"
 	queuePrefix        = "/jobs/"
+	advisedQueueName   = "advised" // a queue with an advice service
+	advisedQueuePrefix = "/advised/"
 	customerKeyPrefix  = "key-of-"
 	maxFailedRuns      = 8                       // number of failed runs after which a job fails
 	runsPerFailure     = 20                      // one run in this many fails; with 20, fewer than one in ten billion tasks fail eight times in a row
@@ -38,6 +40,8 @@
 	longTaskTime       = 15 * time.Second        // duration of some tasks; above the longest lease
 	jobsPerLongJob     = 40                      // one job in this many of a caller has such a task
 	maxLease           = 10 * time.Second        // longest lease that workers grant
+	jobsPerAdvisedJob  = 6                       // one job in this many of a caller is of the queue with an advice service
+	adviceSlowdown     = 20                      // factor by which the advice service is slower during an AdviceSlow fault
 	restartsPerCut     = 80                      // a worker is cut off for this many times as long as it was back before
 	startsPerLateStart = 3                       // one start in this many is late during a WorkerStartsLate fault
 	lateDelay          = 2 * time.Second         // delay of late starts and late store writes
@@ -52,6 +56,7 @@
 )
 
 var (
+	adviceSettings = modeler.Advice{BaseDelay: 40 * time.Millisecond, DelayPerWorker: 2 * time.Millisecond, TicketValidity: 3 * time.Second}
 	customers      = []string{"ana", "ben", "eva"}
 	workerCapacity = modeler.Resources{CPU: workerCores * 1000, Memory: workerMB}
 	shrunkCapacity = modeler.Resources{CPU: 1000, Memory: workerMB} // room for the largest task
@@ -63,6 +68,7 @@
 	metaStore       *emulator.MetaStore
 	fleet           *emulator.TaskFleet
 	instanceService *emulator.InstanceService
+	advice          *emulator.AdviceService
 	instanceNames   []string // all instances; each runs a worker at the start
 	workerProxies   []*Proxy // proxies in front of the workers, in the order of instanceNames
 	servers         []*http.Server
@@ -80,7 +86,7 @@
 // newEmulatedPlatform starts the servers and proxies of the emulated platform and
 // writes the first manifest.
 func newEmulatedPlatform(workers int) (*emulatedPlatform, error) {
-	p := &emulatedPlatform{metaStore: emulator.NewMetaStore(), hidden: make(map[string]bool), shownAt: make(map[string]time.Time)}
+	p := &emulatedPlatform{metaStore: emulator.NewMetaStore(), advice: emulator.NewAdviceService(adviceSettings), hidden: make(map[string]bool), shownAt: make(map[string]time.Time)}
 	p.fleet = emulator.NewTaskFleet(runOutcome)
 	p.instanceService = emulator.NewInstanceService(p.fleet, moveTime, maintenanceTime)
 	p.instanceService.FilterList = func(name string) (bool, error) {
@@ -111,6 +117,10 @@
 			Capacity: workerCapacity,
 		}, true)
 	}
+	p.advice.Permits = p.permits
+	p.fleet.CheckTicket = func(w modeler.Worker, o modeler.StartOrder) bool {
+		return !isAdvised(o.Task.Job) || p.advice.CheckTicket(w, o)
+	}
 	var err error
 	if p.storeAddress, err = p.startServer(platform.NewStoreHandler(p.metaStore.ClientFor("entries"), p.fleet)); err != nil {
 		return nil, err
@@ -150,6 +160,38 @@
 	return err == nil && number%jobsPerDeadlyJob == 0 && id.Step == 0 && id.Index == 0
 }
 
+// isAdvised reports whether a job is of the queue with an advice service.
+func isAdvised(job string) bool {
+	number, err := strconv.ParseUint(job, 16, 64)
+	return err == nil && number%jobsPerAdvisedJob == 2
+}
+
+// queueOf returns the queue of a job and the path prefix of its calls.
+func queueOf(job string) (name, prefix string) {
+	if isAdvised(job) {
+		return advisedQueueName, advisedQueuePrefix
+	}
+	return queueName, queuePrefix
+}
+
+// permits is the policy of the queue with an advice service: each step may run on all
+// instances but one.
+func (p *emulatedPlatform) permits(step, worker string) bool {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, step) // the Write method of a hash never returns an error
+	return p.instanceService.WorkerOf(p.instanceNames[h.Sum64()%uint64(len(p.instanceNames))]) != worker
+}
+
+// startAdviceProxy starts a server of the advice service for one client, and a proxy in
+// front of it.
+func (p *emulatedPlatform) startAdviceProxy(client string) (*Proxy, error) {
+	address, err := p.startServer(platform.NewAdviceHandler(func(*http.Request) platform.EmulatedAdvice { return p.advice.ClientFor(client) }))
+	if err != nil {
+		return nil, err
+	}
+	return p.startProxy(address)
+}
+
 // startServer starts an HTTP server on a free port and returns its address.
 func (p *emulatedPlatform) startServer(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -189,10 +231,8 @@
 	p.manifestVersion++
 	m := modeler.Manifest{
 		Version: p.manifestVersion, MaxBody: 1 << 18,
-		Queues: []modeler.Queue{{
-			Name: queueName, Host: queueHost, Prefix: queuePrefix, Pool: poolName, MaxFailedRuns: maxFailedRuns, ObjectiveFactor: 1.6, ObjectiveOffset: time.Second,
-		}},
-		Pools: []modeler.Pool{{Name: poolName}, {Name: spareName, Spare: true}},
+		Queues: []modeler.Queue{newQueue(queueName, queuePrefix, nil), newQueue(advisedQueueName, advisedQueuePrefix, &adviceSettings)},
+		Pools:  []modeler.Pool{{Name: poolName}, {Name: spareName, Spare: true}},
 	}
 	for i, name := range customers {
 		m.Customers = append(m.Customers, modeler.Customer{
@@ -208,6 +248,13 @@
 	return nil
 }
 
+// newQueue returns a queue of the deployment.
+func newQueue(name, prefix string, advice *modeler.Advice) modeler.Queue {
+	return modeler.Queue{
+		Name: name, Host: queueHost, Prefix: prefix, Pool: poolName, MaxFailedRuns: maxFailedRuns, ObjectiveFactor: 1.6, ObjectiveOffset: time.Second, Advice: advice,
+	}
+}
+
 // orderMaintenance writes a maintenance wave for half of the instances, starting
 // with number first.
 func (p *emulatedPlatform) orderMaintenance(first int) error {
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -64,6 +64,9 @@
 		storeSlow        faultCounter
 		storeWritesLost  faultCounter
 		workerStartsLate faultCounter
+		adviceSlow       faultCounter
+		adviceSilent     faultCounter
+		bursts           faultCounter
 		evacuations      [zoneCount]faultCounter // by zone
 	}
 
@@ -121,7 +124,7 @@
 			number := i*callersPerCustomer + n
 			callers = append(callers, &caller{
 				customer: customer, entries: r.entries, checker: r.checker, fleet: r.fleet, client: &http.Client{Transport: &http.Transport{}},
-				rng: rand.New(rand.NewPCG(r.Seed, uint64(number+1))), number: number,
+				rng: rand.New(rand.NewPCG(r.Seed, uint64(number+1))), number: number, bursts: &r.bursts,
 			})
 		}
 	}
@@ -215,6 +218,14 @@
 		r.fleet.SetCapacity(r.instanceService.WorkerOf(name), shrunkCapacity)
 		waitDuration()
 		r.fleet.SetCapacity(r.instanceService.WorkerOf(name), workerCapacity)
+	case AdviceSlow:
+		r.switchOnDuring(&r.adviceSlow, waitDuration, func(on bool) { r.advice.SetSlowdown(slowdownOfAdvice(on)) })
+	case AdviceSilent:
+		r.switchOnDuring(&r.adviceSilent, waitDuration, r.advice.SetSilent)
+	case AdviceConnection:
+		r.setModeDuring(e.adviceProxy, f.Mode, waitDuration)
+	case JobBurst:
+		r.switchOnDuring(&r.bursts, waitDuration, func(bool) {})
 	case NewManifest:
 		if err := r.writeManifest(); err != nil {
 			r.checker.AddBreach("manifest not written: %v", err)
@@ -271,6 +282,19 @@
 	return c.n
 }
 
+// isOn reports whether a fault of the kind is active.
+func (c *faultCounter) isOn() bool {
+	return c.add(0) > 0
+}
+
+// slowdownOfAdvice returns the factor by which the advice service is slower.
+func slowdownOfAdvice(on bool) float64 {
+	if on {
+		return adviceSlowdown
+	}
+	return 1
+}
+
 // storeDelay returns the delay of store responses: slowStoreDelay while a
 // StoreSlow fault is on, otherwise 0.
 func storeDelay(on bool) time.Duration {
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -71,6 +71,6 @@
 			require.Less(t, f.At, time.Minute)
 		}
 	}
-	require.Len(t, seen, 21)
+	require.Len(t, seen, 25)
 	require.Len(t, soaker.Kinds(), len(seen))
 }
