Repeat a start without a response, and let tasks wait for late ones

Cause: a start without a response was stopped and its task placed elsewhere under a new number. The next process knows neither the stop nor a fencing token until the leader calls it. When it was cut off, the leader counted only the leases that it knew of. A stop counted for a process that had not acknowledged it. Change: the start is sent again under the same number while the worker's process answers; tasks wait while a worker that doesn't respond may carry out an earlier start of them and run it for a lease, unless they are long-running or the worker is gone for certain. An orphaned run is over only once the present process has acknowledged its stop.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -139,6 +139,7 @@
 	firstPoll, firstReport := !w.polled, !w.reported && isComplete(report)
 	w.reported = w.reported || firstReport
 	w.polled, w.replaced, w.ended, w.hasUnknownStart, w.failedPolls = true, false, false, false, 0
+	delete(e.goneWorkers, w.ID)
 	w.clockSample = clockSample{now, report.ClockMs}
 	if firstPoll {
 		e.instanceCores.known = false
@@ -231,6 +232,9 @@
 	for _, t := range lost {
 		e.requeueLostTask(w, t, "reborn")
 	}
+	for _, r := range w.orphanedRuns {
+		r.stop = stopState{} // the present process knows of no stop
+	}
 	e.stopLateStarts(w, now)
 	e.requestPlacement()
 }
@@ -258,6 +262,7 @@
 		"worked", w.longestWorkOf(t, time.Now()).Round(time.Millisecond).String(), "listed", t.listedFor.Round(time.Millisecond).String())
 	meter.CountLostRun(reason)
 	t.lostAt = w.lostAt
+	e.noteStartOfLostRun(t, time.Now())
 	e.requeueTask(t)
 }
 
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -39,6 +39,7 @@
 	j := t.step.occurrence.job
 	e.handling = j
 	j.markStarted() // also if no record tells of the run
+	t.noteRunSeen(w, ended.Run)
 	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
 		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
@@ -168,6 +169,7 @@
 		t := e.findTask(r.Task)
 		if t != nil {
 			t.step.occurrence.job.markStarted()
+			t.noteRunSeen(w, r.Run)
 		}
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
 			e.stopOrphanedRun(w, cmp.Or(t, e.findTaskOfEndedJob(r.Task)), runID{r.Task, r.Run}, now)
@@ -179,8 +181,11 @@
 		return
 	}
 	for id, r := range w.orphanedRuns {
-		if !listedRuns[id] && !sentAt.Before(r.since) { // a report from before the stop may not list a run that had yet to start
+		if !listedRuns[id] && !r.stop.acknowledgedAt.IsZero() && !sentAt.Before(r.stop.acknowledgedAt) { // before that the run may still begin
 			delete(w.orphanedRuns, id)
+			if r.task != nil {
+				r.task.noteStartPrevented(w, id.number)
+			}
 		}
 	}
 	if firstReport {
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -111,10 +111,12 @@
 		rejections       int       // starts that workers have rejected as malformed
 		retryAt          time.Time // the task isn't placed before this time
 		checkpoint       string
-		worker           *worker       // assigned worker, nil while waiting or done
-		ticket           string        // permission from the advice service
-		permit           *startPermit  // to send the start, in phase starting
-		withheldRun      int           // number of the last run whose start was withheld, see noteWithheld
+		worker           *worker      // assigned worker, nil while waiting or done
+		ticket           string       // permission from the advice service
+		permit           *startPermit // to send the start, in phase starting
+		withheldRun      int          // number of the last run whose start was withheld, see noteWithheld
+		unanswered       []unansweredStart
+		startsRepeated   int           // number of times that the start of the present run was sent again
 		placementVersion int64         // job version that contains the placement
 		lostAt           time.Duration // when the last run of which no end was listed was found to be over, by elector.Term.Now; 0 if there was none
 		placedAt         time.Time     // when the placement was made, by the clock of the leader's entry node; zero if not known
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -146,6 +146,11 @@
 			e.handleStartResult(ctx, w, t, o, clock, err)
 		})
 	})
+	if !queued && t.phase == outcomeUnknown {
+		t.startsRepeated = maxRepeatedStarts
+		e.resolveUnknownStart(ctx, w, t, o, 0)
+		return
+	}
 	if !queued {
 		w.markSuspect(now)
 		e.requeueTask(t)
@@ -204,6 +209,15 @@
 	}
 	now := time.Now()
 	meter.RecordTaskStart(workerCallOutcome(err), now.Sub(t.phaseSince))
+	if err != nil && wasNotExecuted(err) && !errors.Is(err, modeler.ErrFenced) && t.startsRepeated > 0 {
+		e.log.Info("repeated start of a run refused, the run is stopped", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
+		if errors.Is(err, modeler.ErrInvalidTicket) {
+			t.step.dropTicket(w, now)
+		}
+		t.phase, t.startsRepeated = outcomeUnknown, maxRepeatedStarts // an earlier call may have been carried out
+		e.resolveUnknownStart(ctx, w, t, o, 0)
+		return
+	}
 	switch {
 	case err == nil:
 		if took := now.Sub(t.phaseSince); took > slowStart {
@@ -277,9 +291,8 @@
 }
 
 // resolveUnknownStart resolves a start that got no response: it polls the
-// worker until the run is listed, or stops the run that is not listed so that it
-// can no longer begin. While polls fail the run may be at work, so it is not
-// stopped. stoppedBoot is the start time of the worker process that an earlier
+// worker until the run is listed, and has the start repeated or the run stopped if it
+// is not. While polls fail the run may be at work, so it is not stopped. stoppedBoot is the start time of the worker process that an earlier
 // attempt found without the run before it stopped it, or 0. A restarted worker
 // has forgotten the stop, so the stop counts only if that process answers the
 // next poll too. Each attempt calls the worker at its present address.
@@ -296,12 +309,10 @@
 				e.runInEventLoop(ctx, func() { e.handleResolvedStart(ctx, w, t, o, listed && !stopped, report) })
 				return
 			}
-			stoppedBoot = 0
-			if err = e.workers.Stop(ctx, target, o.Task, o.Run, o.FencingToken); err == nil {
-				stoppedBoot = report.StartTimeMs
-			}
+			e.runInEventLoop(ctx, func() { e.repeatOrStopStart(ctx, w, t, o, report) })
+			return
 		}
-		if err != nil && supervisor.Pause(ctx, callRetryInterval) != nil {
+		if supervisor.Pause(ctx, callRetryInterval) != nil {
 			return
 		}
 		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, stoppedBoot) })
@@ -359,6 +370,7 @@
 		return
 	}
 	e.log.Info("start of a run prevented by a stop, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
+	t.noteStartPrevented(w, o.Run)
 	e.requeueTask(t)
 	e.requestPlacement()
 }
@@ -385,6 +397,9 @@
 		e.runInEventLoop(ctx, func() {
 			s.inFlight, s.repeatAt = false, time.Now().Add(stopRepeatInterval)
 			if err == nil {
+				if s.acknowledgedAt.IsZero() && info.StartTimeMs == w.StartTimeMs {
+					s.acknowledgedAt = time.Now()
+				}
 				return
 			}
 			s.repeatAt = time.Now().Add(callRetryInterval)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -319,7 +319,7 @@
 	var tasks []*task
 	for i := range s.Count {
 		t := s.taskAt(i)
-		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) {
+		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) || p.engine.awaitsLateStart(t, p.now) {
 			continue
 		}
 		if !p.isWithinCustomerLimit(t, j) || fair && view.pool.shares.isExceededBy(s) {
@@ -498,7 +498,7 @@
 func (p *placementPass) commitPlacement(t *task) {
 	e, j := p.engine, t.step.occurrence.job
 	t.run = max(t.run, t.highestRun) + 1
-	t.phaseSince, t.placedAt = p.now, p.wallTime
+	t.phaseSince, t.placedAt, t.startsRepeated = p.now, p.wallTime, 0
 	j.markPlaced()
 	e.markUnstored(j)
 	t.placementVersion = j.version
--- a/orchestrator/restart_test.go
+++ b/orchestrator/restart_test.go
@@ -154,20 +154,47 @@
 	for n := range uint64(*recutSeeds) {
 		seed := *recutSeed + n
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			runScenario(t, 6, func(s *deployment) { s.runLongTasksWhileWorkersAreRecut(seed) })
+			runScenario(t, 6, func(s *deployment) { s.runTasksWhileWorkersAreRecut(seed, 2*time.Second, 0) })
 		})
 	}
 }
 
-// runLongTasksWhileWorkersAreRecut hands in a job each second while recutWorkers is called
-// repeatedly, and waits until all jobs are completed.
-func (d *deployment) runLongTasksWhileWorkersAreRecut(seed uint64) {
+// Guards against starts that a worker carries out seconds late, in a process that it has
+// started since, while their task runs elsewhere.
+func TestLongTasksRunOnceThoughRestartedWorkersStartThemLate(t *testing.T) {
+	runRecutSeeds(t, 11*time.Second)
+}
+
+// Like TestLongTasksRunOnceThoughRestartedWorkersStartThemLate, with tasks that may also end
+// before the late start of one of their runs.
+func TestTasksRunOnceThoughRestartedWorkersStartThemLate(t *testing.T) {
+	runRecutSeeds(t, 2*time.Second)
+}
+
+// runRecutSeeds plays deployments whose workers carry out a fifth of the starts late.
+func runRecutSeeds(t *testing.T, shortestTask time.Duration) {
+	for n := range uint64(*recutSeeds) {
+		seed := *recutSeed + n
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			runScenario(t, 6, func(s *deployment) { s.runTasksWhileWorkersAreRecut(seed, shortestTask, 0.2) })
+		})
+	}
+}
+
+// runTasksWhileWorkersAreRecut hands in a job each second while recutWorkers is called
+// repeatedly, and waits until all jobs are completed. A share of the starts is carried out
+// late and gets no response.
+func (d *deployment) runTasksWhileWorkersAreRecut(seed uint64, shortestTask time.Duration, lateShare float64) {
 	const jobCount = 60
-	f := &faultyDeployment{deployment: d, rng: rand.New(rand.NewPCG(seed, 0))}
+	f := &faultyDeployment{deployment: d, rng: rand.New(rand.NewPCG(seed, 0)), delayRNG: rand.New(rand.NewPCG(seed, 1))}
+	if f.setLateShare(lateShare); lateShare > 0 {
+		d.taskFleet.LateStarts = true
+		d.taskFleet.SetStartDelay(func(modeler.TaskID, int) time.Duration { return f.randomDelay() })
+	}
 	d.outcomeQueryTime = time.Hour
 	d.keepInstances()
 	d.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
-		return time.Duration(2+id.Index%3*9) * time.Second, modeler.EndDone
+		return shortestTask + time.Duration(id.Index%3*9)*time.Second, modeler.EndDone
 	}
 	time.Sleep(time.Minute) // so that the workers' clocks are ahead of those of later processes
 	for range 3 {
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -43,6 +43,9 @@
 		w.noteLateOrder(now)
 		w.lateStarts = slices.DeleteFunc(w.lateStarts, func(l lateStart) bool { return now.After(l.until) })
 		w.lateStarts = append(w.lateStarts, lateStart{runID{s.order.Task, s.order.Run}, now.Add(maxLateOrderTime)})
+		if t := e.findTask(s.order.Task); t != nil && t.phase != done {
+			t.noteUnansweredStart(w, s.order.Run, e.endOfLateRun(now))
+		}
 	}
 	if !mayBeLate && !mayExtendLease(err) || err == nil && boot == w.StartTimeMs && w.clockSample.matches(clock, s.queuedAt, now) {
 		return
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -107,6 +107,8 @@
 		inFlight      bool      // queued or in flight
 		failureLogged bool      // a failure of the stop has been logged
 		repeatAt      time.Time // if the run has not ended by this time, the stop is sent again
+
+		acknowledgedAt time.Time // when the present process of the worker acknowledged a stop; zero if it has not
 	}
 
 	// pollRequest requests a worker's lists of current and ended runs and extends
