Count with late orders in the lease of a process that answered for another

A start that is carried out late extends the lease of all runs of its process. The leader counted one lease from the answer of the process that had taken a start for another one. Change: while such a process doesn't respond, its lease lasts until late orders can't extend it any more.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -344,7 +344,7 @@
 	}
 	if w.polled {
 		expiry := w.clockSample.localTimeOf(w.leaseDeadline)
-		if stray := w.stray.until; stray.After(expiry) {
+		if stray := e.strayLeaseExpiry(w); stray.After(expiry) {
 			expiry = stray
 		}
 		if inFlight := time.Now().Add(e.longestLease()); w.startsInFlight > 0 && inFlight.After(expiry) {
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -32,6 +32,7 @@
 		until time.Time // when the lease has certainly expired; zero if there is none
 		since time.Time // when the last such start ended
 		boot  int64     // start time of the process for which the starts were meant, 0 if of several
+		taken bool      // such a process has answered a start, so that a task may be at work there
 	}
 )
 
@@ -57,7 +58,16 @@
 	if !w.stray.until.IsZero() && w.stray.boot != boot {
 		boot = 0
 	}
-	w.stray = strayLease{until: now.Add(e.longestLease()), since: now, boot: boot}
+	w.stray = strayLease{until: now.Add(e.longestLease()), since: now, boot: boot, taken: w.stray.taken || err == nil}
+}
+
+// strayLeaseExpiry returns when the lease of a process of which the leader doesn't know
+// has certainly expired. Orders that are carried out late extend it for all its runs.
+func (e *Engine) strayLeaseExpiry(w *worker) time.Time {
+	if late := w.lateOrdersUntil.Add(e.longestLease()); w.stray.taken && late.After(w.stray.until) {
+		return late
+	}
+	return w.stray.until
 }
 
 // noteUnansweredPoll notes that a poll which extends leases got no response.
