Bound the repetitions of polls, stops and orders for instances

Cause: what let the advice service stand still acts elsewhere too: each start without a response polled its silent worker by itself, every 0.1 s and the time limit, and failed stops and orders for instances came back without a growing pause.

--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -12,11 +12,13 @@
 )
 
 const (
-	idleInstanceListInterval   = 2 * time.Second        // between two reads of the instance list while no instance is planned for a move or maintenance
-	busyInstanceListInterval   = 250 * time.Millisecond // between two reads of the instance list while instances are moved or maintained
-	pausePerListTime           = 4                      // pause after reading a list as a multiple of the time that it took
-	planRoundInterval          = 200 * time.Millisecond // between two rounds of planning
-	instanceOrderRetryInterval = 250 * time.Millisecond // after an instance order that failed or was refused
+	idleInstanceListInterval = 2 * time.Second        // between two reads of the instance list while no instance is planned for a move or maintenance
+	busyInstanceListInterval = 250 * time.Millisecond // between two reads of the instance list while instances are moved or maintained
+	pausePerListTime         = 4                      // pause after reading a list as a multiple of the time that it took
+	planRoundInterval        = 200 * time.Millisecond // between two rounds of planning
+	minOrderRetryInterval    = 250 * time.Millisecond // after an instance order that failed or was refused; doubles with each further failure
+	maxOrderRetryInterval    = 2 * time.Second
+	maxOrderDoublings        = 3
 )
 
 // What is planned for an instance.
@@ -60,6 +62,7 @@
 		missed        bool      // the last instance list lacks it
 		orderInFlight bool      // an order for the instance is in flight
 		retryAfter    time.Time // no order is sent before this time
+		failedOrders  int       // orders of the plan that have ended, whatever their result
 	}
 
 	// instancePlanner is the state of planned moves and maintenance.
@@ -249,7 +252,7 @@
 
 // startPlan starts a plan for an instance.
 func (e *Engine) startPlan(i *instance, kind planKind, now time.Time) {
-	i.plan, i.phase, i.phaseSince, i.retryAfter = kind, evacuating, now, now
+	i.plan, i.phase, i.phaseSince, i.retryAfter, i.failedOrders = kind, evacuating, now, now, 0
 	e.instanceCores.known = false
 	e.planner.anyPlanned.Store(true)
 	e.log.Info("move or maintenance of an instance planned", "instance", i.Name, "pool", i.Pool, "kind", kind.String(), "to", i.targetPool)
@@ -304,7 +307,8 @@
 // handleInstanceOrderResult processes the result of an instance order.
 func (e *Engine) handleInstanceOrderResult(i *instance, err error) {
 	now := time.Now()
-	i.orderInFlight, i.retryAfter = false, now.Add(instanceOrderRetryInterval)
+	i.orderInFlight, i.retryAfter = false, now.Add(min(minOrderRetryInterval<<min(i.failedOrders, maxOrderDoublings), maxOrderRetryInterval))
+	i.failedOrders++
 	switch {
 	case err == nil:
 		e.log.Info("move or maintenance of an instance ordered", "instance", i.Name, "kind", i.plan.String(), "to", i.targetPool)
--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -10,10 +10,7 @@
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-const (
-	maxRepeatedStarts = 5 // of a run without a response; after that the run is stopped
-	minRepeatPause    = callRetryInterval
-)
+const maxRepeatedStarts = 5 // of a run without a response; after that the run is stopped
 
 // unansweredStart is a start of a task of which it is not known whether its worker has
 // carried it out. A process that the worker starts later may do so too: it knows neither
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	slowStart          = 100 * time.Millisecond // a start that takes longer is logged
-	maxStartQueueTime  = time.Second            // a start that has waited longer for its worker's other calls is not sent
-	callRetryInterval  = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
-	stopRepeatInterval = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
+	slowStart            = 100 * time.Millisecond // a start that takes longer is logged
+	maxStartQueueTime    = time.Second            // a start that has waited longer for its worker's other calls is not sent
+	callRetryInterval    = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
+	maxStopRetryInterval = time.Second            // between attempts to stop a run; doubles up to this with each failure
+	maxStopDoublings     = 4
+	stopRepeatInterval   = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 
 	minRejectionPause     = 500 * time.Millisecond // before a task whose start was rejected is placed again; doubles with each further rejection
 	maxRejectionPause     = 10 * time.Second       // upper limit of that pause
@@ -300,6 +302,10 @@
 	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
 		return // a poll has reported the run, or the task was requeued
 	}
+	if w.failedPolls > 0 { // the worker's own polls find out when it responds, for all its starts
+		e.resolveUnknownStartLater(ctx, w, t, o, stoppedBoot)
+		return
+	}
 	target := w.Worker
 	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
@@ -402,7 +408,8 @@
 				}
 				return
 			}
-			s.repeatAt = time.Now().Add(callRetryInterval)
+			s.repeatAt = time.Now().Add(min(callRetryInterval<<min(s.failures, maxStopDoublings), maxStopRetryInterval))
+			s.failures++
 			if !s.failureLogged {
 				s.failureLogged = true
 				e.log.Warn("stop of a run failed, trying again", "task", id.String(), "run", run, "worker", w.ID, "error", err)
--- a/orchestrator/order_test.go
+++ b/orchestrator/order_test.go
@@ -82,6 +82,26 @@
 	})
 }
 
+// Guards against a poll for each start without a response while its worker is silent: a slow
+// worker would be kept busy with them.
+func TestSilentWorkerIsPolledOnceForAllItsStarts(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return longTask, modeler.EndDone }
+		e := s.startEntry("one")
+		time.Sleep(2 * time.Second)
+		s.taskFleet.SetUnresponsive(s.instances.WorkerOf("a"), true)
+		s.submit(shortJob("j1", modeler.Step{Count: 20, Need: modeler.Resources{CPU: 100}}))
+		time.Sleep(time.Second)
+		before := e.polls.Load()
+		time.Sleep(4 * time.Second)
+		require.LessOrEqual(t, e.polls.Load()-before, int64(6), "a poll takes 300 ms, the pause after it up to a second")
+		s.taskFleet.SetUnresponsive(s.instances.WorkerOf("a"), false)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 20, s.taskFleet.RunCountOfJob("j1"))
+		e.stopGracefully()
+	})
+}
+
 // advisor permits each worker of which it is asked to run any step.
 type advisor struct{}
 
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -156,6 +156,7 @@
 		time.Sleep(300 * time.Millisecond)
 		return modeler.Report{}, context.DeadlineExceeded
 	}
+	l.entry.polls.Add(1)
 	time.Sleep(time.Duration(l.entry.pollDelay.Load()))
 	report, err := l.TaskFleet.RenewAndPoll(ctx, w, leaseDeadline, token, acknowledgedEnd, maxWait)
 	if err == nil && leaseDeadline > 0 && l.entry.losesRenewals.Load() {
@@ -256,6 +257,7 @@
 	cancel             context.CancelFunc
 	done               chan struct{}
 	disconnected       atomic.Bool                      // from the workers
+	polls              atomic.Int64                     // number of polls of workers
 	pollDelay          atomic.Int64                     // delay of each poll of a worker, in ns
 	startDelay         atomic.Int64                     // time until a start reaches its worker, in ns
 	unsentStops        atomic.Int64                     // number of stops that fail before they are sent
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -106,6 +106,7 @@
 	stopState struct {
 		inFlight      bool      // queued or in flight
 		failureLogged bool      // a failure of the stop has been logged
+		failures      int       // of calls so far
 		repeatAt      time.Time // if the run has not ended by this time, the stop is sent again
 
 		acknowledgedAt time.Time // when the present process of the worker acknowledged a stop; zero if it has not
