Request tickets anew for the next process of a worker

Cause: a ticket is valid for one life of a worker. After a restart the leader sent starts with the tickets of the former process, which the present one refuses. Change: a ticket is kept with the start time of its worker's process.

--- a/orchestrator/advice.go
+++ b/orchestrator/advice.go
@@ -50,10 +50,11 @@
 	// adviceNeed is what a step needs tickets for.
 	adviceNeed int
 
-	// ticket is the permission to run a step on a worker.
+	// ticket is the permission to run a step on a process of a worker.
 	ticket struct {
 		value string
 		until time.Time
+		boot  int64 // start time of the process
 	}
 
 	// stepAdvice is what the advice service has decided about a step. Its decision on a
@@ -86,9 +87,9 @@
 	// adviceCandidate is a worker that a request may name.
 	adviceCandidate struct {
 		id    string
-		near  bool
+		far   int // 0 near the step's data, 1 elsewhere
 		room  int // tasks of the step for which it has room
-		index int
+		index int // in the pool's view
 	}
 )
 
@@ -96,9 +97,13 @@
 	return adviceState{inquirer: inquirer.New(), permits: make(map[string]float64)}
 }
 
-// permits reports whether the step has a valid ticket for a worker.
-func (a *stepAdvice) permits(worker string) bool {
-	return a == nil || a.tickets[worker].value != ""
+// permits reports whether the step has a ticket for the present process of a worker.
+func (a *stepAdvice) permits(w *worker) bool {
+	if a == nil {
+		return true
+	}
+	t, ok := a.tickets[w.ID]
+	return ok && t.boot == w.StartTimeMs
 }
 
 // ticketOf returns the step's ticket for a worker, empty if it has none.
@@ -171,7 +176,7 @@
 	for i, w := range view.workers {
 		switch v := view.assignerViews[i]; {
 		case s.advice.refuses(w) || !s.acceptsLabels(w) || v.Unavailable || !need.Fits(v.Free):
-		case s.advice.permits(w.ID):
+		case s.advice.permits(w):
 			permitted += s.roomOn(w, v)
 		default:
 			elsewhere = true
@@ -241,17 +246,20 @@
 	var candidates []adviceCandidate
 	for i, w := range view.workers {
 		v := view.assignerViews[i]
-		if t := s.advice.tickets[w.ID]; now.Before(t.until) || s.advice.refuses(w) || !s.acceptsLabels(w) || !w.acceptsTasks(now) {
+		if s.advice.permits(w) && now.Before(s.advice.tickets[w.ID].until) || s.advice.refuses(w) || !s.acceptsLabels(w) || !w.acceptsTasks(now) {
 			continue
 		}
-		c := adviceCandidate{id: w.ID, index: i, near: s.rackPreference() != "" && v.Rack == s.rackPreference()}
+		c := adviceCandidate{id: w.ID, index: i}
+		if v.Rack != s.rackPreference() {
+			c.far = 1
+		}
 		if !v.Unavailable {
 			c.room = s.roomOn(w, v)
 		}
 		candidates = append(candidates, c)
 	}
 	slices.SortFunc(candidates, func(a, b adviceCandidate) int {
-		return cmp.Or(compareBool(b.near, a.near), cmp.Compare(b.room, a.room), cmp.Compare(a.index, b.index))
+		return cmp.Or(cmp.Compare(a.far, b.far), cmp.Compare(b.room, a.room), cmp.Compare(a.index, b.index))
 	})
 	var ids []string
 	room, wanted := 0.0, float64(requestedPerWaitingTask*s.waitingTasks)
@@ -265,17 +273,6 @@
 	return ids
 }
 
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case b:
-		return -1
-	}
-	return 1
-}
-
 // permitShare returns the share of the workers that may run a step of a queue, by the
 // last decisions.
 func (a *adviceState) permitShare(queue string) float64 {
@@ -372,7 +369,7 @@
 	until := now.Add(validity - min(ticketSafetyMargin, validity/4))
 	for id, boot := range boots {
 		if tickets[id] != "" {
-			a.tickets[id] = ticket{tickets[id], until}
+			a.tickets[id] = ticket{tickets[id], until, boot}
 		} else {
 			a.refused[id] = boot
 		}
--- a/orchestrator/advice_test.go
+++ b/orchestrator/advice_test.go
@@ -196,3 +196,31 @@
 		e.stopGracefully()
 	})
 }
+
+// Guards against starts with a ticket for a worker's former process, which the present one
+// refuses.
+func TestTicketIsRequestedAgainForARestartedWorker(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		s.outcomeQueryTime = time.Hour
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return longTask, modeler.EndDone }
+		s.requireAdvice(modeler.Advice{TicketValidity: time.Minute})
+		refused := 0
+		s.taskFleet.CheckTicket = func(w modeler.Worker, o modeler.StartOrder) bool {
+			ok := s.advice.CheckTicket(w, o)
+			if !ok {
+				refused++
+			}
+			return ok
+		}
+		e := s.startEntry("one")
+		time.Sleep(2 * time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 1000}, Estimate: time.Second}))
+		time.Sleep(2 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		s.taskFleet.RestartUnderSameID(s.instances.WorkerOf("a"))
+		time.Sleep(5 * time.Second)
+		require.Equal(t, 2, s.taskFleet.RunCountOfJob("j1"))
+		require.Zero(t, refused)
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -479,7 +479,7 @@
 // if the worker must not take another one.
 func (s *step) countSameStepTasks(w *worker) int {
 	n := s.countTasksOn(w)
-	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || !s.advice.permits(w.ID) {
+	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || !s.advice.permits(w) {
 		return -1
 	}
 	return n
