Refuse new jobs whose steps the advice service can't decide on in time

Cause: entries accepted jobs of a queue with advice at the rate of the cores. In a long burst the service falls behind, cores stay free, and jobs wait for longer than they are worth anything. Change: the wait of a new job is at least what the service needs for the steps that could start before it, and the limitation of new jobs follows it; its cause is "advice".

--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -234,7 +234,10 @@
 			continue
 		}
 		limited := a.Share() < 1
-		wait := waits[k.customer]
+		wait, cause := waits[k.customer], pool.CauseOf(k.customer)
+		if advice := e.waitForAdvice(q); advice > wait {
+			wait, cause = advice, refuser.LackOfAdvice
+		}
 		if room > 0 && wait == 0 && b.queueWork[k] == 0 {
 			a.UpdateWithRoom(interval, limit, min(room, pool.UnusedCores(k.customer)))
 		} else {
@@ -242,7 +245,7 @@
 		}
 		if limited != (a.Share() < 1) {
 			e.log.Info("new jobs of a customer limited or free again", "queue", k.queue, "customer", k.customer, "accept", a.Share(),
-				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cause", string(pool.CauseOf(k.customer)), "cores", pool.Cores, "free-cores", b.freeCores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
+				"wait", wait.Round(time.Millisecond).String(), "limit", limit.Round(time.Millisecond).String(), "cause", string(cause), "cores", pool.Cores, "free-cores", b.freeCores, "starts-per-second", pool.StartsPerSecond, "work", b.queueWork[k])
 		}
 		if a.Share() >= minLimitation {
 			continue
@@ -250,7 +253,7 @@
 		if limits[k.queue] == nil {
 			limits[k.queue] = make(map[string]Limitation)
 		}
-		limits[k.queue][k.customer] = Limitation{Accept: a.Share(), WaitMs: wait.Milliseconds(), Cause: pool.CauseOf(k.customer), FreeCores: b.freeCores}
+		limits[k.queue][k.customer] = Limitation{Accept: a.Share(), WaitMs: wait.Milliseconds(), Cause: cause, FreeCores: b.freeCores}
 	}
 }
 
--- a/orchestrator/advice.go
+++ b/orchestrator/advice.go
@@ -339,6 +339,21 @@
 	return inquirer.Refused, meter.Refused
 }
 
+// waitForAdvice returns how long the step of a new job in a queue waits until the advice
+// service has decided on the steps that could start before it.
+func (e *Engine) waitForAdvice(q *modeler.Queue) time.Duration {
+	if q.Advice == nil {
+		return 0
+	}
+	wait := 0.0
+	for _, r := range e.advice.wanted[adviceToStart] {
+		if r.queue.Priority <= q.Priority {
+			wait += r.queue.Advice.ServiceTime(min(len(r.pool.view.workers), minWorkersPerAdviceRequest)).Seconds()
+		}
+	}
+	return time.Duration(wait * e.advice.inquirer.Slowdown() * float64(time.Second))
+}
+
 // countWanted returns the number of steps for which tickets are wanted.
 func (a *adviceState) countWanted() int {
 	n := 0
--- a/orchestrator/advice_test.go
+++ b/orchestrator/advice_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/refuser"
 )
 
 const (
@@ -224,3 +225,28 @@
 		e.stopGracefully()
 	})
 }
+
+// The load: so many jobs that the advice service can't decide on them in time, while cores
+// are free. New jobs are limited for as long as that lasts.
+func TestLeaderLimitsNewJobsThatTheAdviceServiceCannotDecideOn(t *testing.T) {
+	runScenario(t, adviceWorkers, func(s *deployment) {
+		e := s.startAdviceDeployment()
+		submitted := 0
+		play := func(length time.Duration, rate float64) {
+			for began := time.Now(); time.Since(began) < length; submitted++ {
+				s.submit(shortJob(fmt.Sprint("job", submitted), modeler.Step{Count: 1, Need: modeler.Resources{CPU: 500}, Estimate: time.Second}))
+				time.Sleep(time.Duration(float64(time.Second) / rate))
+			}
+		}
+		play(8*time.Second, 15)
+		require.Empty(t, s.load().Limited)
+		play(8*time.Second, 60)
+		limited := s.load().Limited["short"]["c"]
+		require.Equal(t, refuser.LackOfAdvice, limited.Cause)
+		require.Less(t, limited.Accept, 0.7)
+		require.Greater(t, limited.WaitMs, int64(1000))
+		play(40*time.Second, 10)
+		require.Empty(t, s.load().Limited)
+		e.stopGracefully()
+	})
+}
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -27,6 +27,7 @@
 	AtMaximum     Cause = "maximum" // the customer uses as many cores as it may
 	LackOfCores   Cause = "cores"   // customers want more cores than the pool has or can get
 	LackOfStarts  Cause = "starts"  // the leader can't start tasks any faster
+	LackOfAdvice  Cause = "advice"  // the advice service can't decide on steps any faster
 	NothingWaits  Cause = "none"
 	causeUnstated Cause = ""
 )
