Reflow the comment on starts without a response

Cause: a line of the comment was longer than the others after the last change, and a constant had no unit. Change: comments only. Measured: go vet passes; no code has changed.

--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -21,7 +21,7 @@
 	maxStartQueueTime    = time.Second            // a start that has waited longer for its worker's other calls is not sent
 	callRetryInterval    = 100 * time.Millisecond // between attempts to resolve a call with unknown outcome, or to stop a run
 	maxStopRetryInterval = time.Second            // between attempts to stop a run; doubles up to this with each failure
-	maxStopDoublings     = 4
+	maxStopDoublings     = 4                      // of that interval
 	stopRepeatInterval   = 500 * time.Millisecond // a worker responds to a stop within a few ms and ends the run within the platform's stop timeout
 
 	minRejectionPause     = 500 * time.Millisecond // before a task whose start was rejected is placed again; doubles with each further rejection
@@ -292,12 +292,13 @@
 	e.requestPlacement()
 }
 
-// resolveUnknownStart resolves a start that got no response: it polls the
-// worker until the run is listed, and has the start repeated or the run stopped if it
-// is not. While polls fail the run may be at work, so it is not stopped. stoppedBoot is the start time of the worker process that an earlier
-// attempt found without the run before it stopped it, or 0. A restarted worker
-// has forgotten the stop, so the stop counts only if that process answers the
-// next poll too. Each attempt calls the worker at its present address.
+// resolveUnknownStart resolves a start that got no response: it polls the worker until
+// the run is listed, and has the start repeated or the run stopped if it is not. While
+// polls fail the run may be at work, so it is not stopped. stoppedBoot is the start time
+// of the worker process that an earlier attempt found without the run before it stopped
+// it, or 0. A restarted worker has forgotten the stop, so the stop counts only if that
+// process answers the next poll too. Each attempt calls the worker at its present
+// address.
 func (e *Engine) resolveUnknownStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, stoppedBoot int64) {
 	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
 		return // a poll has reported the run, or the task was requeued
