Take an instance to be gone only when the lists of two seconds lack it

Cause: two lists in a row counted as proof. During maintenance they are read several times a second, and the platform's list may lack an instance for up to 2 s. Evidence: the entry's log has "worker has ended according to the instance list" 0.7 s after the fault began; the worker answered later. Change: an instance is gone when all lists of maxInstanceListAge lack it. Measured: TestInstanceMissingForAMomentEndsNoRunOfAnUnresponsiveWorker saw a second run before and sees none now; the tests of instances that do leave pass unchanged.

--- a/orchestrator/gone.go
+++ b/orchestrator/gone.go
@@ -6,8 +6,8 @@
 
 // markEndedWorkers requeues the tasks of unresponsive workers that, according to
 // the instance list requested at requestedAt, have ended. The list proves it by
-// showing an instance without the worker, or by lacking the instance like the
-// list before it, because a single list may miss an instance between two pages.
+// showing an instance without the worker, or by lacking the instance like all lists
+// of maxInstanceListAge before it, because a list may miss an instance for that long.
 // listed contains the instances in the list.
 func (e *Engine) markEndedWorkers(listed map[string]bool, requestedAt time.Time) {
 	for _, w := range e.workersByID {
@@ -15,7 +15,7 @@
 			continue
 		}
 		i := e.planner.instances[w.Instance]
-		if i != nil && (!listed[i.Name] || i.Worker == w.ID) {
+		if i != nil && (!listed[i.Name] || i.Worker == w.ID) || i == nil && requestedAt.Sub(e.planner.firstListAt) < maxInstanceListAge {
 			continue
 		}
 		w.ended, w.lostAt = true, e.term.Now()
--- a/orchestrator/gone_test.go
+++ b/orchestrator/gone_test.go
@@ -1,6 +1,7 @@
 package orchestrator_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,3 +61,28 @@
 		e.stopGracefully()
 	})
 }
+
+// Guards against runs that are taken to have ended because an instance is missing in two
+// lists within a moment, while its worker is cut off.
+func TestInstanceMissingForAMomentEndsNoRunOfAnUnresponsiveWorker(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
+		var hidden atomic.Value
+		hidden.Store("")
+		s.instances.FilterList = func(name string) (bool, error) { return name != hidden.Load(), nil }
+		e := s.startEntry("one")
+		s.submit(longRunningJob("j1", 1))
+		time.Sleep(2 * time.Second)
+		busy := s.instancesWithTasks("a", "b")[0]
+		s.requestWave(1, map[string]string{"a": "b", "b": "a"}[busy]) // the list is read more often during maintenance
+		s.taskFleet.SetUnresponsive(s.instances.WorkerOf(busy), true)
+		time.Sleep(2100 * time.Millisecond)
+		hidden.Store(busy)
+		time.Sleep(1200 * time.Millisecond)
+		hidden.Store("")
+		s.taskFleet.SetUnresponsive(s.instances.WorkerOf(busy), false)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, 1, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
+		e.stopGracefully()
+	})
+}
--- a/orchestrator/instance.go
+++ b/orchestrator/instance.go
@@ -60,6 +60,7 @@
 		wave          int64  // number of the wave that maintains it
 		phaseSince    time.Time
 		missed        bool      // the last instance list lacks it
+		missedSince   time.Time // when the first of the lists was requested that have lacked it since
 		orderInFlight bool      // an order for the instance is in flight
 		retryAfter    time.Time // no order is sent before this time
 		failedOrders  int       // orders of the plan that have ended, whatever their result
@@ -76,6 +77,7 @@
 		nextPlanRound     time.Time
 		nextLoadLog       time.Time
 		previousListAt    time.Time   // when the last instance list but one was requested; zero before the second
+		firstListAt       time.Time   // when the first instance list of the term was requested
 		lastListAt        time.Time   // when the last instance list was requested
 		anyPlanned        atomic.Bool // a plan exists for some instance
 		instancesListed   bool
@@ -122,7 +124,7 @@
 
 // applyInstanceList updates the instances from an instance list that was
 // requested at requestedAt. A single list may miss an instance between two pages, so
-// an instance is removed when two lists in a row lack it.
+// an instance is removed when the lists of maxInstanceListAge lack it.
 func (e *Engine) applyInstanceList(list []modeler.Instance, requestedAt time.Time) {
 	p := &e.planner
 	e.instanceCores.known = false
@@ -145,8 +147,8 @@
 		switch {
 		case seen[name]:
 		case !i.missed:
-			i.missed = true
-		default:
+			i.missed, i.missedSince = true, requestedAt
+		case requestedAt.Sub(i.missedSince) >= maxInstanceListAge:
 			e.log.Info("instance no longer listed", "instance", name, "pool", i.Pool)
 			delete(p.instances, name)
 		}
@@ -154,7 +156,9 @@
 	if p.instancesListed {
 		e.markEndedWorkers(seen, requestedAt)
 	}
-	p.instancesListed = true
+	if !p.instancesListed {
+		p.instancesListed, p.firstListAt = true, requestedAt
+	}
 	p.previousListAt, p.lastListAt = p.lastListAt, requestedAt
 	e.dropOrdersOfUnlistedInstances()
 }
