Let the test of a missing instance fail on the code before its mend

Change: the worker is at work for 4 s before it falls silent, so that its lease lasts, and the instance is missing for 1.8 s.

--- a/orchestrator/gone_test.go
+++ b/orchestrator/gone_test.go
@@ -72,13 +72,13 @@
 		s.instances.FilterList = func(name string) (bool, error) { return name != hidden.Load(), nil }
 		e := s.startEntry("one")
 		s.submit(longRunningJob("j1", 1))
-		time.Sleep(2 * time.Second)
+		time.Sleep(4 * time.Second)
 		busy := s.instancesWithTasks("a", "b")[0]
 		s.requestWave(1, map[string]string{"a": "b", "b": "a"}[busy]) // the list is read more often during maintenance
 		s.taskFleet.SetUnresponsive(s.instances.WorkerOf(busy), true)
 		time.Sleep(2100 * time.Millisecond)
 		hidden.Store(busy)
-		time.Sleep(1200 * time.Millisecond)
+		time.Sleep(1800 * time.Millisecond)
 		hidden.Store("")
 		s.taskFleet.SetUnresponsive(s.instances.WorkerOf(busy), false)
 		time.Sleep(3 * time.Second)
