Prepare the queues of a test before its entry starts

The product was not at fault. Change: the test adds its queue before the entry starts, with the same checks. Measured: the tests of the advice service pass with the race detector.

--- a/orchestrator/advice_test.go
+++ b/orchestrator/advice_test.go
@@ -13,14 +13,15 @@
 )
 
 const (
-	adviceWorkers     = 9
-	adviceServiceTime = 47 * time.Millisecond // of a request that names all workers
-	usualJobRate      = 7.0                   // a second; takes half of the cores and two thirds of the advice service's time
-	adviceLoad        = usualJobRate * 2 * 0.047
-	jobTime           = 6 * time.Second  // a job of two steps takes less when nothing waits for long
-	finishTime        = 14 * time.Second // after the end of the traffic all jobs should be completed
+	adviceWorkers = 9
+	usualJobRate  = 7.0                      // a second; takes half of the cores and two thirds of the advice service's time
+	adviceLoad    = usualJobRate * 2 * 0.047 // two steps a job, each with a request that names all workers
+	jobTime       = 6 * time.Second          // a job of two steps takes less when nothing waits for long
+	finishTime    = 14 * time.Second         // after the end of the traffic all jobs should be completed
 )
 
+var adviceSettings = modeler.Advice{BaseDelay: 20 * time.Millisecond, DelayPerWorker: 3 * time.Millisecond, TicketValidity: 3 * time.Second}
+
 // surge is a time in which jobs arrive faster.
 type surge struct {
 	start, length time.Duration
@@ -40,7 +41,7 @@
 	for _, name := range d.instances.Names() {
 		d.taskFleet.SetCapacity(d.instances.WorkerOf(name), modeler.Resources{CPU: 32000, Memory: 64000})
 	}
-	d.requireAdvice(modeler.Advice{BaseDelay: 20 * time.Millisecond, DelayPerWorker: 3 * time.Millisecond, TicketValidity: 3 * time.Second})
+	d.requireAdvice(adviceSettings)
 	e := d.startEntry("one")
 	time.Sleep(2 * time.Second)
 	return e
@@ -150,13 +151,12 @@
 // Guards against urgent steps that wait for the advice service behind a backlog of others.
 func TestUrgentStepsAreAskedForBeforeABacklog(t *testing.T) {
 	runScenario(t, adviceWorkers, func(s *deployment) {
-		urgent := modeler.Queue{Name: "urgent", Pool: "p", MaxFailedRuns: 3, ObjectiveFactor: 1.6, ObjectiveOffset: 600 * time.Millisecond}
 		s.manifest.Queues[0].Priority = 1
-		e := s.startAdviceDeployment()
-		urgent.Advice = s.manifest.Queues[0].Advice
-		s.manifest.Queues = append(s.manifest.Queues, urgent)
+		s.manifest.Queues = append(s.manifest.Queues, modeler.Queue{
+			Name: "urgent", Pool: "p", MaxFailedRuns: 3, ObjectiveFactor: 1.6, ObjectiveOffset: 600 * time.Millisecond, Advice: &adviceSettings,
+		})
 		s.manifest.Index()
-		e.manifest.Store(s.manifest)
+		e := s.startAdviceDeployment()
 		for n := range 100 {
 			s.submit(shortJob(fmt.Sprint("job", n), modeler.Step{Count: 1, Need: modeler.Resources{CPU: 100}, Estimate: time.Second}))
 		}
