Show that a new leader starts a task beside a late start of the former one

Cause: a leader lets a task wait while a worker that doesn't respond may carry out an earlier start of it. It knows such starts in memory only, and stores a handover record that says that all runs are known. Evidence: the test loses the response of a start that is carried out 11 s late by the worker's next process, and hands leadership over after 12 s. No logic is changed.

--- /dev/null
+++ b/orchestrator/late_test.go
@@ -0,0 +1,53 @@
+package orchestrator_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+)
+
+const lateStartTime = 11 * time.Second // after which a late start is carried out
+
+// loseFirstRun makes workers carry out the first run of each task late and without a
+// response. onStart is called when they receive it.
+func (d *deployment) loseFirstRun(onStart func()) {
+	d.taskFleet.LateStarts = true
+	d.taskFleet.SetStartDelay(func(_ modeler.TaskID, run int) time.Duration {
+		if run > 1 {
+			return 0
+		}
+		onStart()
+		return lateStartTime
+	})
+}
+
+// Guards against a new leader that starts a task while a start of its predecessor may still be carried out.
+func TestTaskRunsOnceThoughAStartOfTheFormerLeaderIsLate(t *testing.T) {
+	for name, leave := range map[string]func(*entryNode){"crash": (*entryNode).crash, "handover": (*entryNode).stopGracefully} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				first, worker := s.startOldDeployment()
+				second := s.startEntry("two")
+				s.cutOff(s.instances.WorkerOf("b"), true)
+				time.Sleep(25 * time.Second)
+				s.loseFirstRun(func() { first.unreachableWorkers.Store(worker, true) })
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(100 * time.Millisecond)
+				s.cutOff(worker, true)
+				s.cutOff(s.instances.WorkerOf("b"), false)
+				time.Sleep(5 * time.Second)
+				s.taskFleet.RestartUnderSameID(worker)
+				s.cutOff(worker, true)
+				time.Sleep(7 * time.Second)
+				leave(first)
+				s.waitForLeader("two")
+				time.Sleep(90 * time.Second)
+				require.Equal(t, modeler.Completed, s.jobState("j1"))
+				second.stopGracefully()
+			})
+		})
+	}
+}
