Show that a stopped start runs beside the next run after a restart

Cause: a start without a response that is not repeated, here since its worker is draining, is stopped. The stop that the present process acknowledges ends the wait for late starts, but the next process under the same ID knows of no stop. Evidence: the start is carried out 11 s late by a process that was started 5 s after the call and is cut off. No logic is changed.

--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -51,3 +51,25 @@
 		})
 	}
 }
+
+// Guards against a late start that a restarted worker carries out after its former process has acknowledged the stop.
+func TestTaskRunsOnceThoughAStoppedStartIsLate(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		e, worker := s.startOldDeployment()
+		s.cutOff(s.instances.WorkerOf("b"), true)
+		time.Sleep(25 * time.Second)
+		s.loseFirstRun(func() { e.unreachableWorkers.Store(worker, true) })
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		s.cutOff(s.instances.WorkerOf("b"), false)
+		time.Sleep(100 * time.Millisecond)
+		s.taskFleet.SetDraining(worker) // so that the start is stopped, not repeated
+		time.Sleep(900 * time.Millisecond)
+		e.unreachableWorkers.Delete(worker)
+		time.Sleep(4 * time.Second)
+		s.taskFleet.RestartUnderSameID(worker)
+		s.cutOff(worker, true)
+		time.Sleep(90 * time.Second)
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		e.stopGracefully()
+	})
+}
