Show that a new leader counts with too short a lease of a restarted worker

Cause: a start for a worker's former process that the next one takes extends its lease to the longest one. A new leader counts with that only while a task of the former process is still placed on the worker (inheritedLease); when the run that extended the lease has ended, it counts with the usual one. No logic is changed.

--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -73,3 +73,39 @@
 		e.stopGracefully()
 	})
 }
+
+// Guards against a new leader that counts with too short a lease of a process that took a start for a former one.
+func TestTaskRunsOnceThoughTheNextLeaderFindsARestartedWorker(t *testing.T) {
+	for name, leave := range map[string]func(*entryNode){"crash": (*entryNode).crash, "handover": (*entryNode).stopGracefully} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				first, worker := s.startOldDeployment()
+				s.taskFleet.RunOutcome = func(id modeler.TaskID, _ int) (time.Duration, modeler.EndKind) {
+					if id.Job == "j1" {
+						return 50 * time.Millisecond, modeler.EndDone
+					}
+					return longTask, modeler.EndDone
+				}
+				second := s.startEntry("two")
+				s.cutOff(s.instances.WorkerOf("b"), true)
+				time.Sleep(25 * time.Second)
+				first.startDelay.Store(int64(200 * time.Millisecond))
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(100 * time.Millisecond)
+				s.taskFleet.RestartUnderSameID(worker)
+				time.Sleep(900 * time.Millisecond)
+				require.Equal(t, modeler.Completed, s.jobState("j1"))
+				leave(first)
+				s.waitForLeader("two")
+				s.submit(shortJob("j2", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(500 * time.Millisecond)
+				require.Equal(t, 1, s.taskFleet.RunCountOnWorker(worker))
+				s.cutOff(worker, true)
+				s.cutOff(s.instances.WorkerOf("b"), false)
+				time.Sleep(90 * time.Second)
+				require.Equal(t, modeler.Completed, s.jobState("j2"))
+				second.stopGracefully()
+			})
+		})
+	}
+}
