Tell in the log which process of a worker listed a run

A task that was done ran again in the next process of its worker. The log told that a start had got no response and, if the worker was reached in time, that an orphaned run was stopped, but not by which process the start was expected and which one listed the run; and the end of a run whose task is done was not logged at all, so that a late call in another process looked like a second call in the same one.

Starts without a response, the runs that they turn out to have begun, orphaned runs and ends that no task waits for now have the process in their line.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -34,6 +34,7 @@
 	result := reportedEnd{number: ended.Number}
 	t := e.findTask(ended.Task)
 	if t == nil || t.phase == done {
+		e.log.Info("end of a run that no task waits for", "task", ended.Task.String(), "run", ended.Run, "worker", w.ID, "born", w.StartTimeMs, "how", ended.EndKind, "task-done", t != nil)
 		return result
 	}
 	j := t.step.occurrence.job
@@ -231,6 +232,9 @@
 	t.dropAssumedCrash()
 	switch t.phase {
 	case starting, outcomeUnknown, adopted:
+		if t.phase == outcomeUnknown {
+			e.log.Info("run listed whose start got no response", "task", t.id.String(), "run", r.Run, "worker", t.worker.ID, "born", t.worker.StartTimeMs, "meant-for", t.placementBoot, "after", timeInPhase(t))
+		}
 		t.phase = running
 		t.phaseSince = now
 		e.stopIfUnwanted(t)
@@ -252,7 +256,7 @@
 	w.orphanedRuns[id] = r
 	e.workersWithOrphans[w] = true
 	e.unknownRunsFound = true
-	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID)
+	e.log.Info("orphaned run without an assigned task is stopped", "task", id.task.String(), "run", id.number, "worker", w.ID, "born", w.StartTimeMs)
 	e.sendStop(w, id.task, id.number, &r.stop)
 }
 
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -250,7 +250,7 @@
 		e.log.Info("start of a run refused by its worker, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
 		e.handleRefusedStart(w, t, now, err)
 	default:
-		e.log.Info("start of a run got no response, asking its worker whether it runs", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "error", err)
+		e.log.Info("start of a run got no response, asking its worker whether it runs", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "meant-for", t.placementBoot, "born", w.StartTimeMs, "error", err)
 		t.phase = outcomeUnknown
 		w.hasUnknownStart = true
 		e.resolveUnknownStart(ctx, w, t, o, 0)
