Count a lapsed end in the stand-in only against starts that are sent later

An end is taken note of when it is acknowledged, unless the worker's lease lapsed in between, and that stands for good: the rule on tasks that run once allows this sequence, and the leader can't prevent it. The stand-in already let such ends not count for completed runs, but counted them for starts.

Now an end that had lapsed when it was acknowledged counts only against starts that are sent afterwards. Ends that had not lapsed count against any start as before. The test plays all three; "lapsed, sent before" fails without the change.

--- a/emulator/taskfleet.go
+++ b/emulator/taskfleet.go
@@ -21,7 +21,8 @@
 	TaskFleet struct {
 		mu               sync.Mutex
 		workers          map[string]*taskWorker
-		acknowledgedDone map[modeler.TaskID]bool // tasks reported as done whose report was acknowledged
+		acknowledgedDone map[modeler.TaskID]bool // tasks reported as done whose report was acknowledged while the worker's lease had not lapsed
+		lapsedDone       map[modeler.TaskID]bool // tasks reported as done whose report was acknowledged after it had lapsed
 		// RunOutcome returns how long a run takes and how it ends. A negative time
 		// means that the run never ends.
 		RunOutcome      func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)
@@ -103,7 +104,7 @@
 // runOutcome.
 func NewTaskFleet(runOutcome func(id modeler.TaskID, run int) (time.Duration, modeler.EndKind)) *TaskFleet {
 	return &TaskFleet{
-		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
+		StopTime: defaultStopTime, workers: make(map[string]*taskWorker), acknowledgedDone: make(map[modeler.TaskID]bool), lapsedDone: make(map[modeler.TaskID]bool), RunOutcome: runOutcome,
 		evacuatedSince: make(map[string]time.Time),
 		startCounts:    make(map[modeler.TaskID]int), startCheckpoints: make(map[modeler.TaskID]string), doneCounts: make(map[modeler.TaskID]int),
 		unacknowledgedDone: make(map[modeler.TaskID]int), crashCounts: make(map[modeler.TaskID]int), lostRuns: make(map[modeler.TaskID]int), startsAfterCrashes: make(map[modeler.TaskID]int),
@@ -372,24 +373,26 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	known := f.lapsedDone[o.Task]
 	if f.StartDelay != nil {
 		if delay := f.StartDelay(o.Task, o.Run); delay > 0 {
 			time.AfterFunc(delay, func() {
 				f.mu.Lock()
 				defer f.mu.Unlock()
 				if present := f.workers[w.ID]; present == w || present != nil && f.LateStarts {
-					_ = f.startRun(present, o) // the caller has already received errNoResponse, so the result is dropped
+					_ = f.startRun(present, o, known) // the caller has already received errNoResponse, so the result is dropped
 				}
 			})
 			return 0, errNoResponse
 		}
 	}
-	return w.clockMs(), f.startRun(w, o)
+	return w.clockMs(), f.startRun(w, o, known)
 }
 
 // startRun starts a run. It refuses the start if the fencing token or the run
 // number is outdated or the lease has expired. Repeating the start of a current run has no effect.
-func (f *TaskFleet) startRun(w *taskWorker, o modeler.StartOrder) error {
+// known says that the task was known to be done when the start was sent.
+func (f *TaskFleet) startRun(w *taskWorker, o modeler.StartOrder, known bool) error {
 	if !w.acceptToken(o.FencingToken) {
 		return modeler.ErrFenced
 	}
@@ -406,7 +409,7 @@
 	case f.CheckTicket != nil && !f.CheckTicket(w.Worker, o):
 		return modeler.ErrInvalidTicket
 	}
-	f.checkStart(w, o)
+	f.checkStart(w, o, known)
 	f.startCounts[o.Task]++
 	f.startCheckpoints[o.Task] = o.Checkpoint
 	duration, endKind := f.RunOutcome(o.Task, o.Run)
@@ -423,8 +426,8 @@
 
 // checkStart records a violation if the task is already done or runs on any
 // worker, has crashed too many workers, or does not fit on this one.
-func (f *TaskFleet) checkStart(w *taskWorker, o modeler.StartOrder) {
-	if f.acknowledgedDone[o.Task] {
+func (f *TaskFleet) checkStart(w *taskWorker, o modeler.StartOrder, known bool) {
+	if f.acknowledgedDone[o.Task] || known {
 		f.addViolation("task %s starts although it is done", o.Task)
 	}
 	for _, other := range f.workers {
@@ -576,7 +579,7 @@
 		if e.Number > seen {
 			kept = append(kept, e)
 		} else if e.EndKind == modeler.EndDone {
-			f.acknowledgedDone[e.Task] = true
+			f.noteDone(w, e)
 		}
 	}
 	w.ended = kept
--- a/emulator/taskfleet_test.go
+++ b/emulator/taskfleet_test.go
@@ -137,3 +137,45 @@
 		require.Zero(t, f.RunCountOnWorker("a"))
 	})
 }
+
+// An end that lapsed before it was acknowledged doesn't count for a start that was sent
+// before, even if it is carried out afterwards.
+func TestTaskFleetReportsOnlyStartsSentAfterALapsedEndWasAcknowledged(t *testing.T) {
+	for name, c := range map[string]struct {
+		lease       time.Duration
+		startBefore bool
+		violations  int
+	}{
+		"lapsed, sent before":     {3 * time.Second, true, 0},
+		"lapsed, sent after":      {3 * time.Second, false, 1},
+		"not lapsed, sent before": {time.Minute, true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet()
+				f.MaxLease = c.lease
+				f.RunOutcome = func(_ modeler.TaskID, run int) (time.Duration, modeler.EndKind) {
+					return time.Duration(run) * time.Second, modeler.EndDone
+				}
+				startOnWorker(t, f, "a", 1)
+				time.Sleep(5 * time.Second)
+				f.MaxLease = time.Minute
+				sendLate := func() {
+					f.SetStartDelay(func(modeler.TaskID, int) time.Duration { return time.Second })
+					_, err := f.Start(t.Context(), modeler.Worker{ID: "b"}, modeler.StartOrder{Task: modeler.TaskID{Job: "j"}, Run: 90, DeadlineMs: 1 << 40, FencingToken: 1})
+					require.Error(t, err)
+				}
+				if c.startBefore {
+					sendLate()
+				}
+				_, err := f.RenewAndPoll(t.Context(), modeler.Worker{ID: "a"}, 0, 1, 1, 0)
+				require.NoError(t, err)
+				if !c.startBefore {
+					sendLate()
+				}
+				time.Sleep(2 * time.Second)
+				require.Len(t, f.Violations(), c.violations)
+			})
+		})
+	}
+}
--- a/emulator/tasklease.go
+++ b/emulator/tasklease.go
@@ -27,6 +27,17 @@
 	}
 }
 
+// noteDone records that the end of a run which is done was acknowledged. If the lease had
+// lapsed before, the task may have been started elsewhere meanwhile, and such a start may
+// still be on its way.
+func (f *TaskFleet) noteDone(w *taskWorker, end modeler.EndedTask) {
+	if end.Number > w.lapsedEnds {
+		f.acknowledgedDone[end.Task] = true
+		return
+	}
+	f.lapsedDone[end.Task] = true
+}
+
 // CutOff sets whether workers are cut off: calls to them get no response, and they are not
 // in the list of workers. Their runs continue. It has no effect on workers that have ended.
 func (f *TaskFleet) CutOff(cut bool, ids ...string) {
