Let a task wait while a start without a response may be carried out

A worker refuses a known number within one process only. The class of the fault: a second start is sent while an earlier, unanswered one may still be carried out.

Now at most one start of an ordinary task is out. After a start without a response the task waits until a poll lists the run or its end, until 12 s have passed and the worker has answered a poll without the run (or the longest lease has passed too, if it doesn't respond), or until another worker is on the instance. A stop or an instance list without the worker doesn't end the wait earlier, as the next process knows no stop and a worker may return under its ID. The task keeps its room while the present process may begin the run, up to the deadline in the start. The next leader waits from the start of its term for placed runs that aren't listed and have not begun according to the record, and for recorded starts of tasks without a worker. Gangs start when no member waits. Speculative tasks may run twice and don't wait; neither do long-running ones, which must be at work again within seconds.

--- a/orchestrator/crash_test.go
+++ b/orchestrator/crash_test.go
@@ -307,7 +307,7 @@
 					time.Sleep(10 * time.Millisecond)
 				}
 				s.silenceStore(silent)
-				time.Sleep(40 * time.Second)
+				time.Sleep(80 * time.Second) // each start without a response delays the next one by 12 s
 				s.requireState(modeler.Failed, "deadly")
 				require.LessOrEqual(s.t, s.taskFleet.CrashCount(taskID("deadly", 0, 0)), investigator.MaxScore)
 				first.stopGracefully()
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -40,7 +40,7 @@
 	j := t.step.occurrence.job
 	e.handling = j
 	j.markStarted() // also if no record tells of the run
-	t.noteRunSeen(w, ended.Run)
+	t.forgetUnansweredStart(w, ended.Run)
 	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
 		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
@@ -167,12 +167,12 @@
 	listedRuns := make(map[runID]bool, len(report.Running))
 	for _, r := range report.Running {
 		listedRuns[runID{r.Task, r.Run}] = true
-		t := e.findTask(r.Task)
+		t, awaited := e.findTask(r.Task), false
 		if t != nil {
 			t.step.occurrence.job.markStarted()
-			t.noteRunSeen(w, r.Run)
+			awaited = t.forgetUnansweredStart(w, r.Run) && !t.step.Gang && w.orphanedRuns[runID{r.Task, r.Run}] == nil
 		}
-		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run) {
+		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run, awaited) {
 			e.stopOrphanedRun(w, cmp.Or(t, e.findTaskOfEndedJob(r.Task)), runID{r.Task, r.Run}, now)
 			continue
 		}
@@ -184,9 +184,6 @@
 	for id, r := range w.orphanedRuns {
 		if !listedRuns[id] && !r.stop.acknowledgedAt.IsZero() && !sentAt.Before(r.stop.acknowledgedAt) { // before that the run may still begin
 			delete(w.orphanedRuns, id)
-			if r.task != nil {
-				r.task.noteStartPrevented(w, id.number)
-			}
 		}
 	}
 	if firstReport {
@@ -199,6 +196,7 @@
 		switch {
 		case t.phase == adopted && firstReport, (t.phase == running || t.phase == stopping) && t.phaseSince.Before(sentAt):
 			e.log.Info("run not on its worker, its task is requeued", "task", id.String(), "run", t.run, "worker", w.ID, "phase", t.phase.String())
+			e.noteStartOfLostRun(t, now)
 			e.requeueTask(t)
 			e.requestPlacement()
 		}
@@ -206,17 +204,18 @@
 }
 
 // adoptRun takes over a run that the previous leader started without storing
-// it. The record may name any worker, also this one, with an earlier run. It
-// returns false if the run must not continue.
-func (e *Engine) adoptRun(w *worker, t *task, run int) bool {
+// it, or one whose start got no response and for which the task has waited. The record
+// may name any worker, also this one, with an earlier run. It returns false if the run
+// must not continue.
+func (e *Engine) adoptRun(w *worker, t *task, run int, awaited bool) bool {
 	t.highestRun = max(t.highestRun, run)
 	j := t.step.occurrence.job
-	if j.state.IsFinal() || t.phase != waiting && t.phase != adopted || run <= t.run {
+	if j.state.IsFinal() || t.phase != waiting && t.phase != adopted || run < t.run || run == t.run && !awaited {
 		return false
 	}
 	t.requeue() // release the worker of an earlier run
-	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID)
-	t.run = run
+	e.log.Info("run adopted: an earlier leader started it without storing it", "task", t.id.String(), "run", run, "worker", w.ID, "awaited", awaited)
+	t.run, t.began = run, true
 	t.assignTo(w, adopted)
 	t.placedAt = time.Time{}
 	e.unknownRunsFound = true
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -155,9 +155,9 @@
 		workerListRequested  atomic.Bool  // the worker list should be read soon
 		workersAsOf          atomic.Int64 // when the last worker list was requested, by elector.Term.Now
 		zoneState            zoneState
-		anyWorkerOutOfUse    bool                 // the zone of a worker is evacuated, or the worker has not returned to use after a restore
-		goneWorkers          map[string]time.Time // when workers were found to have ended for certain, by ID; late starts are not expected of them
-		mostUnreachableSince time.Time            // since when most workers have not responded to this entry node; zero if they do
+		anyWorkerOutOfUse    bool                  // the zone of a worker is evacuated, or the worker has not returned to use after a restore
+		goneWorkers          map[string]goneWorker // by ID
+		mostUnreachableSince time.Time             // since when most workers have not responded to this entry node; zero if they do
 	}
 )
 
@@ -192,7 +192,7 @@
 		accuracies:   make(map[string]*delayer.Accuracy),
 		durations:    make(map[string]durationSums),
 
-		goneWorkers: make(map[string]time.Time),
+		goneWorkers: make(map[string]goneWorker),
 		termStart:   time.Now(),
 	}
 	if e.cfg.WallClock == nil {
--- a/orchestrator/follow.go
+++ b/orchestrator/follow.go
@@ -60,6 +60,7 @@
 		p, err := DecodeProgress(progress.Value)
 		if err == nil {
 			err = j.restore(p, e.workerOfPlacement)
+			e.adoptLateStarts(j)
 		}
 		if err != nil {
 			e.log.Error("job record cannot be read, left alone", "job", id, "revision", progress.Revision, "error", err)
--- a/orchestrator/gone.go
+++ b/orchestrator/gone.go
@@ -19,7 +19,7 @@
 			continue
 		}
 		w.ended, w.lostAt = true, e.term.Now()
-		e.noteGoneWorker(w.ID, time.Now())
+		e.noteGoneWorker(w.ID, i != nil && i.Worker != "" && i.Worker != w.ID, time.Now())
 		e.log.Info("worker has ended according to the instance list", "worker", w.ID, "instance", w.Instance, "pool", w.Pool, "tasks", len(w.tasks))
 		e.requeueTasksOf(w, "worker has ended")
 	}
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -116,6 +116,7 @@
 		permit           *startPermit // to send the start, in phase starting
 		withheldRun      int          // number of the last run whose start was withheld, see noteWithheld
 		unanswered       []unansweredStart
+		began            bool          // an earlier leader has stored that the present run, in phase adopted, has begun
 		startsRepeated   int           // number of times that the start of the present run was sent again
 		placementVersion int64         // job version that contains the placement
 		lostAt           time.Duration // when the last run of which no end was listed was found to be over, by elector.Term.Now; 0 if there was none
--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -10,118 +10,230 @@
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-const maxRepeatedStarts = 5 // of a run without a response; after that the run is stopped
+const (
+	maxRepeatedStarts     = 5                      // of a run without a response; after that the run is stopped
+	lateStartPollInterval = 500 * time.Millisecond // between polls whether a start that can't be carried out any more has begun a run
+	lateRunCheckInterval  = 100 * time.Millisecond // between checks whether a run without a response may still begin
+)
 
-// unansweredStart is a start of a task of which it is not known whether its worker has
-// carried it out. A process that the worker starts later may do so too: it knows neither
-// a stop of the run nor a fencing token until the leader calls it.
-type unansweredStart struct {
-	worker   string // ID
-	run      int
-	until    time.Time // a run that it starts is over by then, unless the leader extends its lease
-	repeated bool      // the start was sent again, so that the run's appearance tells of one of the calls only
-}
+type (
+	// unansweredStart is a start of a task of which it is not known whether its worker has
+	// carried it out. A process that the worker starts later may do so too: it knows neither
+	// a stop of the run nor a fencing token until the leader calls it, nor that an earlier
+	// process has carried out another start of the task.
+	unansweredStart struct {
+		worker string // ID
+		run    int
+		until  time.Time // the start is not carried out after this time
+		pollAt time.Time // when the worker is asked next whether it runs what the start has begun
+	}
 
-// endOfLateRun returns when the lease of a run has certainly expired whose start was sent
-// until sent and is carried out late, by a process that the leader doesn't reach.
-func (e *Engine) endOfLateRun(sent time.Time) time.Time {
-	return sent.Add(maxLateOrderTime + e.longestLease())
-}
+	// goneWorker is a worker that has ended.
+	goneWorker struct {
+		since    time.Time // when it was found to have ended
+		replaced bool      // another worker runs on its instance
+	}
 
-// noteUnansweredStart notes that a worker may carry out a start of the task, see
-// endOfLateRun for until.
-func (t *task) noteUnansweredStart(w *worker, run int, until time.Time) {
-	s := unansweredStart{worker: w.ID, run: run, until: until}
-	if i := t.indexUnanswered(w, run); i >= 0 {
-		s.repeated = t.unanswered[i].repeated
-		t.unanswered[i] = s
-		return
+	// LateStart is the stored form of a start without a response, of a task that must not
+	// start elsewhere before it can't be carried out any more.
+	LateStart struct {
+		Worker  string `json:"worker"`
+		Run     int    `json:"run"`
+		UntilMs int64  `json:"until"` // in ms of Unix time, by the clock of the entry node that wrote the record
 	}
-	t.unanswered = append(t.unanswered, s)
-}
+)
 
-func (t *task) indexUnanswered(w *worker, run int) int {
-	return slices.IndexFunc(t.unanswered, func(s unansweredStart) bool { return s.worker == w.ID && s.run == run })
+// awaitsUnansweredStarts reports whether a task of the step must not start while an earlier
+// start of it may still be carried out. Speculative tasks may run twice. Long-running ones
+// don't wait, because each second without them is lost.
+func (s *step) awaitsUnansweredStarts() bool {
+	return !s.LongRunning && !s.Speculative
 }
 
-// noteRunSeen notes that a worker has listed a run of the task or its end: it has carried
-// out the start.
-func (t *task) noteRunSeen(w *worker, run int) {
-	if i := t.indexUnanswered(w, run); i >= 0 && !t.unanswered[i].repeated {
-		t.unanswered = slices.Delete(t.unanswered, i, i+1)
+// noteUnansweredStart notes that a worker may carry out a start of the task until a time.
+func (t *task) noteUnansweredStart(worker string, run int, until time.Time) {
+	if !t.step.awaitsUnansweredStarts() {
+		return
+	}
+	if i := t.indexUnanswered(worker, run); i >= 0 {
+		t.unanswered[i].until = until
+		return
 	}
+	t.unanswered = append(t.unanswered, unansweredStart{worker: worker, run: run, until: until})
 }
 
-// noteStartPrevented notes that the present process of a worker won't carry out a start of
-// the task, because it has acknowledged a stop of the run.
-func (t *task) noteStartPrevented(w *worker, run int) {
-	if i := t.indexUnanswered(w, run); i >= 0 {
+func (t *task) indexUnanswered(worker string, run int) int {
+	return slices.IndexFunc(t.unanswered, func(s unansweredStart) bool { return s.worker == worker && s.run == run })
+}
+
+// forgetUnansweredStart notes that a worker has carried out a start of the task, or can't
+// do so any more. It reports whether the start had got no response.
+func (t *task) forgetUnansweredStart(w *worker, run int) bool {
+	i := t.indexUnanswered(w.ID, run)
+	if i >= 0 {
 		t.unanswered = slices.Delete(t.unanswered, i, i+1)
 	}
+	return i >= 0
 }
 
-// noteStartOfLostRun notes that a worker which does not respond may still carry out the
-// start of the task's present run: the call is on its way, or a previous leader sent it.
+// noteStartOfLostRun notes that the start of the task's present run, which is not on its
+// worker, may still be carried out: the call is on its way, or a previous leader sent it.
 func (e *Engine) noteStartOfLostRun(t *task, now time.Time) {
 	switch {
-	case e.isGone(t.worker.ID):
-	case t.phase == adopted && !t.worker.polled:
-		t.noteUnansweredStart(t.worker, t.run, e.endOfLateRun(e.termStart))
+	case t.phase == adopted && !t.began:
+		t.noteUnansweredStart(t.worker.ID, t.run, e.termStart.Add(maxLateOrderTime))
 	case t.phase == starting && !t.permit.withdraw():
-		t.noteUnansweredStart(t.worker, t.run, e.endOfLateRun(now))
+		t.noteUnansweredStart(t.worker.ID, t.run, now.Add(maxLateOrderTime))
 	}
 }
 
-// awaitsLateStart reports whether the task must not start because a worker that does not
-// respond, or whose present process has not been told otherwise, may carry out an earlier
-// start of it. Long-running tasks don't wait, because each second without them is lost.
+// awaitsLateStart reports whether the task must not start because an earlier start of it
+// may still be carried out, or may have begun a run of which the leader doesn't know. A stop
+// doesn't prevent that: the worker's next process doesn't know it.
 func (e *Engine) awaitsLateStart(t *task, now time.Time) bool {
-	if len(t.unanswered) == 0 || t.step.LongRunning {
+	if len(t.unanswered) == 0 {
 		return false
 	}
-	t.unanswered = slices.DeleteFunc(t.unanswered, func(s unansweredStart) bool {
-		return !now.Before(s.until) || e.isGone(s.worker)
-	})
+	t.unanswered = slices.DeleteFunc(t.unanswered, func(s unansweredStart) bool { return e.isStartOver(s, now) })
+	for i := range t.unanswered {
+		e.pollForLateRun(t, &t.unanswered[i], now)
+	}
 	return len(t.unanswered) > 0
 }
 
-// noteGoneWorker notes that a worker has ended for certain: another one runs on its
-// instance, or none does.
-func (e *Engine) noteGoneWorker(id string, now time.Time) {
-	maps.DeleteFunc(e.goneWorkers, func(_ string, since time.Time) bool { return now.After(e.endOfLateRun(since)) })
-	if _, ok := e.goneWorkers[id]; !ok {
-		e.goneWorkers[id] = now
+// pollForLateRun asks a worker that responds whether a start that can't be carried out any
+// more has begun a run. The worker's own polls tell of one.
+func (e *Engine) pollForLateRun(t *task, s *unansweredStart, now time.Time) {
+	w := e.workersByID[s.worker]
+	if now.Before(s.until) || now.Before(s.pollAt) || w == nil || !w.reachable {
+		return
+	}
+	s.pollAt = now.Add(lateStartPollInterval)
+	ctx, target, id := e.callCtx, w.Worker, runID{t.id, s.run}
+	e.runInBackground(func() {
+		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
+		if err != nil || !isComplete(report) || lists(report, id) {
+			return
+		}
+		e.runInEventLoop(ctx, func() {
+			if t.forgetUnansweredStart(w, id.number) {
+				e.log.Info("start without a response was not carried out, its task may start", "task", id.task.String(), "run", id.number, "worker", w.ID, "born", report.StartTimeMs)
+				e.requestPlacement()
+			}
+		})
+	})
+}
+
+// lists reports whether the report lists a run or its end.
+func lists(report modeler.Report, id runID) bool {
+	return slices.ContainsFunc(report.Running, func(r modeler.RunningTask) bool { return runID{r.Task, r.Run} == id }) ||
+		slices.ContainsFunc(report.Ended, func(r modeler.EndedTask) bool { return runID{r.Task, r.Run} == id })
+}
+
+// isStartOver reports whether a start without a response can't be carried out any more and
+// no process runs what it has begun, although its worker doesn't tell: the lease has expired,
+// or the worker is gone.
+func (e *Engine) isStartOver(s unansweredStart, now time.Time) bool {
+	g, gone := e.goneWorkers[s.worker]
+	if g.replaced {
+		return true
+	}
+	if now.Before(s.until) {
+		return false
+	}
+	return gone && !e.planner.hasInstanceWith(s.worker) || !now.Before(s.until.Add(e.longestLease()))
+}
+
+// hasInstanceWith reports whether the last instance list names a worker.
+func (p *instancePlanner) hasInstanceWith(worker string) bool {
+	for _, i := range p.instances {
+		if i.Worker == worker {
+			return true
+		}
+	}
+	return false
+}
+
+// lateStarts returns the stored form of the task's starts without a response.
+func (t *task) lateStarts() []LateStart {
+	var starts []LateStart
+	for _, s := range t.unanswered {
+		starts = append(starts, LateStart{s.worker, s.run, s.until.UnixMilli()})
 	}
+	return starts
 }
 
-func (e *Engine) isGone(worker string) bool {
-	_, ok := e.goneWorkers[worker]
-	return ok
+// endOfLateRun returns when the lease of a run has certainly expired whose start was sent
+// until sent and is carried out late, by a process that the leader doesn't reach.
+func (e *Engine) endOfLateRun(sent time.Time) time.Time {
+	return sent.Add(maxLateOrderTime + e.longestLease())
 }
 
-// repeatOrStopStart sends a start again that got no response and whose run the worker
-// doesn't list. Under the same number the worker carries out only one of the calls, also
-// if a process that it starts later receives them. If the start can't be sent again, the
-// run is stopped instead.
-func (e *Engine) repeatOrStopStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, report modeler.Report) {
+// noteGoneWorker notes that a worker has ended: none runs on its instance, or another one
+// does. Only the latter proves that it won't return under its ID.
+func (e *Engine) noteGoneWorker(id string, replaced bool, now time.Time) {
+	maps.DeleteFunc(e.goneWorkers, func(_ string, g goneWorker) bool { return now.After(e.endOfLateRun(g.since)) })
+	g, ok := e.goneWorkers[id]
+	if !ok {
+		g.since = now
+	}
+	g.replaced = g.replaced || replaced
+	e.goneWorkers[id] = g
+}
+
+// handleUnlistedStart goes on with a start that got no response and whose run the worker
+// doesn't list: the task waits for the run to begin, the start is sent again, or the run is
+// stopped.
+func (e *Engine) handleUnlistedStart(ctx context.Context, w *worker, t *task, o modeler.StartOrder, report modeler.Report) {
 	if t.worker != w || t.run != o.Run || t.phase != outcomeUnknown {
 		return // a poll has reported the run, or the task was requeued
 	}
-	if !e.mayRepeatStart(w, t, o, report) {
+	switch {
+	case t.step.awaitsUnansweredStarts() && e.awaitsRun(w, t, o, time.Now()) && report.StartTimeMs == w.StartTimeMs:
+		w.hasUnknownStart = false
+		e.log.Info("run may still begin whose start got no response, its task waits", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "born", w.StartTimeMs)
+		e.checkAwaitedRun(ctx, w, t, o)
+	case !t.step.awaitsUnansweredStarts() && e.mayRepeatStart(w, t, o, report):
+		w.hasUnknownStart = false
+		t.startsRepeated++
+		e.log.Info("start of a run without a response sent again", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "repeated", t.startsRepeated)
+		e.sendStart(ctx, t, time.Now())
+	default:
 		e.stopUnlistedRun(ctx, w, t, o, report.StartTimeMs)
-		return
-	}
-	w.hasUnknownStart = false
-	t.startsRepeated++
-	if i := t.indexUnanswered(w, o.Run); i >= 0 {
-		t.unanswered[i].repeated = true
 	}
-	e.log.Info("start of a run without a response sent again", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "repeated", t.startsRepeated)
-	e.sendStart(ctx, t, time.Now())
+}
+
+// awaitsRun reports whether a task whose start got no response waits for its run to begin:
+// the process for which the start was meant may still carry it out, and the run is wanted
+// there. After the deadline in the start only a later process may.
+func (e *Engine) awaitsRun(w *worker, t *task, o modeler.StartOrder, now time.Time) bool {
+	wanted := !t.step.occurrence.job.state.IsFinal() && !t.isGangWithdrawn()
+	usable := w.listed && !w.evacuated && !w.outOfUse && !w.Draining && w.cordonReason == ""
+	return wanted && usable && t.placementBoot == w.StartTimeMs && now.Before(w.clockSample.localTimeOf(o.DeadlineMs))
+}
+
+// checkAwaitedRun stops a run whose start got no response as soon as it is not awaited any
+// more. The polls of the worker tell if it has begun.
+func (e *Engine) checkAwaitedRun(ctx context.Context, w *worker, t *task, o modeler.StartOrder) {
+	e.runInBackground(func() {
+		if supervisor.Pause(ctx, lateRunCheckInterval) != nil {
+			return
+		}
+		e.runInEventLoop(ctx, func() {
+			switch {
+			case t.worker != w || t.run != o.Run || t.phase != outcomeUnknown:
+			case w.failedPolls > 0 || e.awaitsRun(w, t, o, time.Now()):
+				e.checkAwaitedRun(ctx, w, t, o)
+			default:
+				e.stopUnlistedRun(ctx, w, t, o, w.StartTimeMs)
+			}
+		})
+	})
 }
 
 // mayRepeatStart reports whether a start without a response may be sent again to the same
-// process of its worker, which doesn't list the run or its end.
+// process of its worker, which doesn't list the run or its end. Under the same number the
+// process carries out only one of the calls.
 func (e *Engine) mayRepeatStart(w *worker, t *task, o modeler.StartOrder, report modeler.Report) bool {
 	wanted := !e.shuttingDown && !t.step.occurrence.job.state.IsFinal() && !t.isGangWithdrawn()
 	usable := w.listed && w.hasKnownCapacity() && w.mayBeUsed() && !w.outOfUse && !w.Draining && w.cordonReason == "" && !e.zoneState.outdated && e.term.MayExtend()
@@ -142,3 +254,19 @@
 		e.runInEventLoop(ctx, func() { e.resolveUnknownStart(ctx, w, t, o, boot) })
 	})
 }
+
+// adoptLateStarts converts the times of the starts without a response in the record of a job
+// to the clock of this entry node. No start of a previous leader is carried out later than
+// those that it sent at the end of its term.
+func (e *Engine) adoptLateStarts(j *job) {
+	now, wallTime := time.Now(), e.cfg.WallClock()
+	j.forEachTask(func(t *task) {
+		for i := range t.unanswered {
+			s := &t.unanswered[i]
+			s.until = now.Add(s.until.Sub(wallTime) + maxClockDifference)
+			if latest := e.termStart.Add(maxLateOrderTime); s.until.After(latest) {
+				s.until = latest
+			}
+		}
+	})
+}
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -293,7 +293,7 @@
 }
 
 // resolveUnknownStart resolves a start that got no response: it polls the worker until
-// the run is listed, and has the start repeated or the run stopped if it is not. While
+// the run is listed, see handleUnlistedStart for one that is not. While
 // polls fail the run may be at work, so it is not stopped. stoppedBoot is the start time
 // of the worker process that an earlier attempt found without the run before it stopped
 // it, or 0. A restarted worker has forgotten the stop, so the stop counts only if that
@@ -316,7 +316,7 @@
 				e.runInEventLoop(ctx, func() { e.handleResolvedStart(ctx, w, t, o, listed && !stopped, report) })
 				return
 			}
-			e.runInEventLoop(ctx, func() { e.repeatOrStopStart(ctx, w, t, o, report) })
+			e.runInEventLoop(ctx, func() { e.handleUnlistedStart(ctx, w, t, o, report) })
 			return
 		}
 		if supervisor.Pause(ctx, callRetryInterval) != nil {
@@ -356,6 +356,7 @@
 	}
 	if started {
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", report.ClockMs, "settled", true)
+		t.forgetUnansweredStart(w, o.Run)
 		t.phase, t.phaseSince = running, time.Now()
 		t.step.occurrence.job.markStarted()
 		e.stopIfUnwanted(t)
@@ -377,7 +378,6 @@
 		return
 	}
 	e.log.Info("start of a run prevented by a stop, its task is requeued", "task", o.Task.String(), "run", o.Run, "worker", w.ID)
-	t.noteStartPrevented(w, o.Run)
 	e.requeueTask(t)
 	e.requestPlacement()
 }
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -250,7 +250,7 @@
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
 	}
-	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned)) {
+	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned) || slices.ContainsFunc(s.tasks, func(t *task) bool { return p.engine.awaitsLateStart(t, p.now) })) {
 		return
 	}
 	if (s.advice != nil || q.Advice != nil) && !p.hasTickets(s, q, view) {
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -74,6 +74,9 @@
 		Placed     int64    `json:"placed,omitempty"`    // when a long-running task was placed, in ms of Unix time
 		Checkpoint string   `json:"checkpoint,omitempty"`
 
+		Began      bool        `json:"began,omitempty"` // the run has begun, so that its start is not carried out later
+		LateStarts []LateStart `json:"late-starts,omitempty"`
+
 		Crashes     int   `json:"crashes,omitempty"`             // see investigator.Suspicion
 		Unconfirmed int   `json:"unconfirmed-crashes,omitempty"` // see investigator.Suspicion
 		SoleSuspect int   `json:"sole-suspect,omitempty"`        // see investigator.Suspicion
@@ -181,7 +184,7 @@
 			continue
 		}
 		tp := TaskProgress{
-			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint,
+			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint, LateStarts: t.lateStarts(),
 			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown,
 			LateCrashes: t.suspicion.LateCrashes, LateWorkMs: t.suspicion.LateWork.Milliseconds(), ProbationMs: t.suspicion.Probation.Milliseconds(),
 		}
@@ -190,6 +193,7 @@
 		}
 		if t.worker != nil {
 			tp.Worker, tp.Instance, tp.Born = t.worker.ID, t.worker.Instance, t.worker.StartTimeMs
+			tp.Began = t.hasBegun() && s.awaitsUnansweredStarts()
 			if s.LongRunning && !t.placedAt.IsZero() {
 				tp.Placed = t.placedAt.UnixMilli()
 			}
@@ -263,11 +267,15 @@
 			LateCrashes: tp.LateCrashes, LateWork: time.Duration(tp.LateWorkMs) * time.Millisecond, Probation: time.Duration(tp.ProbationMs) * time.Millisecond,
 		}
 		t.placementBoot = tp.Born
+		for _, l := range tp.LateStarts {
+			t.noteUnansweredStart(l.Worker, l.Run, time.UnixMilli(l.UntilMs))
+		}
 		if tp.Placed != 0 {
 			t.placedAt = time.UnixMilli(tp.Placed)
 		}
 		t.setCheckpoint(tp.Checkpoint)
 		if tp.Worker != "" {
+			t.began = tp.Began
 			t.assignTo(workerOf(tp), adopted)
 		}
 	}
--- a/orchestrator/silence.go
+++ b/orchestrator/silence.go
@@ -225,7 +225,7 @@
 			w.unreachableSince = time.Now()
 		}
 		w.reachable, w.replaced, w.leaseDeadline, w.lostAt = false, true, 0, e.term.Now()
-		e.noteGoneWorker(w.ID, time.Now())
+		e.noteGoneWorker(w.ID, true, time.Now())
 		e.requeueTasksOf(w, "instance has another worker")
 	}
 }
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -44,10 +44,13 @@
 		w.noteLateOrder(now)
 		w.lateStarts = slices.DeleteFunc(w.lateStarts, func(l lateStart) bool { return now.After(l.until) })
 		w.lateStarts = append(w.lateStarts, lateStart{runID{s.order.Task, s.order.Run}, now.Add(maxLateOrderTime)})
-		if t := e.findTask(s.order.Task); t != nil && t.phase != done {
-			t.noteUnansweredStart(w, s.order.Run, e.endOfLateRun(now))
+		if t := e.findTask(s.order.Task); t != nil && t.phase != done && !t.isListedAs(w, s.order.Run) {
+			t.noteUnansweredStart(w.ID, s.order.Run, now.Add(maxLateOrderTime))
 		}
 	}
+	if t := e.findTask(s.order.Task); t != nil && err != nil && !mayBeLate && t.startsRepeated == 0 {
+		t.forgetUnansweredStart(w, s.order.Run)
+	}
 	if !mayBeLate && !mayExtendLease(err) || err == nil && boot == w.StartTimeMs && w.clockSample.matches(clock, s.queuedAt, now) {
 		return
 	}
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -34,6 +34,17 @@
 	return t.worker == w && t.run == run
 }
 
+// hasBegun reports whether the present run of the task has certainly begun on its worker.
+func (t *task) hasBegun() bool {
+	return t.phase == running || t.phase == stopping || t.phase == adopted && t.began
+}
+
+// isListedAs reports whether the worker has listed the run of the task with this number,
+// so that its start has been carried out.
+func (t *task) isListedAs(w *worker, run int) bool {
+	return t.isPlacedAs(w, run) && t.hasBegun()
+}
+
 // setCheckpoint sets the checkpoint from which the next run resumes, unless it is
 // empty. The members of a gang share it, because they must all start with the
 // same one and that of any member is valid for all.
