Count with the longest lease of a worker that restarted before the term

Cause: a start for a worker's former process that the next one takes extends its lease to the longest one. A new leader counted with that only while a task of the former process was still placed there, and with the usual lease once the run that had extended it had ended. Nothing that is stored tells of such an order. Change: at its first answer in a term, a process that started within the time in which a former one's orders can have reached it has the longest lease. The first poll fences the former leader out, so that later orders don't count. The first term of a deployment has no predecessor. TestEndOfOrphanedRunIsCertainWithoutAReport ages its workers by a minute first, with the same bounds: younger ones may have the longer lease now.

--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -397,11 +397,13 @@
 		byKind[fleetPrefix+kind] = append(byKind[fleetPrefix+kind], r)
 	}
 	e.restorePanics(byKind[panicsKey])
-	e.restoreJobs(slices.Concat(byKind[strings.TrimSuffix(JobPrefix, "/")], byKind[strings.TrimSuffix(progressPrefix, "/")]))
+	progress := byKind[strings.TrimSuffix(progressPrefix, "/")]
+	e.restoreJobs(slices.Concat(byKind[strings.TrimSuffix(JobPrefix, "/")], progress))
 	e.restoreWaves(byKind[strings.TrimSuffix(wavePrefix, "/")])
 	e.restoreUnresponsiveWorkers(byKind[unresponsiveKey])
 	e.restoreInstanceOrders(byKind[instanceOrdersKey])
 	e.restoreHandover(byKind[termKey], byKind[handoverKey])
+	e.handover.isFirstTerm = len(byKind[termKey]) == 0 && len(progress) == 0
 	e.restoreLoad(byKind[LoadKey])
 	startedUntil := e.latestStartBefore(e.cfg.WallClock())
 	for _, j := range e.jobs {
--- a/orchestrator/handover.go
+++ b/orchestrator/handover.go
@@ -42,6 +42,7 @@
 	// starts no inherited task in a pool until each worker of the pool has reported
 	// its runs or all its leases have certainly expired.
 	handoverState struct {
+		isFirstTerm          bool                // no leader has started tasks before
 		predecessorStoredAll bool                // the previous leader knew all runs and stored all its state
 		inheritedPools       map[string][]string // TermRecord.Pools of the previous leader, if it did not store all its state
 		recordedPools        map[string][]string // TermRecord.Pools of this term's record; nil until it is stored and the next leader can see that this term began
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -139,9 +139,13 @@
 
 // inheritedLease returns how long the lease of a worker's process that started at boot may
 // be when it responds for the first time in this term. The previous leader extended it by
-// RunLease at most, but the process may also have taken starts for a former one: their
-// tasks were placed on that one.
+// RunLease at most, but a process that started not long before may also have taken orders
+// for a former one, of which no record tells.
 func (e *Engine) inheritedLease(w *worker, boot int64) time.Duration {
+	latest := e.cfg.WallClock().Add(-time.Since(e.termStart) - maxLateOrderTime - e.longestLease() - maxClockDifference)
+	if !e.handover.isFirstTerm && time.UnixMilli(boot).After(latest) {
+		return e.cfg.MaxWorkerLease
+	}
 	for _, t := range w.tasks {
 		if t.placementBoot != 0 && t.placementBoot != boot {
 			return e.cfg.MaxWorkerLease
--- a/orchestrator/takeover_test.go
+++ b/orchestrator/takeover_test.go
@@ -89,6 +89,7 @@
 			runScenario(t, 3, func(s *deployment) {
 				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return -1, modeler.EndDone }
 				s.taskFleet.StopTime = time.Hour
+				time.Sleep(time.Minute) // a worker that started lately may have a longer lease
 				second, instance := s.startEntryAfterOrphanedRun(longRunningJob("j1", 1))
 				lose(s, instance)
 				require.Equal(t, 3, s.taskFleet.StartedRuns(taskID("j1", 0, 0)))
