Let a new leader wait for late orders to a worker that it has not reached

A task could run twice at once: its worker's next process had answered the start, the record said that the run had begun, and the worker was cut off when the leader crashed. Another start of the former leader was carried out there 9 s after its call and extended the lease by 10 s, while the successor counted 10.3 s from its term's start. Change: the wait is left out only for a run that has begun on a worker that has answered in this term, or has ended.

--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -78,9 +78,10 @@
 
 // noteStartOfLostRun notes that the start of the task's present run, which is not on its
 // worker, may still be carried out: the call is on its way, or a previous leader sent it.
+// Late orders of that leader may also have extended the lease of a run that had begun.
 func (e *Engine) noteStartOfLostRun(t *task, now time.Time) {
 	switch {
-	case t.phase == adopted && !t.began:
+	case t.phase == adopted && (!t.began || !t.worker.polled && !t.worker.ended && !t.worker.replaced):
 		t.noteUnansweredStart(t.worker.ID, t.run, e.termStart.Add(maxLateOrderTime))
 	case t.phase == starting && !t.permit.withdraw():
 		t.noteUnansweredStart(t.worker.ID, t.run, now.Add(maxLateOrderTime))
--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -109,3 +109,49 @@
 		})
 	}
 }
+
+// lateFirstCall makes the first start of the job's tasks late and unanswered, whatever its run.
+func (d *deployment) lateFirstCall(job string, after time.Duration) {
+	calls := 0
+	d.taskFleet.LateStarts = true
+	d.taskFleet.SetStartDelay(func(id modeler.TaskID, _ int) time.Duration {
+		if id.Job != job {
+			return 0
+		}
+		if calls++; calls == 1 {
+			return after
+		}
+		return 0
+	})
+}
+
+// Guards against a new leader that counts too short a lease of a worker that it has not reached.
+func TestTaskRunsOnceThoughALateStartExtendsTheLeaseOfAnUnreachedWorker(t *testing.T) {
+	for name, late := range map[string]time.Duration{"late start": 9 * time.Second, "no late start": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				first, worker := s.startOldDeployment()
+				second := s.startEntry("two")
+				s.cutOff(s.instances.WorkerOf("b"), true)
+				time.Sleep(25 * time.Second)
+				s.lateFirstCall("j0", late)
+				s.submit(shortJob("j0", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(100 * time.Millisecond)
+				first.startDelay.Store(int64(200 * time.Millisecond))
+				s.submit(shortJob("j1", modeler.Step{Count: 2, Need: modeler.Resources{CPU: 2000}})) // the second task has no room yet
+				time.Sleep(100 * time.Millisecond)
+				s.taskFleet.RestartUnderSameID(worker)
+				time.Sleep(300 * time.Millisecond)
+				require.Equal(t, 1, s.taskFleet.RunCountOnWorker(worker))
+				s.cutOff(worker, true)
+				s.cutOff(s.instances.WorkerOf("b"), false)
+				time.Sleep(1500 * time.Millisecond)
+				first.crash()
+				s.waitForLeader("two")
+				time.Sleep(90 * time.Second)
+				require.Equal(t, modeler.Completed, s.jobState("j1"))
+				second.stopGracefully()
+			})
+		})
+	}
+}
