Remember the late orders to a worker until they can't be carried out

A task could run twice at once: a worker was cut off with a poll in flight that extends leases, was removed as gone after 6.3 s, returned under its ID and got the task. At 11.7 s the late poll extended its lease to about 21.7 s; it was cut off again, and the leader counted about 18 s. Change: an unlisted worker is removed only when no order to it can be carried out late. Its tasks go on elsewhere as before.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -300,7 +300,7 @@
 		return
 	}
 	e.requeueTasksOf(w, "lease over")
-	if !w.listed {
+	if !w.listed && now.After(w.lateOrdersUntil) { // they are expected if the worker returns under its ID
 		if w.cancel != nil {
 			w.cancel()
 		}
--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -1,12 +1,14 @@
 package orchestrator_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 )
 
 const lateStartTime = 11 * time.Second // after which a late start is carried out
@@ -155,3 +157,41 @@
 		})
 	}
 }
+
+// leaderToken returns the fencing token of the present term.
+func (d *deployment) leaderToken() int64 {
+	records, _, err := d.store.ClientFor("caller").List(d.t.Context(), "fleet/term")
+	require.NoError(d.t, err)
+	var r orchestrator.TermRecord
+	require.NoError(d.t, json.Unmarshal(records[0].Value, &r))
+	return r.Token
+}
+
+// Guards against late orders that are forgotten together with a worker that returns.
+func TestTaskRunsOnceThoughALatePollExtendsTheLeaseOfAReturnedWorker(t *testing.T) {
+	for name, late := range map[string]bool{"late poll": true, "no late poll": false} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 2, func(s *deployment) {
+				e, worker := s.startOldDeployment()
+				token := s.leaderToken()
+				s.cutOff(s.instances.WorkerOf("b"), true)
+				time.Sleep(25 * time.Second)
+				s.cutOff(worker, true) // the poll in flight, which extends the lease, gets no response
+				time.Sleep(8 * time.Second)
+				s.taskFleet.RestartUnderSameID(worker)
+				time.Sleep(time.Second)
+				s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(2700 * time.Millisecond)
+				if late {
+					_, err := s.taskFleet.RenewAndPoll(s.t.Context(), modeler.Worker{ID: worker}, 1<<40, token, 0, 0)
+					require.NoError(t, err)
+				}
+				s.cutOff(worker, true)
+				s.cutOff(s.instances.WorkerOf("b"), false)
+				time.Sleep(90 * time.Second)
+				require.Equal(t, modeler.Completed, s.jobState("j1"))
+				e.stopGracefully()
+			})
+		})
+	}
+}
