Send a gang's start without a response again at once

One lost response on a healthy worker left a gang incomplete for up to 6 s, so that the other members ended alone after 3 or 4 s. Cause: members of gangs waited like ordinary tasks, although the others of their gang wait for them with a time limit. Change: the start of a member is sent again under its number, which one process carries out once. What may still be carried out of it holds up the next run of the gang, as for other tasks. That the worker's next process carries out the first call beside the run of a member remains possible.

--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -22,10 +22,11 @@
 	// a stop of the run nor a fencing token until the leader calls it, nor that an earlier
 	// process has carried out another start of the task.
 	unansweredStart struct {
-		worker string // ID
-		run    int
-		until  time.Time // the start is not carried out after this time
-		pollAt time.Time // when the worker is asked next whether it runs what the start has begun
+		worker   string // ID
+		run      int
+		until    time.Time // the start is not carried out after this time
+		repeated bool      // the start was sent again, so that the run's appearance tells of one of the calls only
+		pollAt   time.Time // when the worker is asked next whether it runs what the start has begun
 	}
 
 	// goneWorker is a worker that has ended.
@@ -50,6 +51,12 @@
 	return !s.LongRunning && !s.Speculative
 }
 
+// repeatsStarts reports whether a start without a response is sent again at once. The
+// members of a gang end if one of them is missing for long.
+func (s *step) repeatsStarts() bool {
+	return s.Gang || !s.awaitsUnansweredStarts()
+}
+
 // noteUnansweredStart notes that a worker may carry out a start of the task until a time.
 func (t *task) noteUnansweredStart(worker string, run int, until time.Time) {
 	if !t.step.awaitsUnansweredStarts() {
@@ -70,7 +77,7 @@
 // do so any more. It reports whether the start had got no response.
 func (t *task) forgetUnansweredStart(w *worker, run int) bool {
 	i := t.indexUnanswered(w.ID, run)
-	if i >= 0 {
+	if i >= 0 && !t.unanswered[i].repeated {
 		t.unanswered = slices.Delete(t.unanswered, i, i+1)
 	}
 	return i >= 0
@@ -117,7 +124,8 @@
 			return
 		}
 		e.runInEventLoop(ctx, func() {
-			if t.forgetUnansweredStart(w, id.number) {
+			if i := t.indexUnanswered(w.ID, id.number); i >= 0 {
+				t.unanswered = slices.Delete(t.unanswered, i, i+1)
 				e.log.Info("start without a response was not carried out, its task may start", "task", id.task.String(), "run", id.number, "worker", w.ID, "born", report.StartTimeMs)
 				e.requestPlacement()
 			}
@@ -190,13 +198,16 @@
 		return // a poll has reported the run, or the task was requeued
 	}
 	switch {
-	case t.step.awaitsUnansweredStarts() && e.awaitsRun(w, t, o, time.Now()) && report.StartTimeMs == w.StartTimeMs:
+	case !t.step.repeatsStarts() && e.awaitsRun(w, t, o, time.Now()) && report.StartTimeMs == w.StartTimeMs:
 		w.hasUnknownStart = false
 		e.log.Info("run may still begin whose start got no response, its task waits", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "born", w.StartTimeMs)
 		e.checkAwaitedRun(ctx, w, t, o)
-	case !t.step.awaitsUnansweredStarts() && e.mayRepeatStart(w, t, o, report):
+	case t.step.repeatsStarts() && e.mayRepeatStart(w, t, o, report):
 		w.hasUnknownStart = false
 		t.startsRepeated++
+		if i := t.indexUnanswered(w.ID, o.Run); i >= 0 {
+			t.unanswered[i].repeated = true
+		}
 		e.log.Info("start of a run without a response sent again", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "repeated", t.startsRepeated)
 		e.sendStart(ctx, t, time.Now())
 	default:
--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -195,3 +195,20 @@
 		})
 	}
 }
+
+// Guards against members of a gang that wait in vain for one whose response was lost.
+func TestGangIsCompleteThoughAResponseIsLost(t *testing.T) {
+	for name, after := range map[string]time.Duration{"never carried out": time.Hour, "carried out after 5 s": 5 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			runScenario(t, 4, func(s *deployment) {
+				e, _ := s.startOldDeployment()
+				s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Minute, modeler.EndDone }
+				s.lateFirstCall("j1", after)
+				s.submit(shortJob("j1", modeler.Step{Count: 8, Gang: true, Need: modeler.Resources{CPU: 1000}}))
+				time.Sleep(2900 * time.Millisecond)
+				require.Equal(t, 8, s.taskFleet.RunCountOfJob("j1"), "after 2.9 s")
+				e.stopGracefully()
+			})
+		})
+	}
+}
