Show that whole legal jobs that wait exhaust a leader's memory

Callers whose jobs are accepted can end a leader, and each successor after it: nothing bounds the texts and lists of a step but the size of the body, and jobs that state short estimates are not refused for waiting.

The tests hand in 600 jobs with a label of 256 KB, or 200 that repeat a step number in "after", one after the other on four connections, and wait for the end of an ordinary job, which shows that the leader has read them.

--- a/crowder/catalog.go
+++ b/crowder/catalog.go
@@ -13,6 +13,8 @@
 	{Name: "run-large-chunks", Program: RunProgram, Listener: Callers, Content: Bodies, Count: 600, BodyBytes: maxBody, ShortBytes: 64, ChunkBytes: 64 << 10},
 	{Name: "run-small-chunks", Program: RunProgram, Listener: Callers, Content: Bodies, Count: 600, BodyBytes: maxBody, ShortBytes: 64, ChunkBytes: 8},
 	{Name: "run-tiny-steps", Program: RunProgram, Listener: Callers, Content: Bodies, Filling: TinySteps, Count: 100, BodyBytes: maxBody},
+	{Name: "run-long-texts", Program: RunProgram, Listener: Callers, Content: Bodies, Filling: LongTexts, Count: 4, Requests: 150, BodyBytes: maxBody, AwaitEnd: true},
+	{Name: "run-long-lists", Program: RunProgram, Listener: Callers, Content: Bodies, Filling: LongLists, Count: 4, Requests: 50, BodyBytes: maxBody, AwaitEnd: true},
 	{Name: "run-silent", Program: RunProgram, Listener: Callers, Content: Nothing, Count: 600},
 	{Name: "run-half-headers", Program: RunProgram, Listener: Callers, Content: HalfHeaders, Count: 600},
 	{Name: "run-unread", Program: RunProgram, Listener: Callers, Content: Requests, Count: 600},
--- a/crowder/crowd.go
+++ b/crowder/crowd.go
@@ -31,12 +31,15 @@
 const (
 	Filler    Filling = ""           // one long text
 	TinySteps Filling = "tiny-steps" // a job of as many steps as the body has room for
+	LongTexts Filling = "long-texts" // a job that is accepted and waits, of long texts
+	LongLists Filling = "long-lists" // a job that is accepted and waits, of long lists
 )
 
 const (
 	wholeOneIn     = 8   // one in this many clients of a crowd that stops short sends its whole body
 	unreadRequests = 400 // requests of a client that reads no answer
 	peerTimeout    = time.Hour
+	waitingStep    = `{"count":1,"cpu":1000000,"estimated_ms":1` // start of a step that no worker has room for
 )
 
 type (
@@ -61,6 +64,7 @@
 		ChunkBytes int           `json:"chunk-bytes,omitempty"` // of a chunk of a chunked body; 0 if the headers state the length
 		PieceBytes int           `json:"piece-bytes,omitempty"` // of each write; the whole body if 0
 		Pace       time.Duration `json:"pace,omitempty"`        // pause between two pieces
+		AwaitEnd   bool          `json:"await-end,omitempty"`   // ordinary jobs must end, which shows that the leader has read the crowd's jobs
 	}
 
 	// client is one of a crowd.
@@ -208,6 +212,10 @@
 	switch c.Filling {
 	case TinySteps:
 		head, filling, tail = `{"spec":"crowd","steps":[{"count":1}`, ",{}", "]}"
+	case LongTexts:
+		head, filling, tail = `{"spec":"crowd","steps":[`+waitingStep+`,"requirements":"`, "x", `"}]}`
+	case LongLists:
+		head, filling, tail = `{"spec":"crowd","steps":[`+waitingStep+`},`+waitingStep+`,"after":[0`, ",0", "]}]}"
 	default:
 		head, filling, tail = `{"spec":"crowd","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":100}],"sleep-ms":600000,"note":"`, "x", `"}`
 	}
--- a/crowder/crowder.go
+++ b/crowder/crowder.go
@@ -66,6 +66,7 @@
 		address(l Listener) string
 		target(l Listener) requestTarget
 		newOrdinaryRequest(ctx context.Context) (*http.Request, error)
+		awaitEnd(ctx context.Context, client *http.Client) error // of the job of the last ordinary request
 		close()
 	}
 )
@@ -83,7 +84,7 @@
 		return Result{}, err
 	}
 	defer p.stop()
-	if err := requestOnce(ctx, s, p); err != nil {
+	if err := requestOnce(ctx, s, p, c.AwaitEnd); err != nil {
 		return Result{}, errors.Annotatef(err, "%s did not answer before the crowd came, see the log in %s", c.Program, opts.Dir)
 	}
 	result := Result{Crowd: c.Name, IdleMemoryMB: toMB(p.idleMemory())}
@@ -95,10 +96,10 @@
 	crowdCtx, disperse := context.WithCancel(ctx)
 	wait := c.start(crowdCtx, opts.Seed, s.address(c.Listener), s.target(c.Listener), opts.Patience)
 	err = supervisor.Pause(ctx, settleTime)
-	result.AnsweredMeantime = requestOnce(ctx, s, p) == nil
+	result.AnsweredMeantime = requestOnce(ctx, s, p, c.AwaitEnd) == nil
 	disperse()
 	wait()
-	result.AnsweredAfter = requestOnce(ctx, s, p) == nil
+	result.AnsweredAfter = requestOnce(ctx, s, p, c.AwaitEnd) == nil
 	result.IsAlive = p.isAlive()
 	cancel()
 	observer.Wait()
@@ -144,14 +145,18 @@
 }
 
 // requestOnce sends an ordinary request until it is served, as its caller would. It fails
-// when the process has exited or answerTimeout is over.
-func requestOnce(ctx context.Context, s system, p *process) error {
+// when the process has exited or answerTimeout is over. With awaitEnd it also waits until
+// the job has ended.
+func requestOnce(ctx context.Context, s system, p *process, awaitEnd bool) error {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: attemptTimeout}
 	var lastErr error
 	for ctx.Err() == nil && p.isAlive() {
 		pause, err := attempt(ctx, client, s)
+		if err == nil && awaitEnd {
+			return s.awaitEnd(ctx, client)
+		}
 		if err == nil {
 			return nil
 		}
--- a/crowder/crowder_test.go
+++ b/crowder/crowder_test.go
@@ -68,6 +68,14 @@
 	requireSurvival(t, "run-tiny-steps")
 }
 
+func TestLeaderSurvivesJobsOfLongTextsThatWait(t *testing.T) {
+	requireSurvival(t, "run-long-texts")
+}
+
+func TestLeaderSurvivesJobsOfLongListsThatWait(t *testing.T) {
+	requireSurvival(t, "run-long-lists")
+}
+
 func TestRunSurvivesSilentConnections(t *testing.T) {
 	requireSurvival(t, "run-silent")
 }
--- a/crowder/run.go
+++ b/crowder/run.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +17,7 @@
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/platform"
+	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
 // RunProgram is the command that runs an entry on the platform.
@@ -141,8 +143,13 @@
 		return nil, err
 	}
 	s.requests++
+	return s.newRequest(ctx, http.MethodPost, raw)
+}
+
+// newRequest returns a request about the last job.
+func (s *runSystem) newRequest(ctx context.Context, method string, body []byte) (*http.Request, error) {
 	url := fmt.Sprintf("http://%s%s%016x", s.settings.CallersAddress, ordinaryPrefix, s.requests)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(raw))
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -150,3 +157,22 @@
 	r.Header.Set("Authorization", "Bearer "+ordinaryKey)
 	return r, nil
 }
+
+func (s *runSystem) awaitEnd(ctx context.Context, client *http.Client) error {
+	for {
+		r, err := s.newRequest(ctx, http.MethodGet, nil)
+		if err != nil {
+			return err
+		}
+		if res, err := client.Do(r); err == nil {
+			body, err := io.ReadAll(io.LimitReader(res.Body, kiB))
+			_ = res.Body.Close() // the body has been read
+			if state, stateErr := platform.ParseState(body); err == nil && stateErr == nil && state == modeler.Completed {
+				return nil
+			}
+		}
+		if err := supervisor.Pause(ctx, retryPause); err != nil {
+			return errors.Annotatef(err, "job %016x has not ended", s.requests)
+		}
+	}
+}
--- a/crowder/serve.go
+++ b/crowder/serve.go
@@ -134,3 +134,6 @@
 	r.Header.Set(admitter.IdempotentHeader, "true")
 	return r, nil
 }
+
+// awaitEnd implements system. An ordinary request is answered when its task has ended.
+func (s *serveSystem) awaitEnd(context.Context, *http.Client) error { return nil }
