Add a budget for the request bodies of a process

Clients that send many large bodies and stop just short of their end take all memory of a process: bodies are read without a common bound or a time limit.

A body may stall for 3 s and take 30 s as a whole. A request whose body has been read is never broken off.

--- a/classifier/error.go
+++ b/classifier/error.go
@@ -43,6 +43,8 @@
 	StoreDown     Code = "store-down"     // the key-value store did not answer
 	Conflict      Code = "conflict"       // another writer changed the object first
 	NotFound      Code = "not-found"      // the named object does not exist
+	Overloaded    Code = "overloaded"     // no memory is left for the request
+	SlowBody      Code = "slow-body"      // the request's body did not arrive in time, or was broken off for others
 	BudgetSpent   Code = "budget-spent"   // the availability budget allows no further outage
 )
 
--- /dev/null
+++ b/limiter/body.go
@@ -0,0 +1,188 @@
+package limiter
+
+import (
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/meter"
+	"github.com/coltsfootlever/coltsfootlever/postponer"
+)
+
+// Time limits of request bodies.
+const (
+	// StallTimeout is how long a body may take until its next byte arrives.
+	StallTimeout = 3 * time.Second
+	// MaxBodyTimeout is the longest time that a whole body may take.
+	MaxBodyTimeout = 30 * time.Second
+
+	stallRenewal = StallTimeout / 8 // a read deadline is not renewed more often
+)
+
+// aLongTimeAgo is a deadline that ends a pending read.
+var aLongTimeAgo = time.Unix(1, 0)
+
+// BodyLimits limit a request body.
+type BodyLimits struct {
+	MaxBytes int64
+	Timeout  time.Duration // for the whole body; at most MaxBodyTimeout, which also applies if it is 0
+}
+
+// ReadBody reads the body of a request. The caller must call Release when the request
+// has been answered. The error is a *classifier.Error with the verdict NotRun: BadRequest
+// if the body is malformed or larger than MaxBytes, Overloaded if there is no room, and
+// SlowBody if the body did not arrive in time or was broken off for others. The connection
+// is closed after the answer to such a request.
+//
+// What the body holds grows with what has arrived, whatever length its header gives.
+func (b *Budget) ReadBody(w http.ResponseWriter, r *http.Request, l BodyLimits) (*Body, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return &Body{budget: b}, nil
+	}
+	if l.Timeout <= 0 || l.Timeout > MaxBodyTimeout {
+		l.Timeout = MaxBodyTimeout
+	}
+	d := &Body{budget: b, begin: time.Now(), controller: http.NewResponseController(w)}
+	d.place.owner = d
+	if err := d.read(w, r, l); err != nil {
+		d.abandon(w)
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Body) read(w http.ResponseWriter, r *http.Request, l BodyLimits) error {
+	if r.ContentLength > l.MaxBytes {
+		return classifier.Refuse(classifier.BadRequest, "body of %d bytes, the limit is %d", r.ContentLength, l.MaxBytes)
+	}
+	if !d.budget.reserve(d, pieceBytes) {
+		return d.budget.refuse(pieceBytes)
+	}
+	size := int64(pieceBytes)
+	if r.ContentLength >= 0 {
+		size = min(size, r.ContentLength+1) // the last read returns io.EOF and no byte
+	}
+	d.Bytes = make([]byte, 0, size)
+	d.budget.enqueue(d)
+	body := http.MaxBytesReader(w, r.Body, l.MaxBytes)
+	deadline, stallAt := d.begin.Add(l.Timeout), d.begin.Add(min(StallTimeout, l.Timeout))
+	d.budget.setReadDeadline(d, stallAt)
+	for {
+		if len(d.Bytes) == cap(d.Bytes) {
+			if err := d.grow(r.ContentLength, l.MaxBytes); err != nil {
+				return err
+			}
+		}
+		n, err := body.Read(d.Bytes[len(d.Bytes):cap(d.Bytes)])
+		d.Bytes = d.Bytes[:len(d.Bytes)+n]
+		if err == nil {
+			now := time.Now()
+			if now.After(deadline) {
+				return d.slow(reasonTooSlow)
+			}
+			if next := earlier(deadline, now.Add(StallTimeout)); next.Sub(stallAt) > stallRenewal || next.Equal(deadline) && next.After(stallAt) {
+				d.budget.setReadDeadline(d, next)
+				stallAt = next
+			}
+			continue
+		}
+		if !d.budget.finish(d) {
+			return d.slow(reasonNoRoom)
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline):
+			return d.slow(reasonStalled)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return d.slow(reasonTooSlow)
+		}
+		return classifier.Refuse(classifier.BadRequest, "body: %v", err)
+	}
+}
+
+// grow makes room for more bytes: the buffer is doubled, but not beyond the length that
+// the header gives or one byte more than the limit.
+func (d *Body) grow(contentLength, maxBytes int64) error {
+	old := int64(cap(d.Bytes))
+	size := max(2*old, pieceBytes)
+	if contentLength >= old {
+		size = min(size, contentLength+1)
+	}
+	size = min(size, maxBytes+1)
+	if size <= old { // the reader returns an error or io.EOF for the next byte
+		size = old + 1
+	}
+	if !d.budget.reserve(d, size) {
+		if d.cut {
+			return d.slow(reasonNoRoom)
+		}
+		return d.budget.refuse(size)
+	}
+	bigger := make([]byte, len(d.Bytes), size)
+	copy(bigger, d.Bytes)
+	d.Bytes = bigger
+	d.budget.release(d, d.held-size)
+	return nil
+}
+
+// slow counts a body that was broken off and returns the refusal of its request.
+func (d *Body) slow(reason string) *classifier.Error {
+	meter.CountBrokenOffBody(reason)
+	if count, ok := d.budget.broken.add(); ok {
+		d.budget.log.Warn("bodies broken off", "count", count, "last-reason", reason, "bytes", len(d.Bytes), "after", time.Since(d.begin).Round(time.Millisecond).String(), "held", d.budget.Held(), "size", d.budget.size)
+	}
+	return classifier.Refuse(classifier.SlowBody, "body broken off after %d bytes (%s), try again later", len(d.Bytes), reason).WithRetryAfter(retryDelay())
+}
+
+// abandon gives back what the body of a refused request holds, and closes its connection
+// after the answer instead of reading the rest.
+func (d *Body) abandon(w http.ResponseWriter) {
+	d.budget.finish(d)
+	d.Release()
+	w.Header().Set("Connection", "close")
+	_ = d.controller.SetReadDeadline(aLongTimeAgo) // without it the server reads the rest
+}
+
+// enqueue makes d one of the bodies that may be broken off.
+func (b *Budget) enqueue(d *Body) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unfinished.push(&d.place)
+}
+
+// finish makes d a body that can't be broken off any more. It reports false if it has
+// been already.
+func (b *Budget) finish(d *Body) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unfinished.remove(&d.place)
+	return !d.cut
+}
+
+// setReadDeadline sets the time by which the next bytes of d must arrive, unless d has
+// been broken off.
+func (b *Budget) setReadDeadline(d *Body, t time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !d.cut {
+		_ = d.controller.SetReadDeadline(t) // only a ResponseWriter without a connection doesn't support it
+	}
+}
+
+// retryDelay returns how long a refused caller should wait.
+func retryDelay() time.Duration {
+	return postponer.OverloadDelay(0, rand.Float64())
+}
+
+func earlier(t, u time.Time) time.Time {
+	if u.Before(t) {
+		return u
+	}
+	return t
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -170,6 +170,23 @@
 	metrics.GetOrCreateGauge(`coltsfootlever_operator_records_age_seconds`, func() float64 { return fn().Seconds() })
 }
 
+// CountBrokenOffBody counts a request body whose reading was broken off.
+func CountBrokenOffBody(reason string) {
+	incrementCounter(`coltsfootlever_bodies_broken_off_total{reason=%q}`, reason)
+}
+
+// CountRequestWithoutRoom counts a request that was refused because bodies take up the
+// memory that is kept for them.
+func CountRequestWithoutRoom() {
+	incrementCounter(`coltsfootlever_requests_without_room_total`)
+}
+
+// ExportBodyBytes adds a metric for the bytes that are held for request bodies, whose
+// value is read from fn each time the metrics are written.
+func ExportBodyBytes(fn func() int64) {
+	metrics.GetOrCreateGauge(`coltsfootlever_body_bytes`, func() float64 { return float64(fn()) })
+}
+
 // ExportDroppedLines adds a metric for the number of dropped log lines, whose value
 // is read from fn each time the metrics are written.
 func ExportDroppedLines(fn func() uint64) {
