--- a/limiter/body.go
+++ b/limiter/body.go
@@ -47,7 +47,7 @@
 	if l.Timeout <= 0 || l.Timeout > MaxBodyTimeout {
 		l.Timeout = MaxBodyTimeout
 	}
-	d := &Body{budget: b, begin: time.Now(), controller: http.NewResponseController(w)}
+	d := &Body{budget: b, begin: time.Now(), controller: http.NewResponseController(w), conn: connOf(r)}
 	d.place.owner = d
 	if err := d.read(w, r, l); err != nil {
 		d.abandon(w)
@@ -95,6 +95,8 @@
 			return d.slow(reasonNoRoom)
 		}
 		switch {
+		case err == io.EOF && d.conn != nil && !d.conn.protect():
+			return d.slow(reasonClosed)
 		case err == io.EOF:
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(deadline):
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -25,6 +25,7 @@
 	reasonNoRoom  = "no-room"  // other bodies need the memory, and this one is the slowest
 	reasonStalled = "stalled"  // the sender stopped
 	reasonTooSlow = "too-slow" // the body as a whole took too long
+	reasonClosed  = "closed"   // its connection was closed at the bound
 )
 
 type (
@@ -55,6 +56,7 @@
 		held       int64
 		begin      time.Time
 		controller *http.ResponseController
+		conn       *conn // nil if the request didn't come through a Listener
 		place      place[*Body]
 		cut        bool // broken off for others
 	}
--- a/limiter/budget_test.go
+++ b/limiter/budget_test.go
@@ -19,10 +19,11 @@
 
 // site is an HTTP server behind a Listener whose connections are in-memory pipes.
 type site struct {
-	t      *testing.T
-	dials  chan net.Conn
-	budget *limiter.Budget
-	hold   chan struct{} // if set, requests that have been read are answered after a value
+	t        *testing.T
+	dials    chan net.Conn
+	listener *limiter.Listener
+	budget   *limiter.Budget
+	hold     chan struct{} // if set, requests that have been read are answered after a value
 }
 
 type pipes struct{ dials chan net.Conn }
@@ -39,14 +40,16 @@
 
 func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
 
-func newSite(t *testing.T, _ int, budget int64) *site {
+func newSite(t *testing.T, maxConns int, budget int64, opts ...limiter.ListenerOption) *site {
 	s := &site{t: t, dials: make(chan net.Conn), budget: limiter.NewBudget(0, limiter.WithBytes(budget))}
-	server := &http.Server{Handler: s, WriteTimeout: time.Minute}
-	go func() { _ = server.Serve(pipes{s.dials}) }()
+	s.listener = limiter.NewListener(pipes{s.dials}, maxConns, opts...)
+	server := &http.Server{Handler: s}
+	s.listener.Configure(server)
+	go func() { _ = server.Serve(s.listener) }()
 	t.Cleanup(func() {
 		close(s.dials)
 		_ = server.Close()
-		time.Sleep(time.Minute) // for the last answers
+		time.Sleep(time.Second) // the server waits a little before it closes connections whose body it hasn't read
 	})
 	return s
 }
@@ -217,6 +220,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newSite(t, 1000, 1<<20)
 		s.dial(post("/", 100, "xx"))
+		s.dial(post("/unread", 100, "xx"))
 		s.dial("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nxx")
 		trickler := s.dial(post("/", 100, "xx"))
 		for range 15 {
@@ -225,5 +229,6 @@
 		}
 		synctest.Wait()
 		require.Zero(t, s.budget.Held())
+		require.Zero(t, s.listener.Open())
 	})
 }
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -181,6 +181,17 @@
 	incrementCounter(`coltsfootlever_requests_without_room_total`)
 }
 
+// CountClosedConnection counts a connection that a listener closed, by the reason.
+func CountClosedConnection(listener, reason string) {
+	incrementCounter(`coltsfootlever_connections_closed_total{listener=%q,reason=%q}`, listener, reason)
+}
+
+// ExportOpenConnections adds a metric for the number of open connections of a listener,
+// whose value is read from fn each time the metrics are written.
+func ExportOpenConnections(listener string, fn func() int) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`coltsfootlever_connections{listener=%q}`, listener), func() float64 { return float64(fn()) })
+}
+
 // ExportBodyBytes adds a metric for the bytes that are held for request bodies, whose
 // value is read from fn each time the metrics are written.
 func ExportBodyBytes(fn func() int64) {
