Let others than request bodies hold a part of the budget

Budget.Open returns a Hold, which grows, is broken off for others while it is unfinished, and is given back as a whole; bodies use it as well. Bodies beyond the limit have one error text, and tests cover requests that are answered for longer than their time limits, and listeners below TLS with and without HTTP/2.

--- a/limiter/body.go
+++ b/limiter/body.go
@@ -27,11 +27,23 @@
 // aLongTimeAgo is a deadline that ends a pending read.
 var aLongTimeAgo = time.Unix(1, 0)
 
-// BodyLimits limit a request body.
-type BodyLimits struct {
-	MaxBytes int64
-	Timeout  time.Duration // for the whole body; at most MaxBodyTimeout, which also applies if it is 0
-}
+type (
+	// BodyLimits limit a request body.
+	BodyLimits struct {
+		MaxBytes int64
+		Timeout  time.Duration // for the whole body; at most MaxBodyTimeout, which also applies if it is 0
+	}
+
+	// Body is a request body that has been read, with what its request holds of the
+	// Budget. Its methods are not safe for concurrent use.
+	Body struct {
+		Bytes []byte
+
+		hold       Hold
+		controller *http.ResponseController
+		conn       *conn // nil if the request has no connection of a Listener for itself
+	}
+)
 
 // ReadBody reads the body of a request. The caller must call Release when the request
 // has been answered. The error is a *classifier.Error with the verdict NotRun: BadRequest
@@ -41,14 +53,16 @@
 //
 // What the body holds grows with what has arrived, whatever length its header gives.
 func (b *Budget) ReadBody(w http.ResponseWriter, r *http.Request, l BodyLimits) (*Body, error) {
+	d := &Body{}
 	if r.Body == nil || r.Body == http.NoBody {
-		return &Body{budget: b}, nil
+		d.hold.budget = b
+		return d, nil
 	}
 	if l.Timeout <= 0 || l.Timeout > MaxBodyTimeout {
 		l.Timeout = MaxBodyTimeout
 	}
-	d := &Body{budget: b, begin: time.Now(), controller: http.NewResponseController(w), conn: connOf(r)}
-	d.place.owner = d
+	d.controller, d.conn = http.NewResponseController(w), connOf(r)
+	b.open(&d.hold, func() { _ = d.controller.SetReadDeadline(aLongTimeAgo) }) // where that is not supported, the reading ends with the next bytes
 	if err := d.read(w, r, l); err != nil {
 		d.abandon(w)
 		return nil, err
@@ -56,22 +70,38 @@
 	return d, nil
 }
 
+// Reserve reserves n more bytes for what is made of the body, such as its parsed form. The
+// errors are those of Hold.Add.
+func (d *Body) Reserve(n int64) error {
+	return d.hold.Add(n)
+}
+
+// Release gives back what the request holds. It must be called when the request has
+// been answered, and Bytes must not be used afterwards. More calls do nothing.
+func (d *Body) Release() {
+	if d == nil {
+		return
+	}
+	d.Bytes = nil
+	d.hold.Close()
+}
+
 func (d *Body) read(w http.ResponseWriter, r *http.Request, l BodyLimits) error {
 	if r.ContentLength > l.MaxBytes {
-		return classifier.Refuse(classifier.BadRequest, "body of %d bytes, the limit is %d", r.ContentLength, l.MaxBytes)
+		return tooLarge(l.MaxBytes)
 	}
-	if !d.budget.reserve(d, pieceBytes) {
-		return d.budget.refuse(pieceBytes)
+	if err := d.hold.Add(pieceBytes); err != nil {
+		return err
 	}
 	size := int64(pieceBytes)
 	if r.ContentLength >= 0 {
 		size = min(size, r.ContentLength+1) // the last read returns io.EOF and no byte
 	}
 	d.Bytes = make([]byte, 0, size)
-	d.budget.enqueue(d)
 	body := http.MaxBytesReader(w, r.Body, l.MaxBytes)
-	deadline, stallAt := d.begin.Add(l.Timeout), d.begin.Add(min(StallTimeout, l.Timeout))
-	d.budget.setReadDeadline(d, stallAt)
+	deadline, stallAt := d.hold.begin.Add(l.Timeout), d.hold.begin.Add(min(StallTimeout, l.Timeout))
+	d.setReadDeadline(stallAt)
+	var overrun *http.MaxBytesError
 	for {
 		if len(d.Bytes) == cap(d.Bytes) {
 			if err := d.grow(r.ContentLength, l.MaxBytes); err != nil {
@@ -86,12 +116,12 @@
 				return d.slow(reasonTooSlow)
 			}
 			if next := earlier(deadline, now.Add(StallTimeout)); next.Sub(stallAt) > stallRenewal || next.Equal(deadline) && next.After(stallAt) {
-				d.budget.setReadDeadline(d, next)
+				d.setReadDeadline(next)
 				stallAt = next
 			}
 			continue
 		}
-		if !d.budget.finish(d) {
+		if !d.hold.Finish() {
 			return d.slow(reasonNoRoom)
 		}
 		switch {
@@ -103,11 +133,17 @@
 			return d.slow(reasonStalled)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			return d.slow(reasonTooSlow)
+		case errors.As(err, &overrun):
+			return tooLarge(l.MaxBytes)
 		}
 		return classifier.Refuse(classifier.BadRequest, "body: %v", err)
 	}
 }
 
+func tooLarge(limit int64) error {
+	return classifier.Refuse(classifier.BadRequest, "body too large, the limit is %d bytes: send a smaller one", limit)
+}
+
 // grow makes room for more bytes: the buffer is doubled, but not beyond the length that
 // the header gives or one byte more than the limit.
 func (d *Body) grow(contentLength, maxBytes int64) error {
@@ -120,24 +156,25 @@
 	if size <= old { // the reader returns an error or io.EOF for the next byte
 		size = old + 1
 	}
-	if !d.budget.reserve(d, size) {
-		if d.cut {
+	if !d.hold.reserve(size) {
+		if !d.hold.Finish() {
 			return d.slow(reasonNoRoom)
 		}
-		return d.budget.refuse(size)
+		return d.hold.budget.refuse(size)
 	}
 	bigger := make([]byte, len(d.Bytes), size)
 	copy(bigger, d.Bytes)
 	d.Bytes = bigger
-	d.budget.release(d, d.held-size)
+	d.hold.Remove(d.hold.held - size)
 	return nil
 }
 
 // slow counts a body that was broken off and returns the refusal of its request.
 func (d *Body) slow(reason string) *classifier.Error {
 	meter.CountBrokenOffBody(reason)
-	if count, ok := d.budget.broken.add(); ok {
-		d.budget.log.Warn("bodies broken off", "count", count, "last-reason", reason, "bytes", len(d.Bytes), "after", time.Since(d.begin).Round(time.Millisecond).String(), "held", d.budget.Held(), "size", d.budget.size)
+	b := d.hold.budget
+	if count, ok := b.broken.add(); ok {
+		b.log.Warn("bodies broken off", "count", count, "last-reason", reason, "bytes", len(d.Bytes), "after", time.Since(d.hold.begin).Round(time.Millisecond).String(), "held", b.Held(), "size", b.size)
 	}
 	return classifier.Refuse(classifier.SlowBody, "body broken off after %d bytes (%s), try again later", len(d.Bytes), reason).WithRetryAfter(retryDelay())
 }
@@ -145,34 +182,17 @@
 // abandon gives back what the body of a refused request holds, and closes its connection
 // after the answer instead of reading the rest.
 func (d *Body) abandon(w http.ResponseWriter) {
-	d.budget.finish(d)
 	d.Release()
 	w.Header().Set("Connection", "close")
 	_ = d.controller.SetReadDeadline(aLongTimeAgo) // without it the server reads the rest
 }
 
-// enqueue makes d one of the bodies that may be broken off.
-func (b *Budget) enqueue(d *Body) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.unfinished.push(&d.place)
-}
-
-// finish makes d a body that can't be broken off any more. It reports false if it has
-// been already.
-func (b *Budget) finish(d *Body) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.unfinished.remove(&d.place)
-	return !d.cut
-}
-
-// setReadDeadline sets the time by which the next bytes of d must arrive, unless d has
+// setReadDeadline sets the time by which the next bytes must arrive, unless the body has
 // been broken off.
-func (b *Budget) setReadDeadline(d *Body, t time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if !d.cut {
+func (d *Body) setReadDeadline(t time.Time) {
+	d.hold.budget.mu.Lock()
+	defer d.hold.budget.mu.Unlock()
+	if !d.hold.cut {
 		_ = d.controller.SetReadDeadline(t) // only a ResponseWriter without a connection doesn't support it
 	}
 }
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"net/http"
 	"sync"
 	"time"
 
@@ -39,7 +38,7 @@
 		size       int64
 		used       int64        // bytes held, without those of leaving
 		leaving    int64        // bytes of bodies that were broken off and are still held
-		unfinished queue[*Body] // the body whose reading began first comes first
+		unfinished queue[*Hold] // the one that began first comes first
 		broken     eventSampler // bodies that were broken off
 		refused    eventSampler // requests without room
 	}
@@ -47,18 +46,15 @@
 	// BudgetOption configures a Budget.
 	BudgetOption func(*Budget)
 
-	// Body is a request body that has been read, with the part of the Budget that the
-	// request holds. Its methods are not safe for concurrent use.
-	Body struct {
-		Bytes []byte
-
-		budget     *Budget
-		held       int64
-		begin      time.Time
-		controller *http.ResponseController
-		conn       *conn // nil if the request didn't come through a Listener
-		place      place[*Body]
-		cut        bool // broken off for others
+	// Hold is what one request or connection holds of a Budget. While it is unfinished, it
+	// may be broken off for others. Its methods are not safe for concurrent use.
+	Hold struct {
+		budget *Budget
+		cancel func() // called with the Budget's mutex
+		begin  time.Time
+		held   int64
+		place  place[*Hold]
+		cut    bool // broken off for others
 	}
 )
 
@@ -98,70 +94,91 @@
 	return b.size
 }
 
-// Reserve reserves n more bytes for what is made of a body that has been read, such as
-// its parsed form. The error is a *classifier.Error with the verdict NotRun if there is
-// no room. A request that is alone always gets room.
-func (d *Body) Reserve(n int64) error {
-	if !d.budget.reserve(d, n) {
-		return d.budget.refuse(n)
+// Open returns an unfinished hold of nothing. If it is broken off for others, cancel is
+// called: it must return soon and must not use the Budget. The caller must call Close.
+func (b *Budget) Open(cancel func()) *Hold {
+	h := &Hold{}
+	b.open(h, cancel)
+	return h
+}
+
+func (b *Budget) open(h *Hold, cancel func()) {
+	h.budget, h.cancel, h.begin = b, cancel, time.Now()
+	h.place.owner = h
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unfinished.push(&h.place)
+}
+
+// Add reserves n more bytes. The error is a *classifier.Error with the verdict NotRun if
+// there is no room, or the hold has been broken off. A hold that is alone always gets room.
+func (h *Hold) Add(n int64) error {
+	if h.reserve(n) {
+		return nil
 	}
-	return nil
+	return h.budget.refuse(n)
 }
 
-// Release gives back what the request holds. It must be called when the request has
-// been answered, and Bytes must not be used afterwards. More calls do nothing.
-func (d *Body) Release() {
-	if d == nil {
-		return
+// Remove gives back n bytes.
+func (h *Hold) Remove(n int64) {
+	b := h.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	h.held -= n
+	if h.cut {
+		b.leaving -= n
+	} else {
+		b.used -= n
 	}
-	d.Bytes = nil
-	d.budget.release(d, d.held)
 }
 
-// reserve adds n bytes to what d holds. If there is no room, the slowest unfinished bodies
-// are broken off; it reports false if d is the slowest, or the others have not had
+// Finish keeps the hold from being broken off. It reports false if it has been already.
+func (h *Hold) Finish() bool {
+	h.budget.mu.Lock()
+	defer h.budget.mu.Unlock()
+	h.budget.unfinished.remove(&h.place)
+	return !h.cut
+}
+
+// Close gives back all that is held. More calls do nothing.
+func (h *Hold) Close() {
+	h.Finish()
+	h.Remove(h.held)
+}
+
+// reserve adds n bytes to what h holds. If there is no room, the slowest unfinished holds
+// are broken off; it reports false if h is the slowest, or the others have not had
 // minReadingTime yet.
-func (b *Budget) reserve(d *Body, n int64) bool {
+func (h *Hold) reserve(n int64) bool {
+	b := h.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if d.cut {
+	if h.cut {
 		return false
 	}
 	limit := b.size
-	if d.held+n > smallBytes {
+	if h.held+n > smallBytes {
 		limit -= b.size / smallShare
 	}
-	for b.used+n > limit && b.used > d.held {
-		p := b.unfinished.first
-		if p == nil || p.owner == d || time.Since(p.owner.begin) < minReadingTime || b.leaving+p.owner.held > b.size/leavingShare {
+	for b.used+n > limit && b.used > h.held {
+		first := b.unfinished.first
+		if first == nil || first.owner == h || time.Since(first.owner.begin) < minReadingTime || b.leaving+first.owner.held > b.size/leavingShare {
 			return false
 		}
-		b.breakOff(p.owner)
+		b.breakOff(first.owner)
 	}
 	b.used += n
-	d.held += n
+	h.held += n
 	return true
 }
 
-// breakOff makes the reading of v end with an error. The caller holds mu.
-func (b *Budget) breakOff(v *Body) {
-	b.unfinished.remove(&v.place)
-	v.cut = true
-	b.used -= v.held
-	b.leaving += v.held
-	_ = v.controller.SetReadDeadline(aLongTimeAgo) // without it the reading ends with the next bytes
-}
-
-// release gives back n bytes of what d holds.
-func (b *Budget) release(d *Body, n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	d.held -= n
-	if d.cut {
-		b.leaving -= n
-	} else {
-		b.used -= n
-	}
+// breakOff ends an unfinished hold. The caller holds mu.
+func (b *Budget) breakOff(h *Hold) {
+	b.unfinished.remove(&h.place)
+	h.cut = true
+	b.used -= h.held
+	b.leaving += h.held
+	h.cancel()
 }
 
 // refuse counts a request that got no room for n bytes and returns its refusal.
--- a/limiter/budget_test.go
+++ b/limiter/budget_test.go
@@ -70,6 +70,9 @@
 	if s.hold != nil {
 		<-s.hold
 	}
+	if r.Context().Err() != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprint(w, len(body.Bytes))
 }
 
@@ -232,3 +235,28 @@
 		require.Zero(t, s.listener.Open())
 	})
 }
+
+// What is not a body was not broken off for others.
+func TestSlowestHoldIsBrokenOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := limiter.NewBudget(0, limiter.WithBytes(1<<20))
+		var ended []string
+		open := func(name string) *limiter.Hold { return b.Open(func() { ended = append(ended, name) }) }
+		first, second := open("first"), open("second")
+		require.NoError(t, first.Add(200_000))
+		require.True(t, first.Finish())
+		require.NoError(t, second.Add(200_000))
+		third := open("third")
+		require.Equal(t, classifier.NotRun, classifier.VerdictOf(third.Add(600_000)))
+		time.Sleep(time.Second)
+		require.NoError(t, third.Add(600_000))
+		require.Equal(t, []string{"second"}, ended)
+		require.Error(t, second.Add(1))
+		require.False(t, second.Finish())
+		for _, h := range []*limiter.Hold{first, second, third} {
+			h.Close()
+		}
+		require.Zero(t, b.Held())
+		require.NoError(t, open("alone").Add(2<<20))
+	})
+}
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -1,6 +1,8 @@
 package limiter_test
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -102,3 +104,44 @@
 		require.Equal(t, want, w.Code)
 	}
 }
+
+// A time limit of the body or the header ended requests that were being answered.
+func TestTimeLimitsEndWithTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 100, 1<<20)
+		s.hold = make(chan struct{})
+		for _, request := range []string{post("/", 1, "x"), "GET / HTTP/1.1\r\nHost: h\r\n\r\n"} {
+			c := s.dial(request)
+			time.Sleep(time.Minute)
+			s.hold <- struct{}{}
+			code, answer := c.status()
+			require.Equal(t, http.StatusOK, code, answer)
+		}
+	})
+}
+
+func TestListenerBelowTLS(t *testing.T) {
+	for _, http2 := range []bool{false, true} {
+		s := &site{t: t, budget: limiter.NewBudget(0)}
+		server := httptest.NewUnstartedServer(s)
+		s.listener = limiter.NewListener(server.Listener, 4)
+		server.Listener, server.EnableHTTP2 = s.listener, http2
+		s.listener.Configure(server.Config)
+		server.StartTLS()
+		for range 8 {
+			silent, err := net.Dial("tcp", server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer func() { _ = silent.Close() }() // the listener closes most of them
+		}
+		for range 2 {
+			res, err := server.Client().Post(server.URL, "text/plain", strings.NewReader("xxx"))
+			require.NoError(t, err)
+			raw, err := io.ReadAll(res.Body)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			require.Equal(t, "3", string(raw))
+		}
+		require.LessOrEqual(t, s.listener.Open(), 4)
+		server.Close()
+	}
+}
