Bound the bodies and the connections of an entry's listeners

Clients that sent large bodies and stopped just short of their end ended a process: it ran out of memory, and all their connections stayed open.

The acceptor read bodies without a common bound or a time limit, and parsed whatever they held; the listeners had no bound on connections, and the server read on without a limit what a refusal had left of a body.

Bodies and what is made of them share a limiter.Budget, bodies have the time of their call, at most 30 s, and a call without room is refused with 503, not-run and Retry-After. The listeners of callers, readiness, metrics and relay each have a bound of their own on connections, from the settings' descriptors and memory. At most ten lines a second report requests whose body did not arrive.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
@@ -21,8 +22,12 @@
 const (
 	defaultMaxBody   = 256 << 10              // bytes, when the manifest sets no limit
 	defaultTimeLimit = 3 * time.Second        // of a call without a time limit in its header
+	maxTimeLimit     = 30 * time.Second       // of any call
 	answerMargin     = 100 * time.Millisecond // time left for the answer to reach the caller
 	bearerPrefix     = "Bearer "
+
+	lineLimit  = 10 // log lines on bodies that did not arrive or found no room, within linePeriod
+	linePeriod = time.Second
 )
 
 type (
@@ -52,6 +57,8 @@
 		now         func() time.Time
 		outcomes    *outcomeCache
 		withdrawals rateLimit
+		lines       rateLimit // log lines that clients may cause by not sending a body
+		budget      *limiter.Budget
 		random      func() float64 // from 0 to 1, decides which jobs are refused
 	}
 
@@ -66,6 +73,7 @@
 		queue    *modeler.Queue
 		customer string
 		job      string // empty for a query about the queue
+		body     *limiter.Body
 	}
 
 	// answer is the response to a call.
@@ -91,12 +99,20 @@
 	return func(a *Acceptor) { a.random = random }
 }
 
+// WithBudget sets the memory for request bodies, which all listeners of a process share.
+func WithBudget(b *limiter.Budget) Option {
+	return func(a *Acceptor) { a.budget = b }
+}
+
 // New returns the handler of the callers' HTTP interface.
 func New(store Store, fleet FleetState, opts ...Option) *Acceptor {
-	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64, withdrawals: rateLimit{limit: maxWithdrawals, period: withdrawalPeriod}}
+	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64, withdrawals: rateLimit{limit: maxWithdrawals, period: withdrawalPeriod}, lines: rateLimit{limit: lineLimit, period: linePeriod}}
 	for _, opt := range opts {
 		opt(a)
 	}
+	if a.budget == nil {
+		a.budget = limiter.NewBudget(0)
+	}
 	return a
 }
 
@@ -108,6 +124,7 @@
 	req, err := a.newRequest(r.WithContext(ctx))
 	var out answer
 	if err == nil {
+		defer func() { req.body.Release() }()
 		out, err = a.dispatch(w, req)
 	}
 	if err != nil {
@@ -190,7 +207,7 @@
 	if err != nil || limit <= 0 {
 		limit = defaultTimeLimit // the header is optional
 	}
-	return max(answerMargin, limit-answerMargin)
+	return max(answerMargin, min(limit, maxTimeLimit)-answerMargin)
 }
 
 // storeFailure returns the error for a call that had no effect because the
--- a/acceptor/answer.go
+++ b/acceptor/answer.go
@@ -47,6 +47,14 @@
 // logAnswer logs and counts the answer to a call. req is nil when the call's
 // queue is unknown.
 func (a *Acceptor) logAnswer(r *http.Request, req *request, out answer, err error, took time.Duration) {
+	meter.RecordCall(r.Method, out.status, took)
+	if err != nil {
+		code := classifier.As(err).Code
+		meter.CountRefusal(string(code))
+		if (code == classifier.SlowBody || code == classifier.Overloaded) && !a.lines.allow(a.now()) {
+			return
+		}
+	}
 	attrs := []any{"request", r.Header.Get(platform.HeaderRequestID), "method", r.Method, "status", out.status, "took", took.Round(time.Microsecond).String()}
 	if req != nil {
 		attrs = append(attrs, "job", req.job, "queue", req.queue.Name, "customer", req.customer, "manifest", req.manifest.Version)
@@ -56,9 +64,5 @@
 	if err != nil {
 		attrs = append(attrs, "reason", err.Error())
 	}
-	meter.RecordCall(r.Method, out.status, took)
-	if err != nil {
-		meter.CountRefusal(string(classifier.As(err).Code))
-	}
 	a.log.Info("caller's request answered", attrs...)
 }
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -1,8 +1,8 @@
 package acceptor
 
 import (
+	"bytes"
 	"cmp"
-	"io"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/keeper"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
@@ -27,6 +28,9 @@
 	maxWithdrawals   = 200
 	withdrawalPeriod = 10 * time.Second
 
+	memoryPerByte = 8   // bytes that the parsed job, its record and the call to the store take for one of the body
+	memoryPerStep = 512 // bytes that they take for a step besides
+
 	evacuationWait = 7 * time.Second // stands for the time until a zone is restored, which is not known; a caller with four retries then waits at least 12 s
 )
 
@@ -106,9 +110,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		return nil, classifier.Refuse(classifier.BadRequest, "body: %v", err)
+	deadline, _ := r.Context().Deadline() // ServeHTTP sets one
+	var err error
+	if r.body, err = a.budget.ReadBody(w, r.Request, limiter.BodyLimits{MaxBytes: limit, Timeout: time.Until(deadline)}); err != nil {
+		return nil, err
+	}
+	raw := r.body.Bytes
+	if err = r.body.Reserve(int64(memoryPerByte*len(raw) + memoryPerStep*bytes.Count(raw, []byte("{")))); err != nil {
+		return nil, err
 	}
 	job, err := platform.ParseJob(raw)
 	if err != nil {
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootlever/coltsfootlever/acceptor"
 	"github.com/coltsfootlever/coltsfootlever/connector"
 	"github.com/coltsfootlever/coltsfootlever/elector"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
@@ -37,11 +38,8 @@
 	adviceIdleConns      = 8                       // as many calls may be under way
 	balancerDrainDelay   = 2500 * time.Millisecond // the load balancer stops sending callers after two failed readiness checks a second apart; the rest covers their delay
 	shutdownTimeout      = time.Second             // for open calls to finish after the drain delay
-	readHeaderTimeout    = 3 * time.Second         // for the headers of a request
-	idleTimeout          = 15 * time.Second        // for a connection without requests
-	maxHeaderBytes       = 16 << 10
-	slowLinkMbps         = 50.0                  // Mbit/s; below it a page of a list, which is up to 1 MB, takes over 160 ms
-	minWatchInterval     = 15 * time.Millisecond // lets one response carry several events; delays a job by at most this time
+	slowLinkMbps         = 50.0                    // Mbit/s; below it a page of a list, which is up to 1 MB, takes over 160 ms
+	minWatchInterval     = 15 * time.Millisecond   // lets one response carry several events; delays a job by at most this time
 )
 
 type (
@@ -183,15 +181,14 @@
 
 // newCallerService returns the HTTP service for callers.
 func (l *Launcher) newCallerService(ctx context.Context, s *platform.Settings, store *platform.Store) (func(ctx context.Context) error, error) {
-	listener, err := platform.Listen(ctx, s.CallersAddress)
+	listener, err := l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0, limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
 	if err != nil {
 		return nil, err
 	}
-	server := &http.Server{
-		Handler:           acceptor.New(store, l.fleet, acceptor.WithLog(l.log), acceptor.WithClock(l.clock.Now)),
-		ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: slog.NewLogLogger(l.log.Handler(), slog.LevelDebug),
-	}
+	budget := limiter.NewBudget(s.MemoryMB, limiter.WithBudgetLog(l.log))
+	meter.ExportBodyBytes(budget.Held)
+	server := newServer(listener, acceptor.New(store, l.fleet, acceptor.WithLog(l.log), acceptor.WithClock(l.clock.Now), acceptor.WithBudget(budget)))
+	server.ErrorLog = slog.NewLogLogger(l.log.Handler(), slog.LevelDebug)
 	return func(ctx context.Context) error {
 		return serve(ctx, server, listener, balancerDrainDelay)
 	}, nil
@@ -203,13 +200,13 @@
 	if s.MetricsAddress == "" {
 		return func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, nil
 	}
-	listener, err := platform.Listen(ctx, s.MetricsAddress)
+	listener, err := l.listen(ctx, s, "metrics", s.MetricsAddress, otherSockets, metricsConns)
 	if err != nil {
 		return nil, err
 	}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+meter.Path, meter.Handler())
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := newServer(listener, limiter.Bodiless(mux))
 	return func(ctx context.Context) error {
 		return serve(ctx, server, listener, 0)
 	}, nil
@@ -218,7 +215,7 @@
 // newReadinessService returns the HTTP service that tells the load balancer
 // whether to send callers to this entry node.
 func (l *Launcher) newReadinessService(ctx context.Context, s *platform.Settings) (func(ctx context.Context) error, error) {
-	listener, err := platform.Listen(ctx, s.ReadinessAddress)
+	listener, err := l.listen(ctx, s, "readiness", s.ReadinessAddress, otherSockets, readinessConns)
 	if err != nil {
 		return nil, err
 	}
@@ -228,7 +225,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout}
+	server := newServer(listener, limiter.Bodiless(mux))
 	return func(ctx context.Context) error {
 		return serve(ctx, server, listener, 0)
 	}, nil
--- a/launcher/relay.go
+++ b/launcher/relay.go
@@ -28,7 +28,7 @@
 	if !l.relays || r.Address == "" || r.Capacity() == 0 {
 		return none
 	}
-	listener, err := platform.Listen(ctx, r.Address)
+	listener, err := l.listen(ctx, s, "relay", r.Address, otherSockets, relayConns)
 	if err != nil {
 		l.log.Warn("entry node is no relay: its address is not available", "address", r.Address, "error", err)
 		return none
