Bound what the kernel holds of the clients' connections

Bytes that have been received and not read count towards a process's memory. A crowd that connects at once sends tens of kilobytes on each connection before it is accepted, and again on each one whose body is not read yet.

The listeners of callers, readiness and metrics have receive buffers of 32 KB, which the connections inherit; the memory bound on connections counts them.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -181,7 +181,7 @@
 
 // newCallerService returns the HTTP service for callers.
 func (l *Launcher) newCallerService(ctx context.Context, s *platform.Settings, store *platform.Store) (func(ctx context.Context) error, error) {
-	listener, err := l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0, limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
+	listener, err := l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0, limiter.WithReceiveBuffer(receiveBuffer), limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
 	if err != nil {
 		return nil, err
 	}
@@ -200,7 +200,7 @@
 	if s.MetricsAddress == "" {
 		return func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, nil
 	}
-	listener, err := l.listen(ctx, s, "metrics", s.MetricsAddress, otherSockets, metricsConns)
+	listener, err := l.listen(ctx, s, "metrics", s.MetricsAddress, otherSockets, metricsConns, limiter.WithReceiveBuffer(receiveBuffer))
 	if err != nil {
 		return nil, err
 	}
@@ -215,7 +215,7 @@
 // newReadinessService returns the HTTP service that tells the load balancer
 // whether to send callers to this entry node.
 func (l *Launcher) newReadinessService(ctx context.Context, s *platform.Settings) (func(ctx context.Context) error, error) {
-	listener, err := l.listen(ctx, s, "readiness", s.ReadinessAddress, otherSockets, readinessConns)
+	listener, err := l.listen(ctx, s, "readiness", s.ReadinessAddress, otherSockets, readinessConns, limiter.WithReceiveBuffer(receiveBuffer))
 	if err != nil {
 		return nil, err
 	}
--- a/launcher/listeners.go
+++ b/launcher/listeners.go
@@ -16,6 +16,8 @@
 	readinessConns = 32
 	metricsConns   = 16
 	relayConns     = 64
+
+	receiveBuffer = 32 << 10 // bytes; a body of the usual limit of 256 KB takes eight round trips
 )
 
 // listen opens a listener at address with a bound on its connections. It has a share of
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -56,6 +56,7 @@
 		log      *slog.Logger
 		maxConns int
 		memory   int64 // bytes for connections; 0 for no limit
+		receive  int   // bytes of a connection that the kernel holds until they are read; 0 for its default
 		limits   func() Limits
 		http     bool
 
@@ -79,6 +80,12 @@
 	return func(l *Listener) { l.log = log }
 }
 
+// WithReceiveBuffer bounds the bytes of a connection that the kernel holds until they are
+// read, also before it is accepted. A client sends about as many in one round trip.
+func WithReceiveBuffer(n int) ListenerOption {
+	return func(l *Listener) { l.receive = n }
+}
+
 // WithConnMemory bounds the memory of all connections, in bytes: each one may take
 // buffers and its largest header.
 func WithConnMemory(n int64) ListenerOption {
@@ -96,6 +103,11 @@
 	for _, opt := range opts {
 		opt(bounded)
 	}
+	if bounded.receive > 0 {
+		if err := setReceiveBuffer(l, bounded.receive); err != nil {
+			bounded.log.Warn("receive buffer not bounded, connections may take more memory", "listener", bounded.name, "bytes", bounded.receive, "error", err)
+		}
+	}
 	meter.ExportOpenConnections(bounded.name, bounded.Open)
 	return bounded
 }
@@ -142,7 +154,7 @@
 func (l *Listener) MaxConns() int {
 	n := l.maxConns
 	if l.memory > 0 {
-		n = min(n, int(l.memory/int64(connBytes+l.limitsInForce().MaxHeader)))
+		n = min(n, int(l.memory/int64(connBytes+l.receive+l.limitsInForce().MaxHeader)))
 	}
 	return max(minConns, n)
 }
--- a/limiter/machine.go
+++ b/limiter/machine.go
@@ -2,7 +2,10 @@
 
 import (
 	"math"
+	"net"
+	"syscall"
 
+	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -32,3 +35,22 @@
 	}
 	return memoryMB << 20 / connMemoryShare
 }
+
+// setReceiveBuffer sets the receive buffer of the connections that l will accept.
+func setReceiveBuffer(l net.Listener, n int) error {
+	socket, ok := l.(syscall.Conn)
+	if !ok {
+		return errors.NotSupportedf("receive buffer of a %T", l)
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n)
+	})
+	if controlErr != nil {
+		return errors.Trace(controlErr)
+	}
+	return errors.Trace(err)
+}
