Close a connection before another one takes its place

At the bound a listener had one connection more than it allows, until the oldest one had been closed: TestOpenConnectionsStayBelowTheDescriptors failed in one of two runs.

The oldest connection is closed before the new one counts. The test passed ten times in a row.

--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -181,28 +181,27 @@
 		c.phase.Store(unmanaged)
 		c.usedAt.Store(c.since.UnixNano())
 	}
-	maxConns := l.MaxConns()
-	l.mu.Lock()
-	var victim *conn
-	if l.open >= maxConns {
-		if l.waiting.first == nil {
+	for maxConns := l.MaxConns(); ; {
+		l.mu.Lock()
+		if l.open < maxConns {
+			l.open++
+			l.waiting.push(&c.place)
+			l.mu.Unlock()
+			return c
+		}
+		first := l.waiting.first
+		if first == nil {
 			l.mu.Unlock()
 			l.countClosed(reasonNewest)
 			_ = nc.Close() // nothing was written
 			return nil
 		}
-		victim = l.waiting.first.owner
-		victim.evicted = true
-		l.waiting.remove(&victim.place)
-	}
-	l.open++
-	l.waiting.push(&c.place)
-	l.mu.Unlock()
-	if victim != nil {
+		first.owner.evicted = true
+		l.waiting.remove(first)
+		l.mu.Unlock()
 		l.countClosed(reasonOldest)
-		_ = victim.Close() // no answer is under way
+		_ = first.owner.Close() // no answer is under way
 	}
-	return c
 }
 
 // countClosed counts a connection that the listener closes.
