Name the platform's header by its constant in a test of the acceptor

TestPlatformNamesStayInThisPackage failed since the commit that bounds the bodies and connections of an entry's listeners: a test of the acceptor wrote the header of the caller's time limit as text.

The test uses platform.HeaderDeadlineMs, and the words test passes.

--- a/acceptor/crowd_test.go
+++ b/acceptor/crowd_test.go
@@ -15,6 +15,7 @@
 	"github.com/coltsfootlever/coltsfootlever/acceptor"
 	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/platform"
 )
 
 // newBoundedFixture returns a fixture with a budget of its own.
@@ -41,7 +42,7 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }() // the server closes it
 	require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-	_, err = fmt.Fprintf(conn, "POST /o/%s HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 300\r\nContent-Length: %d\r\n\r\n%s", jobID, len(body), body[:len(body)-1])
+	_, err = fmt.Fprintf(conn, "POST /o/%s HTTP/1.1\r\nHost: h.example\r\n%s: 300\r\nContent-Length: %d\r\n\r\n%s", jobID, platform.HeaderDeadlineMs, len(body), body[:len(body)-1])
 	require.NoError(t, err)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
