--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -1,7 +1,6 @@
 package acceptor
 
 import (
-	"bytes"
 	"cmp"
 	"net/http"
 	"slices"
@@ -28,8 +27,7 @@
 	maxWithdrawals   = 200
 	withdrawalPeriod = 10 * time.Second
 
-	memoryPerByte = 8   // bytes that the parsed job, its record and the call to the store take for one of the body
-	memoryPerStep = 512 // bytes that they take for a step besides
+	memoryPerByte = 8 // bytes that the parsed job, its record and the call to the store take for one of the body
 
 	evacuationWait = 7 * time.Second // stands for the time until a zone is restored, which is not known; a caller with four retries then waits at least 12 s
 )
@@ -116,7 +114,7 @@
 		return nil, err
 	}
 	raw := r.body.Bytes
-	if err = r.body.Reserve(int64(memoryPerByte*len(raw) + memoryPerStep*bytes.Count(raw, []byte("{")))); err != nil {
+	if err = r.body.Reserve(int64(memoryPerByte * len(raw))); err != nil {
 		return nil, err
 	}
 	job, err := platform.ParseJob(raw)
--- a/limiter/budget.go
+++ b/limiter/budget.go
@@ -13,7 +13,7 @@
 	budgetShare    = 8                      // the bytes of a Budget are the machine's memory divided by this
 	smallShare     = 8                      // this part of a Budget is kept for small bodies
 	leavingShare   = 4                      // bodies that were broken off and are still held may take this part of a Budget
-	smallBytes     = 16 << 10               // what a body holds up to this is small
+	smallBytes     = 64 << 10               // what a body holds up to this is small
 	pieceBytes     = 4 << 10                // reserved for a body before any of it has arrived
 	minReadingTime = 500 * time.Millisecond // a body is not broken off for others before that
 	defaultMemory  = 512                    // MB, if the machine's memory is not known
