Let clients read that their header is too large

A client that is still sending its header when the connection is closed may lose the answer 431, since unread bytes reset the connection.

The connection stays half open for half a second after the answer, as with the limit of an http.Server, and may be closed at the bound meanwhile.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	resetDelay        = 500 * time.Millisecond // a client that is still sending may lose an answer when the connection is closed
 	errHeaderTooLarge = errors.ConstError("request header too large")
 	headerTooLarge    = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n\r\n431 Request Header Fields Too Large"
 )
@@ -81,6 +82,8 @@
 		c.listener.countClosed(reasonHeader)
 		if c.plain {
 			_, _ = c.Write([]byte(headerTooLarge)) // the connection is closed anyway
+			_ = c.CloseWrite()
+			time.Sleep(resetDelay)
 		}
 		return 0, &net.OpError{Op: "read", Net: "tcp", Addr: c.RemoteAddr(), Err: errHeaderTooLarge}
 	}
