Apply the manifest's limits on headers and idle connections

Operators who set max_header_bytes, header_timeout_ms or idle_timeout_ms in a manifest saw no effect: the limits were parsed, and the listener used constants that equal those of the present manifests.

The limits of the manifest in force are asked for at each header and each time that a connection becomes idle; those that it doesn't set stay at 16 KiB, 3 s and 15 s.

TestLimitsOfTheManifestInForceApplyToCallers fails without the option that passes the limits to the listener, with 404 instead of 431.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -181,7 +181,7 @@
 
 // newCallerService returns the HTTP service for callers.
 func (l *Launcher) newCallerService(ctx context.Context, s *platform.Settings, store *platform.Store) (func(ctx context.Context) error, error) {
-	listener, err := l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0, limiter.WithReceiveBuffer(receiveBuffer), limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
+	listener, err := l.listenForCallers(ctx, s)
 	if err != nil {
 		return nil, err
 	}
--- a/launcher/listeners.go
+++ b/launcher/listeners.go
@@ -34,6 +34,21 @@
 	return limiter.NewListener(listener, n, append(opts, limiter.WithName(name), limiter.WithListenerLog(l.log))...), nil
 }
 
+// listenForCallers opens the listener for callers, with the limits of the manifest in force.
+func (l *Launcher) listenForCallers(ctx context.Context, s *platform.Settings) (*limiter.Listener, error) {
+	return l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0,
+		limiter.WithLimits(l.fleet.connLimits), limiter.WithReceiveBuffer(receiveBuffer), limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
+}
+
+// connLimits returns the limits of callers' connections that the manifest in force sets.
+func (s *fleetState) connLimits() limiter.Limits {
+	m := s.Manifest()
+	if m == nil {
+		return limiter.Limits{}
+	}
+	return limiter.Limits{HeaderTimeout: m.HeaderTimeout, IdleTimeout: m.IdleTimeout, MaxHeader: m.MaxHeader}
+}
+
 // newServer returns the HTTP server of a listener.
 func newServer(listener *limiter.Listener, h http.Handler) *http.Server {
 	server := &http.Server{Handler: h}
