--- a/meter/meter.go
+++ b/meter/meter.go
@@ -13,6 +13,8 @@
 // Path is the URL path of the metrics.
 const Path = "/metrics"
 
+const otherMethod = "other" // label of the methods that callers have no use for
+
 // bucketSeconds are the upper bounds of the buckets of all duration histograms, in
 // seconds. They range from a call answered from memory to the longest time that a
 // caller waits.
@@ -33,8 +35,13 @@
 type Outcome string
 
 // RecordCall counts a caller's HTTP request by method and status code, and records
-// its duration.
+// its duration. Methods that callers have no use for are counted together.
 func RecordCall(method string, status int, took time.Duration) {
+	switch method {
+	case http.MethodGet, http.MethodPost, http.MethodDelete:
+	default:
+		method = otherMethod // clients choose the text
+	}
 	incrementCounter(`coltsfootlever_calls_total{method=%q,status=%q}`, method, strconv.Itoa(status))
 	recordDuration(`coltsfootlever_call_seconds{method=%q}`, took, method)
 }
@@ -170,6 +177,34 @@
 	metrics.GetOrCreateGauge(`coltsfootlever_operator_records_age_seconds`, func() float64 { return fn().Seconds() })
 }
 
+// CountBrokenOffBody counts a request body whose reading was broken off.
+func CountBrokenOffBody(reason string) {
+	incrementCounter(`coltsfootlever_bodies_broken_off_total{reason=%q}`, reason)
+}
+
+// CountRequestWithoutRoom counts a request that was refused because bodies take up the
+// memory that is kept for them.
+func CountRequestWithoutRoom() {
+	incrementCounter(`coltsfootlever_requests_without_room_total`)
+}
+
+// CountClosedConnection counts a connection that a listener closed, by the reason.
+func CountClosedConnection(listener, reason string) {
+	incrementCounter(`coltsfootlever_connections_closed_total{listener=%q,reason=%q}`, listener, reason)
+}
+
+// ExportOpenConnections adds a metric for the number of open connections of a listener,
+// whose value is read from fn each time the metrics are written.
+func ExportOpenConnections(listener string, fn func() int) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`coltsfootlever_connections{listener=%q}`, listener), func() float64 { return float64(fn()) })
+}
+
+// ExportBodyBytes adds a metric for the bytes that are held for request bodies, whose
+// value is read from fn each time the metrics are written.
+func ExportBodyBytes(fn func() int64) {
+	metrics.GetOrCreateGauge(`coltsfootlever_body_bytes`, func() float64 { return float64(fn()) })
+}
+
 // ExportDroppedLines adds a metric for the number of dropped log lines, whose value
 // is read from fn each time the metrics are written.
 func ExportDroppedLines(fn func() uint64) {
