Build the bodies of crowds by the platform's encoder

TestPlatformNamesStayInThisPackage failed: the crowds' bodies spelled fields of the platform's jobs, which stand in package platform alone.

--- a/crowder/crowd.go
+++ b/crowder/crowd.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/messenger"
+	"github.com/coltsfootlever/coltsfootlever/modeler"
+	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -39,7 +41,7 @@
 	wholeOneIn     = 8   // one in this many clients of a crowd that stops short sends its whole body
 	unreadRequests = 400 // requests of a client that reads no answer
 	peerTimeout    = time.Hour
-	waitingStep    = `{"count":1,"cpu":1000000,"estimated_ms":1` // start of a step that no worker has room for
+	crowdMilliCPU  = 100
 )
 
 type (
@@ -90,9 +92,12 @@
 // start connects all clients and returns when each has sent what it sends, has lost its
 // connection, or patience is over. They keep their connections until ctx ends; wait
 // returns when all have closed them.
-func (c *Crowd) start(ctx context.Context, seed uint64, address string, target requestTarget, patience time.Duration) (wait func()) {
+func (c *Crowd) start(ctx context.Context, seed uint64, address string, target requestTarget, patience time.Duration) (wait func(), err error) {
 	var sent, closed sync.WaitGroup
-	body := c.body()
+	body, err := c.encodeBody()
+	if err != nil {
+		return nil, err
+	}
 	length := len(body)
 	if c.ChunkBytes > 0 {
 		body = chunked(body, c.ChunkBytes)
@@ -108,7 +113,7 @@
 	case <-allSent:
 	case <-time.After(patience):
 	}
-	return closed.Wait
+	return closed.Wait, nil
 }
 
 // run sends what the client sends, calls sent and keeps the connection open until ctx
@@ -206,22 +211,36 @@
 	return b.String()
 }
 
-// body returns the body of a request.
-func (c *Crowd) body() []byte {
-	var head, filling, tail string
+// encodeBody returns the body of a request.
+func (c *Crowd) encodeBody() ([]byte, error) {
+	step := modeler.Step{Count: 1, Need: modeler.Resources{CPU: crowdMilliCPU, Memory: 1}, Estimate: taskTime}
+	waiting := step
+	waiting.Need.CPU, waiting.Estimate = 2*workerMilliCPU, time.Millisecond // no worker has room for it
+	j := modeler.Job{Spec: "crowd", Steps: []modeler.Step{step}}
+	switch c.Filling {
+	case LongTexts:
+		j.Steps = []modeler.Step{waiting}
+	case LongLists:
+		j.Steps = []modeler.Step{waiting, waiting}
+	}
+	raw, err := platform.EncodeJob(j)
+	if err != nil {
+		return nil, err
+	}
+	room := max(0, c.BodyBytes-len(raw))
 	switch c.Filling {
 	case TinySteps:
-		head, filling, tail = `{"spec":"crowd","steps":[{"count":1}`, ",{}", "]}"
+		end := bytes.LastIndexByte(raw, ']')
+		return slices.Concat(raw[:end], bytes.Repeat([]byte(",{}"), room/len(",{}")), raw[end:]), nil
 	case LongTexts:
-		head, filling, tail = `{"spec":"crowd","steps":[`+waitingStep+`,"requirements":"`, "x", `"}]}`
+		j.Steps[0].Label = strings.Repeat("x", room)
+		return platform.EncodeJob(j)
 	case LongLists:
-		head, filling, tail = `{"spec":"crowd","steps":[`+waitingStep+`},`+waitingStep+`,"after":[0`, ",0", "]}]}"
-	default:
-		head, filling, tail = `{"spec":"crowd","steps":[{"count":1,"cpu":100,"mem_mb":10,"estimated_ms":100}],"sleep-ms":600000,"note":"`, "x", `"}`
+		j.Steps[1].After = make([]int, room/len(",0"))
+		return platform.EncodeJob(j)
 	}
-	room := max(0, c.BodyBytes-len(head)-len(tail))
-	body := append([]byte(head), bytes.Repeat([]byte(filling), room/len(filling))...)
-	return append(body, tail...)
+	note := `,"sleep-ms":600000,"note":"` // of a task that the worker of serve keeps
+	return slices.Concat(raw[:len(raw)-1], []byte(note), bytes.Repeat([]byte("x"), max(0, room-len(note)-len(`"`))), []byte(`"}`)), nil
 }
 
 // chunked returns the body in the chunked transfer encoding.
--- a/crowder/crowder.go
+++ b/crowder/crowder.go
@@ -94,7 +94,11 @@
 	var observer sync.WaitGroup
 	observer.Go(func() { p.observe(ctx, s.address(c.Listener)) })
 	crowdCtx, disperse := context.WithCancel(ctx)
-	wait := c.start(crowdCtx, opts.Seed, s.address(c.Listener), s.target(c.Listener), opts.Patience)
+	wait, err := c.start(crowdCtx, opts.Seed, s.address(c.Listener), s.target(c.Listener), opts.Patience)
+	if err != nil {
+		disperse()
+		return Result{}, err
+	}
 	err = supervisor.Pause(ctx, settleTime)
 	result.AnsweredMeantime = requestOnce(ctx, s, p, c.AwaitEnd) == nil
 	disperse()
