Refuse a customer's new jobs while they take up the leader's memory

A caller whose jobs wait could end each leader: 587 accepted jobs with a label of 256 KB took a process with 284 MB in its settings to 351 MB. They stay in the store, so each successor would have read them again.

Cause: new jobs were refused by how long they would wait, which a job states itself, and never by the memory that unfinished jobs take up in the leader.

The leader now estimates that memory. While a customer's part exceeds what is left of four tenths of memory_mb, its new jobs of all kinds get 429 with a Retry-After; others go on. Entries accept at most a thirty-second of what is left between two published loads, so that they don't run ahead of the leader.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -44,6 +44,9 @@
 		// Limitation tells whether only a share of a customer's new jobs in a queue may be
 		// accepted.
 		Limitation(queue, customer string) (orchestrator.Limitation, bool)
+		// ReserveMemory counts a new job of a customer toward what this entry may accept until
+		// the leader has counted it, in bytes. It returns false if that is used up.
+		ReserveMemory(customer string, bytes int64) bool
 		EvacuatedZones() []string        // evacuated zones if all are, so that nothing can start; nil otherwise
 		StoreIsUnreachable() bool        // calls to the key-value service have failed for some time
 		SinceStoreAnswer() time.Duration // time since the last answer of the key-value service
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -34,6 +34,7 @@
 	evacuated    []string
 	unreachable  bool
 	storeSilence time.Duration
+	memoryUsedUp bool
 }
 
 func (b *fleetState) Manifest() *modeler.Manifest { return b.manifest }
@@ -45,6 +46,8 @@
 	return l, ok
 }
 
+func (b *fleetState) ReserveMemory(string, int64) bool { return !b.memoryUsedUp }
+
 func (b *fleetState) EvacuatedZones() []string { return b.evacuated }
 
 func (b *fleetState) StoreIsUnreachable() bool { return b.unreachable }
@@ -257,6 +260,31 @@
 	require.Equal(t, http.StatusOK, b.call("POST", "/k/00000000000000a4", body, "secret").Code)
 }
 
+// The load: a customer hands in more jobs than the leader has memory for. Jobs of all
+// kinds are refused; one that was accepted before its answer got lost stays accepted.
+func TestNewJobsAreRefusedForLackOfMemory(t *testing.T) {
+	const timed = `{"spec":"s","steps":[{"count":1,"cpu":500}],"repetitions":2,"interval_ms":1000}`
+	for cause, set := range map[string]func(*fleetState){
+		"part of the leader's memory": func(f *fleetState) {
+			f.limited = map[string]orchestrator.Limitation{"c": {WaitMs: 3000, Cause: refuser.LackOfMemory}}
+		},
+		"more at once than the leader has memory for": func(f *fleetState) { f.memoryUsedUp = true },
+	} {
+		b := newFixture(t)
+		require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+		set(b.fleet)
+		require.Equal(t, http.StatusOK, b.call("POST", "/k/"+jobID, body, "secret").Code)
+		for _, text := range []string{body, timed} {
+			w := b.call("POST", "/k/00000000000000a1", text, "secret")
+			require.Equal(t, http.StatusTooManyRequests, w.Code)
+			require.NotEmpty(t, w.Header().Get("Retry-After"))
+			require.Contains(t, w.Body.String(), `"verdict":"not-run"`)
+			require.Contains(t, w.Body.String(), cause)
+			require.Equal(t, http.StatusGone, b.call("GET", "/k/00000000000000a1", "", "secret").Code)
+		}
+	}
+}
+
 // Guards against jobs that are accepted and wait while all zones are evacuated: new jobs
 // of all kinds are refused as not run, with the reason, and are not stored. A job that
 // was accepted before its answer got lost stays accepted.
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -17,6 +17,7 @@
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
 	"github.com/coltsfootlever/coltsfootlever/platform"
 	"github.com/coltsfootlever/coltsfootlever/postponer"
+	"github.com/coltsfootlever/coltsfootlever/refuser"
 )
 
 const (
@@ -29,6 +30,7 @@
 
 	memoryPerByte = 8 // bytes that the parsed job, its record and the call to the store take for one of the body
 
+	memoryWait     = time.Second     // the leader publishes how much memory it has left about as often
 	evacuationWait = 7 * time.Second // stands for the time until a zone is restored, which is not known; a caller with four retries then waits at least 12 s
 )
 
@@ -42,14 +44,8 @@
 	if a.fleet.StoreIsUnreachable() {
 		return answer{}, a.storeFailure(keeper.ErrUnavailable)
 	}
-	if zones := a.fleet.EvacuatedZones(); len(zones) > 0 {
-		return a.refuseUnlessStored(r, classifier.Refuse(classifier.NoCapacity, "all availability zones are evacuated (%s), so nothing can start; try again when one has been restored",
-			strings.Join(zones, ", ")).WithRetryAfter(postponer.OverloadDelay(evacuationWait, a.random())))
-	}
-	if l, ok := a.fleet.Limitation(r.queue.Name, r.customer); ok && !job.IsLongRunning() && job.Repeat == 0 && a.random() >= l.Accept {
-		wait := time.Duration(l.WaitMs) * time.Millisecond
-		return a.refuseUnlessStored(r, classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later (cause %s, free cores %.1f, decision received %v ago)",
-			r.customer, r.queue.Name, wait, 100*l.Accept, cmp.Or(l.Cause, "unstated"), l.FreeCores, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(wait, a.random())))
+	if refusal := a.refusalOf(r, job); refusal != nil {
+		return a.refuseUnlessStored(r, refusal)
 	}
 	job.Accepted = a.now()
 	record := orchestrator.EncodeJobRecord(job)
@@ -74,6 +70,30 @@
 	return a.readBack(r, err)
 }
 
+// refusalOf returns the refusal of a new job that can't be served in time or that the
+// leader has no memory for, nil if it may be accepted.
+func (a *Acceptor) refusalOf(r *request, job *modeler.Job) *classifier.Error {
+	if zones := a.fleet.EvacuatedZones(); len(zones) > 0 {
+		return classifier.Refuse(classifier.NoCapacity, "all availability zones are evacuated (%s), so nothing can start; try again when one has been restored",
+			strings.Join(zones, ", ")).WithRetryAfter(postponer.OverloadDelay(evacuationWait, a.random()))
+	}
+	l, limited := a.fleet.Limitation(r.queue.Name, r.customer)
+	if limited && l.Cause == refuser.LackOfMemory {
+		return classifier.Refuse(classifier.QueueFull, "the unfinished jobs of customer %q take up its part of the leader's memory; try again when some have ended (decision received %v ago)",
+			r.customer, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(time.Duration(l.WaitMs)*time.Millisecond, a.random()))
+	}
+	if limited && !job.IsLongRunning() && job.Repeat == 0 && a.random() >= l.Accept {
+		wait := time.Duration(l.WaitMs) * time.Millisecond
+		return classifier.Refuse(classifier.QueueFull, "new jobs of customer %q in queue %q wait %v, too long to be served in time; %.0f %% are accepted, try again later (cause %s, free cores %.1f, decision received %v ago)",
+			r.customer, r.queue.Name, wait, 100*l.Accept, cmp.Or(l.Cause, "unstated"), l.FreeCores, l.Age.Round(time.Millisecond)).WithRetryAfter(postponer.OverloadDelay(wait, a.random()))
+	}
+	if !a.fleet.ReserveMemory(r.customer, orchestrator.DefinitionBytes(job)) {
+		return classifier.Refuse(classifier.QueueFull, "customer %q has handed in more at once than the leader has memory for, try again",
+			r.customer).WithRetryAfter(postponer.OverloadDelay(memoryWait, a.random()))
+	}
+	return nil
+}
+
 // refuseUnlessStored answers with the refusal of a new job that can't be served in time.
 // The call may also repeat one whose answer was lost: a job that is stored stays
 // accepted.
--- a/launcher/board.go
+++ b/launcher/board.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 )
 
 const (
+	acceptShare      = 32                     // one in this many of the free bytes of the leader may be accepted for a customer until the next published load; entry nodes accept at once
 	maxLoadAge       = 3 * time.Second        // longer than the interval at which the leader publishes the load plus the time of a change of leader
 	unreachableAfter = 400 * time.Millisecond // time without a successful call, while calls fail or have no answer; a slow store answers within 200 ms
 	probeInterval    = 300 * time.Millisecond // interval and time-out of probes while the store is unreachable
@@ -39,6 +41,7 @@
 		manifest atomic.Pointer[modeler.Manifest]
 		waves    atomic.Pointer[[]modeler.Wave]
 		load     atomic.Pointer[receivedLoad]
+		accepted acceptedBytes
 		store    storeHealth
 
 		evacuationTime time.Duration // see platform.Bounds; 0 if zones can't be evacuated
@@ -46,6 +49,14 @@
 		evacuations    atomic.Pointer[knownEvacuations] // nil before the operator's records have been read
 	}
 
+	// acceptedBytes is the memory that the jobs accepted since a published load take up in
+	// the leader, by customer.
+	acceptedBytes struct {
+		mu         sync.Mutex
+		since      *receivedLoad
+		byCustomer map[string]int64
+	}
+
 	// knownEvacuations are the evacuated zones and those restored lately, with the time
 	// at which they were last known to be current.
 	knownEvacuations struct {
@@ -136,6 +147,27 @@
 	return limitation, ok
 }
 
+// ReserveMemory counts a new job of a customer. It returns false if the jobs of the
+// customer that this entry node has accepted since the last published load take up their
+// share of the leader's free memory. Without a load that is recent, it returns true.
+func (s *fleetState) ReserveMemory(customer string, bytes int64) bool {
+	l := s.load.Load()
+	if l == nil || l.FreeBytes == 0 || time.Since(l.receivedAt) > maxLoadAge {
+		return true
+	}
+	a := &s.accepted
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.since != l {
+		a.since, a.byCustomer = l, make(map[string]int64)
+	}
+	if a.byCustomer[customer] >= l.FreeBytes/acceptShare {
+		return false
+	}
+	a.byCustomer[customer] += bytes
+	return true
+}
+
 // EvacuatedZones returns the evacuated zones if all zones of the fleet are evacuated, so
 // that nothing can start, and nil otherwise. The last published load tells whether there
 // are others; an older one than maxLoadAge is ignored, and so is one with a zone that
--- a/launcher/board_test.go
+++ b/launcher/board_test.go
@@ -69,6 +69,27 @@
 	})
 }
 
+// An entry accepts a customer's jobs up to a share of the leader's free memory, until the
+// leader publishes anew how much that is.
+func TestAcceptedJobsKeepToTheLeadersMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFleetState()
+		require.True(t, s.ReserveMemory("a", 1<<30), "no load is known")
+		publish := func(free int64) { s.load.Store(&receivedLoad{orchestrator.Load{FreeBytes: free}, time.Now()}) }
+		publish(100 * acceptShare)
+		require.True(t, s.ReserveMemory("a", 99))
+		require.True(t, s.ReserveMemory("a", 1000), "one job may exceed the share")
+		require.False(t, s.ReserveMemory("a", 1))
+		require.True(t, s.ReserveMemory("b", 1))
+		publish(100 * acceptShare)
+		require.True(t, s.ReserveMemory("a", 1))
+		publish(1)
+		require.False(t, s.ReserveMemory("b", 1))
+		time.Sleep(maxLoadAge + time.Second)
+		require.True(t, s.ReserveMemory("b", 1), "the load is old")
+	})
+}
+
 // stubTransport answers each request with the given status and error.
 type stubTransport struct {
 	status int
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -27,6 +27,7 @@
 
 const (
 	heapMemoryShare      = 0.75                    // share of the instance's memory that the Go heap may use
+	jobMemoryShare       = 0.4                     // share of the instance's memory that the leader's unfinished jobs may take up
 	gcPercent            = 50                      // garbage collection starts when the heap has grown by half; memory is scarcer than processor time here
 	settingsPollInterval = time.Second             // the settings file may change without a signal
 	runLease             = 6 * time.Second         // lease of a task's run; twice the time of a change of leader including the new leader's first status queries
@@ -159,7 +160,7 @@
 	cfg := orchestrator.Config{
 		RunLease: min(runLease, s.Bounds.MaxLease), MaxWorkerLease: s.Bounds.MaxLease, EarlyStart: 0,
 		SlowLink: s.LinkMbps > 0 && s.LinkMbps < slowLinkMbps, WorkerListInterval: workerListInterval, MaxWorkerListAge: max(0, s.Bounds.ContactTime-startTravelTime), OutcomeQueryTime: s.Bounds.StateRetention, MoveTime: s.Bounds.MoveTime, RemoteFactor: s.Bounds.RemoteDataFactor,
-		ProcessorShare: s.ProcessorShare, ThreadTime: timekeeper.ThreadTime, StoreWritesPerSecond: s.StoreWritesPerSecond, MaxRecordBytes: s.StoreMaxValueBytes, InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
+		ProcessorShare: s.ProcessorShare, ThreadTime: timekeeper.ThreadTime, StoreWritesPerSecond: s.StoreWritesPerSecond, MaxRecordBytes: s.StoreMaxValueBytes, MaxJobBytes: int64(jobMemoryShare * float64(s.MemoryMB) * (1 << 20)), InstanceOrdersPerSecond: s.InstanceOrdersPerSecond, Manifest: l.fleet.Manifest, WallClock: l.clock.Now, RequestedWaves: l.fleet.Waves, WaveStatus: platform.NewWaveStatus,
 	}
 	if s.Bounds.EvacuationTime > 0 {
 		cfg.EvacuationTime, cfg.Evacuations = s.Bounds.EvacuationTime, l.fleet.Evacuations
--- a/orchestrator/admit.go
+++ b/orchestrator/admit.go
@@ -42,6 +42,7 @@
 		startRates   map[string][]intervalRate        // by pool
 		inherited    map[string]map[string]Limitation // of the previous leader
 		objectives   map[string]objectiveSums
+		lacksMemory  map[string]bool // customers whose new jobs are refused for lack of memory
 	}
 
 	// intervalRate is the rate of starts in an interval, and whether it was too low for
@@ -111,6 +112,9 @@
 	clear(s.admissions)
 	for queue, byCustomer := range s.inherited {
 		for customer, l := range byCustomer {
+			if l.Cause == refuser.LackOfMemory {
+				continue // found anew once the jobs are loaded
+			}
 			s.admissions[admissionKey{queue, customer}] = refuser.NewAdmission(l.Accept)
 		}
 	}
--- a/orchestrator/engine.go
+++ b/orchestrator/engine.go
@@ -75,7 +75,8 @@
 		// calls from all entry nodes together; 0 selects the limits of a small
 		// deployment.
 		StoreWritesPerSecond, InstanceOrdersPerSecond float64
-		MaxRecordBytes                                int // largest value that the store accepts; 0 selects keeper.MaxValueBytes
+		MaxJobBytes                                   int64 // memory that unfinished jobs may take up; 0 for no limit
+		MaxRecordBytes                                int   // largest value that the store accepts; 0 selects keeper.MaxValueBytes
 		// SlowLink saves bytes at the price of processor time: progress records are
 		// compressed, and a new leader reads the fleet's records in small lists, so that
 		// the renewals of its lease don't wait for a large one.
--- a/orchestrator/finish.go
+++ b/orchestrator/finish.go
@@ -78,11 +78,11 @@
 	if since < maxLoadPublishInterval && !l.zonesChanged && maps.Equal(pending, l.lastPublished) && slices.Equal(evacuated, l.lastEvacuated) {
 		return
 	}
-	limited := e.updateAdmissions(now)
+	limited, free := e.limitMemory(e.updateAdmissions(now))
 	l.commitInFlight, l.publishedAt, l.zonesChanged = true, now, false
 	txn := keeper.Txn{
 		Expect: []keeper.Expectation{e.termCondition()},
-		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending, Limited: limited, EvacuatedZones: evacuated})}},
+		Put:    []keeper.Put{{Key: LoadKey, Value: encodeJSON(Load{Pending: pending, Limited: limited, FreeBytes: free, EvacuatedZones: evacuated})}},
 	}
 	e.runInBackground(func() {
 		_, _, err := e.store.Commit(ctx, txn)
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -28,14 +28,15 @@
 	// job is an accepted job that has not ended.
 	job struct {
 		modeler.Job
-		customer       *customerState
-		pool           *poolState    // of its queue in the last placement pass
-		work           float64       // of one occurrence, in core-seconds
-		criticalPath   time.Duration // longest path of estimated work through the dependent steps of an occurrence
-		settings       jobSettings
-		occurrences    []*occurrence // that have been built, by number; the finished ones of a repeating job are removed
-		nextOccurrence int           // number of the next occurrence to build; those before it have been built or are finished
-		finished       numberSet     // numbers of the finished occurrences of a repeating job
+		customer        *customerState
+		pool            *poolState    // of its queue in the last placement pass
+		definitionBytes int64         // see DefinitionBytes
+		work            float64       // of one occurrence, in core-seconds
+		criticalPath    time.Duration // longest path of estimated work through the dependent steps of an occurrence
+		settings        jobSettings
+		occurrences     []*occurrence // that have been built, by number; the finished ones of a repeating job are removed
+		nextOccurrence  int           // number of the next occurrence to build; those before it have been built or are finished
+		finished        numberSet     // numbers of the finished occurrences of a repeating job
 
 		hasFinishedOccurrences bool      // some of occurrences are finished
 		crashesAssumed         time.Time // unstored crashes are assumed for occurrences due before this time, see assumeUnstoredCrashes
@@ -140,7 +141,7 @@
 // newJob returns a job of a customer that has not started. The occurrences of a
 // repeating job are built when they are due.
 func newJob(def modeler.Job, customer *customerState) *job {
-	j := &job{Job: def, customer: customer, state: modeler.Queued, progressKey: ProgressKey(def.ID)}
+	j := &job{Job: def, customer: customer, state: modeler.Queued, progressKey: ProgressKey(def.ID), definitionBytes: DefinitionBytes(&def)}
 	o := j.newOccurrence(0)
 	j.work, j.criticalPath = o.remainingWork(), o.longestPath()
 	if j.Repeat == 0 {
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -88,6 +88,9 @@
 	Load struct {
 		Pending map[string]int                   `json:"pending"`           // accepted jobs of which no task has started, by queue
 		Limited map[string]map[string]Limitation `json:"limited,omitempty"` // by queue and customer
+		// FreeBytes is the memory that the leader has left for new jobs; 0 if there is no
+		// limit.
+		FreeBytes int64 `json:"free-bytes,omitempty"`
 		// EvacuatedZones are the evacuated zones if there are no others, so that nothing
 		// can start.
 		EvacuatedZones []string `json:"evacuated-zones,omitempty"`
--- a/orchestrator/site_test.go
+++ b/orchestrator/site_test.go
@@ -44,6 +44,7 @@
 	log                     *slog.Logger
 	storeWritesPerSecond    float64               // see orchestrator.Config.StoreWritesPerSecond
 	instanceOrdersPerSecond float64               // see orchestrator.Config.InstanceOrdersPerSecond
+	maxJobBytes             int64                 // see orchestrator.Config.MaxJobBytes
 	storeBytesPerSecond     int                   // of each entry node's link to the store, see storeLink; 0 if it is fast
 	throttle                orchestrator.Throttle // nil for one that permits many calls
 	relay                   *testRelay            // nil if workers are called directly
@@ -314,7 +315,7 @@
 	e := &entryNode{deployment: d, name: name, done: make(chan struct{}), evacuationsAsOf: -1}
 	cfg := orchestrator.Config{
 		SlowLink: d.storeBytesPerSecond > 0, RunLease: testLease, MaxWorkerLease: 10 * time.Second, EarlyStart: 0, WorkerListInterval: 500 * time.Millisecond, MaxWorkerListAge: 2800 * time.Millisecond, OutcomeQueryTime: cmp.Or(d.outcomeQueryTime, 20*time.Second), MoveTime: 1500 * time.Millisecond,
-		StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
+		MaxJobBytes: d.maxJobBytes, StoreWritesPerSecond: d.storeWritesPerSecond, InstanceOrdersPerSecond: d.instanceOrdersPerSecond,
 		Manifest: func() *modeler.Manifest {
 			if e.panicsOnce.CompareAndSwap(true, false) {
 				panic("unexpected error")
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -28,6 +28,7 @@
 	LackOfCores   Cause = "cores"   // customers want more cores than the pool has or can get
 	LackOfStarts  Cause = "starts"  // the leader can't start tasks any faster
 	LackOfAdvice  Cause = "advice"  // the advice service can't decide on steps any faster
+	LackOfMemory  Cause = "memory"  // the customer's unfinished jobs take up its part of the leader's memory
 	NothingWaits  Cause = "none"
 	causeUnstated Cause = ""
 )
