Bound the memory of the tasks that wait or run in an entry

Nothing bounded the sum of their bodies, nor that of tasks that peers forward.

The router now counts the memory of the tasks that have not ended, each with three times its body, since a running task is in memory as it came and in the order to its worker in base64.

TestLargeTasksUnderWayDoNotExhaustMemory takes 1 MiB tasks under a limit of 64 MiB. With the check of the limit switched off it accepts all of them and fails; with it the router refuses in time and takes tasks again when they end.

--- a/commander/serve/serve.go
+++ b/commander/serve/serve.go
@@ -38,6 +38,7 @@
 	ListLag                 time.Duration `arg:"--list-lag,env:COLTSFOOTLEVER_LIST_LAG" default:"10s" help:"longest lag of the instance list"`
 	BalancerDelay           time.Duration `arg:"--balancer-delay,env:COLTSFOOTLEVER_BALANCER_DELAY" default:"3s" help:"time the balancer takes to see that the entry is not ready"`
 	StopTimeout             time.Duration `arg:"--stop-time,env:COLTSFOOTLEVER_STOP_TIME" default:"2m" help:"longest wait for work under way at a planned stop"`
+	MemoryMB                int64         `arg:"--memory-mb,env:COLTSFOOTLEVER_MEMORY_MB" placeholder:"MB" help:"memory that the process may use; that of the machine when 0"`
 	Operator                string        `arg:"--,env:COLTSFOOTLEVER_OPERATOR_KEY" help:"operator key, or its hash, that holds without rules"`
 	OperatorKeysByRulesOnly bool          `arg:"--operators-by-rules-only,env:COLTSFOOTLEVER_OPERATORS_BY_RULES_ONLY" help:"take operators' calls although no operator key is set here; only keys of the rules hold then"`
 	LogLevel                slog.Level    `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
@@ -133,6 +134,7 @@
 		ListLag:        o.ListLag,
 		BalancerDelay:  o.BalancerDelay,
 		StopTimeout:    o.StopTimeout,
+		MemoryBytes:    o.MemoryMB << 20,
 		Seeds:          o.Seeds,
 		Log:            log,
 	}
--- a/router/handler.go
+++ b/router/handler.go
@@ -11,14 +11,18 @@
 
 // HandleForward runs a task that a peer forwarded to this member. The task is not
 // forwarded again. If this member loses its last worker in the pool, for example
-// because the zone is evacuated, the task goes back to the peer.
+// because the zone is evacuated, the task goes back to the peer. So does a task
+// for which this member has no memory.
 func (r *Router) HandleForward(ctx context.Context, request messenger.ForwardRequest) (messenger.Answer, error) {
-	if !r.inFlight.beginTask() {
-		return messenger.Answer{}, leavingError()
-	}
-	defer r.inFlight.end()
 	task := request.Task
 	task.Forwarded = true
+	if err := r.inFlight.beginTask(task); err != nil {
+		if err.Code == classifier.QueueFull {
+			err = classifier.Refuse(classifier.NoCapacity, "member %q has no memory for the task", r.members.Self().ID)
+		}
+		return messenger.Answer{}, err
+	}
+	defer r.inFlight.end(task)
 	return r.placer.Submit(ctx, task, placer.WithdrawPolicy{
 		CheckInterval: r.peerCheckInterval,
 		CannotRun:     func() bool { return !r.chooser.HasWorker(task) },
--- a/router/router.go
+++ b/router/router.go
@@ -162,6 +162,13 @@
 	return func(r *Router) { r.jobs = newJobTable(jobs, bytes) }
 }
 
+// WithMaxTaskBytes sets how much memory the tasks that have not ended may take in
+// this member, in bytes. A task beyond it is refused with NotRun. The default is
+// no limit.
+func WithMaxTaskBytes(n int64) Option {
+	return func(r *Router) { r.inFlight.maxBytes = n }
+}
+
 // New returns a router that places tasks on the local placer or on peers.
 func New(members Members, placer Placer, peers Peers, claims Claimer, chooser Chooser, opts ...Option) *Router {
 	r := &Router{
@@ -192,25 +199,25 @@
 
 // Accept starts a job for a caller's task. When ctx ends, a task that has not
 // started and has no name (idempotency key) is withdrawn; every other job
-// continues. Accept refuses the task with NotRun while the job table is full or
-// the router is closed.
+// continues. Accept refuses the task with NotRun while the job table is full, the
+// tasks under way take all memory for them or the router is closed.
 func (r *Router) Accept(ctx context.Context, task scheduler.Task) (*Job, error) {
 	if err := scheduler.CheckFits(task, r.largestWorker(task.Pool)); err != nil {
 		return nil, err
 	}
-	if !r.inFlight.beginTask() {
-		return nil, leavingError()
+	if err := r.inFlight.beginTask(task); err != nil {
+		return nil, err
 	}
 	job := newJob(task)
 	if err := r.jobs.add(job); err != nil {
-		r.inFlight.end()
+		r.inFlight.end(task)
 		return nil, err
 	}
 	if task.Name != "" {
 		ctx = context.WithoutCancel(ctx)
 	}
 	go func() {
-		defer r.inFlight.end()
+		defer r.inFlight.end(task)
 		answer, err := r.execute(ctx, task)
 		r.recordEnd(task, answer, classifier.As(err))
 		r.jobs.recordEnd(job, answer, classifier.As(err))
@@ -230,7 +237,7 @@
 	return r.inFlight.wait(ctx)
 }
 
-func leavingError() error {
+func leavingError() *classifier.Error {
 	return classifier.Refuse(classifier.Leaving, "this entry is shutting down: use another").WithRetryAfter(time.Second)
 }
 
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -49,6 +49,7 @@
 // open until the requests in progress have ended or the stop timeout has passed.
 // If a service fails, Run returns its error at once.
 func (d *Daemon) Run(ctx context.Context) error {
+	d.entry.cfg.limitHeap()
 	group := supervisor.NewGroup(d.log)
 	services := []struct {
 		name string
--- a/server/entry.go
+++ b/server/entry.go
@@ -120,6 +120,9 @@
 	if err := cfg.Check(); err != nil {
 		return nil, errors.Annotate(err, "settings")
 	}
+	if err := cfg.setDefaultLimits(); err != nil {
+		return nil, errors.Trace(err)
+	}
 	e := &Entry{cfg: cfg, platform: platform, group: supervisor.NewGroup(cfg.Log), metrics: newEntryMetrics()}
 	if e.cfg.Assert == nil {
 		e.cfg.Assert = e.reportBrokenInvariant
@@ -262,6 +265,7 @@
 		router.WithJournal(e.decisions.Record),
 		router.WithOpenQueues(e.isOpenQueue),
 		router.WithRetries(retries),
+		router.WithMaxTaskBytes(e.cfg.memoryShare(taskMemoryShare)),
 		router.WithLargestWorker(e.largestWorkerSlots),
 	)
 	keys := &authenticator.Authenticator{}
--- a/server/settings.go
+++ b/server/settings.go
@@ -92,6 +92,7 @@
 		ListLag        time.Duration // longest time until a change shows in the instance list
 		BalancerDelay  time.Duration // time the load balancer takes to notice a failed readiness check
 		StopTimeout    time.Duration // longest wait for requests in progress at a planned stop
+		MemoryBytes    int64         // memory that the process may use; 0 for that of the machine
 		Seeds          []string      // addresses of peers from which the rules are read when the store is down
 
 		// OperatorHash is the hash of an operator key that is valid even when
@@ -137,6 +138,7 @@
 	require(s.Heartbeat >= 100*time.Millisecond, "--heartbeat is %s: set at least 100ms", s.Heartbeat)
 	require(s.Staleness > s.Heartbeat, "--staleness is %s: set more than the heartbeat of %s", s.Staleness, s.Heartbeat)
 	require(s.StopTimeout > 0, "--stop-time is %s: set a positive duration", s.StopTimeout)
+	require(s.MemoryBytes == 0 || s.MemoryBytes >= minMemoryBytes, "--memory-mb is %d: set at least %d, or 0 for the memory of the machine", s.MemoryBytes>>20, minMemoryBytes>>20)
 	return stderrors.Join(faults...)
 }
 
