--- a/meter/meter.go
+++ b/meter/meter.go
@@ -170,6 +170,34 @@
 	metrics.GetOrCreateGauge(`coltsfootlever_operator_records_age_seconds`, func() float64 { return fn().Seconds() })
 }
 
+// CountBrokenOffBody counts a request body whose reading was broken off.
+func CountBrokenOffBody(reason string) {
+	incrementCounter(`coltsfootlever_bodies_broken_off_total{reason=%q}`, reason)
+}
+
+// CountRequestWithoutRoom counts a request that was refused because bodies take up the
+// memory that is kept for them.
+func CountRequestWithoutRoom() {
+	incrementCounter(`coltsfootlever_requests_without_room_total`)
+}
+
+// CountClosedConnection counts a connection that a listener closed, by the reason.
+func CountClosedConnection(listener, reason string) {
+	incrementCounter(`coltsfootlever_connections_closed_total{listener=%q,reason=%q}`, listener, reason)
+}
+
+// ExportOpenConnections adds a metric for the number of open connections of a listener,
+// whose value is read from fn each time the metrics are written.
+func ExportOpenConnections(listener string, fn func() int) {
+	metrics.GetOrCreateGauge(fmt.Sprintf(`coltsfootlever_connections{listener=%q}`, listener), func() float64 { return float64(fn()) })
+}
+
+// ExportBodyBytes adds a metric for the bytes that are held for request bodies, whose
+// value is read from fn each time the metrics are written.
+func ExportBodyBytes(fn func() int64) {
+	metrics.GetOrCreateGauge(`coltsfootlever_body_bytes`, func() float64 { return float64(fn()) })
+}
+
 // ExportDroppedLines adds a metric for the number of dropped log lines, whose value
 // is read from fn each time the metrics are written.
 func ExportDroppedLines(fn func() uint64) {
