Bound the connections of the HTTP listeners of serve

Callers, operators and health checks found no entry once clients had opened enough connections and left them idle or unfinished: the listeners of serve took any number, a connection without requests stayed open for ever, and so did one whose body stopped. Each holds a descriptor, of which the calls to workers, peers and the key-value service need some too.

Each listener has a share of the descriptors and of the memory now, by package limiter: at its bound it closes the connection that has been idle or unfinished for the longest. TLS lies above the bounded listener, so that handshakes that stop short count. The listeners for metrics and health checks refuse bodies.

--- a/commander/serve/serve.go
+++ b/commander/serve/serve.go
@@ -39,6 +39,7 @@
 	BalancerDelay           time.Duration `arg:"--balancer-delay,env:COLTSFOOTLEVER_BALANCER_DELAY" default:"3s" help:"time the balancer takes to see that the entry is not ready"`
 	StopTimeout             time.Duration `arg:"--stop-time,env:COLTSFOOTLEVER_STOP_TIME" default:"2m" help:"longest wait for work under way at a planned stop"`
 	MemoryMB                int64         `arg:"--memory-mb,env:COLTSFOOTLEVER_MEMORY_MB" placeholder:"MB" help:"memory that the process may use; that of the machine when 0"`
+	MaxDescriptors          int           `arg:"--max-descriptors,env:COLTSFOOTLEVER_MAX_DESCRIPTORS" placeholder:"N" help:"file descriptors that the process may have open; its limit when 0"`
 	Operator                string        `arg:"--,env:COLTSFOOTLEVER_OPERATOR_KEY" help:"operator key, or its hash, that holds without rules"`
 	OperatorKeysByRulesOnly bool          `arg:"--operators-by-rules-only,env:COLTSFOOTLEVER_OPERATORS_BY_RULES_ONLY" help:"take operators' calls although no operator key is set here; only keys of the rules hold then"`
 	LogLevel                slog.Level    `arg:"--log-level,env:COLTSFOOTLEVER_LOG_LEVEL" default:"INFO" help:"DEBUG, INFO, WARN or ERROR"`
@@ -84,28 +85,27 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	listeners, err := opts.listen(creds)
+	listeners, err := opts.listen()
 	if err != nil {
 		return errors.Trace(err)
 	}
+	listeners.TLS = creds.callers
 	log.Info("entry is starting", "instance", opts.Instance, "zone", opts.Zone, "callers", opts.Callers, "peers", opts.Peers)
 	return server.NewDaemon(e, listeners, creds.serverOptions()...).Run(ctx)
 }
 
-// listen opens the listening sockets. The callers' and the operators' sockets
-// use the same TLS certificate.
-func (o *Options) listen(creds credentials) (server.Listeners, error) {
+// listen opens the listening sockets.
+func (o *Options) listen() (server.Listeners, error) {
 	var listeners server.Listeners
 	var err error
 	for _, s := range []struct {
 		address string
 		to      *net.Listener
-		tls     bool
 	}{
-		{o.Callers, &listeners.Callers, true},
-		{o.Peers, &listeners.Peers, false}, // the gRPC server adds TLS itself
-		{o.Operators, &listeners.Operators, true},
-		{o.Metrics, &listeners.Metrics, false},
+		{o.Callers, &listeners.Callers},
+		{o.Peers, &listeners.Peers},
+		{o.Operators, &listeners.Operators},
+		{o.Metrics, &listeners.Metrics},
 	} {
 		if s.address == "" {
 			continue
@@ -113,9 +113,6 @@
 		if *s.to, err = net.Listen("tcp", s.address); err != nil {
 			return listeners, errors.Annotatef(err, "listening on %s", s.address)
 		}
-		if s.tls {
-			*s.to = creds.wrapListener(*s.to)
-		}
 	}
 	return listeners, nil
 }
@@ -135,6 +132,7 @@
 		BalancerDelay:  o.BalancerDelay,
 		StopTimeout:    o.StopTimeout,
 		MemoryBytes:    o.MemoryMB << 20,
+		MaxDescriptors: o.MaxDescriptors,
 		Seeds:          o.Seeds,
 		Log:            log,
 	}
--- a/commander/serve/tls.go
+++ b/commander/serve/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"net"
 	"os"
 
 	"github.com/juju/errors"
@@ -92,13 +91,6 @@
 	return pool, nil
 }
 
-func (c credentials) wrapListener(l net.Listener) net.Listener {
-	if c.callers == nil {
-		return l
-	}
-	return tls.NewListener(l, c.callers)
-}
-
 func (c credentials) clientOptions() []messenger.ClientOption {
 	if c.peers == nil {
 		return nil
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"log/slog"
 	"net"
 	"net/http"
@@ -9,15 +10,12 @@
 
 	"github.com/juju/errors"
 
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
 
-const (
-	headerTimeout   = 5 * time.Second // time limit for reading a request's headers
-	maxHeaderBytes  = 16 << 10        // limit on the size of a request's headers
-	shutdownTimeout = 10 * time.Second
-)
+const shutdownTimeout = 10 * time.Second
 
 type (
 	// Listeners are the sockets of a daemon. Operators and Metrics may be nil;
@@ -27,6 +25,16 @@
 		Peers     net.Listener
 		Operators net.Listener
 		Metrics   net.Listener
+		TLS       *tls.Config // of callers' and operators' connections; nil for none
+	}
+
+	// httpService is an HTTP interface of the daemon.
+	httpService struct {
+		name     string
+		listener net.Listener // nil if the interface is not served
+		handler  http.Handler
+		tls      *tls.Config // nil for none
+		share    connectionShare
 	}
 
 	// Daemon runs one entry and serves its interfaces on the listeners.
@@ -57,9 +65,15 @@
 	}{
 		{"peers", messenger.NewServer(d.entry.PeerHandler(), append(d.peerOptions, messenger.WithListener(d.listeners.Peers))...).Run},
 		{"entry", d.entry.Run},
-		{"callers", serveHTTP(d.listeners.Callers, d.entry.Callers())},
-		{"operators", serveHTTP(d.listeners.Operators, d.entry.Operators())},
-		{"metrics", serveHTTP(d.listeners.Metrics, d.healthHandler())},
+	}
+	for _, s := range []httpService{
+		{"callers", d.listeners.Callers, d.entry.Callers(), d.listeners.TLS, callerConnections},
+		{"operators", d.listeners.Operators, d.entry.Operators(), d.listeners.TLS, operatorConnections},
+		{"metrics", d.listeners.Metrics, limiter.Bodiless(d.healthHandler()), nil, metricsConnections},
+	} {
+		if err := group.Register(s.name, d.serveHTTP(s)); err != nil {
+			return errors.Trace(err)
+		}
 	}
 	for _, s := range services {
 		if err := group.Register(s.name, s.run); err != nil {
@@ -105,16 +119,22 @@
 	return mux
 }
 
-// serveHTTP returns a service that serves h on l until its context ends, and then
-// waits up to shutdownTimeout for the requests in progress. If l is nil, it only
-// waits for its context to end.
-func serveHTTP(l net.Listener, h http.Handler) supervisor.Func {
+// serveHTTP returns a service that serves an HTTP interface until its context ends, and
+// then waits up to shutdownTimeout for the requests in progress. Without a listener, it
+// only waits for its context to end.
+func (d *Daemon) serveHTTP(i httpService) supervisor.Func {
 	return func(ctx context.Context) error {
-		if l == nil {
+		if i.listener == nil {
 			<-ctx.Done()
 			return nil
 		}
-		s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+		s := &http.Server{Handler: i.handler, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
+		bounded := d.entry.cfg.limitConnections(i.listener, i.name, i.share)
+		bounded.Configure(s)
+		var l net.Listener = bounded
+		if i.tls != nil {
+			l = tls.NewListener(bounded, i.tls)
+		}
 		failed := make(chan error, 1)
 		go func() { failed <- s.Serve(l) }()
 		select {
--- a/server/limits.go
+++ b/server/limits.go
@@ -4,10 +4,14 @@
 	"bufio"
 	"fmt"
 	"math"
+	"net"
 	"os"
 	"runtime/debug"
 
 	"github.com/juju/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 )
 
 // Shares of the process's memory. What is left is for the entry itself, its calls
@@ -17,7 +21,23 @@
 	heapMemoryShare = 0.75 // soft limit of the Go runtime
 )
 
-const minMemoryBytes = 32 << 20
+// Shares of the connections in the process's descriptors and memory. The remaining
+// descriptors are for connections to workers, peers and the platform's services.
+var (
+	callerConnections   = connectionShare{descriptors: 0.5, memory: 0.1}
+	operatorConnections = connectionShare{descriptors: 0.05, memory: 0.01}
+	metricsConnections  = connectionShare{descriptors: 0.05, memory: 0.01}
+)
+
+const (
+	minMemoryBytes = 32 << 20
+	minDescriptors = 64
+)
+
+// connectionShare is the share of a listener's connections.
+type connectionShare struct {
+	descriptors, memory float64
+}
 
 // MachineMemory returns the memory of the machine in bytes, or GOMEMLIMIT if that
 // is less.
@@ -36,11 +56,25 @@
 	return 0, errors.New("memory of the machine: /proc/meminfo has no MemTotal")
 }
 
-// setDefaultLimits replaces limits of 0 by those of the machine.
+// ProcessDescriptors returns how many file descriptors the process may have open.
+func ProcessDescriptors() (int, error) {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return 0, errors.Annotate(err, "limit on file descriptors")
+	}
+	return int(min(limit.Cur, math.MaxInt32)), nil
+}
+
+// setDefaultLimits replaces limits of 0 by those of the machine and the process.
 func (s *Settings) setDefaultLimits() error {
 	var err error
 	if s.MemoryBytes == 0 {
-		s.MemoryBytes, err = MachineMemory()
+		if s.MemoryBytes, err = MachineMemory(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if s.MaxDescriptors == 0 {
+		s.MaxDescriptors, err = ProcessDescriptors()
 	}
 	return errors.Trace(err)
 }
@@ -57,3 +91,9 @@
 		debug.SetMemoryLimit(s.memoryShare(heapMemoryShare))
 	}
 }
+
+// limitConnections bounds the connections of a listener by their share.
+func (s *Settings) limitConnections(l net.Listener, name string, share connectionShare) *limiter.Listener {
+	return limiter.NewListener(l, int(share.descriptors*float64(s.MaxDescriptors)),
+		limiter.WithName(name), limiter.WithConnMemory(s.memoryShare(share.memory)), limiter.WithListenerLog(s.Log))
+}
--- a/server/meter.go
+++ b/server/meter.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/placer"
 )
 
@@ -56,9 +57,10 @@
 }
 
 // WriteMetrics writes the entry's metrics in the Prometheus text format,
-// followed by those of the process.
+// followed by those of its listeners and of the process.
 func (e *Entry) WriteMetrics(w io.Writer) {
 	e.metrics.set.WritePrometheus(w)
+	meter.Write(w)
 	metrics.WriteProcessMetrics(w)
 }
 
--- a/server/settings.go
+++ b/server/settings.go
@@ -93,6 +93,7 @@
 		BalancerDelay  time.Duration // time the load balancer takes to notice a failed readiness check
 		StopTimeout    time.Duration // longest wait for requests in progress at a planned stop
 		MemoryBytes    int64         // memory that the process may use; 0 for that of the machine
+		MaxDescriptors int           // file descriptors that the process may have open; 0 for its limit
 		Seeds          []string      // addresses of peers from which the rules are read when the store is down
 
 		// OperatorHash is the hash of an operator key that is valid even when
@@ -139,6 +140,7 @@
 	require(s.Staleness > s.Heartbeat, "--staleness is %s: set more than the heartbeat of %s", s.Staleness, s.Heartbeat)
 	require(s.StopTimeout > 0, "--stop-time is %s: set a positive duration", s.StopTimeout)
 	require(s.MemoryBytes == 0 || s.MemoryBytes >= minMemoryBytes, "--memory-mb is %d: set at least %d, or 0 for the memory of the machine", s.MemoryBytes>>20, minMemoryBytes>>20)
+	require(s.MaxDescriptors == 0 || s.MaxDescriptors >= minDescriptors, "--max-descriptors is %d: set at least %d, or 0 for the limit of the process", s.MaxDescriptors, minDescriptors)
 	return stderrors.Join(faults...)
 }
 
