Count the buffer of a task's body rather than its length

The buffer in which a chunked body came may be twice as long as the body, so the memory of the tasks under way was counted too low for such callers.

A task now counts its buffer and twice its body, for the order to the worker in base64, and 16 KiB.

--- a/router/inflight.go
+++ b/router/inflight.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// bodyCopies is how often a body is in memory while a worker runs its task:
-	// once as it came and once in the order to the worker, in base64.
-	bodyCopies = 3
+	// bodyCopies is how often a body is in memory while a worker runs its task,
+	// besides the buffer in which it came: in the order to the worker, in base64.
+	bodyCopies = 2
 	// taskOverhead is the memory of a task without its body, in bytes: its
 	// goroutines, its connection and its records.
 	taskOverhead = 16 << 10
@@ -32,7 +32,7 @@
 
 // taskBytes returns the memory that a task takes until it ends, in bytes.
 func taskBytes(task scheduler.Task) int64 {
-	return taskOverhead + bodyCopies*int64(len(task.Body))
+	return taskOverhead + int64(cap(task.Body)) + bodyCopies*int64(len(task.Body))
 }
 
 // beginTask counts a new task. It refuses the task after close, and with the code
