Read callers' bodies within a budget of memory

An entry ran out of memory when callers sent many large bodies of legal size, in one piece or in chunks, stopped just short of their end and kept the connections open: every body was read into memory with a limit of its own, but without one for their sum or for their time.

Bodies are now read by limiter.Budget, with a tenth of the process's memory, until the router counts the accepted task. Without room the slowest unfinished body is broken off (slow-body) or the request is refused (overloaded); both are not-run with Retry-After, and no task exists yet.

TestUnfinishedBodiesDoNotExhaustMemory sends 64 bodies of 1 MiB less a byte, whole and in chunks of 64 KiB and of 16 bytes.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -12,6 +12,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 	"github.com/coltsfootlever/coltsfootlever/parser"
 	"github.com/coltsfootlever/coltsfootlever/router"
@@ -64,6 +65,7 @@
 		jobs           Jobs
 		onRequestEnd   func(RequestEnd)
 		maxBody        int64
+		budget         *limiter.Budget
 		mux            *http.ServeMux
 		closing        atomic.Bool // Close has been called
 	}
@@ -90,6 +92,12 @@
 	return func(a *Admitter) { a.maxBody = n }
 }
 
+// WithBudget sets the memory for bodies that are being read. The default is that of a
+// machine of unknown memory.
+func WithBudget(b *limiter.Budget) Option {
+	return func(a *Admitter) { a.budget = b }
+}
+
 // WithOnRequestEnd sets the function that is called at the end of every request
 // for a known queue.
 func WithOnRequestEnd(fn func(RequestEnd)) Option {
@@ -108,6 +116,7 @@
 		jobs:           jobs,
 		onRequestEnd:   func(RequestEnd) {},
 		maxBody:        DefaultMaxBody,
+		budget:         limiter.NewBudget(0),
 		mux:            http.NewServeMux(),
 	}
 	for _, opt := range opts {
@@ -134,17 +143,24 @@
 // prefers an asynchronous response, at once with the job's status.
 func (a *Admitter) submit(w http.ResponseWriter, r *http.Request) {
 	start := time.Now()
-	task, err := a.newTask(w, r)
+	task, err := a.newTask(r)
+	if err != nil {
+		a.refuse(w, r, task, start, err)
+		return
+	}
+	body, err := a.budget.ReadBody(w, r, limiter.BodyLimits{MaxBytes: a.maxBody})
 	if err != nil {
 		a.refuse(w, r, task, start, err)
 		return
 	}
+	task.Body = body.Bytes
 	async := r.Header.Get("Prefer") == "respond-async"
 	ctx := r.Context()
 	if async {
 		ctx = context.WithoutCancel(ctx) // the job outlives this answer
 	}
 	job, err := a.jobs.Accept(ctx, task)
+	body.Release() // the memory of an accepted task is bounded by the router
 	if err != nil {
 		a.refuse(w, r, task, start, err)
 		return
@@ -197,9 +213,9 @@
 	a.writeProblem(w, r, task.ID, refusal)
 }
 
-// newTask checks a request and creates its task. Every error has the verdict
-// NotRun.
-func (a *Admitter) newTask(w http.ResponseWriter, r *http.Request) (scheduler.Task, error) {
+// newTask checks a request and creates its task, without the body. Every error has
+// the verdict NotRun.
+func (a *Admitter) newTask(r *http.Request) (scheduler.Task, error) {
 	if a.closing.Load() {
 		return scheduler.Task{}, classifier.Refuse(classifier.Leaving, "this entry is shutting down: use another").WithRetryAfter(time.Second)
 	}
@@ -217,7 +233,7 @@
 	if err := a.checkFreshness(); err != nil {
 		return scheduler.Task{}, err
 	}
-	task, err := readTask(w, r, a.maxBody)
+	task, err := readTask(r)
 	if err != nil {
 		return scheduler.Task{}, err
 	}
--- /dev/null
+++ b/admitter/memory_test.go
@@ -0,0 +1,106 @@
+package admitter_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/coltsfootlever/coltsfootlever/admitter"
+	"github.com/coltsfootlever/coltsfootlever/authenticator"
+	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
+)
+
+const (
+	crowdSize   = 64
+	maxHeap     = 32 << 20 // growth with a budget of 4 MiB; the bodies of the crowd together have 64 MiB
+	crowdHeader = "POST /v1/queues/walk-in/jobs HTTP/1.1\r\nHost: entry\r\nIdempotency-Key: n\r\n"
+)
+
+// liveHeap returns the size of the heap without garbage, in bytes.
+func liveHeap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// shortBody returns a body of 1 MiB in chunks, or whole if chunk is 0, without its last
+// byte.
+func shortBody(chunk int) string {
+	body := strings.Repeat("b", 1<<20)
+	if chunk == 0 {
+		return fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[1:])
+	}
+	var b strings.Builder
+	b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	for rest := body[1:]; rest != ""; {
+		n := min(chunk, len(rest))
+		_, _ = fmt.Fprintf(&b, "%x\r\n%s\r\n", n, rest[:n]) // writing to a Builder doesn't fail
+		rest = rest[n:]
+	}
+	return b.String()
+}
+
+// Bodies that stopped just short of their end and stayed open exhausted the memory.
+func TestUnfinishedBodiesDoNotExhaustMemory(t *testing.T) {
+	for name, text := range map[string]string{"whole": shortBody(0), "large chunks": shortBody(64 << 10), "small chunks": shortBody(16)} {
+		t.Run(name, func(t *testing.T) {
+			budget := limiter.NewBudget(0, limiter.WithBytes(4<<20))
+			s := httptest.NewUnstartedServer(admitter.New(rules, &authenticator.Authenticator{}, alwaysFresh, &fullJobs{}, admitter.WithBudget(budget)))
+			bounded := limiter.NewListener(s.Listener, 2*crowdSize)
+			s.Listener = bounded
+			bounded.Configure(s.Config)
+			s.Start()
+			t.Cleanup(s.CloseClientConnections)
+			before := liveHeap()
+			var crowd sync.WaitGroup
+			for range crowdSize {
+				c, err := net.Dial("tcp", s.Listener.Addr().String())
+				require.NoError(t, err)
+				t.Cleanup(func() { _ = c.Close() })
+				crowd.Go(func() {
+					_, _ = c.Write([]byte(crowdHeader))
+					_, _ = c.Write([]byte(text)) // fails when the server closes the connection
+				})
+			}
+			crowd.Wait()
+			for range 20 {
+				require.Less(t, liveHeap()-before, int64(maxHeap))
+				require.LessOrEqual(t, budget.Held(), budget.Size())
+				time.Sleep(10 * time.Millisecond)
+			}
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+"/v1/queues/walk-in/jobs", strings.NewReader("body"))
+			require.NoError(t, err)
+			r.Header.Set(admitter.IdempotencyKeyHeader, "n")
+			res, err := http.DefaultClient.Do(r)
+			require.NoError(t, err)
+			require.NoError(t, res.Body.Close())
+			require.Equal(t, classifier.QueueFull.HTTPStatus(), res.StatusCode, "a small request is read and reaches the queue")
+		})
+	}
+}
+
+// A body without room was refused without a verdict and a time to come back.
+func TestBodyWithoutRoomIsRefusedAsNotRun(t *testing.T) {
+	budget := limiter.NewBudget(0, limiter.WithBytes(1<<10))
+	a := admitter.New(rules, &authenticator.Authenticator{}, alwaysFresh, &fullJobs{}, admitter.WithBudget(budget))
+	hold, err := budget.ReadBody(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", strings.NewReader("body")), limiter.BodyLimits{MaxBytes: 8})
+	require.NoError(t, err)
+	w := submit(a, "walk-in", "", strings.Repeat("b", 1<<10), map[string]string{admitter.IdempotencyKeyHeader: "n"})
+	require.Equal(t, http.StatusServiceUnavailable, w.Code)
+	require.Equal(t, classifier.NotRun.String(), w.Header().Get(admitter.VerdictHeader))
+	require.NotEmpty(t, w.Header().Get("Retry-After"))
+	hold.Release()
+	w = submit(a, "walk-in", "", strings.Repeat("b", 1<<10), map[string]string{admitter.IdempotencyKeyHeader: "n"})
+	require.Equal(t, classifier.QueueFull.HTTPStatus(), w.Code)
+	require.Zero(t, budget.Held())
+}
--- a/admitter/request.go
+++ b/admitter/request.go
@@ -1,20 +1,17 @@
 package admitter
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/scheduler"
 )
 
-// readTask reads the headers and the body of a request. An error names the
-// header at fault and its valid values.
-func readTask(w http.ResponseWriter, r *http.Request, maxBody int64) (scheduler.Task, error) {
+// readTask reads the headers of a request. An error names the header at fault and
+// its valid values.
+func readTask(r *http.Request) (scheduler.Task, error) {
 	now := time.Now()
 	task := scheduler.Task{Accepted: now}
 	var err error
@@ -35,8 +32,7 @@
 		return task, err
 	}
 	task.Deadline = now.Add(wait)
-	task.Body, err = readBody(w, r, maxBody)
-	return task, err
+	return task, nil
 }
 
 // badRequest returns a refusal with code BadRequest.
@@ -102,16 +98,3 @@
 	}
 	return d, nil
 }
-
-// readBody reads the whole body, at most maxBody bytes.
-func readBody(w http.ResponseWriter, r *http.Request, maxBody int64) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, badRequest("the body is larger than %d bytes: send a smaller one", maxBody)
-	}
-	if err != nil {
-		return nil, badRequest("the body ended early: send it whole")
-	}
-	return body, nil
-}
--- a/server/entry.go
+++ b/server/entry.go
@@ -272,6 +272,7 @@
 	e.admitter = admitter.New(e.rules.Rules, keys, e.freshness.check, e.router,
 		admitter.WithLog(e.cfg.Log),
 		admitter.WithOnRequestEnd(e.recordRequestEnd),
+		admitter.WithBudget(e.newBudget(callerMemoryShare)),
 	)
 }
 
--- a/server/limits.go
+++ b/server/limits.go
@@ -17,8 +17,9 @@
 // Shares of the process's memory. What is left is for the entry itself, its calls
 // and garbage.
 const (
-	taskMemoryShare = 0.2  // tasks that have not ended, from callers and peers
-	heapMemoryShare = 0.75 // soft limit of the Go runtime
+	taskMemoryShare   = 0.2  // tasks that have not ended, from callers and peers
+	callerMemoryShare = 0.1  // callers' requests that are being read
+	heapMemoryShare   = 0.75 // soft limit of the Go runtime
 )
 
 // Shares of the connections in the process's descriptors and memory. The remaining
@@ -92,6 +93,11 @@
 	}
 }
 
+// newBudget returns a budget of the given share of the process's memory.
+func (e *Entry) newBudget(share float64) *limiter.Budget {
+	return limiter.NewBudget(0, limiter.WithBytes(e.cfg.memoryShare(share)), limiter.WithBudgetLog(e.cfg.Log))
+}
+
 // limitConnections bounds the connections of a listener by their share.
 func (s *Settings) limitConnections(l net.Listener, name string, share connectionShare) *limiter.Listener {
 	return limiter.NewListener(l, int(share.descriptors*float64(s.MaxDescriptors)),
