Keep operators' calls within a budget of memory

Anyone who reached the operators' listener could make an entry hold memory: a call with an operator's key was decoded as its body of up to 4 MiB arrived, without a bound for the sum or the time, and the server waited for the body of a caller without a valid key before it refused the call.

A call without a valid key is refused without reading its body, and its connection is closed. Bodies of the others are read by limiter.Budget with a twentieth of the process's memory, apart from callers' bodies, and 16 times the body is reserved for what is made of it: values, copies and parsed rules. Calls without room get overloaded or slow-body, not-run, with Retry-After.

--- a/operator/handler.go
+++ b/operator/handler.go
@@ -5,6 +5,7 @@
 package operator
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -17,6 +18,7 @@
 
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/parser"
 )
 
@@ -25,6 +27,7 @@
 
 const (
 	maxBodyBytes   = 4 << 20 // enough for a rules file of 1 MiB encoded as JSON
+	parsedBytes    = 16      // memory that is made of a byte of a body: values, copies and the parsed rules
 	minSecretBytes = 32      // minimum length of a bootstrap key in the settings
 	bootstrapID    = "bootstrap"
 )
@@ -47,6 +50,9 @@
 	Request struct {
 		Operator parser.Key // key that the caller authenticated with
 		http     *http.Request
+		response http.ResponseWriter
+		budget   *limiter.Budget
+		body     *limiter.Body // nil before Decode
 	}
 
 	// RulesSource returns the rules in force, or nil when none are known yet.
@@ -61,6 +67,7 @@
 		bootstrap string // hash of the bootstrap key; empty for none
 		ready     func() error
 		auth      authenticator.Authenticator
+		budget    *limiter.Budget
 		log       *slog.Logger
 	}
 
@@ -87,13 +94,20 @@
 	return func(h *Handler) { h.log = log }
 }
 
+// WithBudget sets the memory for the bodies of calls and what is made of them. The
+// default is that of a machine of unknown memory.
+func WithBudget(b *limiter.Budget) Option {
+	return func(h *Handler) { h.budget = b }
+}
+
 // New returns a Handler without resources; add them with Register.
 func New(rules RulesSource, opts ...Option) *Handler {
 	h := &Handler{
-		mux:   http.NewServeMux(),
-		rules: rules,
-		ready: func() error { return nil },
-		log:   slog.New(slog.DiscardHandler),
+		mux:    http.NewServeMux(),
+		rules:  rules,
+		ready:  func() error { return nil },
+		budget: limiter.NewBudget(0),
+		log:    slog.New(slog.DiscardHandler),
 	}
 	for _, opt := range opts {
 		opt(h)
@@ -131,7 +145,6 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	h.mux.ServeHTTP(w, r)
 }
 
@@ -139,10 +152,13 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		key, err := h.authenticate(r)
 		if err != nil {
+			limiter.RefuseBody(w, r)
 			h.writeProblem(w, r, err)
 			return
 		}
-		body, err := route.Serve(r.Context(), &Request{Operator: key, http: r})
+		request := &Request{Operator: key, http: r, response: w, budget: h.budget}
+		defer func() { request.body.Release() }()
+		body, err := route.Serve(r.Context(), request)
 		if err != nil {
 			h.writeProblem(w, r, err)
 			return
@@ -177,6 +193,7 @@
 }
 
 func (h *Handler) serveUnknownPath(w http.ResponseWriter, r *http.Request) {
+	limiter.RefuseBody(w, r)
 	if _, err := h.authenticate(r); err != nil {
 		h.writeProblem(w, r, err)
 		return
@@ -214,9 +231,17 @@
 	return r.http.URL.Query().Get(name)
 }
 
-// Decode decodes the JSON body into v. Unknown keys are an error.
+// Decode reads the JSON body and decodes it into v. Unknown keys are an error. It must
+// be called once only.
 func (r *Request) Decode(v any) error {
-	d := json.NewDecoder(r.http.Body)
+	var err error
+	if r.body, err = r.budget.ReadBody(r.response, r.http, limiter.BodyLimits{MaxBytes: maxBodyBytes}); err != nil {
+		return errors.Trace(err)
+	}
+	if err := r.body.Reserve(parsedBytes * int64(len(r.body.Bytes))); err != nil {
+		return errors.Trace(err)
+	}
+	d := json.NewDecoder(bytes.NewReader(r.body.Bytes))
 	d.DisallowUnknownFields()
 	if err := d.Decode(v); err != nil {
 		return classifier.Refuse(classifier.BadRequest, "the body is not the JSON object of this call: %v", err)
--- a/server/limits.go
+++ b/server/limits.go
@@ -17,9 +17,10 @@
 // Shares of the process's memory. What is left is for the entry itself, its calls
 // and garbage.
 const (
-	taskMemoryShare   = 0.2  // tasks that have not ended, from callers and peers
-	callerMemoryShare = 0.1  // callers' requests that are being read
-	heapMemoryShare   = 0.75 // soft limit of the Go runtime
+	taskMemoryShare     = 0.2  // tasks that have not ended, from callers and peers
+	callerMemoryShare   = 0.1  // callers' requests that are being read
+	operatorMemoryShare = 0.05 // operators' requests until they are answered
+	heapMemoryShare     = 0.75 // soft limit of the Go runtime
 )
 
 // Shares of the connections in the process's descriptors and memory. The remaining
--- a/server/operators.go
+++ b/server/operators.go
@@ -21,7 +21,7 @@
 
 // Operators returns the handler of the HTTP interface for operators.
 func (e *Entry) Operators() http.Handler {
-	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReadinessCheck(e.freshness.check)}
+	opts := []operator.Option{operator.WithLog(e.cfg.Log), operator.WithReadinessCheck(e.freshness.check), operator.WithBudget(e.newBudget(operatorMemoryShare))}
 	if e.cfg.OperatorHash != "" {
 		opts = append(opts, operator.WithBootstrapHash(e.cfg.OperatorHash))
 	}
