Bound the connections and the unfinished requests of peers' listener

An entry ran out of memory or descriptors when clients of the peers' listener opened many connections or calls and stopped: a handshake could take two minutes, a connection could have any number of calls, each with up to 16 MiB of a message that never ended and up to 16 MiB of headers, and gRPC bounds only the window of each call, which grows to the announced length of its message.

The listener has a share of the descriptors and of the memory, and closes the connection that has sent nothing for the longest. Handshakes get 5 s, headers 16 KiB, requests 4 MiB. limiter.MessageBudget reads the frames above TLS and counts what calls hold until their message has arrived, small frames included; when they take more than a twentieth of the process's memory, or a message takes 10 s, the connection of the one that began first is closed. Peers that are silent for 40 s are disconnected, and those that ping every 5 s are not.

--- a/messenger/server.go
+++ b/messenger/server.go
@@ -9,18 +9,31 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/messenger/peerpb"
 )
 
 const (
-	// MaxMessageBytes limits the size of one message between entries.
+	// MaxMessageBytes limits the size of one reply between entries.
 	MaxMessageBytes = 16 << 20
+	// MaxRequestBytes limits the size of one request between entries. The largest are
+	// a task with its body and a batch of names in a hand-over.
+	MaxRequestBytes = 4 << 20
 	// DefaultGracePeriod is how long a server waits for running calls when it
 	// stops.
 	DefaultGracePeriod = 10 * time.Second
+
+	maxStreams             = 32 << 10 // of a connection; a peer opens one for each task that it forwards or waits for
+	maxHeaderBytes         = 16 << 10 // of a request
+	handshakeTimeout       = 5 * time.Second
+	serverKeepaliveTime    = 30 * time.Second
+	serverKeepaliveTimeout = 10 * time.Second
+	minPingInterval        = keepaliveTime / 2 // a peer that pings more often is disconnected
 )
 
 type (
@@ -46,6 +59,7 @@
 		address     string
 		gracePeriod time.Duration
 		creds       credentials.TransportCredentials
+		messages    *limiter.MessageBudget
 	}
 
 	// ServerOption configures a Server.
@@ -74,20 +88,31 @@
 	return func(s *Server) { s.creds = creds }
 }
 
+// WithMessageBudget bounds the memory of the requests that are arriving. The default
+// is no bound.
+func WithMessageBudget(b *limiter.MessageBudget) ServerOption {
+	return func(s *Server) { s.messages = b }
+}
+
 // NewServer returns a server that passes requests to h.
 func NewServer(h Handler, opts ...ServerOption) *Server {
-	s := &Server{gracePeriod: DefaultGracePeriod}
+	s := &Server{gracePeriod: DefaultGracePeriod, creds: insecure.NewCredentials()}
 	for _, opt := range opts {
 		opt(s)
 	}
-	grpcOpts := []grpc.ServerOption{
-		grpc.MaxRecvMsgSize(MaxMessageBytes),
-		grpc.MaxSendMsgSize(MaxMessageBytes),
-	}
-	if s.creds != nil {
-		grpcOpts = append(grpcOpts, grpc.Creds(s.creds))
+	if s.messages != nil {
+		s.creds = s.messages.Credentials(s.creds)
 	}
-	s.grpc = grpc.NewServer(grpcOpts...)
+	s.grpc = grpc.NewServer(
+		grpc.Creds(s.creds),
+		grpc.MaxRecvMsgSize(MaxRequestBytes),
+		grpc.MaxSendMsgSize(MaxMessageBytes),
+		grpc.MaxHeaderListSize(maxHeaderBytes),
+		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ConnectionTimeout(handshakeTimeout),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverKeepaliveTime, Timeout: serverKeepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minPingInterval, PermitWithoutStream: true}),
+	)
 	peerpb.RegisterPeerServer(s.grpc, &peerService{handler: h})
 	return s
 }
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -63,7 +63,7 @@
 		name string
 		run  supervisor.Func
 	}{
-		{"peers", messenger.NewServer(d.entry.PeerHandler(), append(d.peerOptions, messenger.WithListener(d.listeners.Peers))...).Run},
+		{"peers", d.newPeerServer().Run},
 		{"entry", d.entry.Run},
 	}
 	for _, s := range []httpService{
--- a/server/daemon_test.go
+++ b/server/daemon_test.go
@@ -148,3 +148,18 @@
 	require.Equal(t, http.StatusOK, call(t, http.MethodGet, l.Metrics, "/healthz", "", "").StatusCode)
 	require.Equal(t, http.StatusRequestEntityTooLarge, call(t, http.MethodGet, l.Metrics, "/healthz", "", fmt.Sprint(l)).StatusCode)
 }
+
+// Connections that stopped in the handshake were kept for two minutes, and peers found
+// no descriptor.
+func TestUnfinishedConnectionsDoNotKeepPeersOut(t *testing.T) {
+	for name, text := range map[string]string{"silent": "", "half handshake": "PRI * HTTP/2.0"} {
+		t.Run(name, func(t *testing.T) {
+			l := startDaemon(t)
+			requireOpen(t, 8, dialCrowd(t, l.Peers, 60, text))
+			c := messenger.NewClient(messenger.WithConnectTimeout(answerTimeout))
+			defer func() { require.NoError(t, c.Close()) }()
+			_, err := c.ListRulesChanges(t.Context(), l.Peers.Addr().String(), messenger.ChangesRequest{})
+			require.ErrorContains(t, err, "no rules are known here", "the answer of the entry")
+		})
+	}
+}
--- a/server/limits.go
+++ b/server/limits.go
@@ -7,11 +7,13 @@
 	"net"
 	"os"
 	"runtime/debug"
+	"slices"
 
 	"github.com/juju/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/coltsfootlever/coltsfootlever/limiter"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
 )
 
 // Shares of the process's memory. What is left is for the entry itself, its calls
@@ -20,6 +22,7 @@
 	taskMemoryShare     = 0.2  // tasks that have not ended, from callers and peers
 	callerMemoryShare   = 0.1  // callers' requests that are being read
 	operatorMemoryShare = 0.05 // operators' requests until they are answered
+	peerMemoryShare     = 0.05 // peers' requests that are being read
 	heapMemoryShare     = 0.75 // soft limit of the Go runtime
 )
 
@@ -29,6 +32,7 @@
 	callerConnections   = connectionShare{descriptors: 0.5, memory: 0.1}
 	operatorConnections = connectionShare{descriptors: 0.05, memory: 0.01}
 	metricsConnections  = connectionShare{descriptors: 0.05, memory: 0.01}
+	peerConnections     = connectionShare{descriptors: 0.125, memory: 0.05}
 )
 
 const (
@@ -104,3 +108,15 @@
 	return limiter.NewListener(l, int(share.descriptors*float64(s.MaxDescriptors)),
 		limiter.WithName(name), limiter.WithConnMemory(s.memoryShare(share.memory)), limiter.WithListenerLog(s.Log))
 }
+
+// newPeerServer returns the server for messages from other entries, within its share of
+// connections and memory.
+func (d *Daemon) newPeerServer() *messenger.Server {
+	cfg := &d.entry.cfg
+	messages := limiter.NewMessageBudget(max(cfg.memoryShare(peerMemoryShare), 2*messenger.MaxRequestBytes), cfg.Log)
+	opts := append(slices.Clone(d.peerOptions),
+		messenger.WithListener(cfg.limitConnections(d.listeners.Peers, "peers", peerConnections)),
+		messenger.WithMessageBudget(messages),
+	)
+	return messenger.NewServer(d.entry.PeerHandler(), opts...)
+}
