End streams to a relay that send nothing

An entry node's memory could be taken by clients of its relay port that opened connections and streams and stopped: a stream without its first frame stayed open for ever, each may hold a window of 1 MiB and a frame of up to 4 MiB, a connection had eight of them, a handshake had two minutes, and a header 16 MiB.

The first frame, which a leader sends at once, must arrive within 2 s. Of more than four streams without one the oldest is ended, so that a leader always gets in. A handshake gets 2 s, a header 16 KiB, a connection without a stream is closed after 10 s, and a silent client after 15 s. The number of connections is the listener's.

On the code before, TestSilentStreamsAreEnded still found silent streams open after 10 s; now all 24 end. TestRelayOverGRPC passes as before.

--- a/relayer/grpc_test.go
+++ b/relayer/grpc_test.go
@@ -81,3 +81,28 @@
 	cancel()
 	<-ended
 }
+
+// Streams that sent nothing stayed open without bound.
+func TestSilentStreamsAreEnded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer startRelay(t, &fakeWorkers{}, l)()
+	const crowd = 24
+	ended := make(chan error, crowd)
+	for range crowd {
+		s, err := relayer.Dial(t.Context(), l.Addr().String())
+		require.NoError(t, err)
+		go func() {
+			_, err := s.Receive()
+			ended <- err
+		}()
+	}
+	for range crowd {
+		select {
+		case err := <-ended:
+			require.Error(t, err)
+		case <-time.After(10 * time.Second):
+			require.Fail(t, "a silent stream is open")
+		}
+	}
+}
--- a/relayer/server.go
+++ b/relayer/server.go
@@ -4,12 +4,14 @@
 	"context"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
 
 	"github.com/coltsfootlever/coltsfootlever/elector"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
@@ -21,6 +23,13 @@
 	maxCallsInFlight = 1024                   // of a stream: one poll and two other calls for each of 256 workers, and some to spare
 	maxStreams       = 8                      // of a connection; a leader opens one
 	silenceInterval  = 500 * time.Millisecond // between two checks of when the leader was last heard
+	maxNewStreams    = 4                      // of all connections, before their first frame has arrived
+	firstFrameTime   = 2 * time.Second        // for the first frame of a stream to arrive
+	handshakeTime    = 2 * time.Second        // for the handshake of a connection
+	idleTime         = 10 * time.Second       // a connection without a stream is closed after it
+	pingTime         = 10 * time.Second       // a connection on which nothing arrives is tested after it
+	pingTimeout      = 5 * time.Second
+	maxHeaderBytes   = 16 << 10               // of a stream
 	drainTime        = 600 * time.Millisecond // for open calls when the relay stops; a poll that lasts longer is repeated by the leader
 )
 
@@ -28,6 +37,8 @@
 	errSuperseded = errors.ConstError("a leader with a higher or the same fencing token has opened a stream")
 	errLeaderLost = errors.ConstError("nothing received from the leader for too long")
 	errStopping   = errors.ConstError("relay is stopping")
+	errNoFrame    = errors.ConstError("no first frame in time")
+	errCrowded    = errors.ConstError("too many streams without a first frame")
 )
 
 type (
@@ -41,7 +52,8 @@
 		mu       sync.Mutex
 		session  *session // the stream with the highest token, nil if there is none
 		stopping bool
-		open     sync.WaitGroup // streams
+		open     sync.WaitGroup  // streams
+		started  []chan struct{} // streams without a first frame, the oldest first; closed to end one
 	}
 
 	// session is a stream from a leader.
@@ -85,6 +97,7 @@
 	server := grpc.NewServer(
 		grpc.ForceServerCodecV2(frameCodec{}), grpc.MaxRecvMsgSize(maxFrameBytes), grpc.MaxSendMsgSize(maxFrameBytes), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.StaticStreamWindowSize(windowBytes), grpc.StaticConnWindowSize(windowBytes), grpc.WriteBufferSize(bufferBytes), grpc.ReadBufferSize(bufferBytes),
+		grpc.ConnectionTimeout(handshakeTime), grpc.MaxHeaderListSize(maxHeaderBytes), grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: idleTime, Time: pingTime, Timeout: pingTimeout}),
 	)
 	server.RegisterService(&serviceDesc, s)
 	failed := make(chan error, 1)
@@ -124,8 +137,9 @@
 // opens another, or the leader has been silent for as long as a leader without its
 // own lease may extend those of tasks.
 func (s *Server) Serve(ctx context.Context, stream Stream) error {
-	first, err := stream.Receive()
+	first, err := s.receiveFirst(ctx, stream)
 	if err != nil {
+		s.log.Warn("stream ended before its first frame", "error", err)
 		return err
 	}
 	version, token, err := (&reader{rest: first}).hello()
@@ -152,6 +166,56 @@
 	return err
 }
 
+// receiveFirst returns the first frame of a stream. It gives up after firstFrameTime, or
+// earlier if more than maxNewStreams wait for theirs and this one is the oldest. The
+// stream must then be ended, which ends the goroutine that receives.
+func (s *Server) receiveFirst(ctx context.Context, stream Stream) (string, error) {
+	ended := s.addStarted()
+	defer s.removeStarted(ended)
+	type frame struct {
+		data string
+		err  error
+	}
+	received := make(chan frame, 1)
+	go func() {
+		data, err := stream.Receive()
+		received <- frame{data, err}
+	}()
+	timer := time.NewTimer(firstFrameTime)
+	defer timer.Stop()
+	select {
+	case f := <-received:
+		return f.data, f.err
+	case <-ended:
+		return "", errCrowded
+	case <-timer.C:
+		return "", errNoFrame
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// addStarted adds a stream without a first frame. At the bound it ends the oldest one.
+func (s *Server) addStarted() (ended chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ended = make(chan struct{})
+	if len(s.started) >= maxNewStreams {
+		close(s.started[0])
+		s.started = s.started[1:]
+	}
+	s.started = append(s.started, ended)
+	return ended
+}
+
+func (s *Server) removeStarted(ended chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := slices.Index(s.started, ended); i >= 0 {
+		s.started = slices.Delete(s.started, i, i+1)
+	}
+}
+
 // awaitEnd returns when the stream has ended, and ends it when the leader is
 // silent.
 func (s *Server) awaitEnd(ctx context.Context, current *session) {
