--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -56,6 +56,7 @@
 		log      *slog.Logger
 		maxConns int
 		memory   int64 // bytes for connections; 0 for no limit
+		receive  int   // bytes of a connection that the kernel holds until they are read; 0 for its default
 		limits   func() Limits
 		http     bool
 
@@ -79,6 +80,12 @@
 	return func(l *Listener) { l.log = log }
 }
 
+// WithReceiveBuffer bounds the bytes of a connection that the kernel holds until they are
+// read, also before it is accepted. A client sends about as many in one round trip.
+func WithReceiveBuffer(n int) ListenerOption {
+	return func(l *Listener) { l.receive = n }
+}
+
 // WithConnMemory bounds the memory of all connections, in bytes: each one may take
 // buffers and its largest header.
 func WithConnMemory(n int64) ListenerOption {
@@ -96,6 +103,11 @@
 	for _, opt := range opts {
 		opt(bounded)
 	}
+	if bounded.receive > 0 {
+		if err := setReceiveBuffer(l, bounded.receive); err != nil {
+			bounded.log.Warn("receive buffer not bounded, connections may take more memory", "listener", bounded.name, "bytes", bounded.receive, "error", err)
+		}
+	}
 	meter.ExportOpenConnections(bounded.name, bounded.Open)
 	return bounded
 }
@@ -142,7 +154,7 @@
 func (l *Listener) MaxConns() int {
 	n := l.maxConns
 	if l.memory > 0 {
-		n = min(n, int(l.memory/int64(connBytes+l.limitsInForce().MaxHeader)))
+		n = min(n, int(l.memory/int64(connBytes+l.receive+l.limitsInForce().MaxHeader)))
 	}
 	return max(minConns, n)
 }
@@ -169,28 +181,27 @@
 		c.phase.Store(unmanaged)
 		c.usedAt.Store(c.since.UnixNano())
 	}
-	maxConns := l.MaxConns()
-	l.mu.Lock()
-	var victim *conn
-	if l.open >= maxConns {
-		if l.waiting.first == nil {
+	for maxConns := l.MaxConns(); ; {
+		l.mu.Lock()
+		if l.open < maxConns {
+			l.open++
+			l.waiting.push(&c.place)
+			l.mu.Unlock()
+			return c
+		}
+		first := l.waiting.first
+		if first == nil {
 			l.mu.Unlock()
 			l.countClosed(reasonNewest)
 			_ = nc.Close() // nothing was written
 			return nil
 		}
-		victim = l.waiting.first.owner
-		victim.evicted = true
-		l.waiting.remove(&victim.place)
-	}
-	l.open++
-	l.waiting.push(&c.place)
-	l.mu.Unlock()
-	if victim != nil {
+		first.owner.evicted = true
+		l.waiting.remove(first)
+		l.mu.Unlock()
 		l.countClosed(reasonOldest)
-		_ = victim.Close() // no answer is under way
+		_ = first.owner.Close() // no answer is under way
 	}
-	return c
 }
 
 // countClosed counts a connection that the listener closes.
