--- a/acceptor/crowd_test.go
+++ b/acceptor/crowd_test.go
@@ -14,7 +14,9 @@
 
 	"github.com/coltsfootlever/coltsfootlever/acceptor"
 	"github.com/coltsfootlever/coltsfootlever/limiter"
+	"github.com/coltsfootlever/coltsfootlever/meter"
 	"github.com/coltsfootlever/coltsfootlever/orchestrator"
+	"github.com/coltsfootlever/coltsfootlever/platform"
 )
 
 // newBoundedFixture returns a fixture with a budget of its own.
@@ -41,7 +43,7 @@
 	require.NoError(t, err)
 	defer func() { _ = conn.Close() }() // the server closes it
 	require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
-	_, err = fmt.Fprintf(conn, "POST /o/%s HTTP/1.1\r\nHost: h.example\r\nDeadline-Ms: 300\r\nContent-Length: %d\r\n\r\n%s", jobID, len(body), body[:len(body)-1])
+	_, err = fmt.Fprintf(conn, "POST /o/%s HTTP/1.1\r\nHost: h.example\r\n%s: 300\r\nContent-Length: %d\r\n\r\n%s", jobID, platform.HeaderDeadlineMs, len(body), body[:len(body)-1])
 	require.NoError(t, err)
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	require.NoError(t, err)
@@ -70,6 +72,18 @@
 	require.Zero(t, budget.Held())
 }
 
+// Each method that a client made up added metrics that were kept for ever.
+func TestMadeUpMethodsAddNoMetrics(t *testing.T) {
+	b := newFixture(t)
+	for n := range 50 {
+		require.Equal(t, http.StatusMethodNotAllowed, b.call(fmt.Sprintf("MADEUP%d", n), "/o/"+jobID, "", "").Code)
+	}
+	var text strings.Builder
+	meter.Write(&text)
+	require.False(t, strings.Contains(text.String(), "MADEUP"))
+	require.True(t, strings.Contains(text.String(), `coltsfootlever_calls_total{method="other",status="405"}`))
+}
+
 func BenchmarkSubmit(b *testing.B) {
 	f := newFixture(&testing.T{})
 	server := httptest.NewUnstartedServer(f.a)
