Test crowds that connect again as soon as they are cut off

A crowd that only stays open is over once its connections have been closed; clients that nobody controls come back and take up the room that was made.

run-bodies-again and serve-bodies-again send the same bodies as run-bodies and serve-bodies, and connect again 50 ms after the loss of a connection, until the end.

--- a/crowder/crowd.go
+++ b/crowder/crowd.go
@@ -41,6 +41,7 @@
 	wholeOneIn     = 8   // one in this many clients of a crowd that stops short sends its whole body
 	unreadRequests = 400 // requests of a client that reads no answer
 	peerTimeout    = time.Hour
+	reconnectPause = 50 * time.Millisecond
 	crowdMilliCPU  = 100
 )
 
@@ -66,6 +67,7 @@
 		ChunkBytes int           `json:"chunk-bytes,omitempty"` // of a chunk of a chunked body; 0 if the headers state the length
 		PieceBytes int           `json:"piece-bytes,omitempty"` // of each write; the whole body if 0
 		Pace       time.Duration `json:"pace,omitempty"`        // pause between two pieces
+		Reconnects bool          `json:"reconnects,omitempty"`  // clients that lose their connection connect and send again
 		AwaitEnd   bool          `json:"await-end,omitempty"`   // ordinary jobs must end, which shows that the leader has read the crowd's jobs
 	}
 
@@ -124,6 +126,16 @@
 		c.sendPeerMessage(ctx, sent)
 		return
 	}
+	c.connect(ctx, sent)
+	for c.Reconnects && supervisor.Pause(ctx, reconnectPause) == nil {
+		c.connect(ctx, sent)
+	}
+}
+
+// connect sends what the client sends over a new connection and keeps that until ctx ends
+// or the program closes it.
+func (c *client) connect(ctx context.Context, sent func()) {
+	defer sent()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp4", c.address)
 	if err != nil {
 		return // refused, which the program may do
@@ -131,12 +143,19 @@
 	defer func() { _ = conn.Close() }() // the program may have closed it
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
+	closed := make(chan struct{})
 	if c.Content != Requests {
-		go func() { _, _ = io.Copy(io.Discard, conn) }() // ends with the connection
+		go func() {
+			defer close(closed)
+			_, _ = io.Copy(io.Discard, conn) // ends with the connection
+		}()
 	}
 	if c.send(ctx, conn) == nil {
 		sent()
-		<-ctx.Done()
+		select {
+		case <-ctx.Done():
+		case <-closed:
+		}
 	}
 }
 
--- a/crowder/crowder_test.go
+++ b/crowder/crowder_test.go
@@ -64,6 +64,10 @@
 	requireSurvival(t, "run-small-chunks")
 }
 
+func TestRunSurvivesBodiesThatStopShortAgainAndAgain(t *testing.T) {
+	requireSurvival(t, "run-bodies-again")
+}
+
 func TestRunSurvivesWholeBodiesOfTinySteps(t *testing.T) {
 	requireSurvival(t, "run-tiny-steps")
 }
@@ -116,6 +120,10 @@
 	requireSurvival(t, "serve-small-chunks")
 }
 
+func TestServeSurvivesBodiesThatStopShortAgainAndAgain(t *testing.T) {
+	requireSurvival(t, "serve-bodies-again")
+}
+
 func TestServeSurvivesLargeBodiesThatWait(t *testing.T) {
 	requireSurvival(t, "serve-waiting-bodies")
 }
