Bound what the kernel holds of connections to the HTTP listeners of serve

The kernel keeps up to some megabytes of what a client has sent until the process reads it, and a crowd that is refused before its bodies are read leaves it there: memory of the machine that no bound of the process covers.

The tests of the listeners (server/daemon_test.go) pass as before.

--- a/server/limits.go
+++ b/server/limits.go
@@ -36,6 +36,7 @@
 )
 
 const (
+	receiveBuffer  = 32 << 10 // bytes that the kernel holds of a client's connection
 	minMemoryBytes = 32 << 20
 	minDescriptors = 64
 )
@@ -104,9 +105,9 @@
 }
 
 // limitConnections bounds the connections of a listener by their share.
-func (s *Settings) limitConnections(l net.Listener, name string, share connectionShare) *limiter.Listener {
-	return limiter.NewListener(l, int(share.descriptors*float64(s.MaxDescriptors)),
-		limiter.WithName(name), limiter.WithConnMemory(s.memoryShare(share.memory)), limiter.WithListenerLog(s.Log))
+func (s *Settings) limitConnections(l net.Listener, name string, share connectionShare, opts ...limiter.ListenerOption) *limiter.Listener {
+	return limiter.NewListener(l, int(share.descriptors*float64(s.MaxDescriptors)), append(opts,
+		limiter.WithName(name), limiter.WithConnMemory(s.memoryShare(share.memory)), limiter.WithListenerLog(s.Log))...)
 }
 
 // newPeerServer returns the server for messages from other entries, within its share of
