Keep answers that are being sent within the budget of memory

A caller that asked for the status of a job with a large answer, or waited for its result, and didn't read it made the entry hold the answer and its JSON form, up to the bound on connections, for 10 s a 64 KiB.

What is sent is reserved in the budget of callers' bodies until it has been sent, a status with four times its output. When others need the memory, the caller that has been taking its answer for the longest is disconnected, if it has had half a second. An answer without room is replaced by overloaded with the verdict ran and Retry-After: the job has ended, and its status can be asked for.

TestUnreadAnswersDoNotExhaustMemory asks for 64 statuses with 1 MiB over connections without buffers.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -92,8 +92,8 @@
 	return func(a *Admitter) { a.maxBody = n }
 }
 
-// WithBudget sets the memory for bodies that are being read. The default is that of a
-// machine of unknown memory.
+// WithBudget sets the memory for bodies that are being read and answers that are being
+// sent. The default is that of a machine of unknown memory.
 func WithBudget(b *limiter.Budget) Option {
 	return func(a *Admitter) { a.budget = b }
 }
@@ -189,6 +189,12 @@
 		a.writeProblem(w, r, job.Task.ID, err)
 		return
 	}
+	hold, refusal := a.holdAnswer(w, len(answer.Output))
+	if refusal != nil {
+		a.writeProblem(w, r, job.Task.ID, refusal)
+		return
+	}
+	defer hold.Close()
 	writeAnswer(w, answer)
 }
 
@@ -281,6 +287,12 @@
 		a.writeProblem(w, r, id, e)
 		return
 	}
+	hold, refusal := a.holdAnswer(w, statusCopies*len(answer.Output))
+	if refusal != nil {
+		a.writeProblem(w, r, id, refusal)
+		return
+	}
+	defer hold.Close()
 	writeJSON(w, http.StatusOK, newStatus(id, answer, e))
 }
 
--- a/admitter/memory_test.go
+++ b/admitter/memory_test.go
@@ -1,6 +1,8 @@
 package admitter_test
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -17,6 +19,7 @@
 	"github.com/coltsfootlever/coltsfootlever/authenticator"
 	"github.com/coltsfootlever/coltsfootlever/classifier"
 	"github.com/coltsfootlever/coltsfootlever/limiter"
+	"github.com/coltsfootlever/coltsfootlever/messenger"
 )
 
 const (
@@ -104,3 +107,72 @@
 	require.Equal(t, classifier.QueueFull.HTTPStatus(), w.Code)
 	require.Zero(t, budget.Held())
 }
+
+// largeJobs keeps one large answer.
+type largeJobs struct {
+	fullJobs
+	output []byte
+}
+
+func (j *largeJobs) JobResult(context.Context, string, string) (messenger.Answer, error) {
+	return messenger.Answer{Output: j.output}, nil
+}
+
+// pipes is a listener whose connections hold nothing of what a client does not read.
+type pipes chan net.Conn
+
+func (p pipes) Close() error   { return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+func (p pipes) Accept() (net.Conn, error) {
+	if c, ok := <-p; ok {
+		return c, nil
+	}
+	return nil, net.ErrClosed
+}
+
+// Answers that clients did not read exhausted the memory.
+func TestUnreadAnswersDoNotExhaustMemory(t *testing.T) {
+	budget := limiter.NewBudget(0, limiter.WithBytes(16<<20))
+	conns := make(pipes)
+	bounded := limiter.NewListener(conns, 2*crowdSize)
+	s := &http.Server{Handler: admitter.New(rules, &authenticator.Authenticator{}, alwaysFresh, &largeJobs{output: make([]byte, 1<<20)}, admitter.WithBudget(budget))}
+	bounded.Configure(s)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Serve(bounded)
+	}()
+	defer func() {
+		close(conns)
+		_ = s.Close()
+		<-ended
+	}()
+	ask := func() net.Conn {
+		near, far := net.Pipe()
+		t.Cleanup(func() { _ = near.Close() })
+		conns <- far
+		_, err := near.Write([]byte("GET /v1/jobs/j HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer leads-secret\r\n\r\n"))
+		require.NoError(t, err)
+		return near
+	}
+	before := liveHeap()
+	for range crowdSize {
+		ask()
+	}
+	for range 20 {
+		require.Less(t, liveHeap()-before, int64(maxHeap))
+		require.LessOrEqual(t, budget.Held(), budget.Size())
+		time.Sleep(10 * time.Millisecond)
+	}
+	for deadline := time.Now().Add(10 * time.Second); ; {
+		res, err := http.ReadResponse(bufio.NewReader(ask()), nil)
+		require.NoError(t, err)
+		if res.StatusCode == http.StatusOK {
+			return
+		}
+		require.Equal(t, classifier.Ran.String(), res.Header.Get(admitter.VerdictHeader))
+		require.True(t, time.Now().Before(deadline), "no room after the crowd had its time")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/admitter/response.go
+++ b/admitter/response.go
@@ -6,11 +6,20 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/classifier"
+	"github.com/coltsfootlever/coltsfootlever/limiter"
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 )
 
+const (
+	// statusCopies is the memory of a job's status for each byte of its output, which is
+	// in it in base64.
+	statusCopies   = 4
+	sendRetryAfter = time.Second // for an answer for which there was no memory
+)
+
 // States of a job.
 const (
 	underWay = "under-way"
@@ -62,6 +71,21 @@
 	return s
 }
 
+// holdAnswer reserves n bytes for an answer that is being sent. When others need the
+// memory, the client that takes its answer for the longest is disconnected. The error has
+// the verdict Ran, since answers are of jobs that have ended. The caller must close the
+// hold when the answer has been sent.
+func (a *Admitter) holdAnswer(w http.ResponseWriter, n int) (*limiter.Hold, *classifier.Error) {
+	c := http.NewResponseController(w)
+	hold := a.budget.Open(func() { _ = c.SetWriteDeadline(time.Unix(1, 0)) }) // without it the time limit of writing applies
+	if err := hold.Add(int64(n)); err != nil {
+		hold.Close()
+		e := &classifier.Error{Verdict: classifier.Ran, Code: classifier.Overloaded, Message: "the job has ended, but no memory is left for its answer: ask for the job's status"}
+		return nil, e.WithRetryAfter(sendRetryAfter)
+	}
+	return hold, nil
+}
+
 // writeAnswer writes the complete answer of a job.
 func writeAnswer(w http.ResponseWriter, answer messenger.Answer) {
 	h := w.Header()
