Let clients that take no answer make room for others

Clients that send requests and never read the answers kept all connections of a listener for up to ten seconds, again and again: ordinary callers were cut off as soon as they connected.

A connection was safe from being closed at the bound until its answer had been written. It now waits with the idle and unfinished ones while a write is under way, so the one whose client has not taken its answer for the longest goes.

TestClientsThatReadNoAnswerMakeRoom failed before.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -141,8 +141,13 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn. The client must take what is written in time.
+// Write implements net.Conn. The client must take what is written in time. Until it has,
+// the connection may be closed at the bound.
 func (c *conn) Write(p []byte) (int, error) {
+	if c.phase.Load() == answering {
+		c.wait()
+		defer c.protect()
+	}
 	written := 0
 	for {
 		part := p[written:min(len(p), written+writeBytes)]
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -45,8 +45,9 @@
 	}
 
 	// Listener is a net.Listener that bounds its open connections. At the bound it closes
-	// the connection that has been idle or unfinished the longest, or the new one if
-	// requests of all others are being answered, so that clients never wait to be accepted.
+	// the connection that has been idle or unfinished, or has not taken its answer, the
+	// longest, or the new one if requests of all others are being answered, so that clients
+	// never wait to be accepted.
 	//
 	// With Configure it also limits the times and header sizes of an http.Server. Without
 	// it, a connection counts as idle from the last bytes that it received.
--- a/limiter/listener_test.go
+++ b/limiter/listener_test.go
@@ -96,6 +96,18 @@
 	})
 }
 
+// Clients that did not read their answers kept the places of ordinary callers.
+func TestClientsThatReadNoAnswerMakeRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSite(t, 8, 1<<20)
+		for range 20 {
+			s.dial(post("/", 1, "x"))
+			code, answer := s.dial(post("/", 3, "xxx")).status()
+			require.Equal(t, http.StatusOK, code, answer)
+		}
+	})
+}
+
 func TestBodilessRefusesBodies(t *testing.T) {
 	h := limiter.Bodiless(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }))
 	for body, want := range map[string]int{"": http.StatusNoContent, "x": http.StatusRequestEntityTooLarge} {
