Let a write that was broken off for others stay so, without a data race

A caller that doesn't take its answer could keep the memory that another one needs: Write extended the deadline again that breaking off had set, and both changed the same field from two goroutines.

A deadline in the past now marks the connection, and nothing more is written. The stand-in peer of a test also shared an error between goroutines.

--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -34,6 +34,7 @@
 		plain    bool // without TLS
 		phase    atomic.Int32
 		cut      atomic.Bool  // the reading of the body has been broken off
+		writeCut atomic.Bool  // a deadline in the past was set, no more is written
 		usedAt   atomic.Int64 // unmanaged: time of the last use, in ns since 1970
 
 		// These are used by the goroutine that reads requests.
@@ -41,7 +42,7 @@
 		deadlineSet   bool      // for the phase
 		headerBytes   int
 		bodyDeadline  time.Time // for the whole body; zero if nothing reads it
-		writeDeadline time.Time
+		writeDeadline time.Time // used by the goroutine that writes
 
 		// These are guarded by the listener's mutex.
 		place   place[*conn]
@@ -132,12 +133,15 @@
 }
 
 // SetWriteDeadline implements net.Conn. The connection has a deadline of its own, which
-// the server may not clear.
+// the server may not clear. One in the past breaks off all writing, also from another
+// goroutine.
 func (c *conn) SetWriteDeadline(t time.Time) error {
 	if t.IsZero() {
 		return nil
 	}
-	c.writeDeadline = t
+	if !t.After(time.Now()) {
+		c.writeCut.Store(true)
+	}
 	return c.Conn.SetWriteDeadline(t)
 }
 
@@ -157,6 +161,10 @@
 				return written, err
 			}
 		}
+		if c.writeCut.Load() {
+			c.listener.countClosed(reasonUnsent)
+			return written, os.ErrDeadlineExceeded
+		}
 		n, err := c.Conn.Write(part)
 		written += n
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/limiter/messages_test.go
+++ b/limiter/messages_test.go
@@ -39,7 +39,8 @@
 	closed = make(chan struct{})
 	go func() {
 		defer close(closed)
-		for p := make([]byte, 7); err == nil; {
+		p := make([]byte, 7)
+		for _, err := server.Read(p); err == nil; {
 			_, err = server.Read(p)
 		}
 	}()
