--- a/server/limits.go
+++ b/server/limits.go
@@ -16,6 +16,8 @@
 	"github.com/coltsfootlever/coltsfootlever/messenger"
 )
 
+const gcPercent = 50 // garbage collection starts when the heap has grown by half
+
 // Shares of the process's memory. What is left is for the entry itself, its calls
 // and garbage.
 const (
@@ -91,9 +93,12 @@
 	return int64(share * float64(s.MemoryBytes))
 }
 
-// limitHeap makes the garbage collector work harder near the memory limit. It
-// leaves a limit from the environment as it is.
+// limitHeap makes the garbage collector start early and work harder near the memory
+// limit. It leaves settings from the environment as they are.
 func (s *Settings) limitHeap() {
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
 	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
 		debug.SetMemoryLimit(s.memoryShare(heapMemoryShare))
 	}
