Let workers of the soak carry starts out late after a restart

Change: late starts are carried out by whichever process runs under the worker's ID, up to 6 s after the call instead of 2 s. Red until starts without a response are mended.

--- a/soaker/site.go
+++ b/soaker/site.go
@@ -44,7 +44,8 @@
 	adviceSlowdown     = 20                      // factor by which the advice service is slower during an AdviceSlow fault
 	restartsPerCut     = 80                      // a worker is cut off for this many times as long as it was back before
 	startsPerLateStart = 3                       // one start in this many is late during a WorkerStartsLate fault
-	lateDelay          = 2 * time.Second         // delay of late starts and late store writes
+	lateDelay          = 2 * time.Second         // delay of late store writes
+	maxLateStart       = 6 * time.Second         // longest delay of a late start; workers may have restarted by then
 	moveTime           = 400 * time.Millisecond  // time that an instance takes to move to another pool
 	crashDowntime      = time.Second             // time from the crash of a worker to the start of the next one
 	jobsPerDeadlyJob   = 60                      // one job in this many of a caller has a task that crashes its workers
@@ -95,6 +96,7 @@
 		return !p.hidden[name], nil
 	}
 	p.fleet.CapacityGrace, p.fleet.EvacuationTime, p.fleet.MaxLease = capacityGrace, evacuationTime, maxLease
+	p.fleet.LateStarts = true
 	p.fleet.CrashAfter = func(id modeler.TaskID, _ int) (time.Duration, bool) { return crashTime, isDeadly(id) }
 	// About half of the workers keep their ID when they start again.
 	p.fleet.OnCrash = func(worker string) { p.instanceService.CrashWorker(worker, crashDowntime, len(worker)%2 == 0) }
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -330,7 +330,7 @@
 	}
 	return func(modeler.TaskID, int) time.Duration {
 		if rand.IntN(startsPerLateStart) == 0 {
-			return lateDelay
+			return time.Duration(rand.Int64N(int64(maxLateStart)))
 		}
 		return 0
 	}
