Wait for the jobs of a burst in the test of limits on idle workers

Cause: the test took the burst to be over when no task ran at one of its looks, which is also so for a moment between the end of tasks and the next starts; 19 s of work was still waiting (trace: wait 19064 ms, no free cores). Change: it waits until all jobs of the burst are completed, and then looks with the same bound as before, 1.5 s later.

--- a/orchestrator/admit_test.go
+++ b/orchestrator/admit_test.go
@@ -81,8 +81,10 @@
 			time.Sleep(250 * time.Millisecond)
 		}
 		require.NotEmpty(t, s.load().Limited)
-		for s.taskFleet.RunCountOfJobPrefix("burst") > 0 {
-			time.Sleep(10 * time.Millisecond)
+		for n := range 12 { // between two tasks the workers may be idle for a moment
+			for s.jobState(fmt.Sprintf("burst-%d", n)) != modeler.Completed {
+				time.Sleep(10 * time.Millisecond)
+			}
 		}
 		time.Sleep(1500 * time.Millisecond)
 		require.Empty(t, s.load().Limited)
