Refuse no job for its body that an earlier call has stored

What callers saw: a call whose first attempt was stored and had lost its answer came again with the same ID, found no room for its body or sent it too slowly, and got 503 with not-run, though the job runs. Cause: refusals of a body bypassed the look-up that other refusals of new jobs make. Change: such a submission is looked up like those, at most 50 a second on an entry, so that a crowd doesn't become reads of the store; beyond that, or without an answer of the store, the outcome is left open (504). Measured: TestStoredJobIsNotRefusedForLackOfRoom and ...ForAShortBody fail before the change and pass after it; the tests of refused bodies pass unchanged.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -60,6 +60,7 @@
 		now         func() time.Time
 		outcomes    *outcomeCache
 		withdrawals rateLimit
+		lookups     rateLimit // of submissions whose body was not read
 		lines       rateLimit // log lines that clients may cause by not sending a body
 		budget      *limiter.Budget
 		random      func() float64 // from 0 to 1, decides which jobs are refused
@@ -109,7 +110,7 @@
 
 // New returns the handler of the callers' HTTP interface.
 func New(store Store, fleet FleetState, opts ...Option) *Acceptor {
-	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64, withdrawals: rateLimit{limit: maxWithdrawals, period: withdrawalPeriod}, lines: rateLimit{limit: lineLimit, period: linePeriod}}
+	a := &Acceptor{store: store, fleet: fleet, log: slog.New(slog.DiscardHandler), now: time.Now, outcomes: newOutcomeCache(), random: rand.Float64, withdrawals: rateLimit{limit: maxWithdrawals, period: withdrawalPeriod}, lookups: rateLimit{limit: maxLookups, period: lookupPeriod}, lines: rateLimit{limit: lineLimit, period: linePeriod}}
 	for _, opt := range opts {
 		opt(a)
 	}
--- a/acceptor/crowd_test.go
+++ b/acceptor/crowd_test.go
@@ -103,3 +103,33 @@
 		require.NoError(b, res.Body.Close())
 	}
 }
+
+// A call that repeated one whose answer was lost was answered with not-run for lack of memory, though the job runs.
+func TestStoredJobIsNotRefusedForLackOfRoom(t *testing.T) {
+	b, budget := newBoundedFixture(t, 1<<20)
+	long := `{"spec":"s","steps":[{"count":1,"cpu":500,"image":"` + strings.Repeat("x", 100_000) + `"}]}`
+	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+jobID, long, "").Code) // the answer is lost
+	other := budget.Open(func() {})
+	require.NoError(t, other.Add(500_000))
+	require.True(t, other.Finish())
+	w := b.call("POST", "/o/"+jobID, long, "")
+	require.NotContains(t, w.Body.String(), "not-run")
+}
+
+// A call that repeated one whose answer was lost was answered with not-run when its body stopped short.
+func TestStoredJobIsNotRefusedForAShortBody(t *testing.T) {
+	b, _ := newBoundedFixture(t, 1<<20)
+	require.Equal(t, http.StatusOK, b.call("POST", "/o/"+jobID, body, "").Code) // the answer is lost
+	server := httptest.NewServer(b.a)
+	defer server.Close()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(server.URL, "http://"))
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = fmt.Fprintf(conn, "POST /o/%s HTTP/1.1\r\nHost: h.example\r\n%s: 300\r\nContent-Length: %d\r\n\r\n%s", jobID, platform.HeaderDeadlineMs, len(body), body[:len(body)-1])
+	require.NoError(t, err)
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	defer func() { _ = res.Body.Close() }()
+	require.NotEqual(t, http.StatusServiceUnavailable, res.StatusCode)
+}
--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,6 +29,12 @@
 	maxWithdrawals   = 200
 	withdrawalPeriod = 10 * time.Second
 
+	// maxLookups is how many submissions whose body was not read an entry node looks up
+	// within lookupPeriod.
+	maxLookups    = 50
+	lookupPeriod  = time.Second
+	lookupTimeout = 500 * time.Millisecond
+
 	memoryPerByte = 8 // bytes that the parsed job, its record and the call to the store take for one of the body
 
 	memoryWait     = time.Second     // the leader publishes how much memory it has left about as often
@@ -39,7 +46,7 @@
 func (a *Acceptor) submit(w http.ResponseWriter, r *request) (answer, error) {
 	job, err := a.readJob(w, r)
 	if err != nil {
-		return answer{}, err
+		return a.refuseUnread(r, classifier.As(err))
 	}
 	if a.fleet.StoreIsUnreachable() {
 		return answer{}, a.storeFailure(keeper.ErrUnavailable)
@@ -94,6 +101,26 @@
 	return nil
 }
 
+// refuseUnread answers a submission whose body was not read. The call may repeat one that
+// was stored and whose answer was lost, so that a refusal is true only for a job that the
+// store does not have. Clients that crowd an entry must not become reads of the store, so
+// that only some of them are looked up, and the others' outcome is left open.
+func (a *Acceptor) refuseUnread(r *request, refusal *classifier.Error) (answer, error) {
+	if refusal.Code != classifier.Overloaded && refusal.Code != classifier.SlowBody {
+		return answer{}, refusal
+	}
+	if !a.fleet.StoreIsUnreachable() && a.lookups.allow(a.now()) {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), lookupTimeout) // the body may have taken all the time of the call
+		defer cancel()
+		lookup := *r
+		lookup.Request = r.WithContext(ctx)
+		if out, err := a.refuseUnlessStored(&lookup, refusal); err == nil || classifier.As(err) == refusal {
+			return out, err
+		}
+	}
+	return answer{}, classifier.Uncertain(refusal.Code, "%s; it is not known whether an earlier call with the same ID was accepted", refusal.Message).WithRetryAfter(refusal.RetryAfter)
+}
+
 // refuseUnlessStored answers with the refusal of a new job that can't be served in time.
 // The call may also repeat one whose answer was lost: a job that is stored stays
 // accepted.
