Count the tasks of gangs in the memory that a new job takes

Cause: the tasks of gangs and of long-running steps are built when the job is read, 2.56 MB for such a job, but an entry counted 2.5 KB when it accepted one. Change: the estimate has the tasks that are built at once.

--- a/orchestrator/memory.go
+++ b/orchestrator/memory.go
@@ -15,12 +15,16 @@
 	memoryWaitMs = 3000 // after this time a customer may try again
 )
 
-// DefinitionBytes estimates the memory that the definition of a job takes up.
+// DefinitionBytes estimates the memory that a job takes up before any of it has started:
+// its definition, and the tasks of an occurrence that are built at once.
 func DefinitionBytes(def *modeler.Job) int64 {
 	n := jobBytes + len(def.Spec)
 	for i := range def.Steps {
 		s := &def.Steps[i]
 		n += stepBytes + len(s.Label) + len(s.DataRack) + len(s.Image) + intBytes*len(s.After)
+		if s.Gang || s.LongRunning {
+			n += taskBytes * s.Count
+		}
 	}
 	return int64(n)
 }
@@ -28,9 +32,11 @@
 // memory estimates the memory that a job takes up, in bytes.
 func (j *job) memory() int64 {
 	n := j.definitionBytes
-	for _, o := range j.occurrences {
+	for i, o := range j.occurrences {
 		for _, s := range o.steps {
-			n += int64(taskBytes * len(s.tasks))
+			if i > 0 || !s.Gang && !s.LongRunning { // definitionBytes has those of one occurrence
+				n += int64(taskBytes * len(s.tasks))
+			}
 		}
 	}
 	return n
