Tell the status of a job under way also without memory for answers

What callers saw: while an answer larger than the memory for answers was being sent, the status of a job under way was 503, the job has ended, verdict ran. Cause: the status asked for memory even when there is no answer to copy. Change: memory is asked for only where the job has an answer. Measured: TestStatusOfAJobUnderWayNeedsNoMemory fails before and passes after.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -287,12 +287,14 @@
 		a.writeProblem(w, r, id, e)
 		return
 	}
-	hold, refusal := a.holdAnswer(w, statusCopies*len(answer.Output))
-	if refusal != nil {
-		a.writeProblem(w, r, id, refusal)
-		return
+	if len(answer.Output) > 0 { // otherwise the job may not have ended
+		hold, refusal := a.holdAnswer(w, statusCopies*len(answer.Output))
+		if refusal != nil {
+			a.writeProblem(w, r, id, refusal)
+			return
+		}
+		defer hold.Close()
 	}
-	defer hold.Close()
 	writeJSON(w, http.StatusOK, newStatus(id, answer, e))
 }
 
--- a/admitter/memory_test.go
+++ b/admitter/memory_test.go
@@ -176,3 +176,23 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// unfinishedJobs has a job that is under way.
+type unfinishedJobs struct{ fullJobs }
+
+func (*unfinishedJobs) JobResult(context.Context, string, string) (messenger.Answer, error) {
+	return messenger.Answer{}, classifier.Refuse(classifier.UnderWay, "under way")
+}
+
+// The status of a job under way said that it had ended while a larger answer was being sent.
+func TestStatusOfAJobUnderWayNeedsNoMemory(t *testing.T) {
+	budget := limiter.NewBudget(0, limiter.WithBytes(1<<20))
+	a := admitter.New(rules, &authenticator.Authenticator{}, alwaysFresh, &unfinishedJobs{}, admitter.WithBudget(budget))
+	hold := budget.Open(func() {})
+	require.NoError(t, hold.Add(2<<20)) // a large answer that is alone
+	defer hold.Close()
+	r := httptest.NewRequest(http.MethodGet, "/v1/jobs/j", nil)
+	w := httptest.NewRecorder()
+	a.ServeHTTP(w, r)
+	require.Equal(t, http.StatusOK, w.Code, w.Body.String())
+}
