Bound what the kernel holds of answers that are not read

What was seen: clients that read 4 MB of a large answer and then stop leave some 3.8 MB each in the kernel, which also stay after their connection has been closed at the bound (40 clients in turn: 147 MB on a listener with a bound of 8). Cause: only the receive buffers of connections were bounded, and a closed connection keeps what is unsent. Change: the send buffers have the same bound, and what is unsent is dropped when an answer was not taken in time.

--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -201,7 +201,7 @@
 	if s.MetricsAddress == "" {
 		return func(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }, nil
 	}
-	listener, err := l.listen(ctx, s, "metrics", s.MetricsAddress, otherSockets, metricsConns, limiter.WithReceiveBuffer(receiveBuffer))
+	listener, err := l.listen(ctx, s, "metrics", s.MetricsAddress, otherSockets, metricsConns, limiter.WithBuffers(socketBuffer))
 	if err != nil {
 		return nil, err
 	}
@@ -216,7 +216,7 @@
 // newReadinessService returns the HTTP service that tells the load balancer
 // whether to send callers to this entry node.
 func (l *Launcher) newReadinessService(ctx context.Context, s *platform.Settings) (func(ctx context.Context) error, error) {
-	listener, err := l.listen(ctx, s, "readiness", s.ReadinessAddress, otherSockets, readinessConns, limiter.WithReceiveBuffer(receiveBuffer))
+	listener, err := l.listen(ctx, s, "readiness", s.ReadinessAddress, otherSockets, readinessConns, limiter.WithBuffers(socketBuffer))
 	if err != nil {
 		return nil, err
 	}
--- a/launcher/listeners.go
+++ b/launcher/listeners.go
@@ -17,7 +17,7 @@
 	metricsConns   = 16
 	relayConns     = 64
 
-	receiveBuffer = 32 << 10 // bytes; a body of the usual limit of 256 KB takes eight round trips
+	socketBuffer = 32 << 10 // bytes; a body of the usual limit of 256 KB takes eight round trips
 )
 
 // listen opens a listener at address with a bound on its connections. It has a share of
@@ -37,7 +37,7 @@
 // listenForCallers opens the listener for callers, with the limits of the manifest in force.
 func (l *Launcher) listenForCallers(ctx context.Context, s *platform.Settings) (*limiter.Listener, error) {
 	return l.listen(ctx, s, "callers", s.CallersAddress, callerSockets, 0,
-		limiter.WithLimits(l.fleet.connLimits), limiter.WithReceiveBuffer(receiveBuffer), limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
+		limiter.WithLimits(l.fleet.connLimits), limiter.WithBuffers(socketBuffer), limiter.WithConnMemory(limiter.ConnMemory(s.MemoryMB)))
 }
 
 // connLimits returns the limits of callers' connections that the manifest in force sets.
--- a/limiter/conn.go
+++ b/limiter/conn.go
@@ -170,12 +170,23 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			c.listener.countClosed(reasonUnsent)
 		}
+		if err != nil {
+			c.discardUnsent()
+		}
 		if err != nil || written == len(p) {
 			return written, err
 		}
 	}
 }
 
+// discardUnsent makes the kernel drop what the client has not taken when the connection is
+// closed.
+func (c *conn) discardUnsent() {
+	if l, ok := c.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = l.SetLinger(0) // without it the kernel keeps the data until it gives up
+	}
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	l := c.listener
--- a/limiter/listener.go
+++ b/limiter/listener.go
@@ -57,7 +57,7 @@
 		log      *slog.Logger
 		maxConns int
 		memory   int64 // bytes for connections; 0 for no limit
-		receive  int   // bytes of a connection that the kernel holds until they are read; 0 for its default
+		buffer   int   // bytes of a connection that the kernel holds in each direction; 0 for its default
 		limits   func() Limits
 		http     bool
 
@@ -81,10 +81,11 @@
 	return func(l *Listener) { l.log = log }
 }
 
-// WithReceiveBuffer bounds the bytes of a connection that the kernel holds until they are
-// read, also before it is accepted. A client sends about as many in one round trip.
-func WithReceiveBuffer(n int) ListenerOption {
-	return func(l *Listener) { l.receive = n }
+// WithBuffers bounds the bytes of a connection that the kernel holds in each direction:
+// those that have not been read yet, also before it is accepted, and those that the client
+// has not taken.
+func WithBuffers(n int) ListenerOption {
+	return func(l *Listener) { l.buffer = n }
 }
 
 // WithConnMemory bounds the memory of all connections, in bytes: each one may take
@@ -104,9 +105,9 @@
 	for _, opt := range opts {
 		opt(bounded)
 	}
-	if bounded.receive > 0 {
-		if err := setReceiveBuffer(l, bounded.receive); err != nil {
-			bounded.log.Warn("receive buffer not bounded, connections may take more memory", "listener", bounded.name, "bytes", bounded.receive, "error", err)
+	if bounded.buffer > 0 {
+		if err := setBuffers(l, bounded.buffer); err != nil {
+			bounded.log.Warn("buffers of connections not bounded, they may take more memory", "listener", bounded.name, "bytes", bounded.buffer, "error", err)
 		}
 	}
 	meter.ExportOpenConnections(bounded.name, bounded.Open)
@@ -155,7 +156,7 @@
 func (l *Listener) MaxConns() int {
 	n := l.maxConns
 	if l.memory > 0 {
-		n = min(n, int(l.memory/int64(connBytes+l.receive+l.limitsInForce().MaxHeader)))
+		n = min(n, int(l.memory/int64(connBytes+l.buffer+l.limitsInForce().MaxHeader)))
 	}
 	return max(minConns, n)
 }
--- a/limiter/machine.go
+++ b/limiter/machine.go
@@ -36,18 +36,20 @@
 	return memoryMB << 20 / connMemoryShare
 }
 
-// setReceiveBuffer sets the receive buffer of the connections that l will accept.
-func setReceiveBuffer(l net.Listener, n int) error {
+// setBuffers sets the buffers of the connections that l will accept.
+func setBuffers(l net.Listener, n int) error {
 	socket, ok := l.(syscall.Conn)
 	if !ok {
-		return errors.NotSupportedf("receive buffer of a %T", l)
+		return errors.NotSupportedf("buffers of a %T", l)
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
 		return errors.Trace(err)
 	}
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n)
+		if err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, n); err == nil {
+			err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, n)
+		}
 	})
 	if controlErr != nil {
 		return errors.Trace(controlErr)
--- a/server/daemon.go
+++ b/server/daemon.go
@@ -129,7 +129,7 @@
 			return nil
 		}
 		s := &http.Server{Handler: i.handler, ErrorLog: slog.NewLogLogger(d.log.Handler(), slog.LevelDebug)}
-		bounded := d.entry.cfg.limitConnections(i.listener, i.name, i.share, limiter.WithReceiveBuffer(receiveBuffer))
+		bounded := d.entry.cfg.limitConnections(i.listener, i.name, i.share, limiter.WithBuffers(socketBuffer))
 		bounded.Configure(s)
 		var l net.Listener = bounded
 		if i.tls != nil {
