--- a/server/limits.go
+++ b/server/limits.go
@@ -38,7 +38,7 @@
 )
 
 const (
-	socketBuffer  = 32 << 10 // bytes that the kernel holds of a client's connection
+	socketBuffer   = 32 << 10 // bytes that the kernel holds of a client's connection
 	minMemoryBytes = 32 << 20
 	minDescriptors = 64
 )
