Leave customers with few jobs a part of the leader's memory

Cause: with nothing left of the limit, entries may accept nothing from anybody, and jobs that don't end keep it so. Change: a quarter of the limit, in equal parts for all customers, counts as left also when others have used up all.

--- a/orchestrator/memory.go
+++ b/orchestrator/memory.go
@@ -13,6 +13,10 @@
 	taskBytes    = 512     // of a task
 	intBytes     = 8
 	memoryWaitMs = 3000 // after this time a customer may try again
+
+	// Customers with few jobs may hand in more when the memory is used up. All of them
+	// together get one part in this many beyond it.
+	fewJobsShare = 4
 )
 
 // DefinitionBytes estimates the memory that a job takes up before any of it has started:
@@ -44,7 +48,8 @@
 
 // limitMemory refuses the new jobs of customers whose unfinished jobs take up more than
 // what is left of Config.MaxJobBytes, so that one customer gets at most half of it and
-// leaves room for the others. It returns what is left, 0 if there is no limit.
+// leaves room for the others. It returns what is left, 0 if there is no limit. A small part
+// for each customer counts as left also when others have used up more than the limit.
 func (e *Engine) limitMemory(limits map[string]map[string]Limitation) (map[string]map[string]Limitation, int64) {
 	if e.cfg.MaxJobBytes == 0 {
 		return limits, 0
@@ -55,7 +60,7 @@
 		byCustomer[j.Customer] += n
 		free -= n
 	}
-	free = max(1, free)
+	free = max(1, free, e.cfg.MaxJobBytes/int64(fewJobsShare*(1+len(e.cfg.Manifest().Customers))))
 	lacking := make(map[string]bool)
 	for customer, n := range byCustomer {
 		if n <= free {
--- a/orchestrator/memory_test.go
+++ b/orchestrator/memory_test.go
@@ -45,3 +45,26 @@
 		second.stopGracefully()
 	})
 }
+
+// The new jobs of all customers were refused once the jobs of one took up more than all of the memory.
+func TestCustomerWithFewJobsIsNotRefusedForTheMemoryOfOthers(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		s.maxJobBytes = 1 << 20
+		s.manifest.Customers = []modeler.Customer{{Name: "hog", Weight: 1}, {Name: "mild", Weight: 1}}
+		s.manifest.Index()
+		e := s.startEntry("one")
+		for n := range 14 {
+			j := shortJob(fmt.Sprintf("hog%d", n), modeler.Step{Count: 1, Label: strings.Repeat("x", 90<<10)})
+			j.Customer = "hog"
+			s.submit(j)
+		}
+		mild := shortJob("mild")
+		mild.Customer = "mild"
+		s.submit(mild)
+		time.Sleep(12 * time.Second)
+		require.Contains(t, s.load().Limited["short"], "hog")
+		require.NotContains(t, s.load().Limited["short"], "mild")
+		require.Greater(t, s.load().FreeBytes, int64(64<<10), "what entry nodes may accept")
+		e.stopGracefully()
+	})
+}
