Look up fewer jobs whose body was not read, and describe it

Cause: each entry might look up 50 jobs a second for a crowd of clients. The store's limit of reads is for all entries together, so on a fleet of 97 entries a crowd could have taken up more than the 2,000 reads a second that there are (by arithmetic). Change: 5 a second on an entry.

--- a/acceptor/job.go
+++ b/acceptor/job.go
@@ -30,8 +30,8 @@
 	withdrawalPeriod = 10 * time.Second
 
 	// maxLookups is how many submissions whose body was not read an entry node looks up
-	// within lookupPeriod.
-	maxLookups    = 50
+	// within lookupPeriod: all entry nodes together share the store's reads.
+	maxLookups    = 5
 	lookupPeriod  = time.Second
 	lookupTimeout = 500 * time.Millisecond
 
