--- a/commander/root/root.go
+++ b/commander/root/root.go
@@ -3,6 +3,7 @@
 
 import (
 	"github.com/coltsfootlever/coltsfootlever/commander"
+	"github.com/coltsfootlever/coltsfootlever/commander/crowd"
 	"github.com/coltsfootlever/coltsfootlever/commander/demo"
 	"github.com/coltsfootlever/coltsfootlever/commander/entry"
 	"github.com/coltsfootlever/coltsfootlever/commander/explain"
@@ -46,6 +47,7 @@
 			run.New(f),
 			demo.New(f),
 			soak.New(f),
+			crowd.New(f),
 			standin.New(f),
 		},
 	}
