--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-go build -o target/review-3/lab3 ./review/lab3
+go build -o target/review-3/lab3 ./review/lab3/platform
