Bound what one job takes of a turn of the leader's loop

Cause: a placement pass placed all tasks of a step at once, and for each task and worker went through all tasks of the step; the pause after the pass was 25 times as long as the pass at 0.4 of a core.

A pass looks at 128 tasks, steps and occurrences of a job, keeps what it has placed, and the next one goes on where it stopped. 64 placed tasks of a job may wait for their starts. Steps count their tasks by worker and keep their waiting tasks as a set; the view of a worker is updated with each assignment; a large gang is tried only if the workers together have room; the pause is limited. Related scans: records are encoded outside the loop and large ones less often, the state of a job is read without the rest of its record, checkpoints of gangs, finished occurrences, and unavailable tasks while a worker is evacuated.

TestTasksOfAnyOccurrenceAreFound builds occurrences in several calls, and checks that none builds more than 128.

--- a/orchestrator/advice.go
+++ b/orchestrator/advice.go
@@ -194,7 +194,7 @@
 func (s *step) roomOn(w *worker, v *assigner.Worker) int {
 	n := v.CountFitting(s.ReservedResources(), s.waitingTasks)
 	if s.MaxPerWorker > 0 {
-		n = min(n, max(0, s.MaxPerWorker-s.countTasksOn(w)))
+		n = min(n, max(0, s.MaxPerWorker-s.tasksOn[w]))
 	}
 	return n
 }
--- a/orchestrator/candidate.go
+++ b/orchestrator/candidate.go
@@ -114,7 +114,7 @@
 		if j.pool == nil || j.pool.name != q.Pool {
 			j.pool = e.poolState(q.Pool)
 		}
-		for _, o := range j.occurrences {
+		for _, o := range p.occurrencesInTurn(j) {
 			if p.mayRun(o) {
 				p.describeOccurrence(o, q)
 			}
@@ -123,19 +123,52 @@
 	e.handling = nil
 }
 
-// addCandidatesOf adds the steps of a job that may start to the candidates. If they stay
-// the same until the job is placed, it becomes part of the backlog.
+// occurrencesInTurn returns the occurrences of a job that the pass looks at: of many some
+// with waiting tasks, from the one on at which the last pass stopped.
+func (p *placementPass) occurrencesInTurn(j *job) []*occurrence {
+	if len(j.occurrences) <= maxTasksPerTurn {
+		return j.occurrences
+	}
+	turn := p.turnOf(j)
+	if turn.occurrences == nil {
+		first, _ := j.findOccurrence(turn.firstOccurrence)
+		turn.firstOccurrence = 0
+		for i := range j.occurrences {
+			o := j.occurrences[(first+i)%len(j.occurrences)]
+			if len(turn.occurrences) == maxTasksPerTurn {
+				turn.firstOccurrence, p.anyLeft = o.number, true
+				break
+			}
+			if o.hasWaitingTasks() {
+				turn.occurrences = append(turn.occurrences, o)
+			}
+		}
+	}
+	return turn.occurrences
+}
+
+// addCandidatesOf adds the steps of a job that may start to the candidates, as many as its
+// turn allows. If they stay the same until the job is placed, it becomes part of the
+// backlog.
 func (p *placementPass) addCandidatesOf(j *job) {
 	var candidates []*candidateStep
+	occurrences, turn := p.occurrencesInTurn(j), p.turnOf(j)
 	becomesBacklog := j.Repeat == 0 && !j.hasBeenPlaced && j.occurrences[0].candidate.CannotMeetDeadline()
-	for _, o := range j.occurrences {
+	first := turn.firstStep
+	turn.firstStep = stepPosition{}
+	for _, o := range occurrences {
 		if !p.mayRun(o) {
 			continue
 		}
 		for _, s := range o.steps {
-			if s.waitingTasks == 0 || !s.dependenciesDone() {
+			if s.waitingTasks == 0 || s.position().isBefore(first) || !s.dependenciesDone() {
 				continue
 			}
+			if turn.steps == 0 {
+				turn.firstOccurrence, turn.firstStep, p.anyLeft = o.number, s.position(), true
+				return
+			}
+			turn.steps--
 			s.candidate = candidateStep{&o.candidate, s, j.pool, s.ReservedResources(), s.needsOnlyRoom(j.settings.queue)}
 			p.addCandidate(&s.candidate)
 			if becomesBacklog {
@@ -143,6 +176,10 @@
 			}
 		}
 	}
+	if first != (stepPosition{}) {
+		p.anyLeft = true // the next pass begins anew
+		return
+	}
 	if becomesBacklog {
 		j.backlog = backlogEntry{p.manifest, candidates}
 	}
@@ -233,10 +270,13 @@
 	}
 	c.Deferred, c.Started, c.TimeToDeadline = false, o.hasStarted(), o.objective.deadline.Sub(p.wallTime)
 	c.RemainingTime, c.RemainingWork = j.criticalPath, j.work
+	if c.LongRunning {
+		return
+	}
 	if c.Started {
 		c.RemainingTime, c.RemainingWork = o.remainingCriticalPath(p.now), o.remainingWork()
 	}
-	if c.LongRunning || c.CannotMeetDeadline() {
+	if c.CannotMeetDeadline() {
 		return
 	}
 	j.pool.inTime = append(j.pool.inTime, c)
--- a/orchestrator/compress.go
+++ b/orchestrator/compress.go
@@ -9,6 +9,8 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/coltsfootlever/coltsfootlever/modeler"
 )
 
 // progressDictionary contains what progress records have in common. Stored records
@@ -91,20 +93,27 @@
 	return out.Bytes()
 }
 
-// DecodeProgress returns the progress record in a stored value.
-func DecodeProgress(value []byte) (Progress, error) {
-	var p Progress
-	isCondensed := len(value) > 0 && value[0] == condensedMark
-	if isCondensed {
+// openProgress returns a reader of the JSON text of the progress record in a stored value,
+// and whether the value says that the record has finished occurrences.
+func openProgress(value []byte) (r io.Reader, isCondensed bool) {
+	if isCondensed = len(value) > 0 && value[0] == condensedMark; isCondensed {
 		value = value[1:]
 	}
 	if len(value) > 0 && value[0] == compressedMark {
-		var err error
-		if value, err = io.ReadAll(flate.NewReaderDict(bytes.NewReader(value[1:]), []byte(progressDictionary))); err != nil {
-			return p, errors.Annotate(err, "decompressing a progress record")
-		}
+		return flate.NewReaderDict(bytes.NewReader(value[1:]), []byte(progressDictionary)), isCondensed
 	}
-	if err := json.Unmarshal(value, &p); err != nil {
+	return bytes.NewReader(value), isCondensed
+}
+
+// DecodeProgress returns the progress record in a stored value.
+func DecodeProgress(value []byte) (Progress, error) {
+	var p Progress
+	r, isCondensed := openProgress(value)
+	text, err := io.ReadAll(r)
+	if err != nil {
+		return p, errors.Annotate(err, "decompressing a progress record")
+	}
+	if err := json.Unmarshal(text, &p); err != nil {
 		return p, errors.Annotate(err, "decoding a progress record")
 	}
 	if isCondensed != (len(p.Finished) > 0) {
@@ -112,3 +121,28 @@
 	}
 	return p, nil
 }
+
+// decodeProgressState returns the state of the job in a stored progress record. It reads no
+// more of the record than necessary, since that of a job of many tasks is large.
+func decodeProgressState(value []byte) (modeler.State, error) {
+	r, _ := openProgress(value)
+	d := json.NewDecoder(r)
+	if t, err := d.Token(); err != nil || t != json.Delim('{') {
+		return "", errors.NewNotValid(err, "progress record")
+	}
+	for d.More() {
+		key, err := d.Token()
+		if err != nil {
+			return "", errors.Annotate(err, "decoding a progress record")
+		}
+		if key == "state" {
+			var s modeler.State
+			return s, errors.Annotate(d.Decode(&s), "decoding the state in a progress record")
+		}
+		var skipped json.RawMessage
+		if err := d.Decode(&skipped); err != nil {
+			return "", errors.Annotate(err, "decoding a progress record")
+		}
+	}
+	return "", errors.NotValidf("progress record without a state")
+}
--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -53,7 +53,7 @@
 		e.recordTaskDuration(t, time.Since(t.phaseSince))
 	}
 	meter.CountEndedRun(string(ended.EndKind))
-	if ended.Run >= t.run || t.checkpoint == "" { // otherwise a later run has reported the known checkpoint or resumed from it
+	if ended.Run >= t.run || t.checkpoint() == "" { // otherwise a later run has reported the known checkpoint or resumed from it
 		t.setCheckpoint(ended.Checkpoint)
 	}
 	t.run = max(t.run, ended.Run)
@@ -236,11 +236,12 @@
 		if t.phase == outcomeUnknown {
 			e.log.Info("run listed whose start got no response", "task", t.id.String(), "run", r.Run, "worker", t.worker.ID, "born", t.worker.StartTimeMs, "meant-for", t.placementBoot, "after", timeInPhase(t))
 		}
-		if t.phase != adopted || !t.began {
+		isKnown := t.phase == adopted && t.began
+		t.setPhase(running)
+		t.phaseSince = now
+		if !isKnown {
 			e.noteBegun(t)
 		}
-		t.phase = running
-		t.phaseSince = now
 		e.stopIfUnwanted(t)
 	}
 	if t.phase == running {
--- a/orchestrator/evacuate.go
+++ b/orchestrator/evacuate.go
@@ -20,32 +20,54 @@
 	if now.Sub(e.termStart) < evacuationDelayAfterTermStart {
 		return
 	}
+	unavailable, tried := make(map[*step]int), 0
 	for _, t := range w.tasks {
 		if !t.step.LongRunning || t.phase != running {
 			continue
 		}
-		to, obstacle := e.findMoveTarget(t, now)
+		s := t.step
+		if _, ok := unavailable[s]; !ok {
+			unavailable[s] = s.countUnavailable()
+		}
+		absent := unavailable[s]
+		if !t.isAvailable() {
+			absent--
+		}
+		if absent < s.maxAbsent() {
+			tried++
+		}
+		if tried > maxTasksPerTurn {
+			return // the order of the tasks changes with each round
+		}
+		to, obstacle := e.findMoveTarget(t, absent, now)
 		if obstacle != t.moveObstacle {
 			t.moveObstacle = obstacle
 			if obstacle != "" {
 				e.log.Info("task cannot move off its worker", "task", t.id.String(), "worker", w.ID, "because", obstacle,
-					"absent", t.step.countUnavailable(t), "may-miss", t.step.MaxAbsent)
+					"absent", absent, "may-miss", s.MaxAbsent)
 			}
 		}
 		if obstacle != "" {
 			continue
 		}
 		e.log.Info("task moves to another worker, stopping its run", "task", t.id.String(), "run", t.run, "worker", w.ID, "to", to.ID, "reason", cmp.Or(w.cordonReason, "evacuation"),
-			"absent", t.step.countUnavailable(t), "may-miss", t.step.MaxAbsent)
+			"absent", absent, "may-miss", s.MaxAbsent)
 		e.requestStop(t)
+		unavailable[s] = absent + 1
 		e.requestPlacement()
 	}
 }
 
+// maxAbsent returns how many tasks of the step may be unavailable while another one moves.
+func (s *step) maxAbsent() int {
+	return max(1, s.MaxAbsent)
+}
+
 // findMoveTarget returns the worker to which a long-running task can move now,
-// or the obstacle that prevents the move.
-func (e *Engine) findMoveTarget(t *task, now time.Time) (to *worker, obstacle string) {
-	if t.step.countUnavailable(t) >= max(1, t.step.MaxAbsent) {
+// or the obstacle that prevents the move. absent is the number of unavailable tasks of its
+// step, not counting this one.
+func (e *Engine) findMoveTarget(t *task, absent int, now time.Time) (to *worker, obstacle string) {
+	if absent >= t.step.maxAbsent() {
 		return nil, "others of its step are away"
 	}
 	to = e.chooseMoveTarget(t, now)
--- a/orchestrator/flush.go
+++ b/orchestrator/flush.go
@@ -26,15 +26,26 @@
 	commitTimeSmoothing = 8                      // number of transactions over which their time is smoothed
 
 	flushRetryInterval = 100 * time.Millisecond // after a failed transaction
+	pausePerTask       = 40 * time.Microsecond  // of a job's record until the job is stored again, since the whole record is encoded each time
 )
 
-// jobBatch is a transaction and the jobs that it stores.
-type jobBatch struct {
-	txn      keeper.Txn
-	jobs     []*job
-	versions []int64
-	final    []bool
-}
+type (
+	// jobBatch is a transaction and the jobs that it stores.
+	jobBatch struct {
+		txn      keeper.Txn
+		jobs     []*job
+		versions []int64
+		final    []bool
+		progress []progressPut
+	}
+
+	// progressPut is a progress record that the transaction writes. It is encoded outside
+	// the event loop, which a large one would hold up.
+	progressPut struct {
+		put      int // index in the transaction's Put
+		progress Progress
+	}
+)
 
 // flush stores changed jobs in batches. Each transaction requires that this
 // leader's term is current and that each job's progress record has its last
@@ -55,7 +66,12 @@
 			return
 		}
 		e.commitsInFlight++
+		for _, j := range b.jobs {
+			j.storeAfter = now.Add(time.Duration(j.recordedTasks) * pausePerTask)
+		}
+		compress, maxBytes := e.cfg.SlowLink, e.cfg.MaxRecordBytes
 		e.runInBackground(func() {
+			b.encode(compress, maxBytes)
 			began := time.Now()
 			revision, records, err := e.store.Commit(ctx, b.txn)
 			took := time.Since(began)
@@ -117,7 +133,7 @@
 func (e *Engine) jobsToStore(now time.Time) []*job {
 	jobs := make([]*job, 0, len(e.unstoredJobs))
 	for j := range e.unstoredJobs {
-		if !j.commitInFlight && !now.Before(j.rejection.retryAt) {
+		if !j.commitInFlight && !now.Before(j.rejection.retryAt) && (e.shuttingDown || j.isFinished() || !now.Before(j.storeAfter)) {
 			jobs = append(jobs, j)
 		}
 	}
@@ -162,7 +178,7 @@
 		j := jobs[0]
 		jobs = jobs[1:]
 		room -= j.keysToWrite()
-		b.add(j, j.isFinished(), e.cfg.SlowLink, e.cfg.MaxRecordBytes)
+		b.add(j, j.isFinished())
 		delete(e.unstoredJobs, j)
 		if j.isRejected() {
 			break
@@ -171,10 +187,9 @@
 	return b, jobs
 }
 
-// add adds the record of a job to the transaction: the outcome if the job is
-// finished (final), otherwise its progress, compressed if compress is set and with at
-// most maxBytes if that is possible.
-func (b *jobBatch) add(j *job, final, compress bool, maxBytes int) {
+// add adds the record of a job to the transaction: the outcome if the job is finished
+// (final), otherwise its progress.
+func (b *jobBatch) add(j *job, final bool) {
 	j.commitInFlight = true
 	b.jobs = append(b.jobs, j)
 	b.versions = append(b.versions, j.version)
@@ -185,7 +200,19 @@
 		b.txn.Delete = append(b.txn.Delete, j.progressKey, CancelKey(j.ID))
 		return
 	}
-	b.txn.Put = append(b.txn.Put, keeper.Put{Key: j.progressKey, Value: encodeProgress(j.progress(), compress, maxBytes)})
+	progress := j.progress()
+	j.recordedTasks = progress.countTasks()
+	b.progress = append(b.progress, progressPut{len(b.txn.Put), progress})
+	b.txn.Put = append(b.txn.Put, keeper.Put{Key: j.progressKey})
+}
+
+// encode encodes the progress records, compressed if compress is set and with at most
+// maxBytes if that is possible.
+func (b *jobBatch) encode(compress bool, maxBytes int) {
+	for _, p := range b.progress {
+		b.txn.Put[p.put].Value = encodeProgress(p.progress, compress, maxBytes)
+	}
+	b.progress = nil
 }
 
 // handleCommitResult processes the result of a job transaction.
--- a/orchestrator/job.go
+++ b/orchestrator/job.go
@@ -38,20 +38,24 @@
 		nextOccurrence  int           // number of the next occurrence to build; those before it have been built or are finished
 		finished        numberSet     // numbers of the finished occurrences of a repeating job
 
-		hasFinishedOccurrences bool      // some of occurrences are finished
-		crashesAssumed         time.Time // unstored crashes are assumed for occurrences due before this time, see assumeUnstoredCrashes
+		justFinished   []*occurrence // of occurrences, those that are finished
+		crashesAssumed time.Time     // unstored crashes are assumed for occurrences due before this time, see assumeUnstoredCrashes
 
 		state           modeler.State
-		reason          string // why the state is final
-		hasBeenPlaced   bool   // some task has been placed; its worker may have refused the start
-		hasStarted      bool   // some task has started: its worker has confirmed or listed the run, or reported its end
-		version         int64  // incremented on each change that must be stored
-		storedVersion   int64  // last version in the store
-		commitInFlight  bool   // a transaction with the job is in flight
-		dirtyOrder      int64  // sequence number of the change that made the job unstored; older ones are stored first
-		progressKey     string // key of the progress record
-		revision        int64  // store revision of the progress record, 0 if there is none
-		activeTasks     int    // tasks that are or may be running
+		reason          string    // why the state is final
+		hasBeenPlaced   bool      // some task has been placed; its worker may have refused the start
+		hasStarted      bool      // some task has started: its worker has confirmed or listed the run, or reported its end
+		version         int64     // incremented on each change that must be stored
+		storedVersion   int64     // last version in the store
+		commitInFlight  bool      // a transaction with the job is in flight
+		storeAfter      time.Time // the progress isn't stored again before this time
+		recordedTasks   int       // number of tasks in the last progress record
+		dirtyOrder      int64     // sequence number of the change that made the job unstored; older ones are stored first
+		progressKey     string    // key of the progress record
+		revision        int64     // store revision of the progress record, 0 if there is none
+		activeTasks     int       // tasks that are or may be running
+		tasksToStart    int       // of them those that have been placed and whose start has no result yet
+		turn            jobTurn
 		backlog         backlogEntry
 		fromEarlierTerm bool          // the job was loaded at the start of the term
 		loadedAt        time.Duration // by elector.Term.Now
@@ -81,15 +85,21 @@
 	// step is a step of one occurrence.
 	step struct {
 		*modeler.Step
-		occurrence    *occurrence
-		number        int
-		tasks         []*task       // the first ones; the others have not been built yet and wait, see taskAt
-		waitingTasks  int           // tasks in phase waiting
-		finishedTasks int           // tasks in phase done
-		advice        *stepAdvice   // nil if the queue requires no advice or the step has not been tried yet
-		candidate     candidateStep // in the last placement pass in which it was one
-		gangStarts    *gangStarts   // of the last placement if the step is a gang, nil before the first start
-		preferredRack string        // rack for a step whose tasks should run on one rack
+		occurrence     *occurrence
+		number         int
+		tasks          []*task         // the first ones; the others have not been built yet and wait, see taskAt
+		waiting        indexSet        // indexes of those of tasks that wait
+		assigned       indexSet        // indexes of those that have a worker
+		waitingTasks   int             // tasks in phase waiting
+		tasksOn        map[*worker]int // number of tasks that are assigned to a worker
+		resumeAt       int             // index of the task with which the next placement pass begins
+		finishedTasks  int             // tasks in phase done
+		advice         *stepAdvice     // nil if the queue requires no advice or the step has not been tried yet
+		candidate      candidateStep   // in the last placement pass in which it was one
+		gangStarts     *gangStarts     // of the last placement if the step is a gang, nil before the first start
+		gangCheckpoint string          // of all tasks of a gang
+		remaining      remainingTime   // if it has many tasks
+		preferredRack  string          // rack for a step whose tasks should run on one rack
 	}
 
 	// failedRun identifies a failed run of a task.
@@ -107,11 +117,11 @@
 		highestRun       int // highest number of a run that a worker has listed; the run may belong to another leader
 		failedRuns       []failedRun
 		suspicion        investigator.Suspicion
-		crashAssumed     bool      // suspicion contains a crash that the previous leader may not have stored
-		keptWorker       *worker   // worker that is kept for the next run, see keepWorkerForIsolation
-		rejections       int       // starts that workers have rejected as malformed
-		retryAt          time.Time // the task isn't placed before this time
-		checkpoint       string
+		crashAssumed     bool               // suspicion contains a crash that the previous leader may not have stored
+		keptWorker       *worker            // worker that is kept for the next run, see keepWorkerForIsolation
+		rejections       int                // starts that workers have rejected as malformed
+		retryAt          time.Time          // the task isn't placed before this time
+		ownCheckpoint    string             // unless the step is a gang
 		worker           *worker            // assigned worker, nil while waiting or done
 		ticket           string             // permission from the advice service
 		permit           *startPermit       // to send the start, in phase starting
@@ -219,15 +229,19 @@
 
 // hasTaskIn reports whether any task of the step is in a set.
 func (s *step) hasTaskIn(set map[modeler.TaskID]bool) bool {
-	return len(set) > 0 && slices.ContainsFunc(s.tasks, func(t *task) bool { return set[t.id] })
+	for id := range set {
+		if id.Job == s.occurrence.job.ID && id.Occurrence == s.occurrence.number && id.Step == s.number {
+			return true
+		}
+	}
+	return false
 }
 
-// countUnavailable returns the number of unavailable tasks of the step, not
-// counting the task except.
-func (s *step) countUnavailable(except *task) int {
+// countUnavailable returns the number of unavailable tasks of the step.
+func (s *step) countUnavailable() int {
 	n := 0
 	for _, t := range s.tasks {
-		if t != except && !t.isAvailable() {
+		if !t.isAvailable() {
 			n++
 		}
 	}
@@ -240,18 +254,6 @@
 	return t.phase == running && t.startupDone && t.worker.reachable && t.worker.failedPolls == 0
 }
 
-// countTasksOn returns the number of tasks of the step that are assigned to a
-// worker.
-func (s *step) countTasksOn(w *worker) int {
-	n := 0
-	for _, t := range s.tasks {
-		if t.worker == w {
-			n++
-		}
-	}
-	return n
-}
-
 // mayHaveRun reports whether a run of the task exists or may exist.
 func (t *task) mayHaveRun() bool {
 	return t.phase != waiting && t.phase != done
@@ -281,6 +283,14 @@
 	if s.waitingTasks > 0 {
 		return s.Estimate
 	}
+	if len(s.tasks) > maxTasksPerTurn {
+		return s.remaining.at(now, s.remainingTimeOfTasks)
+	}
+	return s.remainingTimeOfTasks(now)
+}
+
+// remainingTimeOfTasks estimates how long the running tasks of the step still take.
+func (s *step) remainingTimeOfTasks(now time.Time) time.Duration {
 	left := time.Duration(0)
 	for _, t := range s.tasks {
 		if t.mayHaveRun() {
--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -109,13 +109,17 @@
 }
 
 // noteBegun notes that the present run of a task has begun. The next leader must know it of
-// long-running tasks, since it waits for starts that may still be carried out.
+// long-running tasks, since it waits for starts that may still be carried out. One record
+// tells it of all tasks of the job that start at the same time.
 func (e *Engine) noteBegun(t *task) {
 	j := t.step.occurrence.job
 	j.markStarted()
-	if t.step.LongRunning {
+	if t.step.LongRunning && j.tasksToStart == 0 {
 		e.markUnstored(j)
 	}
+	if j.tasksToStart == maxTasksToStart/2 {
+		e.requestPlacement() // of tasks that its turn has left out
+	}
 }
 
 // noteRefusedRun notes that the present process of a worker begins neither this run of a
--- a/orchestrator/occurrence.go
+++ b/orchestrator/occurrence.go
@@ -28,7 +28,7 @@
 // buildOccurrence returns the occurrence with the number, which is not finished. It
 // builds it if that has not been done yet.
 func (j *job) buildOccurrence(number int) *occurrence {
-	i, ok := slices.BinarySearchFunc(j.occurrences, number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+	i, ok := j.findOccurrence(number)
 	if ok {
 		return j.occurrences[i]
 	}
@@ -58,6 +58,7 @@
 			t.assumeUnstoredCrash()
 		}
 		s.tasks = append(s.tasks, t)
+		s.waiting.add(i)
 	}
 }
 
@@ -67,9 +68,11 @@
 }
 
 // buildDueOccurrences builds the occurrences of a repeating job that are due before a
-// time, as many as maxBuiltTasks allows. The others follow when earlier ones finish.
+// time, as many as maxBuiltTasks allows and at most maxTasksPerTurn. The others follow when
+// earlier ones finish, or with the next pass.
 func (j *job) buildDueOccurrences(until time.Time) {
 	limit := max(1, maxBuiltTasks/max(1, j.TasksPerOccurrence()))
+	limit = min(limit, len(j.occurrences)+maxTasksPerTurn)
 	for j.nextOccurrence < j.OccurrenceCount() && len(j.occurrences) < limit {
 		if next := j.finished.firstMissing(j.nextOccurrence); next != j.nextOccurrence {
 			j.nextOccurrence = next
@@ -110,19 +113,25 @@
 // removeFinishedOccurrences removes the finished occurrences of a repeating job from
 // memory. Their numbers are kept.
 func (j *job) removeFinishedOccurrences() {
-	if !j.hasFinishedOccurrences || j.Repeat == 0 {
+	if len(j.justFinished) == 0 || j.Repeat == 0 {
 		return
 	}
-	j.hasFinishedOccurrences = false
-	j.occurrences = slices.DeleteFunc(j.occurrences, func(o *occurrence) bool {
-		if o.isFinished() {
-			j.finished.add(o.number)
+	for _, o := range j.justFinished {
+		if i, ok := j.findOccurrence(o.number); ok {
+			j.occurrences = slices.Delete(j.occurrences, i, i+1)
 		}
-		return o.isFinished()
-	})
+		j.finished.add(o.number)
+	}
+	j.justFinished = nil
 	j.nextOccurrence = j.finished.firstMissing(j.nextOccurrence)
 }
 
+// findOccurrence returns the index of the occurrence with the number, and whether it has
+// been built.
+func (j *job) findOccurrence(number int) (int, bool) {
+	return slices.BinarySearchFunc(j.occurrences, number, func(o *occurrence, number int) int { return cmp.Compare(o.number, number) })
+}
+
 // finishedTask returns a task of an occurrence that has been removed because it is
 // finished.
 func (j *job) finishedTask(id modeler.TaskID) *task {
--- a/orchestrator/occurrence_test.go
+++ b/orchestrator/occurrence_test.go
@@ -65,7 +65,11 @@
 	require.Len(t, j.occurrences, 1)
 	require.Equal(t, numberSet{{1, 2}, {5, 6}}, j.finished)
 	require.Equal(t, done, j.findTask(modeler.TaskID{Job: "j1", Occurrence: 5, Index: 1}).phase)
-	j.buildDueOccurrences(due.Add(time.Hour))
+	for range 1000/maxTasksPerTurn + 1 {
+		before := len(j.occurrences)
+		j.buildDueOccurrences(due.Add(time.Hour))
+		require.LessOrEqual(t, len(j.occurrences)-before, maxTasksPerTurn)
+	}
 	require.Len(t, j.occurrences, 1000-2)
 	for _, id := range []modeler.TaskID{{Occurrence: 1000}, {Occurrence: -1}, {Step: 1}, {Index: 2}} {
 		require.Nil(t, j.findTask(id), id.String())
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -132,7 +132,7 @@
 func (e *Engine) sendStart(ctx context.Context, t *task, now time.Time) {
 	w := t.worker
 	o := modeler.StartOrder{
-		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint, FencingToken: e.term.Token,
+		Task: t.id, Run: t.run, Spec: t.step.occurrence.job.Spec, Checkpoint: t.checkpoint(), FencingToken: e.term.Token,
 		DeadlineMs: w.clockSample.workerTimeAfter(now, e.cfg.RunLease), Ticket: t.ticket,
 	}
 	info, start := w.Worker, &queuedStart{order: o, permit: &startPermit{}, queuedAt: now, zone: w.Zone, gang: t.gangStartsOf(), clock: w.clockSample}
@@ -162,7 +162,8 @@
 	e.startsInFlight++
 	w.startsInFlight++
 	w.leaseDeadline = max(w.leaseDeadline, o.DeadlineMs)
-	t.phase, t.phaseSince = starting, now
+	t.setPhase(starting)
+	t.phaseSince = now
 }
 
 // callStart sends a start to its worker, but not after the time until which it may be
@@ -216,7 +217,8 @@
 		if errors.Is(err, modeler.ErrInvalidTicket) {
 			t.step.dropTicket(w, now)
 		}
-		t.phase, t.startsRepeated = outcomeUnknown, maxRepeatedStarts // an earlier call may have been carried out
+		t.setPhase(outcomeUnknown)
+		t.startsRepeated = maxRepeatedStarts // an earlier call may have been carried out
 		e.resolveUnknownStart(ctx, w, t, o, 0)
 		return
 	}
@@ -225,7 +227,8 @@
 		if took := now.Sub(t.phaseSince); took > slowStart {
 			e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", clock, "took", took.Round(time.Millisecond).String())
 		}
-		t.phase, t.phaseSince = running, now
+		t.setPhase(running)
+		t.phaseSince = now
 		t.step.noteTicketUsed()
 		e.noteBegun(t)
 		e.admission.starts[w.Pool]++
@@ -251,7 +254,7 @@
 		e.handleRefusedStart(w, t, now, err)
 	default:
 		e.log.Info("start of a run got no response, asking its worker whether it runs", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "meant-for", t.placementBoot, "born", w.StartTimeMs, "error", err)
-		t.phase = outcomeUnknown
+		t.setPhase(outcomeUnknown)
 		w.hasUnknownStart = true
 		e.resolveUnknownStart(ctx, w, t, o, 0)
 	}
@@ -357,7 +360,8 @@
 	if started {
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", report.ClockMs, "settled", true)
 		t.forgetUnansweredStart(w, o.Run, time.Time{})
-		t.phase, t.phaseSince = running, time.Now()
+		t.setPhase(running)
+		t.phaseSince = time.Now()
 		e.noteBegun(t)
 		e.stopIfUnwanted(t)
 		return
@@ -370,7 +374,8 @@
 	}
 	if reportsRun(report, o) {
 		t.step.occurrence.job.markStarted()
-		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
+		t.setPhase(stopping)
+		t.phaseSince, t.stop = time.Now(), stopState{repeatAt: time.Now().Add(stopRepeatInterval)}
 		return
 	}
 	if !isComplete(report) || report.StartTimeMs != w.StartTimeMs { // the worker's next poll assesses its restart with all its tasks
@@ -388,7 +393,8 @@
 func (e *Engine) requestStop(t *task) {
 	switch t.phase {
 	case running:
-		t.phase, t.phaseSince, t.stop = stopping, time.Now(), stopState{}
+		t.setPhase(stopping)
+		t.phaseSince, t.stop = time.Now(), stopState{}
 		e.sendStop(t.worker, t.id, t.run, &t.stop)
 	case placed:
 		e.requeueTask(t) // no start has been sent yet
--- a/orchestrator/pause.go
+++ b/orchestrator/pause.go
@@ -18,6 +18,10 @@
 	// in which its placement also waits for a flush and the store.
 	newJobPlacementInterval = 5 * time.Millisecond
 	newJobPlacementShare    = 0.2
+
+	// maxPlacementPause limits the pause after a pass, which no job may prolong for the
+	// others. A gang has to be placed in one pass.
+	maxPlacementPause = 250 * time.Millisecond
 )
 
 // placementPacer determines when the next placement pass may run.
@@ -26,6 +30,7 @@
 	newJobs bool // jobs have been loaded since the last pass
 	endedAt time.Time
 	cost    time.Duration // processor time that the last pass took
+	passes  int64         // number of passes in this term
 }
 
 // next returns the earliest time of the next pass. processorShare is the number of
@@ -35,7 +40,7 @@
 	if p.newJobs {
 		interval, share = newJobPlacementInterval, newJobPlacementShare
 	}
-	return p.endedAt.Add(max(interval, time.Duration(float64(p.cost)/(share*processorShare))))
+	return p.endedAt.Add(max(interval, min(time.Duration(float64(p.cost)/(share*processorShare)), maxPlacementPause)))
 }
 
 // placeIfDue runs a placement pass if one is due, and tells when the next one may run.
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -37,6 +37,7 @@
 	// placementPass is the state of one pass that places waiting tasks.
 	placementPass struct {
 		engine        *Engine
+		number        int64 // of the pass in this term
 		now           time.Time
 		wallTime      time.Time // see Config.WallClock
 		manifest      *modeler.Manifest
@@ -47,6 +48,9 @@
 		startsPerPool int                          // number of them in one pool
 
 		allAwaitingStart int // number of placed tasks that await their start
+
+		anyPlaced bool // some task has been placed
+		anyLeft   bool // some job has had its turn before all its tasks were looked at
 	}
 
 	// coreCounts is the CPU, in thousandths of a core, that tasks which are not
@@ -91,7 +95,8 @@
 	if e.shuttingDown || e.zoneState.outdated {
 		return
 	}
-	p := &placementPass{engine: e, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), orphaned: e.tasksWithOrphanedRuns()}
+	e.placement.passes++
+	p := &placementPass{engine: e, number: e.placement.passes, now: now, wallTime: e.cfg.WallClock(), manifest: e.cfg.Manifest(), extraUsage: e.usageOfOrphanedRuns(), orphaned: e.tasksWithOrphanedRuns()}
 	for need := range e.advice.wanted {
 		clear(e.advice.wanted[need])
 		e.advice.wanted[need] = e.advice.wanted[need][:0]
@@ -114,6 +119,9 @@
 		})
 	}
 	e.handling = nil
+	if p.anyPlaced && p.anyLeft {
+		e.requestPlacement() // otherwise the next tick does
+	}
 	e.requestAdvice(now)
 }
 
@@ -250,7 +258,7 @@
 	if j.fromEarlierTerm && p.mustWaitForWorkers(q) {
 		return
 	}
-	if s.Gang && (s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned) || slices.ContainsFunc(s.tasks, func(t *task) bool { return p.engine.awaitsLateStart(t, p.now) })) {
+	if s.Gang && !p.mayPlaceGang(s, view) {
 		return
 	}
 	if (s.advice != nil || q.Advice != nil) && !p.hasTickets(s, q, view) {
@@ -262,9 +270,7 @@
 	if s.Gang && (len(tasks) < s.Count || p.mayWaitForRack(s.tasks[0]) && hasTaskElsewhere(tasks)) {
 		complete := len(tasks) == s.Count
 		view.full = wasFull // the tasks that were placed leave their room again
-		for _, t := range tasks {
-			p.undoPlacement(t, view)
-		}
+		p.undoPlacements(tasks, view)
 		if !complete || p.waitsForRack(s.tasks[0], view, s.Count) {
 			return
 		}
@@ -283,11 +289,26 @@
 	}
 }
 
+// mayPlaceGang reports whether all tasks of a gang wait for nothing but room. If the pool
+// has none for so many, less urgent tasks of their size leave them what there is.
+func (p *placementPass) mayPlaceGang(s *step, view *poolView) bool {
+	if s.waitingTasks < s.Count || s.hasTaskIn(p.orphaned) || slices.ContainsFunc(s.tasks, func(t *task) bool { return p.engine.awaitsLateStart(t, p.now) }) {
+		return false
+	}
+	if s.Count <= maxTasksPerTurn || view.mayHaveRoomForGang(s) {
+		return true
+	}
+	if s.hasPlainRequirements() {
+		view.unplaceable = append(view.unplaceable, s.ReservedResources())
+	}
+	return false
+}
+
 // logPlacements logs the placements of tasks of a step in one line, each as
-// INDEX:RUN@WORKER.
+// INDEX:RUN@WORKER, and only the first ones of many.
 func (p *placementPass) logPlacements(s *step, tasks []*task) {
 	var list strings.Builder
-	for i, t := range tasks {
+	for i, t := range tasks[:min(len(tasks), maxTasksPerTurn)] {
 		if i > 0 {
 			list.WriteByte(' ')
 		}
@@ -298,7 +319,7 @@
 		list.WriteString(t.worker.ID)
 	}
 	id := tasks[0].id
-	p.engine.log.Info("tasks placed on workers", "job", id.Job, "occurrence", id.Occurrence, "step", id.Step, "tasks", list.String(), "waiting", s.waitingTasks,
+	p.engine.log.Info("tasks placed on workers", "job", id.Job, "occurrence", id.Occurrence, "step", id.Step, "tasks", list.String(), "placed", len(tasks), "waiting", s.waitingTasks,
 		"waited", p.wallTime.Sub(s.occurrence.due).Round(time.Millisecond).String(), "manifest", p.manifest.Version)
 }
 
@@ -314,12 +335,27 @@
 	}
 }
 
-// placeTasks places waiting tasks of a step until one can't be placed.
+// placeTasks places waiting tasks of a step until one can't be placed. It looks at a gang
+// as a whole, and at no more tasks of another step than the turn of the job allows.
 func (p *placementPass) placeTasks(s *step, j *job, view *poolView, fair bool) []*task {
 	var tasks []*task
-	for i := range s.Count {
+	turn := p.turnOf(j)
+	first := s.resumeAt
+	s.resumeAt = 0
+	for i, left := s.nextWaiting(first), s.waitingTasks; left > 0; left-- {
+		if i < 0 {
+			i = s.nextWaiting(0)
+		}
+		if !s.Gang {
+			if turn.tasks <= 0 {
+				s.resumeAt, p.anyLeft = i, true
+				break
+			}
+			turn.tasks--
+		}
 		t := s.taskAt(i)
-		if t.phase != waiting || p.orphaned[t.id] || p.now.Before(t.retryAt) || p.engine.awaitsLateStart(t, p.now) {
+		i = s.nextWaiting(i + 1)
+		if p.orphaned[t.id] || p.now.Before(t.retryAt) || p.engine.awaitsLateStart(t, p.now) {
 			continue
 		}
 		if !p.isWithinCustomerLimit(t, j) || fair && view.pool.shares.isExceededBy(s) {
@@ -400,7 +436,8 @@
 	}
 	kept := t.keptWorker
 	t.assignTo(view.workers[i], placed)
-	view.updateWorkerView(i, s, 1)
+	view.probations[i] = view.workers[i].view.probation
+	view.updateIndex(i)
 	if k := slices.Index(view.workers, kept); k >= 0 {
 		view.updateIndex(k) // other tasks may use it now
 	}
@@ -460,12 +497,9 @@
 	if !s.SameRack || s.DataRack != "" {
 		return
 	}
-	s.preferredRack = ""
-	for _, t := range s.tasks {
-		if t.worker != nil {
-			s.preferredRack = modeler.RackLabel(t.worker.Labels)
-			return
-		}
+	if i := s.assigned.next(0); i >= 0 {
+		s.preferredRack = modeler.RackLabel(s.tasks[i].worker.Labels)
+		return
 	}
 	s.preferredRack = assigner.ChooseRack(view.assignerViews, s.assignerRequest(), s.waitingTasks)
 }
@@ -485,19 +519,45 @@
 // countSameStepTasks returns the number of tasks of the step on a worker, or -1
 // if the worker must not take another one.
 func (s *step) countSameStepTasks(w *worker) int {
-	n := s.countTasksOn(w)
+	n := s.tasksOn[w]
 	if s.MaxPerWorker > 0 && n >= s.MaxPerWorker || !s.advice.permits(w) {
 		return -1
 	}
 	return n
 }
 
-// undoPlacement reverts a placement of this pass.
-func (p *placementPass) undoPlacement(t *task, view *poolView) {
-	i := slices.Index(view.workers, t.worker)
-	view.pool.shares.addRunning(t.step, -1)
-	t.requeue()
-	view.updateWorkerView(i, t.step, -1)
+// undoPlacements reverts placements of this pass.
+func (p *placementPass) undoPlacements(tasks []*task, view *poolView) {
+	touched := make(map[*worker]bool)
+	for _, t := range tasks {
+		touched[t.worker] = true
+		view.pool.shares.addRunning(t.step, -1)
+		t.requeue()
+	}
+	for i, w := range view.workers {
+		if touched[w] {
+			unavailable := w.view.Unavailable
+			w.updateView()
+			w.view.Unavailable = unavailable
+			view.probations[i] = w.view.probation
+			view.updateIndex(i)
+		}
+	}
+}
+
+// mayHaveRoomForGang reports whether the workers of the pool together have room for all
+// tasks of a gang. It spares the attempt to place many if they don't.
+func (v *poolView) mayHaveRoomForGang(s *step) bool {
+	left := s.Count
+	for i, w := range v.assignerViews {
+		if !w.Unavailable && s.acceptsLabels(v.workers[i]) {
+			left -= s.roomOn(v.workers[i], w)
+		}
+		if left <= 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // commitPlacement gives the placed task a new run number and queues the
@@ -514,6 +574,7 @@
 	e.awaitingStart = append(e.awaitingStart, t)
 	t.worker.pool.awaitingStart++
 	p.allAwaitingStart++
+	p.anyPlaced = true
 }
 
 // poolView returns the state of a pool in this pass.
@@ -588,16 +649,6 @@
 	return slices.ContainsFunc(v.unplaceable, func(failed modeler.Resources) bool { return failed.Fits(request) })
 }
 
-// updateWorkerView updates the views of worker i after n tasks of a step have been
-// added; n may be negative.
-func (v *poolView) updateWorkerView(i int, s *step, n int) {
-	view := v.assignerViews[i]
-	view.Free = view.Free.Sub(s.ReservedResources().Times(n))
-	view.AddTasks(s.Step, n)
-	v.probations[i] = v.workers[i].probationView()
-	v.updateIndex(i)
-}
-
 // releaseReservation releases the resources that a worker has reserved for a
 // task, before the task is placed, so that the task can use them.
 func (v *poolView) releaseReservation(t *task) {
--- a/orchestrator/place_bench_test.go
+++ b/orchestrator/place_bench_test.go
@@ -115,7 +115,7 @@
 	f.runPlacement(f.now)
 	n := len(f.awaitingStart)
 	for _, t := range f.awaitingStart {
-		t.phase = running
+		t.setPhase(running)
 	}
 	f.awaitingStart = f.awaitingStart[:0]
 	return n
--- a/orchestrator/place_random_test.go
+++ b/orchestrator/place_random_test.go
@@ -126,7 +126,8 @@
 		case f.rng.IntN(10) == 0:
 			remaining = append(remaining, t)
 		default:
-			t.phase, t.phaseSince = running, f.now
+			t.setPhase(running)
+			t.phaseSince = f.now
 		}
 	}
 	f.awaitingStart = remaining
@@ -189,7 +190,11 @@
 	case n < 44:
 		t.listedFor, t.worker.view.upToDate = f.now.Sub(t.phaseSince), false
 	case n < 46 && t.step.LongRunning:
-		if to, _ := f.findMoveTarget(t, f.now); to != nil {
+		absent := t.step.countUnavailable()
+		if !t.isAvailable() {
+			absent--
+		}
+		if to, _ := f.findMoveTarget(t, absent, f.now); to != nil {
 			f.requeueTask(t)
 		}
 	case n < 48:
--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -175,9 +175,21 @@
 	return p
 }
 
+// countTasks returns the number of tasks in the record.
+func (p *Progress) countTasks() int {
+	n := 0
+	for i := range p.Steps {
+		n += len(p.Steps[i].Done) + len(p.Steps[i].Tasks)
+	}
+	return n
+}
+
 // progress returns the progress record of the step.
 func (s *step) progress() StepProgress {
 	sp := StepProgress{Occurrence: s.occurrence.number, Step: s.number}
+	if n := len(s.tasks) - s.finishedTasks; n > 0 {
+		sp.Tasks = make([]TaskProgress, 0, n)
+	}
 	for _, t := range s.tasks {
 		if t.phase == done {
 			sp.Done = append(sp.Done, t.id.Index)
@@ -187,7 +199,7 @@
 			continue
 		}
 		tp := TaskProgress{
-			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint, LateStarts: t.lateStarts(),
+			Index: t.id.Index, Run: t.run, Checkpoint: t.checkpoint(), LateStarts: t.lateStarts(),
 			Crashes: t.suspicion.Crashes, Unconfirmed: t.suspicion.Unconfirmed, SoleSuspect: t.suspicion.SoleSuspect, Unknown: t.suspicion.Unknown,
 			LateCrashes: t.suspicion.LateCrashes, LateWorkMs: t.suspicion.LateWork.Milliseconds(), ProbationMs: t.suspicion.Probation.Milliseconds(),
 		}
--- a/orchestrator/task.go
+++ b/orchestrator/task.go
@@ -8,14 +8,44 @@
 
 // assignTo assigns the task to a worker and takes up its resources there.
 func (t *task) assignTo(w *worker, p phase) {
-	if t.phase == waiting {
-		t.step.waitingTasks--
-	}
-	t.phase, t.worker, t.startupDone, t.listedFor, t.waitsSince = p, w, false, 0, time.Time{}
+	t.setPhase(p)
+	t.worker, t.startupDone, t.listedFor, t.waitsSince = w, false, 0, time.Time{}
 	t.releaseKeptWorker()
 	t.step.occurrence.job.activeTasks++
 	w.tasks[t.id] = t
+	if t.step.tasksOn == nil {
+		t.step.tasksOn = make(map[*worker]int)
+	}
+	t.step.tasksOn[w]++
+	t.step.assigned.add(t.id.Index)
 	w.take(t.step, 1)
+	w.view.addTask(t)
+}
+
+// setPhase sets the phase of the task, and counts it as waiting or to be started
+// accordingly.
+func (t *task) setPhase(p phase) {
+	s, j := t.step, t.step.occurrence.job
+	switch {
+	case t.phase == waiting && p != waiting:
+		s.waitingTasks--
+		s.waiting.remove(t.id.Index)
+	case t.phase != waiting && p == waiting:
+		s.waitingTasks++
+		s.waiting.add(t.id.Index)
+	}
+	if t.phase.isBeforeStart() {
+		j.tasksToStart--
+	}
+	if p.isBeforeStart() {
+		j.tasksToStart++
+	}
+	t.phase = p
+}
+
+// isBeforeStart reports whether the task has been placed and its start has no result yet.
+func (p phase) isBeforeStart() bool {
+	return p == placed || p == starting
 }
 
 // unassign frees the resources of the task on its worker. The caller sets the
@@ -28,7 +58,14 @@
 	t.worker, t.startupDone = nil, false
 	t.step.occurrence.job.activeTasks--
 	delete(w.tasks, t.id)
+	t.step.assigned.remove(t.id.Index)
+	if n := t.step.tasksOn[w] - 1; n > 0 {
+		t.step.tasksOn[w] = n
+	} else {
+		delete(t.step.tasksOn, w)
+	}
 	w.take(t.step, -1)
+	w.view.removeTask(t)
 }
 
 // isPlacedAs reports whether the task is placed on a worker as the run with this
@@ -53,16 +90,22 @@
 // empty. The members of a gang share it, because they must all start with the
 // same one and that of any member is valid for all.
 func (t *task) setCheckpoint(checkpoint string) {
-	if checkpoint == "" {
-		return
-	}
-	t.checkpoint = checkpoint
-	if !t.step.Gang {
-		return
+	switch {
+	case checkpoint == "":
+	case t.step.Gang:
+		t.step.gangCheckpoint = checkpoint
+	default:
+		t.ownCheckpoint = checkpoint
 	}
-	for _, member := range t.step.tasks {
-		member.checkpoint = checkpoint
+}
+
+// checkpoint returns the checkpoint from which the next run resumes, empty if there is
+// none.
+func (t *task) checkpoint() string {
+	if t.step.Gang {
+		return t.step.gangCheckpoint
 	}
+	return t.ownCheckpoint
 }
 
 // markDone marks the task as done.
@@ -70,20 +113,19 @@
 	if t.phase == done {
 		return
 	}
-	if t.phase == waiting {
-		t.step.waitingTasks--
-	}
 	t.unassign()
 	t.releaseKeptWorker()
 	if t.reservedOn != nil {
 		t.reservedOn.cancelReservation(t)
 	}
-	t.phase = done
+	t.setPhase(done)
 	s := t.step
 	s.finishedTasks++
 	if s.finishedTasks == s.Count {
 		s.occurrence.finishedSteps++
-		s.occurrence.job.hasFinishedOccurrences = s.occurrence.job.hasFinishedOccurrences || s.occurrence.isFinished()
+		if o := s.occurrence; o.isFinished() {
+			o.job.justFinished = append(o.job.justFinished, o)
+		}
 	}
 }
 
@@ -93,8 +135,7 @@
 		return
 	}
 	t.unassign()
-	t.phase = waiting
-	t.step.waitingTasks++
+	t.setPhase(waiting)
 	t.pacePercent = fullPace
 }
 
--- a/orchestrator/view.go
+++ b/orchestrator/view.go
@@ -74,11 +74,11 @@
 			}
 			v.Known, v.Withdrawn, v.Revision, outcome, v.Customer = !rec.Withdrawn, rec.Withdrawn, r.Revision, rec.Outcome, rec.customer()
 		case ProgressKey(id), OldProgressKey(id):
-			p, err := DecodeProgress(r.Value)
+			state, err := decodeProgressState(r.Value)
 			if err != nil {
 				return v, errors.Annotatef(err, "decoding the job record %q", r.Key)
 			}
-			v.State = p.State
+			v.State = state
 		case CancelKey(id):
 			v.Cancelled = true
 		}
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/coltsfootlever/coltsfootlever/assigner"
+	"github.com/coltsfootlever/coltsfootlever/investigator"
 	"github.com/coltsfootlever/coltsfootlever/modeler"
 	"github.com/coltsfootlever/coltsfootlever/supervisor"
 )
@@ -148,7 +149,6 @@
 // sign -1, also in the sums for its pool and the customer.
 func (w *worker) take(s *step, sign int64) {
 	r := s.ReservedResources()
-	w.view.upToDate = false
 	w.pool.idle.known = w.pool.idle.known && len(w.tasks) > 1 // otherwise the worker has become idle or busy
 	w.used = w.used.Add(modeler.Resources{CPU: sign * r.CPU, Memory: sign * r.Memory, GPU: sign * r.GPU})
 	c := s.occurrence.job.customer
@@ -160,6 +160,29 @@
 	c.usage = c.usage.Add(s.resourcesTowardCustomerLimit().Times(int(sign)))
 }
 
+// addTask updates an up-to-date view of the worker after it has been assigned a task.
+func (v *workerView) addTask(t *task) {
+	if !v.upToDate {
+		return
+	}
+	v.Free = v.Free.Sub(t.step.ReservedResources())
+	v.AddTasks(t.step.Step, 1)
+	if t.isSuspect() {
+		v.Suspects++
+	}
+	v.probation.add(t)
+}
+
+// removeTask updates an up-to-date view of the worker after a task has been taken from it.
+// The view must be built anew if the task may have decided on the probation.
+func (v *workerView) removeTask(t *task) {
+	if v.upToDate = v.upToDate && t.isCleared() && t.suspicion == (investigator.Suspicion{}); !v.upToDate {
+		return
+	}
+	v.Free = v.Free.Add(t.step.ReservedResources())
+	v.AddTasks(t.step.Step, -1)
+}
+
 // acceptsTasks reports whether new tasks may be placed on the worker. A worker
 // with orphaned runs gets none, because its free resources are not known.
 func (w *worker) acceptsTasks(now time.Time) bool {
