--- a/orchestrator/late_open_test.go
+++ b/orchestrator/late_open_test.go
@@ -164,3 +164,18 @@
 		e.stopGracefully()
 	})
 }
+
+// Guards against a late start of a gang's member that was sent again, after the gang is done.
+func TestGangRunsOnceThoughAMembersStartIsLate(t *testing.T) {
+	runScenario(t, 1, func(s *deployment) {
+		e, worker := s.startOldDeployment()
+		s.taskFleet.RunOutcome = func(modeler.TaskID, int) (time.Duration, modeler.EndKind) { return time.Second, modeler.EndDone }
+		s.lateFirstCall("j1", 8*time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 2, Gang: true, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(7950 * time.Millisecond)
+		require.Equal(t, modeler.Completed, s.jobState("j1"))
+		s.taskFleet.RestartUnderSameID(worker)
+		time.Sleep(30 * time.Second)
+		e.stopGracefully()
+	})
+}
