Keep room and limits for starts that may still be carried out

A worker was brought above its room (LIMIT), or a customer above its limit (QUOTA), when its next process carried out a start without a response whose room other tasks had been given after 6 s. A start that was carried out leaves the record.

--- a/orchestrator/ends.go
+++ b/orchestrator/ends.go
@@ -41,7 +41,7 @@
 	j := t.step.occurrence.job
 	e.handling = j
 	j.markStarted() // also if no record tells of the run
-	t.forgetUnansweredStart(w, ended.Run, time.Time{})
+	e.forgetUnansweredStart(t, w, ended.Run, time.Time{})
 	if t.mayHaveRun() && (t.worker != w || ended.Run < t.run) {
 		e.handleEndOfEarlierRun(w, t, ended)
 		result.job, result.jobVersion = j, j.version
@@ -171,7 +171,7 @@
 		t, awaited := e.findTask(r.Task), false
 		if t != nil {
 			t.step.occurrence.job.markStarted()
-			awaited = t.forgetUnansweredStart(w, r.Run, sentAt) && !t.step.Gang && w.orphanedRuns[runID{r.Task, r.Run}] == nil
+			awaited = e.forgetUnansweredStart(t, w, r.Run, sentAt) && !t.step.Gang && w.orphanedRuns[runID{r.Task, r.Run}] == nil
 		}
 		if t == nil || !t.isPlacedAs(w, r.Run) && !e.adoptRun(w, t, r.Run, awaited) {
 			e.stopOrphanedRun(w, cmp.Or(t, e.findTaskOfEndedJob(r.Task)), runID{r.Task, r.Run}, now)
--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -29,6 +29,7 @@
 	// process has carried out another start of the task.
 	unansweredStart struct {
 		id        runID
+		task      *task     // nil if its job was not known any more
 		worker    string    // ID
 		until     time.Time // the start is not carried out after this time
 		repeated  bool      // the start was sent again, so that the run's appearance tells of one of the calls only
@@ -71,17 +72,54 @@
 
 // add adds a start without a response, unless it is known, and forgets those of the worker
 // that can't be carried out any more.
-func (u unansweredStarts) add(worker string, id runID, until, now time.Time) *unansweredStart {
+func (u unansweredStarts) add(worker string, id runID, t *task, until, now time.Time) *unansweredStart {
 	starts := slices.DeleteFunc(u[worker], func(s *unansweredStart) bool { return now.After(s.until) })
 	i := slices.IndexFunc(starts, func(s *unansweredStart) bool { return s.id == id })
 	if i < 0 {
-		i, starts = len(starts), append(starts, &unansweredStart{id: id, worker: worker})
+		i, starts = len(starts), append(starts, &unansweredStart{id: id, task: t, worker: worker})
 	}
 	starts[i].until = until
 	u[worker] = starts
 	return starts[i]
 }
 
+// remove removes a start that can't be carried out any more.
+func (u unansweredStarts) remove(s *unansweredStart) {
+	u[s.worker] = slices.DeleteFunc(u[s.worker], func(other *unansweredStart) bool { return other == s })
+	if len(u[s.worker]) == 0 {
+		delete(u, s.worker)
+	}
+}
+
+// mayTakeRoom reports whether the start may still take room on its worker that no task is
+// assigned to.
+func (s *unansweredStart) mayTakeRoom(now time.Time) bool {
+	return s.task != nil && !now.After(s.until) && (s.task.worker == nil || s.task.worker.ID != s.worker)
+}
+
+// roomFor returns the resources that late starts on a worker may take.
+func (u unansweredStarts) roomFor(worker string, now time.Time) modeler.Resources {
+	var sum modeler.Resources
+	for _, s := range u[worker] {
+		if s.mayTakeRoom(now) {
+			sum = sum.Add(s.task.step.ReservedResources())
+		}
+	}
+	return sum
+}
+
+// addUsage adds to the usage of customers what late starts may take.
+func (u unansweredStarts) addUsage(usage map[string]modeler.Resources, now time.Time) {
+	for _, starts := range u {
+		for _, s := range starts {
+			if s.mayTakeRoom(now) {
+				customer := s.task.step.occurrence.job.Customer
+				usage[customer] = usage[customer].Add(s.task.resourcesTowardCustomerLimit())
+			}
+		}
+	}
+}
+
 // noteUnansweredStart notes that a worker may carry out a start of the task until a time.
 func (e *Engine) noteUnansweredStart(t *task, worker string, run int, until, now time.Time) {
 	if !t.step.awaitsUnansweredStarts() {
@@ -91,7 +129,7 @@
 		t.unanswered[i].until = until // the worker's list may lack it already
 		return
 	}
-	t.unanswered = append(t.unanswered, e.unanswered.add(worker, runID{t.id, run}, until, now))
+	t.unanswered = append(t.unanswered, e.unanswered.add(worker, runID{t.id, run}, t, until, now))
 }
 
 func (t *task) indexUnanswered(worker string, run int) int {
@@ -100,9 +138,10 @@
 
 // forgetUnansweredStart notes that a worker has carried out a start of the task at the time
 // asOf, or can't do so any more. It reports whether the start had got no response.
-func (t *task) forgetUnansweredStart(w *worker, run int, asOf time.Time) bool {
+func (e *Engine) forgetUnansweredStart(t *task, w *worker, run int, asOf time.Time) bool {
 	i := t.indexUnanswered(w.ID, run)
 	if i >= 0 && (!t.unanswered[i].repeated || asOf.After(t.unanswered[i].until)) {
+		e.unanswered.remove(t.unanswered[i])
 		t.unanswered = slices.Delete(t.unanswered, i, i+1)
 	}
 	return i >= 0
@@ -159,6 +198,9 @@
 	}
 	t.unanswered = slices.DeleteFunc(t.unanswered, func(s *unansweredStart) bool {
 		over := e.isStartOver(t, s, now)
+		if over && (!now.Before(s.until) || e.goneWorkers[s.worker].replaced) {
+			e.unanswered.remove(s)
+		}
 		if over {
 			e.log.Info("task waits no longer for a start without a response", "task", t.id.String(), "run", s.id.number, "worker", s.worker, "waited", now.Sub(t.waitsSince).Round(time.Millisecond).String(),
 				"may-be-late-for", max(0, s.until.Sub(now)).Round(time.Millisecond).String())
@@ -248,6 +290,7 @@
 		}
 		e.runInEventLoop(ctx, func() {
 			if i := t.indexUnanswered(w.ID, id.number); i >= 0 {
+				e.unanswered.remove(t.unanswered[i])
 				t.unanswered = slices.Delete(t.unanswered, i, i+1)
 				e.log.Info("start without a response was not carried out, its task may start", "task", id.task.String(), "run", id.number, "worker", w.ID, "born", report.StartTimeMs)
 				e.requestPlacement()
--- a/orchestrator/order.go
+++ b/orchestrator/order.go
@@ -359,7 +359,7 @@
 	}
 	if started {
 		e.log.Info("run started", "task", o.Task.String(), "run", o.Run, "worker", w.ID, "clock", report.ClockMs, "settled", true)
-		t.forgetUnansweredStart(w, o.Run, time.Time{})
+		e.forgetUnansweredStart(t, w, o.Run, time.Time{})
 		t.setPhase(running)
 		t.phaseSince = time.Now()
 		e.noteBegun(t)
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -102,6 +102,7 @@
 		e.advice.wanted[need] = e.advice.wanted[need][:0]
 	}
 	p.addUnstoredUsage()
+	e.unanswered.addUsage(p.extraUsage, now)
 	p.listCandidates()
 	p.computeShares()
 	p.shareStarts()
@@ -398,10 +399,17 @@
 }
 
 // isWithinCustomerLimit reports whether the customer stays within its limit if
-// the task runs.
+// the task runs. Late starts of the task itself are refused on its worker.
 func (p *placementPass) isWithinCustomerLimit(t *task, j *job) bool {
 	c := j.settingsIn(p.manifest).customer
-	return c == nil || c.WithinLimit(j.customer.usage.Add(p.extraUsage[j.Customer]).Add(t.resourcesTowardCustomerLimit()))
+	if c == nil {
+		return true
+	}
+	usage := j.customer.usage.Add(p.extraUsage[j.Customer])
+	if t.confinedTo != nil {
+		usage = usage.Sub(t.resourcesTowardCustomerLimit().Times(len(t.unanswered)))
+	}
+	return c.WithinLimit(usage.Add(t.resourcesTowardCustomerLimit()))
 }
 
 // tryPlaceTask chooses a worker for a task and assigns the task to it. The
@@ -413,6 +421,14 @@
 		t.releaseKeptWorker()
 	}
 	plain := s.hasPlainRequirements() && !t.isSuspect() && t.confinedTo == nil
+	if w := t.confinedTo; w != nil { // the room of its late starts is its own
+		w.view.Free = w.view.Free.Add(s.ReservedResources().Times(len(t.unanswered)))
+		defer func() {
+			if t.worker != w {
+				w.view.Free = w.view.Free.Sub(s.ReservedResources().Times(len(t.unanswered)))
+			}
+		}()
+	}
 	if plain && view.isKnownUnplaceable(s.ReservedResources()) {
 		return noRoom
 	}
@@ -537,7 +553,7 @@
 	for i, w := range view.workers {
 		if touched[w] {
 			unavailable := w.view.Unavailable
-			w.updateView()
+			w.updateView(w.view.late)
 			w.view.Unavailable = unavailable
 			view.probations[i] = w.view.probation
 			view.updateIndex(i)
@@ -595,8 +611,8 @@
 		}
 		v.anyKept = v.anyKept || w.keptFor != nil
 		v.usable += w.usableCPU()
-		if !w.view.upToDate {
-			w.updateView()
+		if late := p.engine.unanswered.roomFor(w.ID, p.now); !w.view.upToDate || w.view.late != late {
+			w.updateView(late)
 		}
 		w.view.Unavailable, w.view.EvacuationDue = false, p.engine.isMaintenanceDue(w.Instance)
 		v.workers, v.assignerViews, v.probations = append(v.workers, w), append(v.assignerViews, &w.view.Worker), append(v.probations, w.view.probation)
@@ -608,11 +624,12 @@
 	return v
 }
 
-// updateView updates the view of the worker for placement passes.
-func (w *worker) updateView() {
+// updateView updates the view of the worker for placement passes. late is what late starts
+// may take there.
+func (w *worker) updateView(late modeler.Resources) {
 	v := &w.view
-	v.upToDate, v.probation = true, w.probationView()
-	v.Name, v.Free, v.Capacity, v.Retained, v.Labels, v.Rack = w.ID, w.unreservedResources(), w.Capacity, w.reservedResources(), w.Labels, modeler.RackLabel(w.Labels)
+	v.upToDate, v.late, v.probation = true, late, w.probationView()
+	v.Name, v.Free, v.Capacity, v.Retained, v.Labels, v.Rack = w.ID, w.unreservedResources().Sub(late), w.Capacity, w.reservedResources(), w.Labels, modeler.RackLabel(w.Labels)
 	v.Slowdown = w.speed.slowdown
 	v.LatencyTasks, v.IdleCPUTasks, v.LongRunningTasks, v.Suspects = 0, 0, 0, 0
 	for _, t := range w.tasks {
--- a/orchestrator/stray.go
+++ b/orchestrator/stray.go
@@ -36,13 +36,16 @@
 	mayBeLate := err != nil && !wasNotExecuted(err)
 	if mayBeLate {
 		w.noteLateOrder(now)
-		e.unanswered.add(w.ID, runID{s.order.Task, s.order.Run}, now.Add(maxLateOrderTime), now)
-		if t := e.findTask(s.order.Task); t != nil && t.phase != done && (t.startsRepeated > 0 || !t.isListedAs(w, s.order.Run)) {
+		t := e.findTask(s.order.Task)
+		switch {
+		case t == nil || t.phase == done || !t.step.awaitsUnansweredStarts():
+			e.unanswered.add(w.ID, runID{s.order.Task, s.order.Run}, t, now.Add(maxLateOrderTime), now)
+		case t.startsRepeated > 0 || !t.isListedAs(w, s.order.Run):
 			e.noteUnansweredStart(t, w.ID, s.order.Run, now.Add(maxLateOrderTime), now)
 		}
 	}
 	if t := e.findTask(s.order.Task); t != nil && err != nil && !mayBeLate && t.startsRepeated == 0 {
-		t.forgetUnansweredStart(w, s.order.Run, now)
+		e.forgetUnansweredStart(t, w, s.order.Run, now)
 	}
 	if !mayBeLate && !mayExtendLease(err) || err == nil && boot == w.StartTimeMs && w.clockSample.matches(clock, s.queuedAt, now) {
 		return
