Release only what late starts of the task itself take

A long-running task that starts again on the worker of its late starts got their room and their part of the customer's limit back, also of those that no longer counted: after its 12 s a start stays noted until a poll tells of it. The worker or the customer could then come above its limit by one task. Found by reading; only starts that still count are released now.

--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -97,6 +97,17 @@
 	return s.task != nil && !now.After(s.until) && (s.task.worker == nil || s.task.worker.ID != s.worker)
 }
 
+// countOwnLateStarts returns how many starts for which the task waits may take room.
+func (t *task) countOwnLateStarts(now time.Time) int {
+	n := 0
+	for _, s := range t.unanswered {
+		if s.mayTakeRoom(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // roomFor returns the resources that late starts on a worker may take.
 func (u unansweredStarts) roomFor(worker string, now time.Time) modeler.Resources {
 	var sum modeler.Resources
--- a/orchestrator/place.go
+++ b/orchestrator/place.go
@@ -407,13 +407,13 @@
 	}
 	usage := j.customer.usage.Add(p.extraUsage[j.Customer])
 	if t.confinedTo != nil {
-		usage = usage.Sub(t.resourcesTowardCustomerLimit().Times(len(t.unanswered)))
+		usage = usage.Sub(t.resourcesTowardCustomerLimit().Times(t.countOwnLateStarts(p.now)))
 	}
 	return c.WithinLimit(usage.Add(t.resourcesTowardCustomerLimit()))
 }
 
 // tryPlaceTask chooses a worker for a task and assigns the task to it. The
-// placement becomes final with commitPlacement; undoPlacement reverts it.
+// placement becomes final with commitPlacement; undoPlacements reverts it.
 func (p *placementPass) tryPlaceTask(t *task, view *poolView) attempt {
 	s := t.step
 	view.releaseReservation(t)
@@ -422,10 +422,11 @@
 	}
 	plain := s.hasPlainRequirements() && !t.isSuspect() && t.confinedTo == nil
 	if w := t.confinedTo; w != nil { // the room of its late starts is its own
-		w.view.Free = w.view.Free.Add(s.ReservedResources().Times(len(t.unanswered)))
+		own := s.ReservedResources().Times(t.countOwnLateStarts(p.now))
+		w.view.Free = w.view.Free.Add(own)
 		defer func() {
 			if t.worker != w {
-				w.view.Free = w.view.Free.Sub(s.ReservedResources().Times(len(t.unanswered)))
+				w.view.Free = w.view.Free.Sub(own)
 			}
 		}()
 	}
