Poll a worker once for all starts that can't be late any more

20 starts without a response on one worker caused 20 polls at once when their 12 s were over: each waiting task polled for itself. The record of what is still out on a worker now keeps a start until no task waits for it, and one poll each 0.5 s tells of all of them. A start that was sent again after its 12 s no longer falls out of the record, so that its room and limit count.

--- a/orchestrator/attend.go
+++ b/orchestrator/attend.go
@@ -324,7 +324,7 @@
 			w.cancel()
 		}
 		delete(e.workersByID, w.ID)
-		delete(e.unanswered, w.ID)
+		e.unanswered.prune(w.ID, now)
 		e.removeFromPool(w)
 		e.forgetStartsInFlight(w)
 		e.log.Info("worker gone: no longer listed and its leases have expired", "worker", w.ID, "pool", w.Pool)
--- a/orchestrator/late.go
+++ b/orchestrator/late.go
@@ -34,7 +34,7 @@
 		until     time.Time // the start is not carried out after this time
 		repeated  bool      // the start was sent again, so that the run's appearance tells of one of the calls only
 		refusedBy int64     // start time of the worker's process that has acknowledged a stop of the run or listed its end; 0 if none is known
-		pollAt    time.Time // when the worker is asked next whether it runs what the start has begun
+		refuseAt  time.Time // when the worker is told next to refuse the run
 	}
 
 	// unansweredStarts contains the starts without a response, by worker ID. A worker that
@@ -70,10 +70,19 @@
 	return s.Gang || s.LongRunning || s.Speculative
 }
 
-// add adds a start without a response, unless it is known, and forgets those of the worker
-// that can't be carried out any more.
+// prune forgets the starts of a worker that can't be carried out any more and for which no
+// task waits.
+func (u unansweredStarts) prune(worker string, now time.Time) {
+	u[worker] = slices.DeleteFunc(u[worker], func(s *unansweredStart) bool { return now.After(s.until) && !s.isAwaited() })
+	if len(u[worker]) == 0 {
+		delete(u, worker)
+	}
+}
+
+// add adds a start without a response, unless it is known.
 func (u unansweredStarts) add(worker string, id runID, t *task, until, now time.Time) *unansweredStart {
-	starts := slices.DeleteFunc(u[worker], func(s *unansweredStart) bool { return now.After(s.until) })
+	u.prune(worker, now)
+	starts := u[worker]
 	i := slices.IndexFunc(starts, func(s *unansweredStart) bool { return s.id == id })
 	if i < 0 {
 		i, starts = len(starts), append(starts, &unansweredStart{id: id, task: t, worker: worker})
@@ -83,6 +92,11 @@
 	return starts[i]
 }
 
+// isAwaited reports whether the task waits for the start.
+func (s *unansweredStart) isAwaited() bool {
+	return s.task != nil && slices.Contains(s.task.unanswered, s)
+}
+
 // remove removes a start that can't be carried out any more.
 func (u unansweredStarts) remove(s *unansweredStart) {
 	u[s.worker] = slices.DeleteFunc(u[s.worker], func(other *unansweredStart) bool { return other == s })
@@ -136,11 +150,9 @@
 	if !t.step.awaitsUnansweredStarts() {
 		return
 	}
-	if i := t.indexUnanswered(worker, run); i >= 0 {
-		t.unanswered[i].until = until // the worker's list may lack it already
-		return
+	if s := e.unanswered.add(worker, runID{t.id, run}, t, until, now); !s.isAwaited() {
+		t.unanswered = append(t.unanswered, s)
 	}
-	t.unanswered = append(t.unanswered, e.unanswered.add(worker, runID{t.id, run}, t, until, now))
 }
 
 func (t *task) indexUnanswered(worker string, run int) int {
@@ -219,7 +231,9 @@
 		return over
 	})
 	for _, s := range t.unanswered {
-		e.pollForLateRun(t, s, now)
+		if w := e.workersByID[s.worker]; !now.Before(s.until) && w != nil && w.reachable {
+			e.pollForLateRuns(w, now)
+		}
 	}
 	return len(t.unanswered) > 0 && !e.confineToWorker(t, now)
 }
@@ -259,10 +273,10 @@
 // refuseLateStart makes the present process of a worker refuse a start without a response,
 // whose run the worker has not listed.
 func (e *Engine) refuseLateStart(w *worker, s *unansweredStart, now time.Time) {
-	if now.Before(s.pollAt) {
+	if now.Before(s.refuseAt) {
 		return
 	}
-	s.pollAt = now.Add(lateStartPollInterval)
+	s.refuseAt = now.Add(lateStartPollInterval)
 	ctx, target, boot := e.callCtx, w.Worker, w.StartTimeMs
 	e.runInBackground(func() {
 		if e.workers.Stop(ctx, target, s.id.task, s.id.number, e.term.Token) != nil {
@@ -285,27 +299,29 @@
 	return w.Draining || w.evacuated || w.outOfUse || w.cordonReason != ""
 }
 
-// pollForLateRun asks a worker that responds whether a start that can't be carried out any
-// more has begun a run. The worker's own polls tell of one.
-func (e *Engine) pollForLateRun(t *task, s *unansweredStart, now time.Time) {
-	w := e.workersByID[s.worker]
-	if now.Before(s.until) || now.Before(s.pollAt) || w == nil || !w.reachable {
+// pollForLateRuns asks a worker that responds which of the starts that can't be carried out
+// any more have begun a run. The worker's own polls tell of these.
+func (e *Engine) pollForLateRuns(w *worker, now time.Time) {
+	if now.Before(w.pollForLateRunsAt) {
 		return
 	}
-	s.pollAt = now.Add(lateStartPollInterval)
-	ctx, target, id := e.callCtx, w.Worker, s.id
+	w.pollForLateRunsAt = now.Add(lateStartPollInterval)
+	starts := slices.DeleteFunc(slices.Clone(e.unanswered[w.ID]), func(s *unansweredStart) bool { return now.Before(s.until) || !s.isAwaited() })
+	ctx, target := e.callCtx, w.Worker
 	e.runInBackground(func() {
 		report, err := e.workers.RenewAndPoll(ctx, target, 0, e.term.Token, 0, 0)
-		if err != nil || !isComplete(report) || lists(report, id) {
+		if err != nil || !isComplete(report) {
 			return
 		}
 		e.runInEventLoop(ctx, func() {
-			if i := t.indexUnanswered(w.ID, id.number); i >= 0 {
-				e.unanswered.remove(t.unanswered[i])
-				t.unanswered = slices.Delete(t.unanswered, i, i+1)
-				e.log.Info("start without a response was not carried out, its task may start", "task", id.task.String(), "run", id.number, "worker", w.ID, "born", report.StartTimeMs)
-				e.requestPlacement()
+			for _, s := range starts {
+				if s.isAwaited() && !lists(report, s.id) {
+					e.unanswered.remove(s)
+					s.task.unanswered = slices.DeleteFunc(s.task.unanswered, func(other *unansweredStart) bool { return other == s })
+					e.log.Info("start without a response was not carried out, its task may start", "task", s.id.task.String(), "run", s.id.number, "worker", w.ID, "born", report.StartTimeMs)
+				}
 			}
+			e.requestPlacement()
 		})
 	})
 }
--- a/orchestrator/worker.go
+++ b/orchestrator/worker.go
@@ -48,6 +48,7 @@
 		clockSample        clockSample
 		leaseDeadline      int64 // latest lease expiry sent, on the worker's clock
 		stray              strayLease
+		pollForLateRunsAt  time.Time     // when it is asked next for runs that late starts have begun
 		lateOrdersUntil    time.Time     // until then the worker may carry out orders that extend its lease and got no response
 		acknowledgedEnd    int64         // number of the last ended run that the worker need not list again
 		pendingEnds        []reportedEnd // ended runs reported by the worker and not acknowledged yet
