--- a/orchestrator/late_test.go
+++ b/orchestrator/late_test.go
@@ -212,3 +212,27 @@
 		})
 	}
 }
+
+// Guards against a leader that waits for late starts of workers that were gone before its term.
+func TestTasksOfGoneWorkersReturnSoonAfterTwoLeaderCrashes(t *testing.T) {
+	runScenario(t, 2, func(s *deployment) {
+		first, _ := s.startOldDeployment()
+		s.cutOff(s.instances.WorkerOf("b"), true)
+		time.Sleep(25 * time.Second)
+		s.submit(shortJob("j1", modeler.Step{Count: 1, Need: modeler.Resources{CPU: 1000}}))
+		time.Sleep(100 * time.Millisecond)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		s.cutOff(s.instances.WorkerOf("b"), false)
+		s.instances.ShutDown("a")
+		first.crash()
+		second := s.startEntry("two")
+		s.waitForLeader("two")
+		time.Sleep(6 * time.Second)
+		second.crash()
+		third := s.startEntry("three")
+		s.waitForLeader("three")
+		time.Sleep(9 * time.Second)
+		require.Equal(t, 1, s.taskFleet.RunCountOfJob("j1"))
+		third.stopGracefully()
+	})
+}
