Give a progress record its own list of finished occurrences

A record could then have named an occurrence that was not finished, or missed one. The record now has a copy; all else in it is built anew for it.

TestRecordOfAScheduledJobStaysSmall and TestProgressOfAnEarlierVersionNamesFinishedOccurrences failed with the race detector and pass.

--- a/orchestrator/record.go
+++ b/orchestrator/record.go
@@ -162,9 +162,10 @@
 	return raw
 }
 
-// progress returns the progress record of the job.
+// progress returns the progress record of the job, which shares nothing with the job: it is
+// encoded outside the event loop.
 func (j *job) progress() Progress {
-	p := Progress{State: j.state, Begun: j.hasBeenPlaced, Started: j.hasStarted, Finished: j.finished}
+	p := Progress{State: j.state, Begun: j.hasBeenPlaced, Started: j.hasStarted, Finished: slices.Clone(j.finished)}
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			if sp := s.progress(); len(sp.Done)+len(sp.Tasks) > 0 {
